--- /dev/null
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
@@ -0,0 +1,374 @@
+package org.radishthread.agreement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import org.radishthread.protocol.AgreementMessage;
+import org.radishthread.protocol.Configuration;
+import org.radishthread.protocol.ControlRequest;
+import org.radishthread.protocol.ControlResponse;
+import org.radishthread.protocol.ControlStatus;
+import org.radishthread.protocol.Done;
+import org.radishthread.protocol.History;
+import org.radishthread.protocol.Initialize;
+import org.radishthread.protocol.LogEntry;
+import org.radishthread.protocol.NotLeader;
+import org.radishthread.protocol.Refused;
+import org.radishthread.protocol.ReplicaDescriptor;
+import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.Snapshot;
+
+/**
+ * One control instance: a replica and its state machine, answering requests. It is a
+ * state machine without threads, clocks or input and output of its own; the
+ * {@link GroupDriver} carries out its effects.
+ */
+public final class ControlGroup {
+
+	private final ReplicaDescriptor self;
+
+	private final ReplicaSettings settings;
+
+	private final Replica replica;
+
+	private final ControlState state;
+
+	private long appliedIndex;
+
+	private final Map<Long, PendingCommand> pendingCommands = new HashMap<>();
+
+	private final Map<Long, PendingRequest> pendingReads = new HashMap<>();
+
+	private final List<PendingRequest> pendingReplacements = new ArrayList<>();
+
+	private final Set<Long> unansweredFoundings = new HashSet<>();
+
+	private @Nullable PendingRequest pendingFounding;
+
+	private long nextFoundingMillis;
+
+	private long lastReadToken;
+
+	private final List<Reply> replies = new ArrayList<>();
+
+	private @Nullable RuleFile appliedRules;
+
+	public ControlGroup(ReplicaDescriptor self, ReplicaSettings settings, ClaimLimits limits, ElectionTimeouts timeouts,
+			StoredLog stored) {
+		this.self = self;
+		this.settings = settings;
+		this.replica = new Replica(self.getId(), settings, timeouts, stored);
+		this.state = new ControlState(limits);
+		this.state.restore(stored.snapshot().getState());
+		this.appliedIndex = stored.snapshot().getIndex();
+		publishRules();
+	}
+
+	public ReplicaRole role() {
+		return this.replica.role();
+	}
+
+	/**
+	 * Returns the rules committed as far as this replica knows.
+	 * @return the rules, with revision zero if there are none
+	 */
+	public RuleFile rules() {
+		return this.state.rules().current();
+	}
+
+	/**
+	 * Returns the address of a replica of this group.
+	 * @param id the identity of the replica
+	 * @return the address, if the replica is known
+	 */
+	public Optional<String> addressOf(long id) {
+		Configuration configuration = this.replica.log().configuration();
+		return java.util.stream.Stream
+			.concat(configuration.getVotersList().stream(), configuration.getLearnersList().stream())
+			.filter((descriptor) -> descriptor.getId() == id)
+			.map(ReplicaDescriptor::getAddress)
+			.findFirst();
+	}
+
+	/**
+	 * Returns what operators see of this replica.
+	 * @return the status
+	 */
+	public ControlStatus status() {
+		return ControlStatus.newBuilder()
+			.setReplica(this.self)
+			.setRole(role().word())
+			.setTerm(this.replica.term())
+			.setCommitIndex(this.replica.commitIndex())
+			.setSnapshotIndex(this.replica.log().snapshot().getIndex())
+			.setClaims(this.state.claimCount())
+			.setConfiguration(this.replica.log().configuration())
+			.setGroup(this.replica.group())
+			.build();
+	}
+
+	/**
+	 * Takes in a message of another replica.
+	 * @param message the message
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void receive(AgreementMessage message, long now) {
+		if (message.hasFoundingResponse() && message.getTo() == this.self.getId()) {
+			foundingAnswered(message.getFrom());
+		}
+		this.replica.receive(message, now);
+	}
+
+	/**
+	 * Lets time pass.
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void tick(long now) {
+		this.replica.tick(now);
+		if (!this.unansweredFoundings.isEmpty() && now >= this.nextFoundingMillis) {
+			this.nextFoundingMillis = now + this.settings.heartbeatMillis();
+			this.unansweredFoundings.forEach(this.replica::sendFoundingRequest);
+		}
+	}
+
+	/**
+	 * Takes in a request; the answer comes as an effect.
+	 * @param origin who asks, handed back with the answer
+	 * @param request the request
+	 * @param now the monotonic time, in milliseconds
+	 * @param wallClockMillis the calendar time, in milliseconds since 1970
+	 */
+	public void request(String origin, ControlRequest request, long now, long wallClockMillis) {
+		PendingRequest pending = new PendingRequest(origin, request.getId());
+		switch (request.getBodyCase()) {
+			case READ_STATUS -> reply(pending, ControlResponse.newBuilder().setStatus(status()));
+			case INITIALIZE -> initialize(pending, request.getInitialize(), now);
+			case COMMAND, READ_RULES, READ_HISTORY, REPLACE -> requestLeader(pending, request, now, wallClockMillis);
+			default -> refuse(pending, "The request has no body that this version knows.");
+		}
+	}
+
+	private void requestLeader(PendingRequest pending, ControlRequest request, long now, long wallClockMillis) {
+		if (!this.replica.isReadyLeader()) {
+			replyNotLeader(pending);
+			return;
+		}
+		switch (request.getBodyCase()) {
+			case COMMAND -> {
+				long index = this.replica.propose(request.getCommand(), wallClockMillis);
+				this.pendingCommands.put(index, new PendingCommand(pending, this.replica.term()));
+			}
+			case READ_RULES -> {
+				this.lastReadToken++;
+				this.pendingReads.put(this.lastReadToken, pending);
+				this.replica.confirmRead(this.lastReadToken);
+			}
+			case READ_HISTORY -> reply(pending,
+					ControlResponse.newBuilder()
+						.setHistory(History.newBuilder()
+							.addAllEntries(this.state.rules().latest(request.getReadHistory().getLimit()))));
+			default -> replace(pending, request.getReplace().getAdded(), now);
+		}
+	}
+
+	private void replace(PendingRequest pending, ReplicaDescriptor added, long now) {
+		Configuration configuration = this.replica.log().configuration();
+		if (ConfigurationChange.contains(configuration.getVotersList(), added.getId())
+				&& !configuration.hasReplacement()) {
+			reply(pending, ControlResponse.newBuilder().setDone(Done.getDefaultInstance()));
+			return;
+		}
+		if (configuration.hasReplacement() && configuration.getReplacement().getAdded().getId() == added.getId()) {
+			this.pendingReplacements.add(pending);
+			return;
+		}
+		Optional<ReplicaDescriptor> removed = configuration.getVotersList()
+			.stream()
+			.filter((voter) -> voter.getInstance().equals(added.getInstance()))
+			.findFirst();
+		if (removed.isEmpty()) {
+			refuse(pending, "No control replica of instance '" + added.getInstance() + "' exists to be replaced.");
+		}
+		else if (configuration.hasReplacement() || !this.replica.mayChangeConfiguration()) {
+			refuse(pending, "Another replacement is in progress; wait until it is done.");
+		}
+		else {
+			this.pendingReplacements.add(pending);
+			this.replica.beginReplacement(removed.get().getId(), added, now);
+		}
+	}
+
+	private void initialize(PendingRequest pending, Initialize request, long now) {
+		Configuration configuration = Configuration.newBuilder().addAllVoters(request.getReplicasList()).build();
+		if (role() != ReplicaRole.UNFOUNDED) {
+			boolean same = this.replica.log().snapshot().getConfiguration().equals(configuration)
+					|| this.replica.log().configuration().equals(configuration);
+			if (!same) {
+				refuse(pending, "This instance already belongs to a control group; nothing was changed.");
+				return;
+			}
+		}
+		else {
+			if (!ConfigurationChange.contains(request.getReplicasList(), this.self.getId())) {
+				refuse(pending, "The replicas must include the instance that founds the group.");
+				return;
+			}
+			this.replica.found(this.self.getId(), configuration, now);
+		}
+		request.getReplicasList()
+			.forEach((replicaDescriptor) -> this.unansweredFoundings.add(replicaDescriptor.getId()));
+		this.unansweredFoundings.remove(this.self.getId());
+		this.nextFoundingMillis = now;
+		this.pendingFounding = pending;
+		foundingAnswered(this.self.getId());
+		tick(now);
+	}
+
+	private void foundingAnswered(long from) {
+		this.unansweredFoundings.remove(from);
+		if (this.unansweredFoundings.isEmpty() && this.pendingFounding != null) {
+			reply(this.pendingFounding, ControlResponse.newBuilder().setDone(Done.getDefaultInstance()));
+			this.pendingFounding = null;
+		}
+	}
+
+	private void reply(PendingRequest pending, ControlResponse.Builder response) {
+		this.replies.add(new Reply(pending.origin(), response.setId(pending.id()).build()));
+	}
+
+	private void refuse(PendingRequest pending, String reason) {
+		reply(pending, ControlResponse.newBuilder().setRefused(Refused.newBuilder().setReason(reason)));
+	}
+
+	private void replyNotLeader(PendingRequest pending) {
+		NotLeader.Builder notLeader = NotLeader.newBuilder().setReason(role().word());
+		if (this.replica.leader() != this.self.getId()) {
+			addressOf(this.replica.leader()).ifPresent(notLeader::setLeaderAddress);
+		}
+		reply(pending, ControlResponse.newBuilder().setNotLeader(notLeader));
+	}
+
+	/**
+	 * Hands over what is to be done since the last call.
+	 * @param now the monotonic time, in milliseconds
+	 * @return the effects
+	 */
+	GroupEffects drain(long now) {
+		ReplicaEffects effects = this.replica.drain(now);
+		if (effects.installed != null) {
+			this.state.restore(effects.installed.getState());
+			this.appliedIndex = effects.installed.getIndex();
+			publishRules();
+		}
+		effects.committed.forEach(this::apply);
+		effects.confirmedReads.forEach(this::confirmRead);
+		if (effects.leadershipLost) {
+			abandonPending();
+		}
+		boolean rewrite = takeSnapshotIfDue() || effects.rewriteLog;
+		StoredLog content = rewrite ? storedLog() : null;
+		GroupEffects result = new GroupEffects(effects.frames, content, effects.immediate, effects.afterSync,
+				List.copyOf(this.replies), this.appliedRules);
+		this.replies.clear();
+		this.appliedRules = null;
+		return result;
+	}
+
+	private StoredLog storedLog() {
+		return new StoredLog(this.replica.hardState(), this.replica.log().snapshot(),
+				this.replica.log().entriesAfterSnapshot());
+	}
+
+	/**
+	 * Learns that all effects handed over so far are durable.
+	 * @param now the monotonic time, in milliseconds
+	 */
+	void synced(long now) {
+		this.replica.synced(now);
+	}
+
+	private void apply(LogEntry entry) {
+		this.appliedIndex = entry.getIndex();
+		PendingCommand pending = this.pendingCommands.remove(entry.getIndex());
+		if (entry.hasConfiguration()) {
+			configurationApplied(entry.getConfiguration());
+			return;
+		}
+		if (!entry.hasCommand()) {
+			return;
+		}
+		long before = rules().getRevision();
+		ControlResponse response = this.state.apply(entry);
+		if (rules().getRevision() > before) {
+			publishRules();
+		}
+		if (pending != null && pending.term() == entry.getTerm()) {
+			reply(pending.request(), response.toBuilder());
+		}
+		else if (pending != null) {
+			replyNotLeader(pending.request());
+		}
+	}
+
+	private void configurationApplied(Configuration configuration) {
+		if (configuration.hasReplacement()) {
+			return;
+		}
+		this.pendingReplacements
+			.forEach((pending) -> reply(pending, ControlResponse.newBuilder().setDone(Done.getDefaultInstance())));
+		this.pendingReplacements.clear();
+	}
+
+	private void confirmRead(long token) {
+		PendingRequest pending = this.pendingReads.remove(token);
+		if (pending != null) {
+			reply(pending, ControlResponse.newBuilder().setRuleFile(rules()));
+		}
+	}
+
+	private void abandonPending() {
+		this.pendingCommands.values().forEach((pending) -> replyNotLeader(pending.request()));
+		this.pendingCommands.clear();
+		this.pendingReads.values().forEach(this::replyNotLeader);
+		this.pendingReads.clear();
+		this.pendingReplacements.forEach(this::replyNotLeader);
+		this.pendingReplacements.clear();
+	}
+
+	private boolean takeSnapshotIfDue() {
+		long entries = this.appliedIndex - this.replica.log().snapshot().getIndex();
+		if (entries < this.settings.entriesBetweenSnapshots() + this.state.size()) {
+			return false;
+		}
+		this.replica.compact(Snapshot.newBuilder()
+			.setIndex(this.appliedIndex)
+			.setTerm(this.replica.log().termAt(this.appliedIndex))
+			.setConfiguration(this.replica.log().configurationAt(this.appliedIndex))
+			.setState(this.state.save())
+			.build());
+		return true;
+	}
+
+	private void publishRules() {
+		if (rules().getRevision() > 0) {
+			this.appliedRules = rules();
+		}
+	}
+
+	record Reply(String origin, ControlResponse response) {
+	}
+
+	private record PendingRequest(String origin, long id) {
+	}
+
+	private record PendingCommand(PendingRequest request, long term) {
+	}
+
+}
--- /dev/null
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/GroupDriver.java
@@ -0,0 +1,55 @@
+package org.radishthread.agreement;
+
+/**
+ * Carries out the effects of a {@link ControlGroup} in their proper order: messages that
+ * depend on a write leave only when it is durable. Commands taken in before one call of
+ * {@link #flush} share one synced write (group commit).
+ */
+public final class GroupDriver {
+
+	private final ControlGroup group;
+
+	private final LogStorage storage;
+
+	private final GroupOutput output;
+
+	public GroupDriver(ControlGroup group, LogStorage storage, GroupOutput output) {
+		this.group = group;
+		this.storage = storage;
+		this.output = output;
+	}
+
+	/**
+	 * Carries out effects until there are none left.
+	 * @param now the monotonic time, in milliseconds
+	 * @throws AgreementException if a write fails; this control instance must stop
+	 */
+	public void flush(long now) {
+		GroupEffects effects = this.group.drain(now);
+		while (!effects.isEmpty()) {
+			perform(effects);
+			this.group.synced(now);
+			effects = this.group.drain(now);
+		}
+	}
+
+	private void perform(GroupEffects effects) {
+		effects.immediate().forEach(this.output::send);
+		store(effects);
+		effects.afterSync().forEach(this.output::send);
+		if (effects.appliedRules() != null) {
+			this.output.rulesApplied(effects.appliedRules());
+		}
+		effects.replies().forEach((reply) -> this.output.reply(reply.origin(), reply.response()));
+	}
+
+	private void store(GroupEffects effects) {
+		if (effects.content() != null) {
+			this.storage.replace(effects.content());
+		}
+		else if (!effects.frames().isEmpty()) {
+			this.storage.append(effects.frames());
+		}
+	}
+
+}
--- /dev/null
+++ b/radishthread-client/src/main/java/org/radishthread/client/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' client.
+ */
+@NullMarked
+package org.radishthread.client;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -0,0 +1,115 @@
+package org.radishthread.daemon;
+
+import dagger.Module;
+import dagger.Provides;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import jakarta.inject.Singleton;
+
+import org.radishthread.daemon.administration.AdministrationServer;
+import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.control.ControlClient;
+import org.radishthread.daemon.control.ControlService;
+import org.radishthread.daemon.gateway.ClaimKeeper;
+import org.radishthread.daemon.gateway.GatewayContext;
+import org.radishthread.daemon.gateway.GatewayServer;
+import org.radishthread.daemon.gateway.RoutingService;
+import org.radishthread.daemon.gateway.UpstreamClients;
+import org.radishthread.daemon.peer.PeerTransport;
+import org.radishthread.daemon.settings.DaemonSettings;
+import org.radishthread.kernel.Kernel;
+import org.radishthread.kernel.SystemTimeSource;
+import org.radishthread.kernel.TimeSource;
+
+/**
+ * Provides the services of the daemon.
+ */
+@Module
+final class DaemonModule {
+
+	private DaemonModule() {
+	}
+
+	@Provides
+	@Singleton
+	static TimeSource timeSource() {
+		return new SystemTimeSource();
+	}
+
+	@Provides
+	@Singleton
+	static PrometheusMeterRegistry prometheusMeterRegistry() {
+		PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		new JvmMemoryMetrics().bindTo(meters);
+		new ProcessorMetrics().bindTo(meters);
+		return meters;
+	}
+
+	@Provides
+	static MeterRegistry meterRegistry(PrometheusMeterRegistry meters) {
+		return meters;
+	}
+
+	@Provides
+	@Singleton
+	static PeerTransport peerTransport(DaemonSettings settings, MeterRegistry meters) {
+		return new PeerTransport(settings, meters);
+	}
+
+	@Provides
+	@Singleton
+	static ClusterService clusterService(DaemonSettings settings, PeerTransport transport, TimeSource time) {
+		return new ClusterService(settings, transport, time, ControlService.identity(settings));
+	}
+
+	@Provides
+	@Singleton
+	static ControlClient controlClient(PeerTransport transport, ClusterService cluster, TimeSource time) {
+		return new ControlClient(transport, cluster, time);
+	}
+
+	@Provides
+	@Singleton
+	static UpstreamClients upstreamClients() {
+		return new UpstreamClients();
+	}
+
+	@Provides
+	@Singleton
+	static RoutingService routingService(DaemonSettings settings, TimeSource time) {
+		return new RoutingService(settings, time);
+	}
+
+	@Provides
+	@Singleton
+	static GatewayContext gatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients,
+			ControlClient control, TimeSource time, MeterRegistry meters) {
+		return new GatewayContext(settings, routing, clients, new ClaimKeeper(settings, control), time, meters);
+	}
+
+	@Provides
+	@Singleton
+	static Kernel kernel(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
+			ControlClient control, UpstreamClients clients, RoutingService routing, GatewayContext context,
+			TimeSource time, PrometheusMeterRegistry meters) {
+		Kernel kernel = new Kernel();
+		kernel.register(transport);
+		cluster.addListener(routing);
+		kernel.register(cluster);
+		if (settings.isControl()) {
+			kernel.register(new ControlService(settings, transport, cluster, time));
+		}
+		kernel.register(control);
+		kernel.register(new AdministrationServer(settings, cluster, control, meters));
+		if (settings.isGateway()) {
+			kernel.register(clients);
+			kernel.register(routing);
+			kernel.register(new GatewayServer(settings, context, cluster));
+		}
+		return kernel;
+	}
+
+}
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/JsonAnswer.java
@@ -0,0 +1,12 @@
+package org.radishthread.daemon.administration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * An answer of the administration port.
+ *
+ * @param status the HTTP status
+ * @param body the content
+ */
+record JsonAnswer(int status, JsonNode body) {
+}
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -0,0 +1,145 @@
+package org.radishthread.daemon.gateway;
+
+import java.io.ByteArrayOutputStream;
+
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.BufferUtil;
+
+import org.radishthread.routing.AttemptOutcome;
+import org.radishthread.routing.RoutingEffect;
+
+/**
+ * Sends a request to one upstream and holds the answer until it is whole or too large to
+ * be held. An answer whose end can not be told from a lost connection, or that belongs to
+ * another request, counts as broken.
+ */
+final class Attempt implements Response.Listener {
+
+	private final RoutingEffect.Dispatch dispatch;
+
+	private final Request request;
+
+	private final String requestName;
+
+	private final int heldLimit;
+
+	private final AttemptListener listener;
+
+	private final boolean onNewConnection;
+
+	private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+
+	private volatile boolean begun;
+
+	private volatile boolean answered;
+
+	private volatile boolean streaming;
+
+	private boolean reported;
+
+	Attempt(RoutingEffect.Dispatch dispatch, Request request, String requestName, int heldLimit,
+			boolean onNewConnection, AttemptListener listener) {
+		this.dispatch = dispatch;
+		this.request = request;
+		this.requestName = requestName;
+		this.heldLimit = heldLimit;
+		this.onNewConnection = onNewConnection;
+		this.listener = listener;
+	}
+
+	RoutingEffect.Dispatch dispatch() {
+		return this.dispatch;
+	}
+
+	boolean isOnNewConnection() {
+		return this.onNewConnection;
+	}
+
+	boolean hasAnswerBegun() {
+		return this.answered;
+	}
+
+	void send() {
+		this.request.onRequestBegin((sent) -> this.begun = true);
+		this.request.send(this);
+	}
+
+	void abort(Throwable cause) {
+		this.request.abort(cause);
+	}
+
+	@Override
+	public void onBegin(Response response) {
+		this.answered = true;
+	}
+
+	@Override
+	public void onHeaders(Response response) {
+		String echoed = response.getHeaders().get(RadishthreadHeader.REQUEST);
+		if (echoed != null && !echoed.equals(this.requestName)) {
+			abort(new GatewayException("The answer belongs to request '" + echoed + "'."));
+		}
+		else if (!isEndKnown(response)) {
+			abort(new GatewayException("The answer has neither a length nor chunks, so its end is unknown."));
+		}
+	}
+
+	private boolean isEndKnown(Response response) {
+		HttpFields headers = response.getHeaders();
+		return HttpMethod.HEAD.is(this.request.getMethod()) || response.getStatus() == HttpStatus.NO_CONTENT_204
+				|| response.getStatus() == HttpStatus.NOT_MODIFIED_304 || headers.contains(HttpHeader.CONTENT_LENGTH)
+				|| headers.contains(HttpHeader.TRANSFER_ENCODING);
+	}
+
+	@Override
+	public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
+		byte[] bytes = BufferUtil.toArray(chunk.getByteBuffer());
+		if (this.streaming) {
+			this.listener.part(bytes, demander);
+			return;
+		}
+		this.held.writeBytes(bytes);
+		if (this.held.size() <= this.heldLimit) {
+			demander.run();
+		}
+		else if (this.listener.mayStream(this, response)) {
+			this.streaming = true;
+			this.listener.part(this.held.toByteArray(), demander);
+		}
+		else {
+			abort(new GatewayException("Another attempt was faster."));
+		}
+	}
+
+	@Override
+	public void onComplete(Result result) {
+		synchronized (this) {
+			if (this.reported) {
+				return;
+			}
+			this.reported = true;
+		}
+		if (this.streaming) {
+			this.listener.streamEnded(this, result.isSucceeded());
+		}
+		else if (result.isFailed()) {
+			this.listener.failed(this, this.begun ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT,
+					result.getFailure());
+		}
+		else if (RequestOutcome.NOT_RUN.word()
+			.equals(result.getResponse().getHeaders().get(RadishthreadHeader.OUTCOME))) {
+			this.listener.failed(this, AttemptOutcome.REFUSED, new GatewayException("The upstream did not run it."));
+		}
+		else {
+			this.listener.whole(this, result.getResponse(), this.held.toByteArray());
+		}
+	}
+
+}
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -0,0 +1,105 @@
+package org.radishthread.daemon.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.settings.DaemonSettings;
+import org.radishthread.kernel.EventLog;
+import org.radishthread.kernel.Service;
+
+/**
+ * Listens for callers. On stop it first says that it is no longer ready, then closes its
+ * port, then waits for the requests that are under way.
+ */
+public final class GatewayServer implements Service {
+
+	/**
+	 * The name of this service.
+	 */
+	public static final String NAME = "gateway";
+
+	private static final EventLog eventLog = EventLog.of(GatewayServer.class);
+
+	private static final long CONNECTION_IDLE_MILLIS = 120_000;
+
+	private static final long STOP_CHECK_MILLIS = 20;
+
+	private static final int THREADS = 32;
+
+	private final DaemonSettings settings;
+
+	private final ClusterService cluster;
+
+	private final GatewayHandler handler;
+
+	private final Server server;
+
+	private final ServerConnector connector;
+
+	public GatewayServer(DaemonSettings settings, GatewayContext context, ClusterService cluster) {
+		this.settings = settings;
+		this.cluster = cluster;
+		this.handler = new GatewayHandler(context, cluster);
+		QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
+		threads.setName("caller");
+		threads.setDaemon(true);
+		this.server = new Server(threads);
+		HttpConfiguration configuration = new HttpConfiguration();
+		configuration.setSendServerVersion(false);
+		this.connector = new ServerConnector(this.server, 1, 2, new HttpConnectionFactory(configuration));
+		this.connector.setHost(settings.callerAddress().host());
+		this.connector.setPort(settings.callerAddress().port());
+		this.connector.setIdleTimeout(CONNECTION_IDLE_MILLIS);
+		this.server.addConnector(this.connector);
+		this.server.setHandler(this.handler);
+	}
+
+	@Override
+	public String name() {
+		return NAME;
+	}
+
+	@Override
+	public void start() {
+		try {
+			this.server.start();
+		}
+		catch (Exception ex) {
+			throw new GatewayException("Port " + this.settings.callerAddress() + " for callers can not be opened.", ex);
+		}
+	}
+
+	@Override
+	public void stop() {
+		this.cluster.leave();
+		try {
+			TimeUnit.MILLISECONDS.sleep(this.settings.limits().noticeMillis());
+			this.connector.shutdown();
+			awaitOpenRequests();
+			this.server.stop();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (Exception ex) {
+			throw new GatewayException("The port for callers can not be closed.", ex);
+		}
+	}
+
+	private void awaitOpenRequests() throws InterruptedException {
+		long limit = this.settings.limits().shutdownMillis();
+		long deadline = (limit == 0) ? Long.MAX_VALUE : System.currentTimeMillis() + limit;
+		eventLog.information("draining").with("open", this.handler.openRequests()).write();
+		while (this.handler.openRequests() > 0 && System.currentTimeMillis() < deadline) {
+			TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
+		}
+		eventLog.information("drained").with("open", this.handler.openRequests()).write();
+	}
+
+}
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -0,0 +1,103 @@
+package org.radishthread.daemon.gateway;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.radishthread.daemon.cluster.ClusterListener;
+import org.radishthread.daemon.settings.DaemonSettings;
+import org.radishthread.kernel.EventLog;
+import org.radishthread.kernel.EventLoop;
+import org.radishthread.kernel.FindingsException;
+import org.radishthread.kernel.Service;
+import org.radishthread.kernel.TimeSource;
+import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.UpstreamRecord;
+import org.radishthread.protocol.UpstreamState;
+import org.radishthread.routing.Upstream;
+import org.radishthread.rules.RuleParser;
+import org.radishthread.rules.RuleSet;
+
+/**
+ * Keeps one router for each service, with the rules in force and the announced upstreams.
+ */
+public final class RoutingService implements Service, ClusterListener {
+
+	/**
+	 * The name of this service.
+	 */
+	public static final String NAME = "routing";
+
+	private static final EventLog eventLog = EventLog.of(RoutingService.class);
+
+	private static final long TICK_MILLIS = 5;
+
+	private final DaemonSettings settings;
+
+	private final TimeSource time;
+
+	private final Map<String, GuardedRouter> routers = new ConcurrentHashMap<>();
+
+	private final EventLoop loop = new EventLoop("routing");
+
+	private volatile RuleSet rules = RuleSet.NONE;
+
+	public RoutingService(DaemonSettings settings, TimeSource time) {
+		this.settings = settings;
+		this.time = time;
+	}
+
+	@Override
+	public String name() {
+		return NAME;
+	}
+
+	@Override
+	public void start() {
+		this.loop.repeat(TICK_MILLIS, () -> this.routers.values().forEach(GuardedRouter::tick));
+	}
+
+	RuleSet rules() {
+		return this.rules;
+	}
+
+	GuardedRouter router(String service) {
+		return this.routers.computeIfAbsent(service,
+				(name) -> new GuardedRouter(this.rules.service(name), this.settings.zone(), this.time));
+	}
+
+	@Override
+	public void upstreamsChanged(List<UpstreamRecord> upstreams) {
+		upstreams.forEach((upstream) -> router(upstream.getService()));
+		this.routers.forEach((service,
+				router) -> router.updateUpstreams(upstreams.stream()
+					.filter((upstream) -> upstream.getService().equals(service))
+					.map(RoutingService::toUpstream)
+					.toList()));
+	}
+
+	private static Upstream toUpstream(UpstreamRecord upstream) {
+		return new Upstream(upstream.getName(), upstream.getAddress(), upstream.getZone(), upstream.getSlots(),
+				upstream.getIncarnation(), upstream.getState() == UpstreamState.READY);
+	}
+
+	@Override
+	public void rulesChanged(RuleFile file) {
+		try {
+			RuleSet parsed = RuleParser.parse("revision-" + file.getRevision(), file.getContent());
+			this.rules = parsed;
+			this.routers.forEach((service, router) -> router.updateRule(parsed.service(service)));
+		}
+		catch (FindingsException ex) {
+			// Accepted files were checked; only a newer version can accept what this one
+			// rejects.
+			eventLog.failure("rules-not-understood", ex).with("revision", file.getRevision()).write();
+		}
+	}
+
+	@Override
+	public void stop() {
+		this.loop.stop();
+	}
+
+}
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Connections between instances.
+ */
+@NullMarked
+package org.radishthread.daemon.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/NetworkAddress.java
@@ -0,0 +1,44 @@
+package org.radishthread.kernel;
+
+/**
+ * An IP number and a TCP port.
+ *
+ * @param host the IP number
+ * @param port the port, from 0 to 65535
+ */
+public record NetworkAddress(String host, int port) {
+
+	private static final int MAXIMUM_PORT = 65_535;
+
+	public NetworkAddress {
+		Assert.hasText(host, "Host of an address must not be empty.");
+		Assert.isTrue(port >= 0 && port <= MAXIMUM_PORT, "Port " + port + " must be from 0 to 65535.");
+	}
+
+	/**
+	 * Parses {@code IP:PORT} or {@code [IP]:PORT}.
+	 * @param text the text
+	 * @return the address
+	 * @throws IllegalArgumentException if the text has another form
+	 */
+	public static NetworkAddress parse(String text) {
+		int colon = text.lastIndexOf(':');
+		Assert.isTrue(colon > 0, "Address '" + text + "' must have the form IP:PORT.");
+		String head = text.substring(0, colon);
+		boolean bracketed = head.startsWith("[") && head.endsWith("]");
+		String number = bracketed ? head.substring(1, head.length() - 1) : head;
+		Assert.isTrue(number.matches("[0-9.]+|[0-9a-fA-F:.]+"), "Address '" + text + "' must name an IP number.");
+		try {
+			return new NetworkAddress(number, Integer.parseInt(text.substring(colon + 1)));
+		}
+		catch (NumberFormatException ex) {
+			throw new IllegalArgumentException("Address '" + text + "' must end in a port number.", ex);
+		}
+	}
+
+	@Override
+	public String toString() {
+		return (this.host.indexOf(':') >= 0) ? "[" + this.host + "]:" + this.port : this.host + ":" + this.port;
+	}
+
+}
--- /dev/null
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SystemTimeSource.java
@@ -0,0 +1,18 @@
+package org.radishthread.kernel;
+
+/**
+ * Reads the clocks of the operating system.
+ */
+public final class SystemTimeSource implements TimeSource {
+
+	@Override
+	public long monotonicNanos() {
+		return System.nanoTime();
+	}
+
+	@Override
+	public long wallClockMillis() {
+		return System.currentTimeMillis();
+	}
+
+}
--- /dev/null
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -0,0 +1,548 @@
+package org.radishthread.membership;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Gossip;
+import org.radishthread.protocol.InstanceRecord;
+import org.radishthread.protocol.LeaseRenewal;
+import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.RuleRequest;
+import org.radishthread.protocol.Synchronization;
+import org.radishthread.protocol.UpstreamRecord;
+import org.radishthread.protocol.UpstreamState;
+import org.radishthread.protocol.Version;
+
+/**
+ * One instance's part in the membership protocol. Heartbeats and rule revisions of all
+ * instances travel as a compact vector; changed records ride on it for a few rounds; a
+ * digest of all records finds what was missed (Demers and others, "Epidemic Algorithms
+ * for Replicated Database Maintenance", 1987). It is a state machine: callers pass
+ * messages and the time, and collect effects by {@link #drain()}.
+ */
+public final class Membership {
+
+	private static final int RECORDS_PER_ROUND = 24;
+
+	private static final long WAKE_GAP_MILLIS = 2_000;
+
+	private static final long RULE_LAG_MILLIS = 3_000;
+
+	private static final long SYNCHRONIZATION_PAUSE_MILLIS = 1_000;
+
+	private final MembershipSettings settings;
+
+	private final PeerSelector selector;
+
+	private InstanceRecord self;
+
+	private final InstanceTable instances;
+
+	private final UpstreamTable upstreams;
+
+	private final RuleFollower rules = new RuleFollower();
+
+	private final ChangeQueue<UpstreamRecord> changedUpstreams = new ChangeQueue<>();
+
+	private final ChangeQueue<InstanceRecord> changedInstances = new ChangeQueue<>();
+
+	private final List<Outgoing> outgoing = new ArrayList<>();
+
+	private boolean upstreamsChanged;
+
+	private boolean rulesChanged;
+
+	private boolean urgent;
+
+	private boolean woke;
+
+	private long heartbeat;
+
+	private long lastTimeMillis = Long.MIN_VALUE;
+
+	private long nextRoundMillis = Long.MIN_VALUE;
+
+	private long nextSynchronizationMillis = Long.MIN_VALUE;
+
+	private boolean rulesConfirmed;
+
+	public Membership(InstanceRecord self, MembershipSettings settings, PeerSelector selector) {
+		this.self = self;
+		this.settings = settings;
+		this.selector = selector;
+		this.heartbeat = self.getIncarnation();
+		this.instances = new InstanceTable(self.getName());
+		this.upstreams = new UpstreamTable(self.getName());
+		this.instances.merge(self, 0);
+		this.changedInstances.add(self.getName(), self, settings.seeds().size());
+	}
+
+	// Effects
+
+	/**
+	 * Hands over what is to be done since the last call.
+	 * @return the effects
+	 */
+	public MembershipEffects drain() {
+		if (this.urgent) {
+			this.urgent = false;
+			sendRound(this.settings.urgentFanout());
+		}
+		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoing),
+				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.applied() : null, this.woke);
+		this.outgoing.clear();
+		this.upstreamsChanged = false;
+		this.rulesChanged = false;
+		this.woke = false;
+		return effects;
+	}
+
+	private void send(String address, Envelope.Builder envelope) {
+		this.outgoing.add(new Outgoing(address, envelope.build()));
+	}
+
+	// Time
+
+	/**
+	 * Lets time pass.
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void tick(long now) {
+		observe(now);
+		expireLeases(now);
+		forgetInstances(now);
+		confirmRulesByMajority(now);
+		if (now >= this.nextRoundMillis) {
+			this.heartbeat++;
+			this.instances.heard(ShortName.of(this.self.getName()), this.heartbeat, this.rules.revision(), now);
+			long bytes = sendRound(this.settings.fanout());
+			long spacing = bytes * 1_000 / this.settings.bytesPerSecond();
+			this.nextRoundMillis = now + Math.max(this.settings.gossipMillis(), spacing);
+		}
+	}
+
+	/**
+	 * Detects that this process was frozen; what it knew before counts for nothing then.
+	 * @param now the monotonic time, in milliseconds
+	 * @return whether a message that arrived now may stem from before the freeze and must
+	 * be dropped
+	 */
+	public boolean observe(long now) {
+		boolean gap = this.lastTimeMillis != Long.MIN_VALUE && now - this.lastTimeMillis > WAKE_GAP_MILLIS;
+		this.lastTimeMillis = now;
+		if (gap) {
+			this.instances.distrust();
+			this.upstreams.renewAll(now);
+			this.rulesConfirmed = false;
+			this.woke = true;
+		}
+		return gap;
+	}
+
+	private void expireLeases(long now) {
+		long since = now - this.settings.silenceMillis();
+		for (UpstreamRecord changed : this.upstreams.expire(now, (holder) -> this.instances.isAlive(holder, since))) {
+			upstreamChanged(changed);
+		}
+	}
+
+	private void forgetInstances(long now) {
+		if (hasMajority(now)) {
+			this.instances.forgetSilentSince(now - this.settings.forgetMillis());
+			this.instances.forgetLeftBefore(now - this.settings.silenceMillis() * 2);
+		}
+	}
+
+	// Gossip
+
+	private long sendRound(int fanout) {
+		Set<String> candidates = new LinkedHashSet<>(this.instances.otherAddresses());
+		if (!hasMajority(this.lastTimeMillis)) {
+			candidates.addAll(this.settings.seeds());
+		}
+		candidates.remove(this.self.getPeerAddress());
+		List<String> chosen = this.selector.choose(List.copyOf(candidates), fanout);
+		if (chosen.isEmpty()) {
+			return 0;
+		}
+		Gossip gossip = gossip();
+		chosen.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
+		return (long) gossip.getSerializedSize() * chosen.size();
+	}
+
+	private Gossip gossip() {
+		Gossip.Builder gossip = Gossip.newBuilder()
+			.setSender(this.self.getName())
+			.setSenderAddress(this.self.getPeerAddress());
+		long since = this.lastTimeMillis - this.settings.silenceMillis();
+		for (InstanceTable.Entry entry : this.instances.entries()) {
+			boolean own = entry.instance.getName().equals(this.self.getName());
+			if (own || entry.heardMillis >= since) {
+				gossip.addInstances(ShortName.of(entry.instance.getName()));
+				gossip.addHeartbeats(own ? this.heartbeat : entry.heartbeat);
+				gossip.addRevisions(own ? this.rules.revision() : entry.revision);
+			}
+		}
+		gossip.addAllUpstreams(this.changedUpstreams.takeRound(RECORDS_PER_ROUND));
+		gossip.addAllRecords(this.changedInstances.takeRound(RECORDS_PER_ROUND));
+		return gossip.setDigest(digest()).build();
+	}
+
+	/**
+	 * Takes in a round of gossip.
+	 * @param gossip the message
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void receive(Gossip gossip, long now) {
+		gossip.getRecordsList().forEach((received) -> mergeInstance(received, now));
+		gossip.getUpstreamsList().forEach((received) -> mergeUpstream(received, now));
+		boolean strangers = false;
+		int count = Math.min(gossip.getInstancesCount(),
+				Math.min(gossip.getHeartbeatsCount(), gossip.getRevisionsCount()));
+		for (int i = 0; i < count; i++) {
+			strangers |= !heard(gossip.getInstances(i), gossip.getHeartbeats(i), gossip.getRevisions(i), now);
+		}
+		InstanceTable.Entry sender = this.instances.find(gossip.getSender());
+		String address = gossip.getSenderAddress();
+		if (sender != null && this.rules.shouldRequest(sender.revision, now)) {
+			send(address, Envelope.newBuilder()
+				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
+		}
+		boolean settled = this.changedUpstreams.isEmpty() && gossip.getUpstreamsCount() == 0;
+		if (sender == null || strangers || (settled && gossip.getDigest() != digest())) {
+			requestSynchronization(address, now);
+		}
+	}
+
+	private boolean heard(int id, long receivedHeartbeat, long revision, long now) {
+		if (id == ShortName.of(this.self.getName())) {
+			// A former run of this instance may have counted further.
+			this.heartbeat = Math.max(this.heartbeat, receivedHeartbeat);
+			return true;
+		}
+		return this.instances.heard(id, receivedHeartbeat, revision, now);
+	}
+
+	private void mergeInstance(InstanceRecord received, long now) {
+		if (received.getName().equals(this.self.getName())) {
+			return;
+		}
+		if (this.instances.merge(received, now)) {
+			this.changedInstances.add(received.getName(), received, this.instances.entries().size());
+			this.urgent = true;
+		}
+	}
+
+	private void mergeUpstream(UpstreamRecord received, long now) {
+		if (this.upstreams.merge(received, now)) {
+			upstreamChanged(received);
+		}
+	}
+
+	private void upstreamChanged(UpstreamRecord changed) {
+		this.changedUpstreams.add(changed.getName(), changed, this.instances.entries().size());
+		this.upstreamsChanged = true;
+		this.urgent = true;
+	}
+
+	// Synchronization
+
+	private long digest() {
+		long digest = 0;
+		for (UpstreamTable.Entry entry : this.upstreams.entries()) {
+			UpstreamRecord upstream = entry.upstream;
+			if (upstream.getState() != UpstreamState.LEFT) {
+				digest ^= mix(ShortName.of(upstream.getName()), upstream.getIncarnation(), upstream.getSequence());
+			}
+		}
+		return digest;
+	}
+
+	// The finalizer of MurmurHash3 (Appleby, public domain).
+	private static long mix(long name, long incarnation, long sequence) {
+		long hash = name ^ Long.rotateLeft(incarnation, 32) ^ (sequence * 0x9E3779B97F4A7C15L);
+		hash = (hash ^ (hash >>> 33)) * 0xFF51AFD7ED558CCDL;
+		hash = (hash ^ (hash >>> 33)) * 0xC4CEB9FE1A85EC53L;
+		return hash ^ (hash >>> 33);
+	}
+
+	private void requestSynchronization(String address, long now) {
+		if (now < this.nextSynchronizationMillis) {
+			return;
+		}
+		this.nextSynchronizationMillis = now + SYNCHRONIZATION_PAUSE_MILLIS;
+		send(address, Envelope.newBuilder().setSynchronization(versions(false)));
+	}
+
+	private Synchronization.Builder versions(boolean answer) {
+		Synchronization.Builder versions = Synchronization.newBuilder()
+			.setSender(this.self.getName())
+			.setAnswer(answer);
+		for (UpstreamTable.Entry entry : this.upstreams.entries()) {
+			versions.addKnown(Version.newBuilder()
+				.setName(ShortName.of(entry.upstream.getName()))
+				.setIncarnation(entry.upstream.getIncarnation())
+				.setSequence(entry.upstream.getSequence()));
+		}
+		return versions;
+	}
+
+	/**
+	 * Takes in the versions known to a peer and records that this instance may lack.
+	 * @param received the message
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void receive(Synchronization received, long now) {
+		received.getRecordsList().forEach((instance) -> mergeInstance(instance, now));
+		received.getUpstreamsList().forEach((upstream) -> mergeUpstream(upstream, now));
+		if (received.getAnswer()) {
+			return;
+		}
+		Synchronization.Builder answer = versions(true);
+		this.instances.entries().forEach((entry) -> answer.addRecords(entry.instance));
+		for (UpstreamTable.Entry entry : this.upstreams.entries()) {
+			if (isMissing(entry.upstream, received.getKnownList())) {
+				answer.addUpstreams(entry.upstream);
+			}
+		}
+		send(received.getSenderAddress(), Envelope.newBuilder().setSynchronization(answer));
+	}
+
+	private static boolean isMissing(UpstreamRecord upstream, List<Version> known) {
+		int name = ShortName.of(upstream.getName());
+		return known.stream()
+			.noneMatch((version) -> version.getName() == name && version.getIncarnation() == upstream.getIncarnation()
+					&& version.getSequence() >= upstream.getSequence() && upstream.getState() != UpstreamState.LEFT);
+	}
+
+	// Upstreams
+
+	/**
+	 * Takes in an announcement of an upstream.
+	 * @param announced what the upstream says
+	 * @param now the monotonic time, in milliseconds
+	 * @return whether the announcement was not older than what was known
+	 */
+	public boolean announce(Announcement announced, long now) {
+		UpstreamTable.Entry known = this.upstreams.find(announced.name());
+		UpstreamRecord record = toRecord(announced);
+		if (known == null || !isRenewal(record, known.upstream)) {
+			boolean newer = this.upstreams.merge(record, now);
+			if (newer) {
+				upstreamChanged(record);
+			}
+			return newer;
+		}
+		return renewAtHolder(known.upstream, record, now);
+	}
+
+	private static boolean isRenewal(UpstreamRecord record, UpstreamRecord known) {
+		return known.toBuilder().setSequence(record.getSequence()).setHolder(record.getHolder()).build().equals(record)
+				&& known.getState() != UpstreamState.LEFT;
+	}
+
+	private boolean renewAtHolder(UpstreamRecord known, UpstreamRecord record, long now) {
+		if (known.getHolder().equals(this.self.getName())) {
+			return this.upstreams.renew(record.getName(), record.getIncarnation(), record.getSequence(), now);
+		}
+		InstanceTable.Entry holder = this.instances.find(known.getHolder());
+		if (holder == null || !this.instances.isAlive(known.getHolder(), now - this.settings.silenceMillis())) {
+			boolean newer = this.upstreams.merge(record, now);
+			if (newer) {
+				upstreamChanged(record);
+			}
+			return newer;
+		}
+		LeaseRenewal renewal = LeaseRenewal.newBuilder()
+			.setName(record.getName())
+			.setIncarnation(record.getIncarnation())
+			.setSequence(record.getSequence())
+			.build();
+		send(holder.instance.getPeerAddress(), Envelope.newBuilder().setLeaseRenewal(renewal));
+		return record.getSequence() > known.getSequence();
+	}
+
+	private UpstreamRecord toRecord(Announcement announced) {
+		return UpstreamRecord.newBuilder()
+			.setName(announced.name())
+			.setService(announced.service())
+			.setAddress(announced.address())
+			.setZone(announced.zone())
+			.setSlots(announced.slots())
+			.setIncarnation(announced.incarnation())
+			.setSequence(announced.sequence())
+			.setState(announced.state())
+			.setHolder(this.self.getName())
+			.setLeaseMillis(announced.leaseMillis())
+			.build();
+	}
+
+	/**
+	 * Takes in a renewal that an upstream sent to another instance.
+	 * @param renewal the message
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void receive(LeaseRenewal renewal, long now) {
+		this.upstreams.renew(renewal.getName(), renewal.getIncarnation(), renewal.getSequence(), now);
+	}
+
+	/**
+	 * Returns the upstreams that have not left.
+	 * @return their records
+	 */
+	public List<UpstreamRecord> upstreams() {
+		return this.upstreams.entries()
+			.stream()
+			.map((entry) -> entry.upstream)
+			.filter((upstream) -> upstream.getState() != UpstreamState.LEFT)
+			.toList();
+	}
+
+	// Rules
+
+	/**
+	 * Offers rules that are committed; a lower revision than the applied one is ignored.
+	 * @param offered the rules
+	 */
+	public void offerRules(RuleFile offered) {
+		if (this.rules.offer(offered)) {
+			this.rulesChanged = true;
+			this.urgent = true;
+		}
+	}
+
+	/**
+	 * Learns the rules from a quorum of the control group, which confirms that they are
+	 * the ones in force.
+	 * @param confirmed the rules
+	 */
+	public void confirmRules(RuleFile confirmed) {
+		offerRules(confirmed);
+		this.rulesConfirmed = true;
+	}
+
+	/**
+	 * Answers a peer that lacks the rules applied here.
+	 * @param request the request
+	 * @param sender the name of the instance that asks
+	 */
+	public void receive(RuleRequest request, String sender) {
+		InstanceTable.Entry entry = this.instances.find(sender);
+		if (entry != null && this.rules.revision() > request.getKnownRevision()) {
+			send(entry.instance.getPeerAddress(), Envelope.newBuilder().setRuleFile(this.rules.applied()));
+		}
+	}
+
+	public RuleFile appliedRules() {
+		return this.rules.applied();
+	}
+
+	// An accepted revision is in force at a majority, and two majorities overlap.
+	private void confirmRulesByMajority(long now) {
+		long since = now - this.settings.isolationMillis();
+		if (!this.rulesConfirmed && hasMajority(now)
+				&& this.rules.revision() >= this.instances.highestRevisionHeard(since)) {
+			this.rulesConfirmed = true;
+		}
+	}
+
+	/**
+	 * Counts the instances that have applied a revision.
+	 * @param revision the revision
+	 * @param now the monotonic time, in milliseconds
+	 * @return the count, with this instance
+	 */
+	public int countApplied(long revision, long now) {
+		long since = now - this.settings.isolationMillis();
+		int count = 0;
+		for (InstanceTable.Entry entry : this.instances.entries()) {
+			boolean own = entry.instance.getName().equals(this.self.getName());
+			long applied = own ? this.rules.revision() : entry.revision;
+			if ((own || entry.heardMillis >= since) && applied >= revision) {
+				count++;
+			}
+		}
+		return count;
+	}
+
+	// State
+
+	/**
+	 * Returns the number of instances that belong to the system, lost ones included.
+	 * @return the count, with this instance
+	 */
+	public int expectedInstances() {
+		return Math.max(this.instances.expectedCount(), this.settings.seeds().size());
+	}
+
+	/**
+	 * Returns the number of instances heard of lately.
+	 * @param now the monotonic time, in milliseconds
+	 * @return the count, with this instance
+	 */
+	public int liveInstances(long now) {
+		return this.instances.heardCount(now - this.settings.isolationMillis());
+	}
+
+	private boolean hasMajority(long now) {
+		return 2 * liveInstances(now) > expectedInstances();
+	}
+
+	/**
+	 * Returns whether this instance may take new work.
+	 * @param now the monotonic time, in milliseconds
+	 * @return the state
+	 */
+	public ServingState servingState(long now) {
+		if (this.self.getLeaving()) {
+			return ServingState.STOPPING;
+		}
+		boolean stale = this.lastTimeMillis != Long.MIN_VALUE && now - this.lastTimeMillis > WAKE_GAP_MILLIS;
+		if (stale || !hasMajority(now) || this.rules.isBehindLongerThan(RULE_LAG_MILLIS, now)) {
+			return ServingState.ISOLATED;
+		}
+		return this.rulesConfirmed ? ServingState.READY : ServingState.STARTING;
+	}
+
+	/**
+	 * Tells the others that this instance stops taking new work.
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void leave(long now) {
+		this.self = this.self.toBuilder().setLeaving(true).build();
+		this.instances.merge(this.self, now);
+		this.changedInstances.add(this.self.getName(), this.self, this.instances.entries().size());
+		this.urgent = true;
+	}
+
+	/**
+	 * Returns what is known of all instances.
+	 * @param now the monotonic time, in milliseconds
+	 * @return one view for each instance
+	 */
+	public List<InstanceView> instances(long now) {
+		List<InstanceView> views = new ArrayList<>();
+		for (InstanceTable.Entry entry : this.instances.entries()) {
+			boolean own = entry.instance.getName().equals(this.self.getName());
+			boolean live = own || entry.heardMillis >= now - this.settings.silenceMillis();
+			views.add(new InstanceView(entry.instance, live, own ? this.rules.revision() : entry.revision));
+		}
+		return views;
+	}
+
+	/**
+	 * Returns the peer address of an instance.
+	 * @param name the name of the instance
+	 * @return the address, or {@code null} if the instance is unknown
+	 */
+	public @Nullable String addressOf(String name) {
+		InstanceTable.Entry entry = this.instances.find(name);
+		return (entry != null) ? entry.instance.getPeerAddress() : null;
+	}
+
+}
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/HomeAssignment.java
@@ -0,0 +1,41 @@
+package org.radishthread.routing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.zip.CRC32;
+
+/**
+ * Assigns each service to one instance, its home, by rendezvous hashing (Thaler and
+ * Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998): when an instance
+ * comes or goes, only the services that it wins or held move.
+ */
+public final class HomeAssignment {
+
+	private HomeAssignment() {
+	}
+
+	/**
+	 * Orders instances by their claim to a service.
+	 * @param service the name of the service
+	 * @param instances the names of the live instances
+	 * @return the instances, the home first and then those that follow if it fails
+	 */
+	public static List<String> ranking(String service, List<String> instances) {
+		List<String> ranked = new ArrayList<>(instances);
+		ranked.sort(Comparator.comparingLong((String instance) -> weight(service, instance))
+			.reversed()
+			.thenComparing(Comparator.naturalOrder()));
+		return ranked;
+	}
+
+	private static long weight(String service, String instance) {
+		CRC32 checksum = new CRC32();
+		checksum.update((instance + '/' + service).getBytes(StandardCharsets.UTF_8));
+		long hash = checksum.getValue() * 0x9E3779B97F4A7C15L;
+		hash = (hash ^ (hash >>> 32)) * 0xD6E8FEB86659FD93L;
+		return (hash ^ (hash >>> 32)) >>> 1;
+	}
+
+}
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
@@ -0,0 +1,57 @@
+package org.radishthread.routing;
+
+import java.util.Locale;
+
+/**
+ * Why a request is refused before it was sent.
+ */
+public enum RefusalReason {
+
+	/**
+	 * No upstream of the service takes work.
+	 */
+	NO_UPSTREAM(503),
+
+	/**
+	 * The queue is full, or the answer could not come in time.
+	 */
+	OVERLOAD(503),
+
+	/**
+	 * The caller holds its whole share of the service.
+	 */
+	CALLER_LIMIT(429),
+
+	/**
+	 * The request waited as long as it may.
+	 */
+	QUEUE_TIMEOUT(503),
+
+	/**
+	 * The budget of retries is spent.
+	 */
+	RETRY_BUDGET(503);
+
+	private final int status;
+
+	RefusalReason(int status) {
+		this.status = status;
+	}
+
+	/**
+	 * Returns the HTTP status that callers see.
+	 * @return the status
+	 */
+	public int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns the word used in logs and answers.
+	 * @return the name in lower case with hyphens
+	 */
+	public String word() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+}
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -0,0 +1,27 @@
+package org.radishthread.routing;
+
+/**
+ * Allows retries and hedges in proportion to successes, so that they can not multiply the
+ * load of a service that fails.
+ */
+final class RetryBudget {
+
+	private static final double MAXIMUM_TOKENS = 20;
+
+	private static final double INITIAL_TOKENS = 10;
+
+	private double tokens = INITIAL_TOKENS;
+
+	void recordSuccess(int retryPercent) {
+		this.tokens = Math.min(MAXIMUM_TOKENS, this.tokens + retryPercent / 100.0);
+	}
+
+	boolean tryTake() {
+		if (this.tokens < 1) {
+			return false;
+		}
+		this.tokens--;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -0,0 +1,39 @@
+package org.radishthread.routing;
+
+/**
+ * What a {@link ServiceRouter} has decided about a request.
+ */
+public sealed interface RoutingEffect {
+
+	/**
+	 * Returns the request concerned.
+	 * @return the identifier of its {@link Ticket}
+	 */
+	long ticket();
+
+	/**
+	 * The request is to be sent to an upstream.
+	 *
+	 * @param ticket the request
+	 * @param upstream where to send it
+	 * @param kind whether this is the first attempt
+	 * @param inFlight the attempts in flight at the upstream, with this one
+	 * @param waitedNanos how long the request was queued, in nanoseconds
+	 * @param hedgeAfterNanos the time without an answer after which
+	 * {@link ServiceRouter#hedge} is worth a call, in nanoseconds, or zero for never
+	 */
+	record Dispatch(long ticket, Upstream upstream, AttemptKind kind, int inFlight, long waitedNanos,
+			long hedgeAfterNanos) implements RoutingEffect {
+	}
+
+	/**
+	 * The request is not sent, or not sent again.
+	 *
+	 * @param ticket the request
+	 * @param reason why
+	 * @param retryAfterMillis when asking again may help, in milliseconds
+	 */
+	record Refusal(long ticket, RefusalReason reason, long retryAfterMillis) implements RoutingEffect {
+	}
+
+}
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/Upstream.java
@@ -0,0 +1,22 @@
+package org.radishthread.routing;
+
+import org.radishthread.kernel.Assert;
+
+/**
+ * An upstream as announced.
+ *
+ * @param name its unique name
+ * @param address its IP number and port
+ * @param zone its availability zone
+ * @param slots the number of requests that it works on at once
+ * @param incarnation grows with each start of the upstream
+ * @param acceptsWork whether it takes new work, false while it drains
+ */
+public record Upstream(String name, String address, String zone, int slots, long incarnation, boolean acceptsWork) {
+
+	public Upstream {
+		Assert.hasText(name, "Name of an upstream must not be empty.");
+		Assert.isTrue(slots > 0, "Slots " + slots + " of upstream '" + name + "' must be positive.");
+	}
+
+}
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -0,0 +1,151 @@
+package org.radishthread.routing;
+
+/**
+ * What a router has observed of one upstream.
+ */
+final class UpstreamLoad {
+
+	private static final double LATENCY_WEIGHT = 0.2;
+
+	private static final int SAMPLES_TO_TRUST = 3;
+
+	private static final long EASING_NANOS = 2_000_000_000L;
+
+	private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
+
+	private static final int MAXIMUM_EJECTION_DOUBLINGS = 5;
+
+	private static final long TRIAL_PAUSE_NANOS = 500_000_000L;
+
+	private Upstream upstream;
+
+	private long easedInSinceNanos;
+
+	private int inFlight;
+
+	private double latencyNanos;
+
+	private int samples;
+
+	private int consecutiveFailures;
+
+	private int ejections;
+
+	private long ejectedUntilNanos = Long.MIN_VALUE;
+
+	private long lastDispatchNanos = Long.MIN_VALUE / 2;
+
+	private boolean removed;
+
+	UpstreamLoad(Upstream upstream, long easedInSinceNanos) {
+		this.upstream = upstream;
+		this.easedInSinceNanos = easedInSinceNanos;
+	}
+
+	Upstream upstream() {
+		return this.upstream;
+	}
+
+	void update(Upstream announced, long now) {
+		if (announced.incarnation() > this.upstream.incarnation()) {
+			this.easedInSinceNanos = now;
+			this.samples = 0;
+			this.consecutiveFailures = 0;
+			this.ejections = 0;
+			this.ejectedUntilNanos = Long.MIN_VALUE;
+		}
+		this.upstream = announced;
+		this.removed = false;
+	}
+
+	void remove() {
+		this.removed = true;
+	}
+
+	boolean isForgettable() {
+		return this.removed && this.inFlight == 0;
+	}
+
+	int inFlight() {
+		return this.inFlight;
+	}
+
+	// The slots that may be used now: a new upstream is eased in.
+	int usableSlots(long now) {
+		long age = now - this.easedInSinceNanos;
+		if (age >= EASING_NANOS) {
+			return this.upstream.slots();
+		}
+		return (int) Math.max(1, this.upstream.slots() * age / EASING_NANOS);
+	}
+
+	boolean acceptsWork() {
+		return !this.removed && this.upstream.acceptsWork();
+	}
+
+	boolean isEjected(long now) {
+		return now < this.ejectedUntilNanos;
+	}
+
+	// After an ejection one request at a time finds out whether the upstream recovered.
+	private boolean isOnTrial() {
+		return this.ejections > 0;
+	}
+
+	boolean hasFreeSlot(long now) {
+		if (!acceptsWork() || isEjected(now)) {
+			return false;
+		}
+		return this.inFlight < (isOnTrial() ? 1 : usableSlots(now));
+	}
+
+	boolean isLatencyKnown() {
+		return this.samples >= SAMPLES_TO_TRUST;
+	}
+
+	double latencyNanos() {
+		return this.latencyNanos;
+	}
+
+	boolean isTrialDue(long now) {
+		return now - this.lastDispatchNanos > TRIAL_PAUSE_NANOS;
+	}
+
+	void dispatched(long now) {
+		this.inFlight++;
+		this.lastDispatchNanos = now;
+	}
+
+	void finished(AttemptResult result, long latency, long now, int ejectAfter) {
+		this.inFlight--;
+		if (result == AttemptResult.SUCCESS) {
+			this.consecutiveFailures = 0;
+			this.ejections = 0;
+			recordLatency(latency);
+		}
+		else if (result == AttemptResult.CANCELLED) {
+			// A cancelled attempt ran at least that long.
+			recordLatency(Math.max(latency, (long) this.latencyNanos));
+		}
+		else if (result.countsAgainstUpstream()) {
+			failed(now, ejectAfter);
+		}
+	}
+
+	private void recordLatency(long latency) {
+		double weight = (this.samples == 0) ? 1 : LATENCY_WEIGHT;
+		this.latencyNanos += weight * (latency - this.latencyNanos);
+		this.samples++;
+	}
+
+	private void failed(long now, int ejectAfter) {
+		this.consecutiveFailures++;
+		if (this.consecutiveFailures >= ejectAfter || isOnTrial()) {
+			int doublings = Math.min(this.ejections, MAXIMUM_EJECTION_DOUBLINGS);
+			this.ejectedUntilNanos = now + (FIRST_EJECTION_NANOS << doublings);
+			this.ejections++;
+			this.consecutiveFailures = 0;
+		}
+	}
+
+}
--- /dev/null
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
@@ -0,0 +1,29 @@
+package org.radishthread.rules;
+
+import java.time.Duration;
+
+/**
+ * Sets the limits and budgets of a service.
+ *
+ * @param service the name of the service
+ * @param queueLimit the greatest number of requests that wait at one instance
+ * @param queueWait the longest time that a request waits
+ * @param callerSharePercent the share of in-flight and waiting requests at one instance
+ * that one caller may hold while others ask, in percent
+ * @param probesPerSecond the measuring budget of all instances together
+ * @param retryPercent the retries and hedges allowed per hundred successes
+ * @param ejectAfter the consecutive failures after which an upstream is ejected
+ */
+public record ServiceRule(String service, int queueLimit, Duration queueWait, int callerSharePercent,
+		int probesPerSecond, int retryPercent, int ejectAfter) {
+
+	/**
+	 * Returns the values that hold for a service without a rule of its own.
+	 * @param service the name of the service
+	 * @return the default rule
+	 */
+	public static ServiceRule defaults(String service) {
+		return new ServiceRule(service, 256, Duration.ofMillis(1000), 50, 20, 10, 3);
+	}
+
+}
