Let an instance that joins late learn of the others

Cause: a request for missed records did not carry the peer address of the instance that asks, so the answer went nowhere. An instance whose first rounds of gossip fell on a silent network was never told of the others.

Ruled out: the order of connecting and greeting on a peer connection, and two starts of one connection (both read line by line, both right).

Change: the request names its sender's address.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -282,6 +282,7 @@
 	private Synchronization.Builder versions(boolean answer) {
 		Synchronization.Builder versions = Synchronization.newBuilder()
 			.setSender(this.self.getName())
+			.setSenderAddress(this.self.getPeerAddress())
 			.setAnswer(answer);
 		for (UpstreamTable.Entry entry : this.upstreams.entries()) {
 			versions.addKnown(Version.newBuilder()
