--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
@@ -60,6 +60,8 @@
 
 	private @Nullable RuleFile appliedRules;
 
+	private long publishedRevision;
+
 	public ControlGroup(ReplicaDescriptor self, ReplicaSettings settings, ClaimLimits limits, ElectionTimeouts timeouts,
 			StoredLog stored) {
 		this.self = self;
@@ -75,6 +77,10 @@
 		return this.replica.role();
 	}
 
+	Replica replica() {
+		return this.replica;
+	}
+
 	/**
 	 * Returns the rules committed as far as this replica knows.
 	 * @return the rules, with revision zero if there are none
@@ -304,11 +310,8 @@
 		if (!entry.hasCommand()) {
 			return;
 		}
-		long before = rules().getRevision();
 		ControlResponse response = this.state.apply(entry);
-		if (rules().getRevision() > before) {
-			publishRules();
-		}
+		publishRules();
 		if (pending != null && pending.term() == entry.getTerm()) {
 			reply(pending.request(), response.toBuilder());
 		}
@@ -357,7 +360,8 @@
 	}
 
 	private void publishRules() {
-		if (rules().getRevision() > 0) {
+		if (rules().getRevision() > this.publishedRevision) {
+			this.publishedRevision = rules().getRevision();
 			this.appliedRules = rules();
 		}
 	}
--- /dev/null
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlGroupTests.java
@@ -0,0 +1,172 @@
+package org.radishthread.agreement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.radishthread.protocol.Command;
+import org.radishthread.protocol.ControlRequest;
+import org.radishthread.protocol.ControlResponse;
+import org.radishthread.protocol.RulesAnswer;
+import org.radishthread.protocol.RulesVerdict;
+import org.radishthread.protocol.SubmitRules;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ControlGroup}.
+ */
+class ControlGroupTests {
+
+	private final FakeControlCluster cluster = new FakeControlCluster(3, 42);
+
+	private int leader() {
+		for (int i = 0; i < 3; i++) {
+			ControlGroup group = this.cluster.instances.get(i).group();
+			if (group != null && group.role() == ReplicaRole.LEADER) {
+				return i;
+			}
+		}
+		throw new IllegalStateException("There must be a leader.");
+	}
+
+	@Nested
+	class Isolation {
+
+		@Test
+		void instanceThatReturnsAfterAnHourDisturbsNobody() {
+			int leader = leader();
+			long term = ControlGroupTests.this.cluster.instances.get(leader).group().status().getTerm();
+			int follower = (leader + 1) % 3;
+			ControlGroupTests.this.cluster.isolate(follower);
+			ControlGroupTests.this.cluster.run(3_600_000);
+			ControlGroupTests.this.cluster.heal();
+			ControlGroupTests.this.cluster.run(5_000);
+			assertThat(leader()).isEqualTo(leader);
+			assertThat(ControlGroupTests.this.cluster.instances.get(follower).group().status().getTerm())
+				.isEqualTo(term);
+		}
+
+		@Test
+		void isolatedLeaderStepsDown() {
+			int leader = leader();
+			ControlGroupTests.this.cluster.isolate(leader);
+			ControlGroupTests.this.cluster.run(1_000);
+			assertThat(ControlGroupTests.this.cluster.instances.get(leader).group().role())
+				.isNotEqualTo(ReplicaRole.LEADER);
+		}
+
+	}
+
+	@Nested
+	class LostDisks {
+
+		@Test
+		void secondLossRightAfterRepairLosesNothing() {
+			FakeControlCluster cluster = ControlGroupTests.this.cluster;
+			int leader = leader();
+			cluster.submit(leader, 1, "kept-");
+			cluster.run(500);
+			long accepted = cluster.oracle.acceptedRevision;
+			int first = (leader + 1) % 3;
+			cluster.loseDisk(first);
+			cluster.run(500);
+			cluster.replaceLost();
+			cluster.run(1_000);
+			cluster.replaceLost();
+			cluster.loseDisk(leader);
+			cluster.run(2_000);
+			cluster.replaceLost();
+			cluster.run(2_000);
+			assertThat(accepted).isPositive();
+			assertThat(cluster.instances)
+				.allSatisfy((instance) -> assertThat(instance.group().rules().getRevision()).isEqualTo(accepted));
+		}
+
+		@Test
+		void emptyFolderNeitherFoundsNorVotes() {
+			FakeControlCluster cluster = ControlGroupTests.this.cluster;
+			int leader = leader();
+			cluster.loseDisk((leader + 1) % 3);
+			cluster.isolate(leader);
+			cluster.run(10_000);
+			assertThat(cluster.instances.get((leader + 1) % 3).group().role()).isEqualTo(ReplicaRole.UNFOUNDED);
+			assertThat(cluster.instances.get((leader + 2) % 3).group().role()).isNotEqualTo(ReplicaRole.LEADER);
+		}
+
+	}
+
+	@Nested
+	class Rules {
+
+		private final RuleRegister register = new RuleRegister();
+
+		private RulesAnswer submit(long revision, String content, String operator) {
+			return this.register.submit(
+					SubmitRules.newBuilder().setRevision(revision).setContent(content).setSubmittedBy(operator).build(),
+					1_000 + revision);
+		}
+
+		@Test
+		void sameFileIsAnsweredAsTheFirstTimeAlsoAfterLaterRevisions() {
+			RulesAnswer first = submit(1, "a", "ana");
+			submit(2, "b", "tom");
+			RulesAnswer again = submit(1, "a", "somebody");
+			assertThat(again.toBuilder().setCurrentRevision(1).build()).isEqualTo(first);
+		}
+
+		@Test
+		void equalRevisionWithOtherContentNamesTheWinner() {
+			submit(5, "a", "ana");
+			RulesAnswer loser = submit(5, "b", "tom");
+			assertThat(loser.getVerdict()).isEqualTo(RulesVerdict.CONFLICT);
+			assertThat(loser.getSubmittedBy()).isEqualTo("ana");
+		}
+
+		@Test
+		void lowerRevisionIsStale() {
+			submit(5, "a", "ana");
+			assertThat(submit(4, "b", "tom").getVerdict()).isEqualTo(RulesVerdict.STALE);
+			assertThat(this.register.current().getRevision()).isEqualTo(5);
+		}
+
+	}
+
+	@Nested
+	class Snapshots {
+
+		@Test
+		void restartAfterAThousandChangesReadsAboutAsMuchAsAfterTen() {
+			assertThat(storedEntriesAfter(1_000))
+				.isLessThanOrEqualTo(ReplicaSettings.DEFAULTS.entriesBetweenSnapshots() + 1_000);
+			assertThat(storedEntriesAfter(10)).isLessThanOrEqualTo(20);
+		}
+
+		private int storedEntriesAfter(int changes) {
+			FakeDisk disk = new FakeDisk();
+			List<ControlResponse> replies = new ArrayList<>();
+			FakeControlInstance instance = new FakeControlInstance("single", 1, (minimum) -> minimum, (message) -> {
+			}, (source, rules) -> {
+			}, replies::add, (replica) -> {
+			});
+			instance.disk = disk;
+			instance.start(0);
+			instance.request(ControlRequest.newBuilder()
+				.setInitialize(org.radishthread.protocol.Initialize.newBuilder().addReplicas(instance.descriptor()))
+				.build(), 0);
+			instance.step((group) -> group.tick(1_000), 1_000);
+			for (int revision = 1; revision <= changes; revision++) {
+				SubmitRules submit = SubmitRules.newBuilder().setRevision(revision).setContent("x").build();
+				instance.request(
+						ControlRequest.newBuilder().setCommand(Command.newBuilder().setSubmitRules(submit)).build(),
+						1_000 + revision);
+			}
+			assertThat(instance.group().rules().getRevision()).isEqualTo(changes);
+			return disk.load().entries().size();
+		}
+
+	}
+
+}
