--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -41,7 +42,7 @@
 
 	private final String zone;
 
-	private final SelectionPolicy policy = new LeastExpectedCompletion();
+	private final SelectionPolicy policy;
 
 	private ServiceRule rule;
 
@@ -64,8 +65,13 @@
 	private boolean first = true;
 
 	public ServiceRouter(ServiceRule rule, String zone) {
+		this(rule, zone, new LeastExpectedCompletion());
+	}
+
+	ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy) {
 		this.rule = rule;
 		this.zone = zone;
+		this.policy = policy;
 	}
 
 	/**
@@ -175,7 +181,7 @@
 		Waiting waiting = this.queues.peek();
 		while (waiting != null) {
 			Flight flight = flight(waiting.ticket().id());
-			Optional<UpstreamLoad> chosen = choose(flight, now);
+			Optional<UpstreamLoad> chosen = choose(flight, now).or(() -> chooseToWait(flight, now));
 			if (chosen.isEmpty()) {
 				return;
 			}
@@ -192,18 +198,28 @@
 	}
 
 	private Optional<UpstreamLoad> choose(Flight flight, long now) {
-		List<UpstreamLoad> free = new ArrayList<>();
+		return choose(flight, now, (load) -> load.hasFreeSlot(now));
+	}
+
+	// While all slots are busy, a request may travel to one that is about to come free.
+	private Optional<UpstreamLoad> chooseToWait(Flight flight, long now) {
+		double waitingPerSlot = (double) this.queues.size() / Math.max(1, usableSlots(now));
+		return choose(flight, now, (load) -> load.mayPipeline(now, waitingPerSlot));
+	}
+
+	private Optional<UpstreamLoad> choose(Flight flight, long now, Predicate<UpstreamLoad> eligible) {
+		List<UpstreamLoad> candidates = new ArrayList<>();
 		for (UpstreamLoad load : this.loads.values()) {
-			if (load.hasFreeSlot(now) && !flight.tried.contains(load.upstream().name())) {
-				free.add(load);
+			if (eligible.test(load) && !flight.tried.contains(load.upstream().name())) {
+				candidates.add(load);
 			}
 		}
-		if (free.isEmpty()) {
+		if (candidates.isEmpty()) {
 			return Optional.empty();
 		}
 		SelectionContext context = new SelectionContext(this.zone, medianLatencyNanos(),
 				expectedWaitNanos(this.queues.size()), flight.ticket.mayRepeat(), now);
-		return this.policy.choose(free, context);
+		return this.policy.choose(candidates, context);
 	}
 
 	private double medianLatencyNanos() {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -9,6 +9,8 @@
 
 	private static final int SAMPLES_TO_TRUST = 3;
 
+	private static final double BASE_PIPELINED_SHARE = 0.3;
+
 	private static final long EASING_NANOS = 2_000_000_000L;
 
 	private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
@@ -99,6 +101,22 @@
 		return this.inFlight < (isOnTrial() ? 1 : usableSlots(now));
 	}
 
+	// One more request may be on its way while the slots are busy, so that a slot does
+	// not
+	// stand idle for the time that an answer and the next request travel.
+	boolean mayPipeline(long now, double waitingPerSlot) {
+		if (!acceptsWork() || isEjected(now) || isOnTrial() || usableSlots(now) < this.upstream.slots()) {
+			return false;
+		}
+		return this.inFlight < this.upstream.slots() + pipelinedRequests(waitingPerSlot);
+	}
+
+	// The longer the queue, the less is lost by waiting at an upstream instead.
+	private int pipelinedRequests(double waitingPerSlot) {
+		double share = Math.min(1, BASE_PIPELINED_SHARE + waitingPerSlot);
+		return (int) Math.max(1, Math.ceil(this.upstream.slots() * share));
+	}
+
 	boolean isLatencyKnown() {
 		return this.samples >= SAMPLES_TO_TRUST;
 	}
--- /dev/null
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/ServiceRouterTests.java
@@ -0,0 +1,184 @@
+package org.radishthread.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.radishthread.routing.RoutingEffect.Dispatch;
+import org.radishthread.routing.RoutingEffect.Refusal;
+import org.radishthread.rules.ServiceRule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ServiceRouter}.
+ */
+class ServiceRouterTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final ServiceRouter router = new ServiceRouter(
+			new ServiceRule("service", 10, Duration.ofSeconds(1), 50, 0, 10, 3), "zone-0");
+
+	private long now;
+
+	private long lastTicket;
+
+	private static Upstream upstream(int number, boolean accepts) {
+		return new Upstream("upstream-" + number, "127.0.0.1:1", "zone-" + number % 2, 2, 1, accepts);
+	}
+
+	private void announce(int count) {
+		List<Upstream> upstreams = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			upstreams.add(upstream(i, true));
+		}
+		this.router.updateUpstreams(upstreams, this.now);
+	}
+
+	private List<RoutingEffect> admit(String caller) {
+		return this.router.admit(new Ticket(++this.lastTicket, caller, true, this.now + 5 * SECOND), this.now);
+	}
+
+	@Nested
+	class Limits {
+
+		@Test
+		void noisyCallerSpendsOnlyItsShare() {
+			announce(1);
+			admit("quiet");
+			int refused = 0;
+			for (int i = 0; i < 50; i++) {
+				refused += (admit("noisy").stream().anyMatch(Refusal.class::isInstance)) ? 1 : 0;
+			}
+			assertThat(refused).isGreaterThan(40);
+			List<RoutingEffect> quiet = admit("quiet");
+			assertThat(quiet).noneMatch(Refusal.class::isInstance);
+		}
+
+		@Test
+		void callersThatWaitAreServedInTurn() {
+			announce(1);
+			for (int i = 0; i < 8; i++) {
+				admit("noisy");
+			}
+			admit("quiet");
+			long quiet = ServiceRouterTests.this.lastTicket;
+			List<Long> order = new ArrayList<>();
+			for (long ticket = 1; ticket <= 3; ticket++) {
+				ServiceRouterTests.this.router
+					.attemptEnded(ticket, "upstream-0", AttemptResult.SUCCESS, ServiceRouterTests.this.now)
+					.forEach((effect) -> order.add(effect.ticket()));
+				ServiceRouterTests.this.router.close(ticket);
+			}
+			assertThat(order).contains(quiet);
+		}
+
+		@Test
+		void withoutUpstreamTheRefusalIsImmediate() {
+			assertThat(admit("caller")).singleElement()
+				.isInstanceOfSatisfying(Refusal.class,
+						(refusal) -> assertThat(refusal.reason()).isEqualTo(RefusalReason.NO_UPSTREAM));
+		}
+
+	}
+
+	@Nested
+	class Failures {
+
+		@Test
+		void retryStormIsBounded() {
+			announce(6);
+			int attempts = 0;
+			int requests = 1_000;
+			for (int i = 0; i < requests; i++) {
+				List<RoutingEffect> effects = admit("caller");
+				while (!effects.isEmpty() && effects.get(0) instanceof Dispatch dispatch) {
+					attempts++;
+					ServiceRouterTests.this.now += SECOND / 1_000;
+					ServiceRouterTests.this.router.attemptEnded(dispatch.ticket(), dispatch.upstream().name(),
+							AttemptResult.FAILURE, ServiceRouterTests.this.now);
+					effects = ServiceRouterTests.this.router.retry(dispatch.ticket(), ServiceRouterTests.this.now);
+				}
+				ServiceRouterTests.this.router.close(ServiceRouterTests.this.lastTicket);
+			}
+			assertThat(attempts).isLessThanOrEqualTo(requests + 20);
+		}
+
+		@Test
+		void failingUpstreamIsEjectedAndComesBackByOneTrial() {
+			announce(1);
+			for (int i = 0; i < 3; i++) {
+				Dispatch dispatch = (Dispatch) admit("caller").get(0);
+				ServiceRouterTests.this.router.attemptEnded(dispatch.ticket(), "upstream-0", AttemptResult.FAILURE,
+						ServiceRouterTests.this.now);
+				ServiceRouterTests.this.router.close(dispatch.ticket());
+			}
+			assertThat(admit("caller").get(0)).isInstanceOf(Refusal.class);
+			ServiceRouterTests.this.now += 2 * SECOND;
+			assertThat(admit("caller").get(0)).isInstanceOf(Dispatch.class);
+			assertThat(admit("caller")).as("a second request during the trial").isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Leaving {
+
+		@Test
+		void drainingUpstreamGetsNoNewWork() {
+			announce(2);
+			ServiceRouterTests.this.router.updateUpstreams(List.of(upstream(0, false), upstream(1, true)),
+					ServiceRouterTests.this.now);
+			for (int i = 0; i < 4; i++) {
+				admit("caller").stream()
+					.filter(Dispatch.class::isInstance)
+					.forEach((effect) -> assertThat(((Dispatch) effect).upstream().name()).isEqualTo("upstream-1"));
+			}
+		}
+
+		@Test
+		void newUpstreamIsEasedIn() {
+			announce(1);
+			ServiceRouterTests.this.now += 10 * SECOND;
+			announce(2);
+			int first = 0;
+			for (int i = 0; i < 4; i++) {
+				for (RoutingEffect effect : admit("caller")) {
+					first += ((Dispatch) effect).upstream().name().equals("upstream-1") ? 1 : 0;
+				}
+			}
+			assertThat(first).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class Homes {
+
+		@Test
+		void onlyServicesOfALostInstanceMove() {
+			List<String> all = List.of("a", "b", "c", "d", "e");
+			List<String> left = List.of("a", "b", "d", "e");
+			for (int i = 0; i < 200; i++) {
+				String service = "service-" + i;
+				String before = HomeAssignment.ranking(service, all).get(0);
+				String after = HomeAssignment.ranking(service, left).get(0);
+				assertThat(after).isEqualTo(before.equals("c") ? HomeAssignment.ranking(service, all).get(1) : before);
+			}
+		}
+
+		@Test
+		void servicesSpreadOverInstances() {
+			long onFirst = java.util.stream.IntStream.range(0, 1_000)
+				.filter((i) -> HomeAssignment.ranking("service-" + i, List.of("a", "b", "c", "d")).get(0).equals("a"))
+				.count();
+			assertThat(onFirst).isBetween(180L, 320L);
+		}
+
+	}
+
+}
