--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
@@ -188,7 +188,8 @@
 		Configuration configuration = this.replica.log().configuration();
 		if (ConfigurationChange.contains(configuration.getVotersList(), added.getId())
 				&& !configuration.hasReplacement()) {
-			reply(pending, ControlResponse.newBuilder().setDone(Done.getDefaultInstance()));
+			refuse(pending, "Replica " + Long.toHexString(added.getId()) + " of instance '" + added.getInstance()
+					+ "' is a member already; nothing was changed. If its disk was just lost, ask again in a moment.");
 			return;
 		}
 		if (configuration.hasReplacement() && configuration.getReplacement().getAdded().getId() == added.getId()) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -86,8 +86,9 @@
 	@Provides
 	@Singleton
 	static GatewayContext gatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients,
-			ControlClient control, TimeSource time, MeterRegistry meters) {
-		return new GatewayContext(settings, routing, clients, new ClaimKeeper(settings, control), time, meters);
+			ControlClient control, ClusterService cluster, TimeSource time, MeterRegistry meters) {
+		return new GatewayContext(settings, routing, clients, new ClaimKeeper(settings, control), cluster, time,
+				meters);
 	}
 
 	@Provides
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -12,17 +12,19 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
 
+import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptOutcome;
-import org.radishthread.routing.RoutingEffect;
 
 /**
- * Sends a request to one upstream and holds the answer until it is whole or too large to
- * be held. An answer whose end can not be told from a lost connection, or that belongs to
- * another request, counts as broken.
+ * Sends a request to one upstream or home instance and holds the answer until it is whole
+ * or too large to be held. An answer whose end can not be told from a lost connection, or
+ * that belongs to another request, counts as broken.
  */
 final class Attempt implements Response.Listener {
 
-	private final RoutingEffect.Dispatch dispatch;
+	private final String targetName;
+
+	private final NetworkAddress targetAddress;
 
 	private final Request request;
 
@@ -44,9 +46,10 @@
 
 	private boolean reported;
 
-	Attempt(RoutingEffect.Dispatch dispatch, Request request, String requestName, int heldLimit,
+	Attempt(String targetName, NetworkAddress targetAddress, Request request, String requestName, int heldLimit,
 			boolean onNewConnection, AttemptListener listener) {
-		this.dispatch = dispatch;
+		this.targetName = targetName;
+		this.targetAddress = targetAddress;
 		this.request = request;
 		this.requestName = requestName;
 		this.heldLimit = heldLimit;
@@ -54,8 +57,12 @@
 		this.listener = listener;
 	}
 
-	RoutingEffect.Dispatch dispatch() {
-		return this.dispatch;
+	String targetName() {
+		return this.targetName;
+	}
+
+	NetworkAddress targetAddress() {
+		return this.targetAddress;
 	}
 
 	boolean isOnNewConnection() {
@@ -135,7 +142,7 @@
 		}
 		else if (RequestOutcome.NOT_RUN.word()
 			.equals(result.getResponse().getHeaders().get(RadishthreadHeader.OUTCOME))) {
-			this.listener.failed(this, AttemptOutcome.REFUSED, new GatewayException("The upstream did not run it."));
+			this.listener.refused(this, result.getResponse(), this.held.toByteArray());
 		}
 		else {
 			this.listener.whole(this, result.getResponse(), this.held.toByteArray());
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptEnd.java
@@ -0,0 +1,58 @@
+package org.radishthread.daemon.gateway;
+
+import org.radishthread.routing.AttemptOutcome;
+import org.radishthread.routing.AttemptResult;
+
+/**
+ * How an attempt ended, in the terms of the router.
+ */
+enum AttemptEnd {
+
+	/**
+	 * A whole answer came.
+	 */
+	ANSWERED(AttemptResult.SUCCESS),
+
+	/**
+	 * A whole answer came that tells of a failure of the upstream.
+	 */
+	ANSWERED_BY_SERVER_ERROR(AttemptResult.FAILURE),
+
+	/**
+	 * No whole answer came.
+	 */
+	FAILED(AttemptResult.FAILURE),
+
+	/**
+	 * The other end did not run the request.
+	 */
+	REFUSED(AttemptResult.SHED),
+
+	/**
+	 * The attempt was not needed any more.
+	 */
+	CANCELLED(AttemptResult.CANCELLED);
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int NOT_IMPLEMENTED = 501;
+
+	private final AttemptResult result;
+
+	AttemptEnd(AttemptResult result) {
+		this.result = result;
+	}
+
+	AttemptResult result() {
+		return this.result;
+	}
+
+	static AttemptEnd ofAnswer(int status) {
+		return (status >= SERVER_ERROR && status != NOT_IMPLEMENTED) ? ANSWERED_BY_SERVER_ERROR : ANSWERED;
+	}
+
+	static AttemptEnd of(AttemptOutcome outcome) {
+		return (outcome == AttemptOutcome.REFUSED) ? REFUSED : FAILED;
+	}
+
+}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
@@ -17,6 +17,14 @@
 	 */
 	void whole(Attempt attempt, Response answer, byte[] body);
 
+	/**
+	 * The other end says that it did not run the request.
+	 * @param attempt the attempt
+	 * @param answer status and headers
+	 * @param body the whole body
+	 */
+	void refused(Attempt attempt, Response answer, byte[] body);
+
 	/**
 	 * The answer is too large to be held.
 	 * @param attempt the attempt
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ForwardedHeaders.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ForwardedHeaders.java
@@ -16,16 +16,24 @@
 	private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-authenticate",
 			"proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect");
 
+	private static final Set<String> OWN_REQUEST_HEADERS = Set.of("content-length", lower(RadishthreadHeader.DEADLINE),
+			lower(RadishthreadHeader.REQUEST), lower(RadishthreadHeader.FORWARDED), lower(RadishthreadHeader.CALLER));
+
+	private static final Set<String> OWN_ANSWER_HEADERS = Set.of("content-length", lower(RadishthreadHeader.REQUEST));
+
 	private ForwardedHeaders() {
 	}
 
+	private static String lower(String name) {
+		return name.toLowerCase(Locale.ROOT);
+	}
+
 	static void copyRequest(HttpFields source, HttpFields.Mutable target) {
-		copy(source, target, Set.of("content-length", RadishthreadHeader.DEADLINE.toLowerCase(Locale.ROOT),
-				RadishthreadHeader.REQUEST.toLowerCase(Locale.ROOT)));
+		copy(source, target, OWN_REQUEST_HEADERS);
 	}
 
 	static void copyAnswer(HttpFields source, HttpFields.Mutable target) {
-		copy(source, target, Set.of(RadishthreadHeader.REQUEST.toLowerCase(Locale.ROOT), "content-length"));
+		copy(source, target, OWN_ANSWER_HEADERS);
 	}
 
 	private static void copy(HttpFields source, HttpFields.Mutable target, Set<String> excluded) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
@@ -10,6 +10,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 
+import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.TimeSource;
 
@@ -26,6 +27,10 @@
 
 	private final ClaimKeeper claims;
 
+	private final HomeDirectory homes;
+
+	private final GuardedBudget forwardBudget = new GuardedBudget();
+
 	private final TimeSource time;
 
 	private final MeterRegistry meters;
@@ -37,11 +42,12 @@
 	private final ScheduledThreadPoolExecutor timer;
 
 	public GatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients, ClaimKeeper claims,
-			TimeSource time, MeterRegistry meters) {
+			ClusterService cluster, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
 		this.routing = routing;
 		this.clients = clients;
 		this.claims = claims;
+		this.homes = new HomeDirectory(cluster, time);
 		this.time = time;
 		this.meters = meters;
 		this.timer = new ScheduledThreadPoolExecutor(1, (task) -> {
@@ -68,6 +74,14 @@
 		return this.claims;
 	}
 
+	HomeDirectory homes() {
+		return this.homes;
+	}
+
+	GuardedBudget forwardBudget() {
+		return this.forwardBudget;
+	}
+
 	TimeSource time() {
 		return this.time;
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -1,20 +1,25 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
 import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.gateway.HomeDirectory.Home;
+import org.radishthread.daemon.settings.Secrets;
 import org.radishthread.membership.ServingState;
 import org.radishthread.rules.RouteRule;
 
 /**
- * Starts an {@link Exchange} for each request that a rule matches.
+ * Starts an exchange for each request that a rule matches, here or at the home of its
+ * service.
  */
 final class GatewayHandler extends Handler.Abstract.NonBlocking {
 
@@ -39,12 +44,14 @@
 	public boolean handle(Request request, Response response, Callback callback) {
 		this.open.incrementAndGet();
 		Callback counted = Callback.from(callback, this.open::decrementAndGet);
+		boolean forwarded = isForwarded(request);
 		ServingState state = this.cluster.servingState();
 		if (state != ServingState.READY) {
 			response.getHeaders().put(HttpHeader.CONNECTION, "close");
 		}
-		if (state != ServingState.READY && state != ServingState.STOPPING) {
-			Problem.notRun(503, "This instance takes no new work: " + state.word() + ".", RETRY_AFTER_MILLIS)
+		if (state != ServingState.READY && (state != ServingState.STOPPING || forwarded)) {
+			int status = forwarded ? HttpStatus.MISDIRECTED_REQUEST_421 : HttpStatus.SERVICE_UNAVAILABLE_503;
+			Problem.notRun(status, "This instance takes no new work: " + state.word() + ".", RETRY_AFTER_MILLIS)
 				.write(response, counted);
 			return true;
 		}
@@ -55,8 +62,25 @@
 			Problem.notRun(404, "No rule matches this request.", 0).write(response, counted);
 			return true;
 		}
-		new Exchange(this.context, route.get(), request, response, counted).start();
+		exchange(route.get(), forwarded, request, response, counted).start();
 		return true;
 	}
 
+	private boolean isForwarded(Request request) {
+		String token = request.getHeaders().get(RadishthreadHeader.FORWARDED);
+		return token != null && Secrets.matches(this.context.settings().secrets().peer(), token);
+	}
+
+	// Uploads are routed where they arrive, so that a large body travels once.
+	private AbstractExchange exchange(RouteRule route, boolean forwarded, Request request, Response response,
+			Callback callback) {
+		if (!forwarded && !route.mode().isStreamed()) {
+			List<Home> homes = this.context.homes().homesOf(route.service());
+			if (!homes.isEmpty() && !homes.get(0).own()) {
+				return new ForwardedExchange(this.context, route, homes, request, response, callback);
+			}
+		}
+		return new LocalExchange(this.context, route, request, response, callback);
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -2,9 +2,9 @@
 
 /**
  * Allows retries and hedges in proportion to successes, so that they can not multiply the
- * load of a service that fails.
+ * load of a service that fails. It is not safe for use by several threads at once.
  */
-final class RetryBudget {
+public final class RetryBudget {
 
 	private static final double MAXIMUM_TOKENS = 20;
 
@@ -12,11 +12,19 @@
 
 	private double tokens = INITIAL_TOKENS;
 
-	void recordSuccess(int retryPercent) {
+	/**
+	 * Learns of a success.
+	 * @param retryPercent the retries and hedges allowed per hundred successes
+	 */
+	public void recordSuccess(int retryPercent) {
 		this.tokens = Math.min(MAXIMUM_TOKENS, this.tokens + retryPercent / 100.0);
 	}
 
-	boolean tryTake() {
+	/**
+	 * Takes one retry or hedge from the budget.
+	 * @return whether it may be sent
+	 */
+	public boolean tryTake() {
 		if (this.tokens < 1) {
 			return false;
 		}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/RoutingExperiment.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/RoutingExperiment.java
@@ -137,8 +137,12 @@
 	private void scheduleDisturbance() {
 		FakeUpstream first = this.upstreams.get("upstream-0");
 		switch (this.experiment.disturbance()) {
-			case STRAGGLER -> first.slowness = 10;
-			case FAIL_FAST -> first.failsFast = true;
+			case STRAGGLER -> {
+				first.slowness = 10;
+			}
+			case FAIL_FAST -> {
+				first.failsFast = true;
+			}
 			case COLD_START -> this.time.after(RUSH_AT_NANOS, () -> {
 				first.startCold(1_000_000_000L);
 				Upstream restarted = new Upstream(first.upstream.name(), first.upstream.address(),
