--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -138,7 +138,11 @@
 		event.run();
 		MembershipEffects effects = this.membership.drain();
 		long now = now();
-		this.view = new ClusterView(this.membership.servingState(now), now, this.membership.instances(now),
+		// An unchanged list keeps its identity, so that what is derived from it can be
+		// kept.
+		List<InstanceView> instances = this.membership.instances(now);
+		List<InstanceView> known = this.view.instances();
+		this.view = new ClusterView(this.membership.servingState(now), now, instances.equals(known) ? known : instances,
 				this.membership.appliedRules());
 		if (effects.woke()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
--- /dev/null
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -0,0 +1,100 @@
+package org.radishthread.daemon.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.radishthread.kernel.FindingsException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+/**
+ * Tests for {@link SettingsReader}.
+ */
+class SettingsReaderTests {
+
+	private static final String VALID = """
+			instance: north-1
+			zone: bastrop
+			roles: [gateway, control]
+			listen:
+			  caller: 127.0.0.1:8080
+			  administration: 127.0.0.1:9080
+			  peer: "[::1]:7080"
+			seeds: ["127.0.0.1:7080"]
+			data: data
+			secrets: {peer: token, administration: token, announcement: token}
+			""";
+
+	@TempDir
+	private Path folder;
+
+	@BeforeEach
+	void writeToken() throws IOException {
+		Files.writeString(this.folder.resolve("token"), "long-enough\n");
+	}
+
+	private DaemonSettings read(String content) throws IOException {
+		Path file = this.folder.resolve("settings.yaml");
+		Files.writeString(file, content);
+		return SettingsReader.read(file);
+	}
+
+	private String findings(String content) {
+		FindingsException failure = catchThrowableOfType(FindingsException.class, () -> read(content));
+		return failure.getMessage().replace(this.folder.toString(), "FOLDER");
+	}
+
+	@Nested
+	class ValidFiles {
+
+		@Test
+		void valuesAreRead() throws IOException {
+			DaemonSettings settings = read(VALID);
+			assertThat(settings.instance()).isEqualTo("north-1");
+			assertThat(settings.isControl()).isTrue();
+			assertThat(settings.peerAddress()).hasToString("[::1]:7080");
+			assertThat(settings.secrets().peer()).isEqualTo("long-enough");
+			assertThat(settings.secrets()).hasToString("Secrets[hidden]");
+		}
+
+	}
+
+	@Nested
+	class Findings {
+
+		@Test
+		void allAreReportedTogetherWithFileLineAndPath() {
+			Approvals.verify(findings("""
+					instance: North
+					roles: [gateway, butler]
+					listen:
+					  caller: somewhere:80
+					  administration: 127.0.0.1:99999
+					  door: 127.0.0.1:1
+					seeds: 127.0.0.1:7080
+					secrets: {peer: missing, administration: token, announcement: token}
+					limits:
+					  held-answer-bytes: lots
+					  maximum-instances: 0
+					colour: red
+					colour: blue
+					"""));
+		}
+
+		@Test
+		void brokenYamlIsAFinding() {
+			assertThat(findings("instance: [north\n")).contains("Not valid YAML");
+			assertThat(findings("- a\n- b\n")).contains("A mapping of settings is expected");
+		}
+
+	}
+
+}
--- a/radishthread-proof/src/test/java/org/radishthread/proof/scenario/Scenario.java
+++ b/radishthread-proof/src/test/java/org/radishthread/proof/scenario/Scenario.java
@@ -137,6 +137,10 @@
 			case "runs-at-most" -> assertThat(runs(first)).isLessThanOrEqualTo(Integer.parseInt(words.get(2)));
 			case "received" ->
 				assertThat(this.upstreams.get(first).receivedBytes()).isEqualTo(Long.parseLong(words.get(2)));
+			case "abandon" -> this.pending.get(first).cancel(true);
+			case "stop-upstream" -> this.upstreams.get(first).stopServing();
+			case "answered" ->
+				assertThat(this.upstreams.get(first).answered()).isEqualTo(Integer.parseInt(words.get(2)));
 			case "requests-stay" -> requestsStay(first);
 			default -> throw new IllegalArgumentException("Unknown verb '" + words.get(0) + "'.");
 		}
--- a/radishthread-proof/src/test/java/org/radishthread/proof/standin/StandInUpstream.java
+++ b/radishthread-proof/src/test/java/org/radishthread/proof/standin/StandInUpstream.java
@@ -50,6 +50,8 @@
 
 	private final AtomicInteger requests = new AtomicInteger();
 
+	private final AtomicInteger answered = new AtomicInteger();
+
 	private volatile long serviceMillis;
 
 	private volatile Fault fault = Fault.NONE;
@@ -106,6 +108,10 @@
 		return this.requests.get();
 	}
 
+	public int answered() {
+		return this.answered.get();
+	}
+
 	public long receivedBytes() {
 		return this.received.get();
 	}
@@ -202,6 +208,7 @@
 	}
 
 	private void answer(Request request, Response response, Callback callback, long size) {
+		this.answered.incrementAndGet();
 		String echoed = request.getHeaders().get("Radishthread-Request");
 		response.getHeaders().put("Radishthread-Load", this.busy);
 		if (this.fault == Fault.WRONG_REQUEST) {
