--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
@@ -32,6 +32,8 @@
  */
 public final class ControlGroup {
 
+	private static final long MINIMUM_BYTES_BETWEEN_SNAPSHOTS = 256 * 1024;
+
 	private final ReplicaDescriptor self;
 
 	private final ReplicaSettings settings;
@@ -42,6 +44,10 @@
 
 	private long appliedIndex;
 
+	private long bytesSinceSnapshot;
+
+	private long snapshotBytes;
+
 	private final Map<Long, PendingCommand> pendingCommands = new HashMap<>();
 
 	private final Map<Long, PendingRequest> pendingReads = new HashMap<>();
@@ -303,6 +309,7 @@
 
 	private void apply(LogEntry entry) {
 		this.appliedIndex = entry.getIndex();
+		this.bytesSinceSnapshot += entry.getSerializedSize();
 		PendingCommand pending = this.pendingCommands.remove(entry.getIndex());
 		if (entry.hasConfiguration()) {
 			configurationApplied(entry.getConfiguration());
@@ -348,7 +355,9 @@
 
 	private boolean takeSnapshotIfDue() {
 		long entries = this.appliedIndex - this.replica.log().snapshot().getIndex();
-		if (entries < this.settings.entriesBetweenSnapshots() + this.state.size()) {
+		boolean many = entries >= this.settings.entriesBetweenSnapshots() + this.state.size();
+		boolean large = this.bytesSinceSnapshot >= Math.max(MINIMUM_BYTES_BETWEEN_SNAPSHOTS, this.snapshotBytes);
+		if (!many && !large) {
 			return false;
 		}
 		this.replica.compact(Snapshot.newBuilder()
@@ -357,6 +366,8 @@
 			.setConfiguration(this.replica.log().configurationAt(this.appliedIndex))
 			.setState(this.state.save())
 			.build());
+		this.bytesSinceSnapshot = 0;
+		this.snapshotBytes = this.replica.log().snapshot().getSerializedSize();
 		return true;
 	}
 
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ReplicaLog.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ReplicaLog.java
@@ -16,6 +16,8 @@
 
 	private static final int ENTRIES_KEPT_BEFORE_SNAPSHOT = 256;
 
+	private static final long BYTES_KEPT_BEFORE_SNAPSHOT = 1024 * 1024;
+
 	private Snapshot snapshot;
 
 	private long baseIndex;
@@ -113,12 +115,23 @@
 	// Takes a snapshot of entries that this log holds.
 	void compact(Snapshot taken) {
 		this.snapshot = taken;
-		long keepAfter = Math.max(this.baseIndex, taken.getIndex() - ENTRIES_KEPT_BEFORE_SNAPSHOT);
+		long keepAfter = firstKeptBefore(taken.getIndex());
 		this.baseTerm = termAt(keepAfter);
 		this.entries.subList(0, (int) (keepAfter - this.baseIndex)).clear();
 		this.baseIndex = keepAfter;
 	}
 
+	private long firstKeptBefore(long snapshotIndex) {
+		long bytes = 0;
+		long keepAfter = snapshotIndex;
+		while (keepAfter > this.baseIndex && snapshotIndex - keepAfter < ENTRIES_KEPT_BEFORE_SNAPSHOT
+				&& bytes < BYTES_KEPT_BEFORE_SNAPSHOT) {
+			bytes += entryAt(keepAfter).getSerializedSize();
+			keepAfter--;
+		}
+		return keepAfter;
+	}
+
 	// Installs a snapshot from a leader; entries behind it survive only if they fit.
 	void install(Snapshot received) {
 		boolean fits = holds(received.getIndex(), received.getTerm());
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -79,8 +79,8 @@
 
 	@Provides
 	@Singleton
-	static RoutingService routingService(DaemonSettings settings, TimeSource time) {
-		return new RoutingService(settings, time);
+	static RoutingService routingService(DaemonSettings settings, TimeSource time, MeterRegistry meters) {
+		return new RoutingService(settings, time, meters);
 	}
 
 	@Provides
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
+import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.routing.AttemptResult;
@@ -28,12 +29,16 @@
 
 	private final TimeSource time;
 
+	private final UpstreamProber prober;
+
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
-	GuardedRouter(ServiceRule rule, String zone, TimeSource time) {
+	GuardedRouter(ServiceRule rule, DaemonSettings settings, TimeSource time, UpstreamProber prober) {
 		this.service = rule.service();
-		this.router = new ServiceRouter(rule, zone);
+		this.router = new ServiceRouter(rule, settings.zone(), settings.limits().maximumInstances(),
+				time.monotonicNanos());
 		this.time = time;
+		this.prober = prober;
 	}
 
 	private void perform(Function<Long, List<RoutingEffect>> decision) {
@@ -45,39 +50,62 @@
 	}
 
 	private void perform(RoutingEffect effect) {
-		RoutingCallback callback = this.callbacks.get(effect.ticket());
 		if (effect instanceof RoutingEffect.Dispatch dispatch) {
-			eventLog.information("dispatch")
-				.with("service", this.service)
-				.with("request", dispatch.ticket())
-				.with("upstream", dispatch.upstream().name())
-				.with("kind", dispatch.kind().word())
-				.with("in-flight", dispatch.inFlight())
-				.with("waited-micros", dispatch.waitedNanos() / 1_000)
-				.write();
-			if (callback != null) {
-				callback.dispatch(dispatch);
-			}
-			else {
-				attemptEnded(dispatch.ticket(), dispatch.upstream().name(), AttemptResult.CANCELLED);
-			}
+			dispatch(dispatch);
 		}
 		else if (effect instanceof RoutingEffect.Refusal refusal) {
-			eventLog.information("refusal")
+			refuse(refusal);
+		}
+		else if (effect instanceof RoutingEffect.Probe probe) {
+			probe(probe.upstream());
+		}
+	}
+
+	private void dispatch(RoutingEffect.Dispatch dispatch) {
+		eventLog.information("dispatch")
+			.with("service", this.service)
+			.with("request", dispatch.ticket())
+			.with("upstream", dispatch.upstream().name())
+			.with("kind", dispatch.kind().word())
+			.with("in-flight", dispatch.inFlight())
+			.with("waited-micros", dispatch.waitedNanos() / 1_000)
+			.write();
+		RoutingCallback callback = this.callbacks.get(dispatch.ticket());
+		if (callback != null) {
+			callback.dispatch(dispatch);
+		}
+		else {
+			attemptEnded(dispatch.ticket(), dispatch.upstream().name(), AttemptResult.CANCELLED);
+		}
+	}
+
+	private void refuse(RoutingEffect.Refusal refusal) {
+		eventLog.information("refusal")
+			.with("service", this.service)
+			.with("request", refusal.ticket())
+			.with("reason", refusal.reason().word())
+			.with("retry-after-millis", refusal.retryAfterMillis())
+			.write();
+		RoutingCallback callback = this.callbacks.get(refusal.ticket());
+		if (callback != null) {
+			callback.refuse(refusal);
+		}
+	}
+
+	private void probe(Upstream upstream) {
+		this.prober.probe(upstream).thenAccept((reachable) -> {
+			eventLog.information("probe")
 				.with("service", this.service)
-				.with("request", refusal.ticket())
-				.with("reason", refusal.reason().word())
-				.with("retry-after-millis", refusal.retryAfterMillis())
+				.with("upstream", upstream.name())
+				.with("reachable", reachable)
 				.write();
-			if (callback != null) {
-				callback.refuse(refusal);
-			}
-		}
+			perform((now) -> this.router.probed(upstream.name(), reachable, now));
+		});
 	}
 
 	void updateRule(ServiceRule rule) {
 		synchronized (this.router) {
-			this.router.updateRule(rule);
+			this.router.updateRule(rule, this.time.monotonicNanos());
 		}
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
+import io.micrometer.core.instrument.MeterRegistry;
+
 import org.radishthread.daemon.cluster.ClusterListener;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
@@ -36,15 +38,18 @@
 
 	private final TimeSource time;
 
+	private final UpstreamProber prober;
+
 	private final Map<String, GuardedRouter> routers = new ConcurrentHashMap<>();
 
 	private final EventLoop loop = new EventLoop("routing");
 
 	private volatile RuleSet rules = RuleSet.NONE;
 
-	public RoutingService(DaemonSettings settings, TimeSource time) {
+	public RoutingService(DaemonSettings settings, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
 		this.time = time;
+		this.prober = new UpstreamProber(meters);
 	}
 
 	@Override
@@ -63,7 +68,7 @@
 
 	GuardedRouter router(String service) {
 		return this.routers.computeIfAbsent(service,
-				(name) -> new GuardedRouter(this.rules.service(name), this.settings.zone(), this.time));
+				(name) -> new GuardedRouter(this.rules.service(name), this.settings, this.time, this.prober));
 	}
 
 	@Override
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -33,7 +33,13 @@
 
 	private static final long RULE_LAG_MILLIS = 3_000;
 
-	private static final long SYNCHRONIZATION_PAUSE_MILLIS = 1_000;
+	private static final long JOIN_PAUSE_MILLIS = 1_000;
+
+	private static final long SYNCHRONIZATION_PAUSE_MILLIS = 10_000;
+
+	private static final int BYTES_PER_INSTANCE = 13;
+
+	private static final int BYTES_PER_ROUND = 60;
 
 	private final MembershipSettings settings;
 
@@ -67,7 +73,7 @@
 
 	private long nextRoundMillis = Long.MIN_VALUE;
 
-	private long nextSynchronizationMillis = Long.MIN_VALUE;
+	private long lastSynchronizationMillis = Long.MIN_VALUE / 2;
 
 	private boolean rulesConfirmed;
 
@@ -120,12 +126,33 @@
 		if (now >= this.nextRoundMillis) {
 			this.heartbeat++;
 			this.instances.heard(ShortName.of(this.self.getName()), this.heartbeat, this.rules.revision(), now);
-			long bytes = sendRound(this.settings.fanout());
-			long spacing = bytes * 1_000 / this.settings.bytesPerSecond();
-			this.nextRoundMillis = now + Math.max(this.settings.gossipMillis(), spacing);
+			sendRound(this.settings.fanout());
+			this.nextRoundMillis = now + roundMillis();
 		}
 	}
 
+	// With many instances rounds are spaced out to keep the byte budget. Only the vector
+	// of heartbeats counts: were a burst of changes to delay heartbeats, live instances
+	// would seem lost, which is a change in turn.
+	private long roundMillis() {
+		long vectorBytes = BYTES_PER_ROUND + (long) BYTES_PER_INSTANCE * this.instances.entries().size();
+		long spacing = this.settings.fanout() * vectorBytes * 1_000 / this.settings.bytesPerSecond();
+		return Math.max(this.settings.gossipMillis(), spacing);
+	}
+
+	// Heartbeats that come more rarely must be missed for longer.
+	private long scaled(long millis) {
+		return millis * roundMillis() / this.settings.gossipMillis();
+	}
+
+	private long silenceMillis() {
+		return scaled(this.settings.silenceMillis());
+	}
+
+	private long isolationMillis() {
+		return scaled(this.settings.isolationMillis());
+	}
+
 	/**
 	 * Detects that this process was frozen; what it knew before counts for nothing then.
 	 * @param now the monotonic time, in milliseconds
@@ -145,7 +172,7 @@
 	}
 
 	private void expireLeases(long now) {
-		long since = now - this.settings.silenceMillis();
+		long since = now - silenceMillis();
 		for (UpstreamRecord changed : this.upstreams.expire(now, (holder) -> this.instances.isAlive(holder, since))) {
 			upstreamChanged(changed);
 		}
@@ -154,13 +181,13 @@
 	private void forgetInstances(long now) {
 		if (hasMajority(now)) {
 			this.instances.forgetSilentSince(now - this.settings.forgetMillis());
-			this.instances.forgetLeftBefore(now - this.settings.silenceMillis() * 2);
+			this.instances.forgetLeftBefore(now - silenceMillis() * 2);
 		}
 	}
 
 	// Gossip
 
-	private long sendRound(int fanout) {
+	private void sendRound(int fanout) {
 		Set<String> candidates = new LinkedHashSet<>(this.instances.otherAddresses());
 		if (!hasMajority(this.lastTimeMillis)) {
 			candidates.addAll(this.settings.seeds());
@@ -168,18 +195,17 @@
 		candidates.remove(this.self.getPeerAddress());
 		List<String> chosen = this.selector.choose(List.copyOf(candidates), fanout);
 		if (chosen.isEmpty()) {
-			return 0;
+			return;
 		}
 		Gossip gossip = gossip();
 		chosen.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
-		return (long) gossip.getSerializedSize() * chosen.size();
 	}
 
 	private Gossip gossip() {
 		Gossip.Builder gossip = Gossip.newBuilder()
 			.setSender(this.self.getName())
 			.setSenderAddress(this.self.getPeerAddress());
-		long since = this.lastTimeMillis - this.settings.silenceMillis();
+		long since = this.lastTimeMillis - silenceMillis();
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean own = entry.instance.getName().equals(this.self.getName());
 			if (own || entry.heardMillis >= since) {
@@ -214,8 +240,11 @@
 				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
 		}
 		boolean settled = this.changedUpstreams.isEmpty() && gossip.getUpstreamsCount() == 0;
-		if (sender == null || strangers || (settled && gossip.getDigest() != digest())) {
-			requestSynchronization(address, now);
+		if (sender == null || strangers) {
+			requestSynchronization(address, now, JOIN_PAUSE_MILLIS);
+		}
+		else if (settled && gossip.getDigest() != digest()) {
+			requestSynchronization(address, now, SYNCHRONIZATION_PAUSE_MILLIS);
 		}
 	}
 
@@ -271,11 +300,11 @@
 		return hash ^ (hash >>> 33);
 	}
 
-	private void requestSynchronization(String address, long now) {
-		if (now < this.nextSynchronizationMillis) {
+	private void requestSynchronization(String address, long now, long pauseMillis) {
+		if (now - this.lastSynchronizationMillis < pauseMillis) {
 			return;
 		}
-		this.nextSynchronizationMillis = now + SYNCHRONIZATION_PAUSE_MILLIS;
+		this.lastSynchronizationMillis = now;
 		send(address, Envelope.newBuilder().setSynchronization(versions(false)));
 	}
 
@@ -352,7 +381,7 @@
 			return this.upstreams.renew(record.getName(), record.getIncarnation(), record.getSequence(), now);
 		}
 		InstanceTable.Entry holder = this.instances.find(known.getHolder());
-		if (holder == null || !this.instances.isAlive(known.getHolder(), now - this.settings.silenceMillis())) {
+		if (holder == null || !this.instances.isAlive(known.getHolder(), now - silenceMillis())) {
 			boolean newer = this.upstreams.merge(record, now);
 			if (newer) {
 				upstreamChanged(record);
@@ -445,7 +474,7 @@
 
 	// An accepted revision is in force at a majority, and two majorities overlap.
 	private void confirmRulesByMajority(long now) {
-		long since = now - this.settings.isolationMillis();
+		long since = now - isolationMillis();
 		if (!this.rulesConfirmed && hasMajority(now)
 				&& this.rules.revision() >= this.instances.highestRevisionHeard(since)) {
 			this.rulesConfirmed = true;
@@ -459,7 +488,7 @@
 	 * @return the count, with this instance
 	 */
 	public int countApplied(long revision, long now) {
-		long since = now - this.settings.isolationMillis();
+		long since = now - isolationMillis();
 		int count = 0;
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean own = entry.instance.getName().equals(this.self.getName());
@@ -487,7 +516,7 @@
 	 * @return the count, with this instance
 	 */
 	public int liveInstances(long now) {
-		return this.instances.heardCount(now - this.settings.isolationMillis());
+		return this.instances.heardCount(now - isolationMillis());
 	}
 
 	private boolean hasMajority(long now) {
@@ -530,7 +559,7 @@
 		List<InstanceView> views = new ArrayList<>();
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean own = entry.instance.getName().equals(this.self.getName());
-			boolean live = own || entry.heardMillis >= now - this.settings.silenceMillis();
+			boolean live = own || entry.heardMillis >= now - silenceMillis();
 			views.add(new InstanceView(entry.instance, live, own ? this.rules.revision() : entry.revision));
 		}
 		return views;
--- a/radishthread-membership/src/main/java/org/radishthread/membership/MembershipSettings.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/MembershipSettings.java
@@ -11,10 +11,10 @@
  * @param gossipMillis the least pause between two rounds of gossip, in milliseconds
  * @param fanout the number of peers addressed in a round
  * @param urgentFanout the number of peers to which a change is sent at once
- * @param bytesPerSecond the greatest rate at which rounds are sent, in bytes per second;
- * rounds are spaced out to keep it
+ * @param bytesPerSecond the greatest rate at which heartbeats are sent, in bytes per
+ * second; rounds are spaced out to keep it
  * @param silenceMillis the silence after which an instance counts as lost, in
- * milliseconds
+ * milliseconds; it grows as rounds are spaced out
  * @param isolationMillis the time without news of a majority after which this instance
  * counts as isolated, in milliseconds
  * @param forgetMillis the silence after which a lost instance is forgotten, in
@@ -34,7 +34,7 @@
 	 * @return the settings
 	 */
 	public static MembershipSettings defaults(List<String> seeds) {
-		return new MembershipSettings(seeds, 500, 2, 6, 1_000, 4_000, 5_000, 600_000);
+		return new MembershipSettings(seeds, 500, 2, 6, 1_200, 4_000, 5_000, 600_000);
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -1,16 +1,10 @@
 package org.radishthread.routing;
 
 /**
- * What a {@link ServiceRouter} has decided about a request.
+ * What a {@link ServiceRouter} has decided.
  */
 public sealed interface RoutingEffect {
 
-	/**
-	 * Returns the request concerned.
-	 * @return the identifier of its {@link Ticket}
-	 */
-	long ticket();
-
 	/**
 	 * The request is to be sent to an upstream.
 	 *
@@ -36,4 +30,13 @@
 	record Refusal(long ticket, RefusalReason reason, long retryAfterMillis) implements RoutingEffect {
 	}
 
+	/**
+	 * An ejected upstream is to be probed by opening a connection to it;
+	 * {@link ServiceRouter#probed} takes the result.
+	 *
+	 * @param upstream the upstream
+	 */
+	record Probe(Upstream upstream) implements RoutingEffect {
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -15,6 +15,7 @@
 import org.radishthread.kernel.Assert;
 import org.radishthread.routing.CallerQueues.Waiting;
 import org.radishthread.routing.RoutingEffect.Dispatch;
+import org.radishthread.routing.RoutingEffect.Probe;
 import org.radishthread.routing.RoutingEffect.Refusal;
 import org.radishthread.rules.ServiceRule;
 
@@ -44,8 +45,12 @@
 
 	private final SelectionPolicy policy;
 
+	private final int maximumInstances;
+
 	private ServiceRule rule;
 
+	private ProbeBudget probeBudget;
+
 	private final Map<String, UpstreamLoad> loads = new LinkedHashMap<>();
 
 	private final Map<Long, Flight> flights = new HashMap<>();
@@ -64,21 +69,35 @@
 
 	private boolean first = true;
 
-	public ServiceRouter(ServiceRule rule, String zone) {
-		this(rule, zone, new LeastExpectedCompletion());
+	/**
+	 * Creates a router.
+	 * @param rule the limits of the service
+	 * @param zone the availability zone of this instance
+	 * @param maximumInstances the greatest number of instances that may exist, which
+	 * share the measuring budget
+	 * @param now the monotonic time, in nanoseconds
+	 */
+	public ServiceRouter(ServiceRule rule, String zone, int maximumInstances, long now) {
+		this(rule, zone, new LeastExpectedCompletion(), maximumInstances, now);
 	}
 
-	ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy) {
+	ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy, int maximumInstances, long now) {
 		this.rule = rule;
 		this.zone = zone;
 		this.policy = policy;
+		this.maximumInstances = maximumInstances;
+		this.probeBudget = new ProbeBudget(rule.probesPerSecond(), maximumInstances, now);
 	}
 
 	/**
 	 * Sets the limits of the service.
 	 * @param updated the rule now in force
+	 * @param now the monotonic time, in nanoseconds
 	 */
-	public void updateRule(ServiceRule updated) {
+	public void updateRule(ServiceRule updated, long now) {
+		if (updated.probesPerSecond() != this.rule.probesPerSecond()) {
+			this.probeBudget = new ProbeBudget(updated.probesPerSecond(), this.maximumInstances, now);
+		}
 		this.rule = updated;
 	}
 
@@ -254,7 +273,7 @@
 		Long started = flight(ticket).startedNanos.remove(upstream);
 		UpstreamLoad load = this.loads.get(upstream);
 		Assert.state(started != null && load != null, "Attempt at '" + upstream + "' must be in flight.");
-		load.finished(result, now - started, now, this.rule.ejectAfter());
+		load.finished(result, now - started, now, this.rule.ejectAfter(), this.rule.probesPerSecond() > 0);
 		if (result == AttemptResult.SUCCESS) {
 			this.retryBudget.recordSuccess(this.rule.retryPercent());
 			recordCompletion(now - started, now);
@@ -342,6 +361,33 @@
 			this.effects.add(new Refusal(waiting.ticket().id(), RefusalReason.QUEUE_TIMEOUT,
 					Math.max(MINIMUM_RETRY_AFTER_MILLIS, retryAfter)));
 		}
+		probeEjected(now);
+		dispatchWaiting(now);
+		return takeEffects();
+	}
+
+	private void probeEjected(long now) {
+		for (UpstreamLoad load : this.loads.values()) {
+			if (load.isProbeDue(now) && this.probeBudget.tryTake(now)) {
+				load.probing(now);
+				this.effects.add(new Probe(load.upstream()));
+			}
+		}
+	}
+
+	/**
+	 * Learns whether a probed upstream could be reached; it then gets one request on
+	 * trial.
+	 * @param upstream the name of the upstream
+	 * @param reachable whether it could be reached
+	 * @param now the monotonic time, in nanoseconds
+	 * @return requests that can now be sent
+	 */
+	public List<RoutingEffect> probed(String upstream, boolean reachable, long now) {
+		UpstreamLoad load = this.loads.get(upstream);
+		if (load != null) {
+			load.probed(reachable, now);
+		}
 		dispatchWaiting(now);
 		return takeEffects();
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -35,6 +35,8 @@
 
 	private long ejectedUntilNanos = Long.MIN_VALUE;
 
+	private boolean awaitsProbe;
+
 	private long lastDispatchNanos = Long.MIN_VALUE / 2;
 
 	private boolean removed;
@@ -55,6 +57,7 @@
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
 			this.ejectedUntilNanos = Long.MIN_VALUE;
+			this.awaitsProbe = false;
 		}
 		this.upstream = announced;
 		this.removed = false;
@@ -86,7 +89,26 @@
 	}
 
 	boolean isEjected(long now) {
-		return now < this.ejectedUntilNanos;
+		return now < this.ejectedUntilNanos || this.awaitsProbe;
+	}
+
+	boolean isProbeDue(long now) {
+		return this.awaitsProbe && !this.removed && now >= this.ejectedUntilNanos;
+	}
+
+	// The next probe waits until this one has shown something.
+	void probing(long now) {
+		this.ejectedUntilNanos = now + FIRST_EJECTION_NANOS;
+	}
+
+	void probed(boolean reachable, long now) {
+		if (reachable) {
+			this.awaitsProbe = false;
+			this.ejectedUntilNanos = now;
+		}
+		else {
+			eject(now);
+		}
 	}
 
 	// After an ejection one request at a time finds out whether the upstream recovered.
@@ -134,7 +156,7 @@
 		this.lastDispatchNanos = now;
 	}
 
-	void finished(AttemptResult result, long latency, long now, int ejectAfter) {
+	void finished(AttemptResult result, long latency, long now, int ejectAfter, boolean probed) {
 		this.inFlight--;
 		if (result == AttemptResult.SUCCESS) {
 			this.consecutiveFailures = 0;
@@ -146,7 +168,7 @@
 			recordLatency(Math.max(latency, (long) this.latencyNanos));
 		}
 		else if (result.countsAgainstUpstream()) {
-			failed(now, ejectAfter);
+			failed(now, ejectAfter, probed);
 		}
 	}
 
@@ -156,14 +178,19 @@
 		this.samples++;
 	}
 
-	private void failed(long now, int ejectAfter) {
+	private void failed(long now, int ejectAfter, boolean probed) {
 		this.consecutiveFailures++;
 		if (this.consecutiveFailures >= ejectAfter || isOnTrial()) {
-			int doublings = Math.min(this.ejections, MAXIMUM_EJECTION_DOUBLINGS);
-			this.ejectedUntilNanos = now + (FIRST_EJECTION_NANOS << doublings);
-			this.ejections++;
-			this.consecutiveFailures = 0;
+			eject(now);
+			this.awaitsProbe = probed;
 		}
 	}
 
+	private void eject(long now) {
+		int doublings = Math.min(this.ejections, MAXIMUM_EJECTION_DOUBLINGS);
+		this.ejectedUntilNanos = now + (FIRST_EJECTION_NANOS << doublings);
+		this.ejections++;
+		this.consecutiveFailures = 0;
+	}
+
 }
