--- a/radishthread-membership/src/test/java/org/radishthread/membership/MembershipCostMain.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/MembershipCostMain.java
@@ -32,7 +32,6 @@
 		system.run(MINUTE);
 		long cpuNanos = System.nanoTime() - cpu;
 		long perSecond = (system.bytes - bytes) / 60 / instances;
-		StringBuilder spread = new StringBuilder();
 		long worst = 0;
 		for (int revision = 1; revision <= 20; revision++) {
 			long started = system.now;
@@ -45,8 +44,8 @@
 		}
 		return String.format(Locale.ROOT,
 				"instances=%d upstreams=0 sent-bytes-per-second=%d processor-micros-per-second=%.0f"
-						+ " worst-of-20-spreads-millis=%d%s",
-				instances, perSecond, cpuNanos / 1_000.0 / 60 / instances, worst, spread);
+						+ " worst-of-20-spreads-millis=%d",
+				instances, perSecond, cpuNanos / 1_000.0 / 60 / instances, worst);
 	}
 
 	private static boolean inForceEverywhere(FakeSystem system, long revision) {
@@ -63,8 +62,20 @@
 		FakeSystem system = settled(instances);
 		long memory = usedMemory();
 		long sequence = 1;
+		long joinBytes = system.bytes;
 		announceAll(system, instances, upstreams, sequence);
-		system.run(20_000);
+		long started = system.now;
+		while (!knownEverywhere(system, upstreams)) {
+			system.run(FakeSystem.TICK_MILLIS);
+		}
+		long joinMillis = system.now - started;
+		// All changes have been sent for the last time.
+		for (int second = 0; second < 300; second++) {
+			sequence++;
+			announceAll(system, instances, upstreams, sequence);
+			system.run(1_000);
+		}
+		joinBytes = system.bytes - joinBytes;
 		long records = usedMemory() - memory;
 		long bytes = system.bytes;
 		long cpu = System.nanoTime();
@@ -79,9 +90,14 @@
 		long ready = system.upstreamsReadyAt("node-1");
 		return String.format(Locale.ROOT,
 				"instances=%d upstreams=%d ready=%d sent-bytes-per-second=%d processor-micros-per-second=%.0f"
-						+ " memory-bytes-per-record=%d",
+						+ " memory-bytes-per-record=%d known-everywhere-millis=%d join-bytes-per-instance=%d",
 				instances, upstreams, ready, (system.bytes - bytes) / 60 / instances,
-				cpuNanos / 1_000.0 / 60 / instances, records / Math.max(1, (long) instances * upstreams));
+				cpuNanos / 1_000.0 / 60 / instances, records / Math.max(1, (long) instances * upstreams), joinMillis,
+				joinBytes / instances);
+	}
+
+	private static boolean knownEverywhere(FakeSystem system, int upstreams) {
+		return system.instances.keySet().stream().allMatch((name) -> system.upstreamsReadyAt(name) == upstreams);
 	}
 
 	private static void announceAll(FakeSystem system, int instances, int upstreams, long sequence) {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/RoutingExperimentMain.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/RoutingExperimentMain.java
@@ -1,7 +1,13 @@
 package org.radishthread.routing;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
 
 import org.radishthread.routing.ExperimentCase.Disturbance;
 import org.radishthread.routing.ExperimentCase.Site;
@@ -18,9 +24,43 @@
 	private RoutingExperimentMain() {
 	}
 
-	public static void main(String[] arguments) {
+	/**
+	 * Prints the table and, if a file is named, draws the steady cases.
+	 * @param arguments the picture to write without its ending, or nothing
+	 * @throws IOException if the picture can not be written
+	 */
+	public static void main(String[] arguments) throws IOException {
 		System.out.println(ExperimentResult.HEADER);
 		cases().parallelStream().map(RoutingExperimentMain::compare).forEachOrdered(System.out::print);
+		if (arguments.length > 0) {
+			draw(arguments[0]);
+		}
+	}
+
+	private static void draw(String file) throws IOException {
+		CategoryChart chart = new CategoryChartBuilder().width(900)
+			.height(420)
+			.title("p99 over the bound, steady load (shared counts left out: over 25)")
+			.yAxisTitle("p99 / bound")
+			.build();
+		chart.getStyler().setXAxisLabelRotation(20);
+		for (Site site : List.of(Site.BRAZOS, Site.STOYNOV)) {
+			List<String> names = new ArrayList<>();
+			List<Double> ratios = new ArrayList<>();
+			for (double load : new double[] { 0.5, 0.8, 0.95 }) {
+				ExperimentCase experiment = ExperimentCase.of(site, load, Disturbance.NONE);
+				ExperimentResult bound = new RoutingExperiment(experiment, ComparedPolicy.RANDOM, SECONDS, SEED)
+					.bound();
+				for (ComparedPolicy policy : ComparedPolicy.values()) {
+					if (!policy.shares()) {
+						names.add((int) (load * 100) + "% " + policy.name().toLowerCase(Locale.ROOT));
+						ratios.add(new RoutingExperiment(experiment, policy, SECONDS, SEED).run().ratio(bound, 99));
+					}
+				}
+			}
+			chart.addSeries(site.name(), names, ratios);
+		}
+		BitmapEncoder.saveBitmap(chart, file, BitmapEncoder.BitmapFormat.PNG);
 	}
 
 	private static List<ExperimentCase> cases() {
