--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ClaimLimits.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ClaimLimits.java
@@ -13,9 +13,9 @@
 public record ClaimLimits(long lifetimeMillis, int maximumClaims, int maximumBodyBytes, long maximumTotalBodyBytes) {
 
 	/**
-	 * A day of claims within about 24 MB.
+	 * A day of claims within about 40 MB.
 	 */
-	public static final ClaimLimits DEFAULTS = new ClaimLimits(24 * 3600 * 1000L, 50_000, 4 * 1024, 8 * 1024 * 1024);
+	public static final ClaimLimits DEFAULTS = new ClaimLimits(24 * 3600 * 1000L, 100_000, 4 * 1024, 8 * 1024 * 1024);
 
 	public ClaimLimits {
 		Assert.isTrue(lifetimeMillis > 0, "Lifetime " + lifetimeMillis + " ms of claims must be positive.");
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -38,7 +38,7 @@
 
 	private static final EventLog eventLog = EventLog.of(ClusterService.class);
 
-	private static final long TICK_MILLIS = 50;
+	private static final long TICK_MILLIS = 200;
 
 	private final DaemonSettings settings;
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -26,7 +26,7 @@
 	 */
 	public static final String NAME = "control-client";
 
-	private static final long TICK_MILLIS = 50;
+	private static final long TICK_MILLIS = 200;
 
 	private static final long CONFIRMATION_MILLIS = 2_000;
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -40,7 +40,7 @@
 
 	private static final EventLog eventLog = EventLog.of(ControlService.class);
 
-	private static final long TICK_MILLIS = 20;
+	private static final long TICK_MILLIS = 100;
 
 	private static final int BATCH_LIMIT = 1_024;
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
+import org.radishthread.kernel.EventLoop;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.RoutingEffect;
@@ -23,6 +25,8 @@
 
 	private static final EventLog eventLog = EventLog.of(GuardedRouter.class);
 
+	private static final long TICK_MILLIS = 10;
+
 	private final String service;
 
 	private final ServiceRouter router;
@@ -31,24 +35,40 @@
 
 	private final UpstreamProber prober;
 
+	private final EventLoop loop;
+
+	private final AtomicBoolean ticking = new AtomicBoolean();
+
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
-	GuardedRouter(ServiceRule rule, DaemonSettings settings, TimeSource time, UpstreamProber prober) {
+	GuardedRouter(ServiceRule rule, DaemonSettings settings, TimeSource time, UpstreamProber prober, EventLoop loop) {
 		this.service = rule.service();
 		this.router = new ServiceRouter(rule, settings.zone(), settings.limits().maximumInstances(),
 				time.monotonicNanos());
 		this.time = time;
 		this.prober = prober;
+		this.loop = loop;
 	}
 
 	private void perform(Function<Long, List<RoutingEffect>> decision) {
 		List<RoutingEffect> effects;
+		boolean needsTime;
 		synchronized (this.router) {
 			effects = decision.apply(this.time.monotonicNanos());
+			needsTime = this.router.needsTime();
+		}
+		if (needsTime && this.ticking.compareAndSet(false, true)) {
+			this.loop.after(TICK_MILLIS, this::tick);
 		}
 		effects.forEach(this::perform);
 	}
 
+	// Runs only while something waits for time to pass.
+	private void tick() {
+		this.ticking.set(false);
+		perform(this.router::tick);
+	}
+
 	private void perform(RoutingEffect effect) {
 		if (effect instanceof RoutingEffect.Dispatch dispatch) {
 			dispatch(dispatch);
@@ -137,14 +157,4 @@
 		}
 	}
 
-	void tick() {
-		perform(this.router::tick);
-	}
-
-	int queued() {
-		synchronized (this.router) {
-			return this.router.queued();
-		}
-	}
-
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -32,8 +32,6 @@
 
 	private static final EventLog eventLog = EventLog.of(RoutingService.class);
 
-	private static final long TICK_MILLIS = 5;
-
 	private final DaemonSettings settings;
 
 	private final TimeSource time;
@@ -59,7 +57,7 @@
 
 	@Override
 	public void start() {
-		this.loop.repeat(TICK_MILLIS, () -> this.routers.values().forEach(GuardedRouter::tick));
+		// Routers run when they are asked.
 	}
 
 	RuleSet rules() {
@@ -67,8 +65,8 @@
 	}
 
 	GuardedRouter router(String service) {
-		return this.routers.computeIfAbsent(service,
-				(name) -> new GuardedRouter(this.rules.service(name), this.settings, this.time, this.prober));
+		return this.routers.computeIfAbsent(service, (name) -> new GuardedRouter(this.rules.service(name),
+				this.settings, this.time, this.prober, this.loop));
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -29,10 +29,6 @@
 
 	private static final int THREADS = 16;
 
-	private static final long STOP_MILLIS = 100;
-
-	private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
-
 	private final HttpClient kept = new HttpClient();
 
 	private final HttpClient fresh = new HttpClient();
@@ -44,15 +40,15 @@
 
 	@Override
 	public void start() {
-		this.threads.setName("upstream");
-		this.threads.setDaemon(true);
-		this.threads.setStopTimeout(STOP_MILLIS);
-		configure(this.kept, Integer.MAX_VALUE);
-		configure(this.fresh, 1);
+		configure(this.kept, "upstream-kept", Integer.MAX_VALUE);
+		configure(this.fresh, "upstream-new", 1);
 	}
 
-	private void configure(HttpClient client, int usesPerConnection) {
-		client.setExecutor(this.threads);
+	private static void configure(HttpClient client, String name, int usesPerConnection) {
+		QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
+		threads.setName(name);
+		threads.setDaemon(true);
+		client.setExecutor(threads);
 		client.setFollowRedirects(false);
 		client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
 		client.setIdleTimeout(KEPT_IDLE_MILLIS);
@@ -101,7 +97,6 @@
 		try {
 			this.kept.stop();
 			this.fresh.stop();
-			this.threads.stop();
 		}
 		catch (Exception ex) {
 			throw new GatewayException("The client for upstreams can not be stopped.", ex);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerConnection.java
@@ -28,7 +28,7 @@
 
 	private static final long SILENCE_NANOS = 2_500_000_000L;
 
-	private static final long CHECK_MILLIS = 500;
+	private static final long CHECK_MILLIS = 1_000;
 
 	private static final int UNSENT_BYTES_LIMIT = 16 * 1024 * 1024;
 
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/EventLoop.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/EventLoop.java
@@ -39,6 +39,20 @@
 		}
 	}
 
+	/**
+	 * Runs a task once, later; after {@link #stop()} it is dropped.
+	 * @param delayMillis how long to wait, in milliseconds
+	 * @param task the task
+	 */
+	public void after(long delayMillis, Runnable task) {
+		try {
+			this.executor.schedule(() -> run(task), delayMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			eventLog.detail("task-dropped").with("loop", this.name).write();
+		}
+	}
+
 	/**
 	 * Runs a task again and again.
 	 * @param pauseMillis the pause between two runs, in milliseconds
--- a/radishthread-proof/src/test/java/org/radishthread/proof/scenario/InstanceProcess.java
+++ b/radishthread-proof/src/test/java/org/radishthread/proof/scenario/InstanceProcess.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
@@ -18,6 +19,8 @@
 
 	private static final long STOP_SECONDS = 60;
 
+	private static final AtomicInteger nextPort = new AtomicInteger(21_000);
+
 	final String name;
 
 	final int callerPort = freePort();
@@ -35,12 +38,17 @@
 		this.folder = folder;
 	}
 
+	// Below the range from which the system takes ports for outgoing connections, any of
+	// which could be taken before the instance opens its own.
 	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("A free port must be found.", ex);
+		while (true) {
+			int port = nextPort.getAndIncrement();
+			try (ServerSocket socket = new ServerSocket(port)) {
+				return socket.getLocalPort();
+			}
+			catch (IOException ex) {
+				// Somebody else uses it; try the next one.
+			}
 		}
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -392,6 +392,15 @@
 		return takeEffects();
 	}
 
+	/**
+	 * Returns whether anything here depends on time passing: a request that waits, or an
+	 * ejected upstream.
+	 * @return whether {@link #tick} is worth a call
+	 */
+	public boolean needsTime() {
+		return this.queues.size() > 0 || this.loads.values().stream().anyMatch(UpstreamLoad::awaitsProbe);
+	}
+
 	/**
 	 * Returns the number of requests that wait.
 	 * @return the count
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -92,6 +92,10 @@
 		return now < this.ejectedUntilNanos || this.awaitsProbe;
 	}
 
+	boolean awaitsProbe() {
+		return this.awaitsProbe;
+	}
+
 	boolean isProbeDue(long now) {
 		return this.awaitsProbe && !this.removed && now >= this.ejectedUntilNanos;
 	}
