Try answers that no library would send, and frames of strangers

Change: a raw stand-in sends headers only, an answer without an end, unfinished chunks, noise, and a second answer that nobody asked for; a script holds both instances to 502 or to the right answer (09). The first bytes and frames of a peer connection are fuzzed: strangers are never heard, a damaged frame closes the connection or is ignored.

--- /dev/null
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/peer/InboundPeerProperties.java
@@ -0,0 +1,79 @@
+package org.radishthread.daemon.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.Size;
+
+import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Gossip;
+import org.radishthread.protocol.Hello;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Feeds a connection between instances with frames of strangers and with damaged frames:
+ * nothing but whole messages behind the right token is handed on.
+ */
+class InboundPeerProperties {
+
+	private static final String TOKEN = "the-right-token";
+
+	private final List<Envelope> received = new ArrayList<>();
+
+	private EmbeddedChannel open() {
+		EmbeddedChannel channel = new EmbeddedChannel();
+		new InboundPeer(TOKEN, (name, address, envelope) -> this.received.add(envelope)).install(channel.pipeline());
+		return channel;
+	}
+
+	private static ByteBuf frame(byte[] payload) {
+		return Unpooled.buffer().writeInt(payload.length).writeBytes(payload);
+	}
+
+	private static ByteBuf hello(String token) {
+		Hello hello = Hello.newBuilder().setInstance("i1").setAddress("127.0.0.1:1").setToken(token).build();
+		return frame(Envelope.newBuilder().setHello(hello).build().toByteArray());
+	}
+
+	private static ByteBuf gossip() {
+		return frame(Envelope.newBuilder().setGossip(Gossip.newBuilder().setSender("i1")).build().toByteArray());
+	}
+
+	@Property(tries = 500, seed = "41", shrinking = ShrinkingMode.OFF)
+	void strangersAreNeverHeard(@ForAll @Size(max = 200) byte[] noise) {
+		EmbeddedChannel channel = open();
+		channel.writeInbound(Unpooled.wrappedBuffer(noise));
+		if (channel.isActive()) {
+			channel.writeInbound(hello("the-wrong-token"));
+		}
+		if (channel.isActive()) {
+			channel.writeInbound(gossip());
+		}
+		channel.finishAndReleaseAll();
+		assertThat(this.received).isEmpty();
+	}
+
+	@Property(tries = 500, seed = "42", shrinking = ShrinkingMode.OFF)
+	void damagedFramesOfPeersCloseTheConnectionOrAreIgnored(@ForAll @Size(max = 200) byte[] payload) {
+		EmbeddedChannel channel = open();
+		channel.writeInbound(hello(TOKEN), gossip());
+		assertThat(this.received).hasSize(1);
+		channel.writeInbound(frame(payload));
+		boolean open = channel.isActive();
+		if (open) {
+			int before = this.received.size();
+			channel.writeInbound(gossip());
+			assertThat(this.received).hasSize(before + 1);
+		}
+		channel.finishAndReleaseAll();
+		this.received.clear();
+	}
+
+}
--- a/radishthread-proof/src/test/java/org/radishthread/proof/scenario/Scenario.java
+++ b/radishthread-proof/src/test/java/org/radishthread/proof/scenario/Scenario.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.radishthread.proof.standin.Announcer;
+import org.radishthread.proof.standin.RawUpstream;
 import org.radishthread.proof.standin.StandInRelay;
 import org.radishthread.proof.standin.StandInUpstream;
 
@@ -46,6 +47,8 @@
 
 	private final Map<String, StandInRelay> relays = new LinkedHashMap<>();
 
+	private final List<RawUpstream> rawUpstreams = new ArrayList<>();
+
 	private final Map<String, Announcer> announcers = new LinkedHashMap<>();
 
 	private final Map<String, CompletableFuture<HttpResponse<String>>> pending = new LinkedHashMap<>();
@@ -118,6 +121,8 @@
 			case "wait" -> TimeUnit.MILLISECONDS.sleep(Long.parseLong(first));
 			case "upstream" -> startUpstream(first, words.get(2), Long.parseLong(words.get(3)));
 			case "relayed-upstream" -> startRelayed(first, words.get(2), Long.parseLong(words.get(3)));
+			case "raw-upstream" -> startRaw(first, words.get(2), RawUpstream.Answer.valueOf(words.get(3)));
+			case "never" -> never(words);
 			case "lose-track" -> this.relays.get(first).loseTrack();
 			case "fault" -> this.upstreams.get(first).setFault(StandInUpstream.Fault.valueOf(words.get(2)));
 			case "announce" -> this.announcers.get(first).changeState(words.get(2));
@@ -229,6 +234,12 @@
 		announce(name, service, relay.address());
 	}
 
+	private void startRaw(String name, String service, RawUpstream.Answer answer) throws IOException {
+		RawUpstream upstream = new RawUpstream(answer).start();
+		this.rawUpstreams.add(upstream);
+		announce(name, service, upstream.address());
+	}
+
 	private void announce(String name, String service, String address) {
 		List<String> targets = this.instances.values().stream().map(InstanceProcess::administration).toList();
 		this.announcers.put(name, new Announcer(targets, TOKEN, name, service, address, "zone-i1", 3).start());
@@ -274,6 +285,14 @@
 		}
 	}
 
+	// never INSTANCE TEXT COUNT: no answer holds the text, however often one asks
+	private void never(List<String> words) throws IOException, InterruptedException {
+		for (int i = 0; i < Integer.parseInt(words.get(3)); i++) {
+			HttpResponse<String> answer = send(call(words.get(1), "/swaps/" + i));
+			assertThat(answer.body()).doesNotContain(words.get(2));
+		}
+	}
+
 	private CompletableFuture<HttpResponse<String>> beginSwap(String instance, String key) {
 		return this.client.sendAsync(call(instance, "/swaps/7").header("Idempotency-Key", key)
 			.POST(HttpRequest.BodyPublishers.ofString("room=7"))
@@ -333,6 +352,9 @@
 		for (StandInRelay relay : this.relays.values()) {
 			relay.stop();
 		}
+		for (RawUpstream upstream : this.rawUpstreams) {
+			upstream.stop();
+		}
 		for (StandInUpstream upstream : this.upstreams.values()) {
 			upstream.stopServing();
 		}
