Give followers, throughput and upstream versions classes of their own

Cause: Replica, Membership and ServiceRouter had grown past one job.

Change: FollowerTable, ThroughputEstimate and UpstreamVersions; behaviour as before.

Ruled out: splitting elections from Replica; they share all of its state.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
@@ -1,12 +1,8 @@
 package org.radishthread.agreement;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.LongPredicate;
 
 import org.radishthread.kernel.Assert;
@@ -65,11 +61,7 @@
 
 	private final Set<Long> votes = new HashSet<>();
 
-	private final Map<Long, FollowerProgress> followers = new TreeMap<>();
-
-	private final Deque<PendingRead> pendingReads = new ArrayDeque<>();
-
-	private long round;
+	private final FollowerTable followers = new FollowerTable();
 
 	private long nextHeartbeatMillis;
 
@@ -163,9 +155,7 @@
 	}
 
 	private boolean respondedRecently(long id, long now) {
-		FollowerProgress progress = this.followers.get(id);
-		return id == this.identity
-				|| (progress != null && progress.respondedSince(now - this.settings.electionTimeoutMillis()));
+		return id == this.identity || this.followers.respondedSince(id, now - this.settings.electionTimeoutMillis());
 	}
 
 	private void tickFollower(long now) {
@@ -282,7 +272,6 @@
 	private void becomeFollower(long newTerm, long newLeader, long now) {
 		if (this.role == ReplicaRole.LEADER) {
 			this.effects.leadershipLost = true;
-			this.pendingReads.clear();
 			this.followers.clear();
 		}
 		if (newTerm > this.term) {
@@ -415,7 +404,6 @@
 		this.role = ReplicaRole.LEADER;
 		this.leader = this.identity;
 		this.followers.clear();
-		this.pendingReads.clear();
 		this.termStartIndex = this.log.lastIndex() + 1;
 		refreshFollowers(now);
 		appendEntry(LogEntry.newBuilder());
@@ -423,14 +411,7 @@
 	}
 
 	private void refreshFollowers(long now) {
-		Configuration configuration = this.log.configuration();
-		Set<Long> present = new HashSet<>();
-		configuration.getVotersList().forEach((replica) -> present.add(replica.getId()));
-		configuration.getLearnersList().forEach((replica) -> present.add(replica.getId()));
-		present.remove(this.identity);
-		this.followers.keySet().retainAll(present);
-		present.forEach((id) -> this.followers.computeIfAbsent(id,
-				(key) -> new FollowerProgress(this.log.lastIndex() + 1, now)));
+		this.followers.keepOnly(this.log.configuration(), this.identity, this.log.lastIndex() + 1, now);
 	}
 
 	// Leader
@@ -464,8 +445,7 @@
 	}
 
 	private boolean isCaughtUp(long id, long now) {
-		FollowerProgress progress = this.followers.get(id);
-		return progress != null && progress.matchIndex() >= this.commitIndex && respondedRecently(id, now);
+		return this.followers.matchIndex(id) >= this.commitIndex && respondedRecently(id, now);
 	}
 
 	private void changeConfiguration(Configuration configuration, long now) {
@@ -485,28 +465,18 @@
 	// effects once a quorum has answered a message sent after this call.
 	void confirmRead(long token) {
 		Assert.state(isReadyLeader(), "Only a leader that committed in its term may read.");
-		this.pendingReads.add(new PendingRead(token, this.round + 1));
+		this.followers.confirmRead(token);
 		this.broadcastNeeded = true;
 	}
 
 	private void confirmReads() {
-		while (!this.pendingReads.isEmpty() && isConfirmed(this.pendingReads.peek())) {
-			this.effects.confirmedReads.add(this.pendingReads.remove().token());
-		}
-	}
-
-	private boolean isConfirmed(PendingRead read) {
-		return quorum((id) -> id == this.identity || acknowledged(id, read.round()));
-	}
-
-	private boolean acknowledged(long id, long expectedRound) {
-		FollowerProgress progress = this.followers.get(id);
-		return progress != null && progress.acknowledgedRound() >= expectedRound;
+		this.effects.confirmedReads.addAll(this.followers.takeConfirmedReads(
+				(round) -> quorum((id) -> id == this.identity || this.followers.acknowledged(id, round))));
 	}
 
 	private void broadcast(long now) {
 		this.broadcastNeeded = false;
-		this.round++;
+		this.followers.nextRound();
 		this.nextHeartbeatMillis = now + this.settings.heartbeatMillis();
 		this.followers.forEach((id, progress) -> sendEntries(id, progress, now));
 		if (this.followers.isEmpty()) {
@@ -526,7 +496,7 @@
 			.setPreviousTerm(this.log.termAt(previous))
 			.addAllEntries(entries)
 			.setCommitIndex(this.commitIndex)
-			.setRound(this.round)
+			.setRound(this.followers.round())
 			.build();
 		this.effects.immediate.add(message(to).setAppendRequest(request).build());
 		progress.sentUpTo(previous + entries.size());
@@ -536,7 +506,7 @@
 		if (!progress.maySendSnapshot(now)) {
 			return;
 		}
-		Snapshot snapshot = this.log.snapshot().toBuilder().setRound(this.round).build();
+		Snapshot snapshot = this.log.snapshot().toBuilder().setRound(this.followers.round()).build();
 		this.effects.immediate.add(message(to).setSnapshot(snapshot).build());
 		progress.snapshotSent(now + this.settings.electionTimeoutMillis());
 	}
@@ -584,8 +554,7 @@
 		if (id == this.identity) {
 			return this.syncedIndex;
 		}
-		FollowerProgress progress = this.followers.get(id);
-		return (progress != null) ? progress.matchIndex() : 0;
+		return this.followers.matchIndex(id);
 	}
 
 	private void afterLeaderCommit(long now) {
@@ -695,7 +664,4 @@
 		this.log.compact(snapshot);
 	}
 
-	private record PendingRead(long token, long round) {
-	}
-
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -16,7 +16,6 @@
 import org.radishthread.protocol.Synchronization;
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
-import org.radishthread.protocol.Version;
 
 /**
  * One instance's part in the membership protocol. Heartbeats and rule revisions of all
@@ -282,22 +281,7 @@
 	// Synchronization
 
 	private long digest() {
-		long digest = 0;
-		for (UpstreamTable.Entry entry : this.upstreams.entries()) {
-			UpstreamRecord upstream = entry.upstream;
-			if (upstream.getState() != UpstreamState.LEFT) {
-				digest ^= mix(ShortName.of(upstream.getName()), upstream.getIncarnation(), upstream.getSequence());
-			}
-		}
-		return digest;
-	}
-
-	// The finalizer of MurmurHash3 (Appleby, public domain).
-	private static long mix(long name, long incarnation, long sequence) {
-		long hash = name ^ Long.rotateLeft(incarnation, 32) ^ (sequence * 0x9E3779B97F4A7C15L);
-		hash = (hash ^ (hash >>> 33)) * 0xFF51AFD7ED558CCDL;
-		hash = (hash ^ (hash >>> 33)) * 0xC4CEB9FE1A85EC53L;
-		return hash ^ (hash >>> 33);
+		return UpstreamVersions.digest(this.upstreams.entries());
 	}
 
 	private void requestSynchronization(String address, long now, long pauseMillis) {
@@ -309,17 +293,11 @@
 	}
 
 	private Synchronization.Builder versions(boolean answer) {
-		Synchronization.Builder versions = Synchronization.newBuilder()
+		return Synchronization.newBuilder()
 			.setSender(this.self.getName())
 			.setSenderAddress(this.self.getPeerAddress())
-			.setAnswer(answer);
-		for (UpstreamTable.Entry entry : this.upstreams.entries()) {
-			versions.addKnown(Version.newBuilder()
-				.setName(ShortName.of(entry.upstream.getName()))
-				.setIncarnation(entry.upstream.getIncarnation())
-				.setSequence(entry.upstream.getSequence()));
-		}
-		return versions;
+			.setAnswer(answer)
+			.addAllKnown(UpstreamVersions.known(this.upstreams.entries()));
 	}
 
 	/**
@@ -335,21 +313,10 @@
 		}
 		Synchronization.Builder answer = versions(true);
 		this.instances.entries().forEach((entry) -> answer.addRecords(entry.instance));
-		for (UpstreamTable.Entry entry : this.upstreams.entries()) {
-			if (isMissing(entry.upstream, received.getKnownList())) {
-				answer.addUpstreams(entry.upstream);
-			}
-		}
+		answer.addAllUpstreams(UpstreamVersions.missing(this.upstreams.entries(), received.getKnownList()));
 		send(received.getSenderAddress(), Envelope.newBuilder().setSynchronization(answer));
 	}
 
-	private static boolean isMissing(UpstreamRecord upstream, List<Version> known) {
-		int name = ShortName.of(upstream.getName());
-		return known.stream()
-			.noneMatch((version) -> version.getName() == name && version.getIncarnation() == upstream.getIncarnation()
-					&& version.getSequence() >= upstream.getSequence() && upstream.getState() != UpstreamState.LEFT);
-	}
-
 	// Upstreams
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -27,8 +27,6 @@
  */
 public final class ServiceRouter {
 
-	private static final double RATE_WEIGHT = 0.05;
-
 	private static final double HEDGE_LATENCY_FACTOR = 3;
 
 	private static final long MINIMUM_HEDGE_NANOS = 2_000_000;
@@ -59,11 +57,7 @@
 
 	private final RetryBudget retryBudget = new RetryBudget();
 
-	private double nanosBetweenCompletions;
-
-	private long lastCompletionNanos = Long.MIN_VALUE;
-
-	private double serviceNanos;
+	private final ThroughputEstimate throughput = new ThroughputEstimate();
 
 	private List<RoutingEffect> effects = new ArrayList<>();
 
@@ -159,12 +153,12 @@
 		if (this.queues.size() == 0) {
 			return null;
 		}
-		double wait = expectedWaitNanos(this.queues.size() + 1);
+		double wait = this.throughput.expectedWaitNanos(this.queues.size() + 1);
 		long retryAfter = Math.max(MINIMUM_RETRY_AFTER_MILLIS, (long) (wait / 1_000_000));
 		if (exceedsShare(ticket.caller(), usable)) {
 			return new Refusal(ticket.id(), RefusalReason.CALLER_LIMIT, retryAfter);
 		}
-		boolean late = now + wait + this.serviceNanos > ticket.deadlineNanos()
+		boolean late = now + wait + this.throughput.serviceNanos() > ticket.deadlineNanos()
 				|| wait > this.rule.queueWait().toNanos();
 		if (late || this.queues.size() >= this.rule.queueLimit()) {
 			return new Refusal(ticket.id(), RefusalReason.OVERLOAD, retryAfter);
@@ -187,10 +181,6 @@
 			.sum();
 	}
 
-	private double expectedWaitNanos(int position) {
-		return position * this.nanosBetweenCompletions;
-	}
-
 	private void enqueue(Ticket ticket, AttemptKind kind, long now) {
 		long expires = Math.min(ticket.deadlineNanos(), now + this.rule.queueWait().toNanos());
 		this.queues.add(new Waiting(ticket, kind, now, expires), kind != AttemptKind.FIRST);
@@ -237,7 +227,7 @@
 			return Optional.empty();
 		}
 		SelectionContext context = new SelectionContext(this.zone, medianLatencyNanos(),
-				expectedWaitNanos(this.queues.size()), flight.ticket.mayRepeat(), now);
+				this.throughput.expectedWaitNanos(this.queues.size()), flight.ticket.mayRepeat(), now);
 		return this.policy.choose(candidates, context);
 	}
 
@@ -255,9 +245,10 @@
 		load.dispatched(now);
 		flight.tried.add(load.upstream().name());
 		flight.startedNanos.put(load.upstream().name(), now);
-		boolean hedgeable = flight.ticket.mayRepeat() && kind != AttemptKind.HEDGE && this.serviceNanos > 0;
-		long hedgeAfter = hedgeable ? (long) Math.max(MINIMUM_HEDGE_NANOS, HEDGE_LATENCY_FACTOR * this.serviceNanos)
-				: 0;
+		boolean hedgeable = flight.ticket.mayRepeat() && kind != AttemptKind.HEDGE
+				&& this.throughput.serviceNanos() > 0;
+		long hedgeAfter = hedgeable
+				? (long) Math.max(MINIMUM_HEDGE_NANOS, HEDGE_LATENCY_FACTOR * this.throughput.serviceNanos()) : 0;
 		this.effects.add(new Dispatch(flight.ticket.id(), load.upstream(), kind, load.inFlight(), waited, hedgeAfter));
 	}
 
@@ -276,23 +267,13 @@
 		load.finished(result, now - started, now, this.rule.ejectAfter(), this.rule.probesPerSecond() > 0);
 		if (result == AttemptResult.SUCCESS) {
 			this.retryBudget.recordSuccess(this.rule.retryPercent());
-			recordCompletion(now - started, now);
+			this.throughput.completed(now - started, now);
 		}
 		this.loads.values().removeIf(UpstreamLoad::isForgettable);
 		dispatchWaiting(now);
 		return takeEffects();
 	}
 
-	private void recordCompletion(long latency, long now) {
-		this.serviceNanos += ((this.serviceNanos == 0) ? 1 : RATE_WEIGHT) * (latency - this.serviceNanos);
-		if (this.lastCompletionNanos != Long.MIN_VALUE) {
-			// A pause without demand says nothing about how fast slots come free.
-			double pause = Math.min(now - this.lastCompletionNanos, this.serviceNanos);
-			this.nanosBetweenCompletions += RATE_WEIGHT * (pause - this.nanosBetweenCompletions);
-		}
-		this.lastCompletionNanos = now;
-	}
-
 	/**
 	 * Asks for another attempt after one that failed. The caller has made sure that the
 	 * request may be sent again.
@@ -357,7 +338,7 @@
 	 */
 	public List<RoutingEffect> tick(long now) {
 		for (Waiting waiting : this.queues.removeExpired(now)) {
-			long retryAfter = (long) (expectedWaitNanos(this.queues.size() + 1) / 1_000_000);
+			long retryAfter = (long) (this.throughput.expectedWaitNanos(this.queues.size() + 1) / 1_000_000);
 			this.effects.add(new Refusal(waiting.ticket().id(), RefusalReason.QUEUE_TIMEOUT,
 					Math.max(MINIMUM_RETRY_AFTER_MILLIS, retryAfter)));
 		}
