Keep a slot of a closed request until its attempt ends; try again after a server error

Cause, found by reading: a request that is closed (deadline, caller gone) between the router's decision and its sending was forgotten with its slot still taken; ending the attempt then failed, and the slot of that upstream was lost for good. And a repeatable request whose upstream fails at once with a whole 5xx answer was never tried elsewhere, though UPSTREAMS.md counts that as a failure.

Ruled out: ending attempts inside close(); an attempt that is still running holds its slot at the upstream whether the caller waits or not.

Change: the router keeps a closed request until its last attempt ended. A 5xx answer to a repeatable request is kept in reserve while the budget allows another attempt, and passed on if there is none.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -55,6 +55,8 @@
 
 	private @Nullable Attempt winner;
 
+	private volatile @Nullable HeldAnswer reserve;
+
 	private boolean maybeRun;
 
 	private boolean finished;
@@ -102,6 +104,15 @@
 	 */
 	protected abstract void closed();
 
+	/**
+	 * Returns whether a whole answer that tells of a failure of the upstream is held back
+	 * while another attempt is made.
+	 * @return whether to try again
+	 */
+	protected boolean triesAgainAfterServerError() {
+		return false;
+	}
+
 	/**
 	 * Gives back what the request holds, when it certainly did not run, and goes on.
 	 * @param then what to do afterwards
@@ -242,7 +253,15 @@
 
 	@Override
 	public final void whole(Attempt attempt, org.eclipse.jetty.client.Response answer, byte[] content) {
-		endAttempt(attempt, AttemptEnd.ofAnswer(answer.getStatus()));
+		AttemptEnd end = AttemptEnd.ofAnswer(answer.getStatus());
+		endAttempt(attempt, end);
+		if (end == AttemptEnd.ANSWERED_BY_SERVER_ERROR && triesAgainAfterServerError() && !isDecidedWithout(attempt)) {
+			this.reserve = new HeldAnswer(attempt, answer, content);
+			if (!isAnotherUnderWayAfter(AttemptOutcome.BROKEN)) {
+				attemptFailed(attempt, AttemptOutcome.BROKEN);
+			}
+			return;
+		}
 		if (!tryWin(attempt)) {
 			closeIfDone();
 			return;
@@ -373,6 +392,12 @@
 	 * @param status the HTTP status
 	 */
 	protected final void giveUp(String title, long retryAfterMillis, int status) {
+		HeldAnswer kept = this.reserve;
+		if (kept != null) {
+			// What the upstream said of its failure says more than this instance could.
+			passOn(kept.attempt(), kept.answer(), kept.content());
+			return;
+		}
 		if (this.maybeRun) {
 			// It was tried, so it is not the service that is unavailable to this request.
 			int tried = (status == HttpStatus.GATEWAY_TIMEOUT_504) ? status : HttpStatus.BAD_GATEWAY_502;
@@ -450,6 +475,9 @@
 		}
 	}
 
+	private record HeldAnswer(Attempt attempt, org.eclipse.jetty.client.Response answer, byte[] content) {
+	}
+
 	/**
 	 * Writes an answer.
 	 */
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalExchange.java
@@ -151,6 +151,11 @@
 		}
 	}
 
+	@Override
+	protected boolean triesAgainAfterServerError() {
+		return route().mode().mayRepeat();
+	}
+
 	@Override
 	protected void answerTaken(org.eclipse.jetty.client.Response answer, byte @Nullable [] content) {
 		context().recordLatency(route().service(), elapsedNanos());
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -261,7 +261,8 @@
 	 * @return requests that can now be sent
 	 */
 	public List<RoutingEffect> attemptEnded(long ticket, String upstream, AttemptResult result, long now) {
-		Long started = flight(ticket).startedNanos.remove(upstream);
+		Flight flight = flight(ticket);
+		Long started = flight.startedNanos.remove(upstream);
 		UpstreamLoad load = this.loads.get(upstream);
 		Assert.state(started != null && load != null, "Attempt at '" + upstream + "' must be in flight.");
 		load.finished(result, now - started, now, this.rule.ejectAfter(), this.rule.probesPerSecond() > 0);
@@ -270,6 +271,7 @@
 			this.throughput.completed(now - started, now);
 		}
 		this.loads.values().removeIf(UpstreamLoad::isForgettable);
+		forgetIfDone(flight);
 		dispatchWaiting(now);
 		return takeEffects();
 	}
@@ -282,7 +284,10 @@
 	 * @return its dispatch or refusal, or nothing while it waits
 	 */
 	public List<RoutingEffect> retry(long ticket, long now) {
-		Flight flight = flight(ticket);
+		Flight flight = this.flights.get(ticket);
+		if (flight == null || flight.closed) {
+			return List.of();
+		}
 		if (flight.tried.size() >= MAXIMUM_ATTEMPTS || now >= flight.ticket.deadlineNanos()
 				|| !this.retryBudget.tryTake()) {
 			return List.of(new Refusal(ticket, RefusalReason.RETRY_BUDGET, MINIMUM_RETRY_AFTER_MILLIS));
@@ -308,7 +313,8 @@
 	 */
 	public List<RoutingEffect> hedge(long ticket, long now) {
 		Flight flight = this.flights.get(ticket);
-		if (flight == null || flight.startedNanos.isEmpty() || flight.tried.size() >= 2 || this.queues.size() > 0) {
+		if (flight == null || flight.closed || flight.startedNanos.isEmpty() || flight.tried.size() >= 2
+				|| this.queues.size() > 0) {
 			return List.of();
 		}
 		Optional<UpstreamLoad> chosen = choose(flight, now);
@@ -324,10 +330,20 @@
 	 * @param ticket the request
 	 */
 	public void close(long ticket) {
-		Flight flight = this.flights.remove(ticket);
-		if (flight != null) {
-			this.queues.remove(flight.ticket);
-			this.queues.closed(flight.ticket.caller());
+		Flight flight = this.flights.get(ticket);
+		if (flight == null || flight.closed) {
+			return;
+		}
+		flight.closed = true;
+		this.queues.remove(flight.ticket);
+		this.queues.closed(flight.ticket.caller());
+		forgetIfDone(flight);
+	}
+
+	// Attempts that are still in flight hold their slots until they end.
+	private void forgetIfDone(Flight flight) {
+		if (flight.closed && flight.startedNanos.isEmpty()) {
+			this.flights.remove(flight.ticket.id());
 		}
 	}
 
@@ -391,7 +407,7 @@
 	}
 
 	/**
-	 * Returns the number of requests that are not closed.
+	 * Returns the number of requests that are not closed, or have attempts in flight.
 	 * @return the count
 	 */
 	public int open() {
@@ -416,6 +432,8 @@
 
 		private final Map<String, Long> startedNanos = new HashMap<>();
 
+		private boolean closed;
+
 		private Flight(Ticket ticket) {
 			this.ticket = ticket;
 		}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/ServiceRouterProperties.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/ServiceRouterProperties.java
@@ -49,6 +49,7 @@
 			.withAction(2, action("shed", (model, n) -> model.end(n, AttemptResult.SHED)))
 			.withAction(3, action("hedge", (model, n) -> model.hedge(n)))
 			.withAction(3, action("go away", (model, n) -> model.callerGoesAway(n)))
+			.withAction(2, action("abandon", (model, n) -> model.abandon(n)))
 			.withAction(2, action("drain", (model, n) -> model.drain(n)))
 			.withAction(2, action("leave", (model, n) -> model.leave(n)))
 			.withAction(4, action("tick", (model, n) -> model.tick(n)))
@@ -78,6 +79,8 @@
 
 		private final Map<Long, Integer> attempts = new HashMap<>();
 
+		private final Set<Long> abandoned = new HashSet<>();
+
 		private long now;
 
 		private long lastTicket;
@@ -158,6 +161,10 @@
 			this.now += 1_000_000;
 			this.successes += (result == AttemptResult.SUCCESS) ? 1 : 0;
 			perform(this.router.attemptEnded(ticket, name, result, this.now));
+			if (this.abandoned.contains(ticket)) {
+				assertThat(this.router.retry(ticket, this.now)).as("retry of a closed request").isEmpty();
+				return;
+			}
 			if (result == AttemptResult.SUCCESS) {
 				answered(ticket);
 			}
@@ -192,6 +199,16 @@
 			}
 		}
 
+		// The request is closed while its attempts have yet to end.
+		void abandon(int number) {
+			List<Long> tickets = new ArrayList<>(this.inFlight.keySet());
+			if (!tickets.isEmpty()) {
+				long ticket = tickets.get(number % tickets.size());
+				this.abandoned.add(ticket);
+				this.router.close(ticket);
+			}
+		}
+
 		void drain(int number) {
 			String name = "upstream-" + number % 3;
 			this.accepting.computeIfPresent(name, (key, ready) -> !ready);
