Tell a silent home from a slow service

Cause, found by reading: a repeatable request went to a second home after 250 ms whatever its service usually takes, so a service of slow results would have run a tenth of its work twice.

Ruled out: no second attempt at all; a frozen home would then hold its services' requests until they time out.

The effect on a slow service was not measured.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ForwardedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ForwardedExchange.java
@@ -1,8 +1,8 @@
 package org.radishthread.daemon.gateway;
 
-import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.ConcurrentLinkedDeque;
 
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
@@ -24,26 +24,24 @@
 
 	private static final EventLog eventLog = EventLog.of(ForwardedExchange.class);
 
-	private static final long SILENCE_MILLIS = 250;
-
 	private static final int MAXIMUM_HOMES = 3;
 
 	private final Deque<Home> candidates;
 
-	private final GuardedBudget budget;
+	private final ForwardStatistics statistics;
 
 	ForwardedExchange(GatewayContext context, RouteRule route, List<Home> homes, Request request, Response response,
 			Callback callback) {
 		super(context, route, request, response, callback);
-		this.budget = context.forwardBudget();
-		this.candidates = new ArrayDeque<>(homes.subList(0, Math.min(MAXIMUM_HOMES, homes.size())));
+		this.statistics = context.forwardStatistics(route.service());
+		this.candidates = new ConcurrentLinkedDeque<>(homes.subList(0, Math.min(MAXIMUM_HOMES, homes.size())));
 	}
 
 	@Override
 	protected void begin() {
 		forward("forward");
 		if (route().mode().mayRepeat()) {
-			schedule(SILENCE_MILLIS, this::homeIsSilent);
+			schedule(this.statistics.silenceMillis(), this::homeIsSilent);
 		}
 	}
 
@@ -64,7 +62,7 @@
 	}
 
 	private void homeIsSilent() {
-		if (isFinished() || this.candidates.isEmpty() || !this.budget.tryTake()) {
+		if (isFinished() || this.candidates.isEmpty() || !this.statistics.trySecondAttempt()) {
 			return;
 		}
 		forward("hedge");
@@ -86,7 +84,7 @@
 			context().homes().suspect(attempt.targetName());
 		}
 		else if (end == AttemptEnd.ANSWERED) {
-			this.budget.recordSuccess();
+			this.statistics.answered(elapsedNanos());
 			context().homes().answered(attempt.targetName());
 		}
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
@@ -29,7 +29,7 @@
 
 	private final HomeDirectory homes;
 
-	private final GuardedBudget forwardBudget = new GuardedBudget();
+	private final Map<String, ForwardStatistics> forwardStatistics = new ConcurrentHashMap<>();
 
 	private final TimeSource time;
 
@@ -78,8 +78,8 @@
 		return this.homes;
 	}
 
-	GuardedBudget forwardBudget() {
-		return this.forwardBudget;
+	ForwardStatistics forwardStatistics(String service) {
+		return this.forwardStatistics.computeIfAbsent(service, (name) -> new ForwardStatistics());
 	}
 
 	TimeSource time() {
