Answer a rule file as accepted when all live instances route by it

Cause: the answer came with the majority, so a request to the last instance right after it could still be routed by the old rules.

The stand-in upstream can start cold.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
@@ -127,7 +127,7 @@
 		if (answer.getVerdict() != RulesVerdict.ACCEPTED) {
 			return CompletableFuture.completedFuture(new JsonAnswer(409, toJson(answer)));
 		}
-		return awaitMajority(answer.getRevision(), System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SPREAD_MILLIS))
+		return awaitSpread(answer.getRevision(), System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SPREAD_MILLIS))
 			.thenApply((spread) -> new JsonAnswer(spread.isMajority() ? 200 : 202,
 					toJson(answer).put("inForceAt", spread.applied()).put("instances", spread.instances())));
 	}
@@ -141,15 +141,15 @@
 			.put("currentRevision", answer.getCurrentRevision());
 	}
 
-	private CompletableFuture<RuleSpread> awaitMajority(long revision, long deadlineNanos) {
+	private CompletableFuture<RuleSpread> awaitSpread(long revision, long deadlineNanos) {
 		return this.cluster.spreadOf(revision).thenCompose((spread) -> {
-			if (spread.isMajority() || System.nanoTime() > deadlineNanos) {
+			if ((spread.isMajority() && spread.isEverywhere()) || System.nanoTime() > deadlineNanos) {
 				return CompletableFuture.completedFuture(spread);
 			}
 			return CompletableFuture
 				.supplyAsync(() -> revision,
 						CompletableFuture.delayedExecutor(SPREAD_CHECK_MILLIS, TimeUnit.MILLISECONDS))
-				.thenCompose((same) -> awaitMajority(same, deadlineNanos));
+				.thenCompose((same) -> awaitSpread(same, deadlineNanos));
 		});
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -197,8 +197,8 @@
 	 */
 	public CompletableFuture<RuleSpread> spreadOf(long revision) {
 		CompletableFuture<RuleSpread> result = new CompletableFuture<>();
-		this.loop.execute(() -> result.complete(
-				new RuleSpread(this.membership.countApplied(revision, now()), this.membership.expectedInstances())));
+		this.loop.execute(() -> result.complete(new RuleSpread(this.membership.countApplied(revision, now()),
+				this.membership.liveInstances(now()), this.membership.expectedInstances())));
 		return result;
 	}
 
--- a/radishthread-proof/src/test/java/org/radishthread/proof/standin/StandInUpstream.java
+++ b/radishthread-proof/src/test/java/org/radishthread/proof/standin/StandInUpstream.java
@@ -28,6 +28,10 @@
  */
 public final class StandInUpstream extends Handler.Abstract.NonBlocking {
 
+	private static final long COLD_NANOS = 3_000_000_000L;
+
+	private final long startedNanos = System.nanoTime();
+
 	private final Server server;
 
 	private final ServerConnector connector;
@@ -193,7 +197,8 @@
 		if (this.fault == Fault.SILENT) {
 			return;
 		}
-		long factor = (this.fault == Fault.SLOW) ? 10 : 1;
+		boolean cold = this.fault == Fault.COLD && System.nanoTime() - this.startedNanos < COLD_NANOS;
+		long factor = (this.fault == Fault.SLOW || cold) ? 10 : 1;
 		long millis = this.serviceMillis * factor;
 		Runnable answer = () -> {
 			leave();
@@ -267,6 +272,11 @@
 		 */
 		SLOW,
 
+		/**
+		 * Takes ten times as long in its first three seconds.
+		 */
+		COLD,
+
 		/**
 		 * Breaks off in the middle of an answer.
 		 */
