Give the two socket stand-ins one flow

Cause: RawUpstream and StandInRelay each had the same loop that accepts connections, which the search for duplicates showed.

Change: AbstractStandInServer; behaviour as before.

--- a/radishthread-proof/src/test/java/org/radishthread/proof/standin/RawUpstream.java
+++ b/radishthread-proof/src/test/java/org/radishthread/proof/standin/RawUpstream.java
@@ -3,57 +3,28 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 
 /**
  * An upstream that answers each request with bytes that no library would send.
  */
-public final class RawUpstream {
-
-	private final ServerSocket server;
+public final class RawUpstream extends AbstractStandInServer {
 
 	private final Answer answer;
 
-	private final ExecutorService threads = Executors.newCachedThreadPool((task) -> {
-		Thread thread = new Thread(task, "raw-upstream");
-		thread.setDaemon(true);
-		return thread;
-	});
-
 	public RawUpstream(Answer answer) throws IOException {
 		this.answer = answer;
-		this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
 	}
 
 	public RawUpstream start() {
-		this.threads.execute(this::acceptAll);
+		startServing();
 		return this;
 	}
 
-	public String address() {
-		return "127.0.0.1:" + this.server.getLocalPort();
-	}
-
-	public void stop() throws IOException {
-		this.server.close();
-		this.threads.shutdownNow();
-	}
-
-	private void acceptAll() {
-		try {
-			while (!this.server.isClosed()) {
-				Socket socket = this.server.accept();
-				this.threads.execute(() -> serve(socket));
-			}
-		}
-		catch (IOException ex) {
-			// The upstream was stopped.
-		}
+	@Override
+	protected void accepted(Socket socket) {
+		execute(() -> serve(socket));
 	}
 
 	private void serve(Socket socket) {
