Remove what the change left dead

Cause, found by reading the whole change: AttemptOutcome.result() had a live twin in AttemptEnd, which the exchanges use; Membership.addressOf, ControlService.replica, Kernel.names and StandInRelay.openConnections had no caller.

Ruled out: joining the pairs that share only a shape; they differ in what they check.

Change: the dead pieces go; behaviour as before.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -24,7 +24,6 @@
 import org.radishthread.protocol.AgreementMessage;
 import org.radishthread.protocol.ControlResponse;
 import org.radishthread.protocol.Envelope;
-import org.radishthread.protocol.ReplicaDescriptor;
 import org.radishthread.protocol.RuleFile;
 
 /**
@@ -161,14 +160,6 @@
 		this.cluster.offerRules(rules);
 	}
 
-	/**
-	 * Returns the replica of this instance.
-	 * @return its descriptor
-	 */
-	public ReplicaDescriptor replica() {
-		return this.cluster.replica();
-	}
-
 	@Override
 	public void stop() {
 		this.stopping = true;
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/Kernel.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/Kernel.java
@@ -1,7 +1,6 @@
 package org.radishthread.kernel;
 
 import java.util.ArrayDeque;
-import java.util.Collection;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -42,10 +41,6 @@
 		return type.cast(service);
 	}
 
-	public Collection<String> names() {
-		return this.services.keySet();
-	}
-
 	/**
 	 * Starts all services. If one fails, those already started are stopped again.
 	 */
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Set;
 
-import org.jspecify.annotations.Nullable;
-
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
@@ -532,14 +530,4 @@
 		return views;
 	}
 
-	/**
-	 * Returns the peer address of an instance.
-	 * @param name the name of the instance
-	 * @return the address, or {@code null} if the instance is unknown
-	 */
-	public @Nullable String addressOf(String name) {
-		InstanceTable.Entry entry = this.instances.find(name);
-		return (entry != null) ? entry.instance.getPeerAddress() : null;
-	}
-
 }
--- a/radishthread-proof/src/test/java/org/radishthread/proof/standin/StandInRelay.java
+++ b/radishthread-proof/src/test/java/org/radishthread/proof/standin/StandInRelay.java
@@ -28,10 +28,6 @@
 		return this;
 	}
 
-	public int openConnections() {
-		return this.links.size();
-	}
-
 	/**
 	 * Loses track of all connections that are open now.
 	 */
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptOutcome.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptOutcome.java
@@ -17,11 +17,6 @@
 			return true;
 		}
 
-		@Override
-		public AttemptResult result() {
-			return AttemptResult.FAILURE;
-		}
-
 	},
 
 	/**
@@ -34,11 +29,6 @@
 			return true;
 		}
 
-		@Override
-		public AttemptResult result() {
-			return AttemptResult.SHED;
-		}
-
 	},
 
 	/**
@@ -51,11 +41,6 @@
 			return false;
 		}
 
-		@Override
-		public AttemptResult result() {
-			return AttemptResult.FAILURE;
-		}
-
 	};
 
 	/**
@@ -64,12 +49,6 @@
 	 */
 	public abstract boolean isNotRun();
 
-	/**
-	 * Returns how the attempt counts for the upstream.
-	 * @return the result
-	 */
-	public abstract AttemptResult result();
-
 	/**
 	 * Returns whether the request may be sent again.
 	 * @param mode the mode of the route
