--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
@@ -34,6 +34,11 @@
 
 	private static final long MINIMUM_BYTES_BETWEEN_SNAPSHOTS = 256 * 1024;
 
+	// Longer than restarts and elections take.
+	private static final long REPLACEABLE_SILENCE_MILLIS = 8_000;
+
+	private static final int MAXIMUM_VOTERS = 7;
+
 	private final ReplicaDescriptor self;
 
 	private final ReplicaSettings settings;
@@ -111,9 +116,10 @@
 
 	/**
 	 * Returns what operators see of this replica.
+	 * @param now the monotonic time, in milliseconds
 	 * @return the status
 	 */
-	public ControlStatus status() {
+	public ControlStatus status(long now) {
 		return ControlStatus.newBuilder()
 			.setReplica(this.self)
 			.setRole(role().word())
@@ -123,6 +129,7 @@
 			.setClaims(this.state.claimCount())
 			.setConfiguration(this.replica.log().configuration())
 			.setGroup(this.replica.group())
+			.setLeaderKnown(this.replica.hasLeader(now))
 			.build();
 	}
 
@@ -160,7 +167,7 @@
 	public void request(String origin, ControlRequest request, long now, long wallClockMillis) {
 		PendingRequest pending = new PendingRequest(origin, request.getId());
 		switch (request.getBodyCase()) {
-			case READ_STATUS -> reply(pending, ControlResponse.newBuilder().setStatus(status()));
+			case READ_STATUS -> reply(pending, ControlResponse.newBuilder().setStatus(status(now)));
 			case INITIALIZE -> initialize(pending, request.getInitialize(), now);
 			case COMMAND, READ_RULES, READ_HISTORY, REPLACE -> requestLeader(pending, request, now, wallClockMillis);
 			default -> refuse(pending, "The request has no body that this version knows.");
@@ -202,12 +209,10 @@
 			this.pendingReplacements.add(pending);
 			return;
 		}
-		Optional<ReplicaDescriptor> removed = configuration.getVotersList()
-			.stream()
-			.filter((voter) -> voter.getInstance().equals(added.getInstance()))
-			.findFirst();
+		Optional<ReplicaDescriptor> removed = replacedBy(added, configuration, now);
 		if (removed.isEmpty()) {
-			refuse(pending, "No control replica of instance '" + added.getInstance() + "' exists to be replaced.");
+			refuse(pending, "No control replica of instance '" + added.getInstance() + "' exists to be replaced, and "
+					+ "the group has its greatest size.");
 		}
 		else if (configuration.hasReplacement() || !this.replica.mayChangeConfiguration()) {
 			refuse(pending, "Another replacement is in progress; wait until it is done.");
@@ -218,6 +223,23 @@
 		}
 	}
 
+	// The former replica of the same instance, else one that is silent, else none while
+	// the
+	// group may grow.
+	private Optional<ReplicaDescriptor> replacedBy(ReplicaDescriptor added, Configuration configuration, long now) {
+		Optional<ReplicaDescriptor> former = configuration.getVotersList()
+			.stream()
+			.filter((voter) -> voter.getInstance().equals(added.getInstance()))
+			.findFirst();
+		Optional<ReplicaDescriptor> silent = configuration.getVotersList()
+			.stream()
+			.filter((voter) -> this.replica.isSilent(voter.getId(), now - REPLACEABLE_SILENCE_MILLIS))
+			.findFirst();
+		boolean mayGrow = configuration.getVotersCount() < MAXIMUM_VOTERS;
+		return former.or(() -> silent)
+			.or(() -> mayGrow ? Optional.of(ReplicaDescriptor.getDefaultInstance()) : Optional.empty());
+	}
+
 	private void initialize(PendingRequest pending, Initialize request, long now) {
 		Configuration configuration = Configuration.newBuilder().addAllVoters(request.getReplicasList()).build();
 		if (role() != ReplicaRole.UNFOUNDED) {
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
@@ -297,6 +297,20 @@
 			return;
 		}
 		requestVotes(true, this.term + 1);
+		foundUnreached();
+	}
+
+	// A founder that stopped too early left members behind that do not know of the group.
+	private void foundUnreached() {
+		if (this.log.lastIndex() > 1) {
+			return;
+		}
+		this.log.configuration()
+			.getVotersList()
+			.stream()
+			.map(ReplicaDescriptor::getId)
+			.filter((id) -> id != this.identity)
+			.forEach(this::sendFoundingRequest);
 	}
 
 	private void startElection(long now) {
@@ -432,6 +446,14 @@
 		changeConfiguration(next, now);
 	}
 
+	boolean isSilent(long id, long since) {
+		return id != this.identity && !this.followers.respondedSince(id, since);
+	}
+
+	boolean hasLeader(long now) {
+		return hasLiveLeader(now);
+	}
+
 	boolean mayChangeConfiguration() {
 		return isReadyLeader() && this.log.configurationIndexAt(this.log.lastIndex()) <= this.commitIndex;
 	}
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/RuleRegister.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/RuleRegister.java
@@ -51,6 +51,7 @@
 		this.current = RuleFile.newBuilder()
 			.setRevision(command.getRevision())
 			.setContent(command.getContent())
+			.setDocument(command.getDocument())
 			.build();
 		RuleHistory accepted = RuleHistory.newBuilder()
 			.setRevision(command.getRevision())
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlGroupTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlGroupTests.java
@@ -39,14 +39,14 @@
 		@Test
 		void instanceThatReturnsAfterAnHourDisturbsNobody() {
 			int leader = leader();
-			long term = ControlGroupTests.this.cluster.instances.get(leader).group().status().getTerm();
+			long term = ControlGroupTests.this.cluster.instances.get(leader).group().status(0).getTerm();
 			int follower = (leader + 1) % 3;
 			ControlGroupTests.this.cluster.isolate(follower);
 			ControlGroupTests.this.cluster.run(3_600_000);
 			ControlGroupTests.this.cluster.heal();
 			ControlGroupTests.this.cluster.run(5_000);
 			assertThat(leader()).isEqualTo(leader);
-			assertThat(ControlGroupTests.this.cluster.instances.get(follower).group().status().getTerm())
+			assertThat(ControlGroupTests.this.cluster.instances.get(follower).group().status(0).getTerm())
 				.isEqualTo(term);
 		}
 
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
@@ -218,10 +218,10 @@
 
 	private boolean knowsWholeGroup(FakeControlInstance instance) {
 		ControlGroup group = instance.group();
-		if (group == null || group.status().getConfiguration().hasReplacement()) {
+		if (group == null || group.status(0).getConfiguration().hasReplacement()) {
 			return false;
 		}
-		Configuration configuration = group.status().getConfiguration();
+		Configuration configuration = group.status(0).getConfiguration();
 		return configuration.getVotersCount() == this.instances.size()
 				&& configuration.getVotersList().stream().allMatch((voter) -> byIdentity(voter.getId()) != null);
 	}
@@ -373,7 +373,7 @@
 		for (FakeControlInstance instance : this.instances) {
 			ControlGroup group = instance.group();
 			text.append(instance).append('#').append(instance.identity).append(": ");
-			text.append((group != null) ? group.status() : "down").append('\n');
+			text.append((group != null) ? group.status(0) : "down").append('\n');
 		}
 		return text.toString();
 	}
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/RecoveryCostMain.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/RecoveryCostMain.java
@@ -117,7 +117,7 @@
 		long started = System.nanoTime();
 		try (FileLogStorage again = new FileLogStorage(folder)) {
 			StoredLog stored = again.load();
-			ControlGroup restarted = new ControlGroup(group.status().getReplica(), ReplicaSettings.DEFAULTS,
+			ControlGroup restarted = new ControlGroup(group.status(0).getReplica(), ReplicaSettings.DEFAULTS,
 					ClaimLimits.DEFAULTS, (minimum) -> minimum, stored);
 			restarted.tick(0);
 			return String.format(Locale.ROOT,
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -1,5 +1,7 @@
 package org.radishthread.daemon;
 
+import java.util.Optional;
+
 import dagger.Module;
 import dagger.Provides;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -13,14 +15,24 @@
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.control.ControlClient;
 import org.radishthread.daemon.control.ControlService;
+import org.radishthread.daemon.control.FormationService;
+import org.radishthread.daemon.control.RuleOperations;
+import org.radishthread.daemon.extension.DaemonExtension;
+import org.radishthread.daemon.extension.ExtensionContext;
+import org.radishthread.daemon.extension.Extensions;
 import org.radishthread.daemon.gateway.ClaimKeeper;
+import org.radishthread.daemon.gateway.DefaultHttpDialect;
 import org.radishthread.daemon.gateway.GatewayContext;
 import org.radishthread.daemon.gateway.GatewayServer;
+import org.radishthread.daemon.gateway.HttpDialect;
+import org.radishthread.daemon.gateway.ReadinessServer;
 import org.radishthread.daemon.gateway.RoutingService;
+import org.radishthread.daemon.gateway.SlotService;
 import org.radishthread.daemon.gateway.UpstreamClients;
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.Kernel;
+import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.SystemTimeSource;
 import org.radishthread.kernel.TimeSource;
 
@@ -83,19 +95,42 @@
 		return new RoutingService(settings, time, meters);
 	}
 
+	@Provides
+	@Singleton
+	static Optional<DaemonExtension> extension(DaemonSettings settings) {
+		return Extensions.find(settings);
+	}
+
+	@Provides
+	@Singleton
+	static RuleOperations ruleOperations(DaemonSettings settings, ClusterService cluster, ControlClient control,
+			TimeSource time) {
+		return new RuleOperations(cluster, control, time, settings.limits().spreadMillis());
+	}
+
+	@Provides
+	@Singleton
+	static SlotService slotService(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
+			RoutingService routing, TimeSource time) {
+		return new SlotService(settings, transport, cluster, routing, time);
+	}
+
 	@Provides
 	@Singleton
 	static GatewayContext gatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients,
-			ControlClient control, ClusterService cluster, TimeSource time, MeterRegistry meters) {
-		return new GatewayContext(settings, routing, clients, new ClaimKeeper(settings, control), cluster, time,
+			ControlClient control, SlotService slots, Optional<DaemonExtension> extension, TimeSource time,
+			MeterRegistry meters) {
+		HttpDialect dialect = extension.map(DaemonExtension::dialect).orElseGet(DefaultHttpDialect::new);
+		return new GatewayContext(settings, routing, clients, new ClaimKeeper(settings, control), slots, dialect, time,
 				meters);
 	}
 
 	@Provides
 	@Singleton
 	static Kernel kernel(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
-			ControlClient control, UpstreamClients clients, RoutingService routing, GatewayContext context,
-			TimeSource time, PrometheusMeterRegistry meters) {
+			ControlClient control, RuleOperations rules, UpstreamClients clients, RoutingService routing,
+			SlotService slots, GatewayContext context, Optional<DaemonExtension> extension, TimeSource time,
+			PrometheusMeterRegistry meters) {
 		Kernel kernel = new Kernel();
 		kernel.register(transport);
 		cluster.addListener(routing);
@@ -104,10 +139,20 @@
 			kernel.register(new ControlService(settings, transport, cluster, time));
 		}
 		kernel.register(control);
-		kernel.register(new AdministrationServer(settings, cluster, control, meters));
+		if (settings.isControl() && settings.founding().automatic()) {
+			kernel.register(new FormationService(settings, cluster, control, time));
+		}
+		kernel.register(new AdministrationServer(settings, cluster, control, rules, meters));
+		NetworkAddress readinessAddress = settings.readinessAddress();
+		if (readinessAddress != null) {
+			kernel.register(new ReadinessServer(readinessAddress, cluster));
+		}
+		extension.flatMap((found) -> found.service(new ExtensionContext(settings, cluster, rules)))
+			.ifPresent(kernel::register);
 		if (settings.isGateway()) {
 			kernel.register(clients);
 			kernel.register(routing);
+			kernel.register(slots);
 			kernel.register(new GatewayServer(settings, context, cluster));
 		}
 		return kernel;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
@@ -19,6 +19,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.cluster.UnconfirmedException;
 import org.radishthread.daemon.control.ControlTimeoutException;
 import org.radishthread.daemon.settings.Secrets;
 import org.radishthread.kernel.EventLog;
@@ -119,6 +120,9 @@
 			return error(504, cause.getMessage() + " It is unknown whether the request took effect;"
 					+ " send the same request again.");
 		}
+		if (cause instanceof UnconfirmedException) {
+			return error(503, cause.getMessage() + " Send the same request again.");
+		}
 		if (cause instanceof IllegalArgumentException || cause instanceof IllegalStateException) {
 			return error(400, cause.getMessage());
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationServer.java
@@ -7,6 +7,7 @@
 
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.control.ControlClient;
+import org.radishthread.daemon.control.RuleOperations;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.Service;
 
@@ -27,7 +28,7 @@
 	private final Server server;
 
 	public AdministrationServer(DaemonSettings settings, ClusterService cluster, ControlClient control,
-			PrometheusMeterRegistry meters) {
+			RuleOperations ruleOperations, PrometheusMeterRegistry meters) {
 		this.settings = settings;
 		QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
 		threads.setName("administration");
@@ -38,7 +39,7 @@
 		connector.setPort(settings.administrationAddress().port());
 		this.server.addConnector(connector);
 		this.server.setHandler(new AdministrationHandler(settings.secrets(), cluster,
-				new OperatorRequests(cluster, control), new AnnouncementRequests(cluster), meters));
+				new OperatorRequests(cluster, control, ruleOperations), new AnnouncementRequests(cluster), meters));
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
@@ -3,7 +3,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -15,12 +14,12 @@
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.cluster.RuleSpread;
 import org.radishthread.daemon.control.ControlClient;
+import org.radishthread.daemon.control.RuleOperations;
+import org.radishthread.daemon.control.RuleSubmission;
 import org.radishthread.kernel.Assert;
-import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.Finding;
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.membership.InstanceView;
-import org.radishthread.protocol.Command;
 import org.radishthread.protocol.ControlRequest;
 import org.radishthread.protocol.ControlResponse;
 import org.radishthread.protocol.ControlStatus;
@@ -40,16 +39,10 @@
  */
 final class OperatorRequests {
 
-	private static final EventLog eventLog = EventLog.of(OperatorRequests.class);
-
 	private static final long ASK_MILLIS = 5_000;
 
 	private static final long REPLACE_MILLIS = 20_000;
 
-	private static final long SPREAD_MILLIS = 3_000;
-
-	private static final long SPREAD_CHECK_MILLIS = 20;
-
 	private static final int HISTORY_LIMIT = 100;
 
 	private static final int MAXIMUM_OPERATOR_LENGTH = 128;
@@ -62,9 +55,12 @@
 
 	private final ControlClient control;
 
-	OperatorRequests(ClusterService cluster, ControlClient control) {
+	private final RuleOperations ruleOperations;
+
+	OperatorRequests(ClusterService cluster, ControlClient control, RuleOperations ruleOperations) {
 		this.cluster = cluster;
 		this.control = control;
+		this.ruleOperations = ruleOperations;
 	}
 
 	CompletableFuture<JsonAnswer> answer(Request request, String path, String body) {
@@ -96,13 +92,12 @@
 		catch (FindingsException ex) {
 			return CompletableFuture.completedFuture(findings(ex));
 		}
-		SubmitRules.Builder submit = SubmitRules.newBuilder()
+		SubmitRules submit = SubmitRules.newBuilder()
 			.setRevision(revision)
 			.setContent(content)
-			.setSubmittedBy(operator);
-		ControlRequest.Builder command = ControlRequest.newBuilder()
-			.setCommand(Command.newBuilder().setSubmitRules(submit));
-		return this.control.ask(command, ASK_MILLIS).thenCompose((response) -> submitted(response.getRules()));
+			.setSubmittedBy(operator)
+			.build();
+		return this.ruleOperations.submit(submit).thenApply(this::submitted);
 	}
 
 	private JsonAnswer findings(FindingsException failure) {
@@ -118,18 +113,13 @@
 		return new JsonAnswer(422, body);
 	}
 
-	private CompletableFuture<JsonAnswer> submitted(RulesAnswer answer) {
-		eventLog.information("rules-submitted")
-			.with("revision", answer.getRevision())
-			.with("verdict", answer.getVerdict())
-			.with("by", answer.getSubmittedBy())
-			.write();
-		if (answer.getVerdict() != RulesVerdict.ACCEPTED) {
-			return CompletableFuture.completedFuture(new JsonAnswer(409, toJson(answer)));
+	private JsonAnswer submitted(RuleSubmission submission) {
+		if (submission.answer().getVerdict() != RulesVerdict.ACCEPTED) {
+			return new JsonAnswer(409, toJson(submission.answer()));
 		}
-		return awaitSpread(answer.getRevision(), System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SPREAD_MILLIS))
-			.thenApply((spread) -> new JsonAnswer(spread.isMajority() ? 200 : 202,
-					toJson(answer).put("inForceAt", spread.applied()).put("instances", spread.instances())));
+		RuleSpread spread = submission.spread();
+		return new JsonAnswer(spread.isMajority() ? 200 : 202,
+				toJson(submission.answer()).put("inForceAt", spread.applied()).put("instances", spread.instances()));
 	}
 
 	private ObjectNode toJson(RulesAnswer answer) {
@@ -141,18 +131,6 @@
 			.put("currentRevision", answer.getCurrentRevision());
 	}
 
-	private CompletableFuture<RuleSpread> awaitSpread(long revision, long deadlineNanos) {
-		return this.cluster.spreadOf(revision).thenCompose((spread) -> {
-			if ((spread.isMajority() && spread.isEverywhere()) || System.nanoTime() > deadlineNanos) {
-				return CompletableFuture.completedFuture(spread);
-			}
-			return CompletableFuture
-				.supplyAsync(() -> revision,
-						CompletableFuture.delayedExecutor(SPREAD_CHECK_MILLIS, TimeUnit.MILLISECONDS))
-				.thenCompose((same) -> awaitSpread(same, deadlineNanos));
-		});
-	}
-
 	private JsonAnswer rules() {
 		return new JsonAnswer(200,
 				this.mapper.createObjectNode()
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
 
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
@@ -15,10 +18,12 @@
 import org.radishthread.kernel.Service;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.membership.Announcement;
+import org.radishthread.membership.AnnouncementOutcome;
 import org.radishthread.membership.InstanceView;
 import org.radishthread.membership.Membership;
 import org.radishthread.membership.MembershipEffects;
 import org.radishthread.membership.MembershipSettings;
+import org.radishthread.membership.ReplicationResult;
 import org.radishthread.membership.ServingState;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.InstanceRecord;
@@ -54,6 +59,9 @@
 
 	private final ReplicaDescriptor replica;
 
+	// Used on the thread of the loop only.
+	private final Map<Long, List<CompletableFuture<Boolean>>> replications = new HashMap<>();
+
 	private volatile ClusterView view;
 
 	public ClusterService(DaemonSettings settings, PeerTransport transport, TimeSource time, long replicaIdentity) {
@@ -80,7 +88,6 @@
 			.setName(this.settings.instance())
 			.setPeerAddress(this.settings.peerAddress().toString())
 			.setAdministrationAddress(this.settings.administrationAddress().toString())
-			.setCallerAddress(this.settings.callerAddress().toString())
 			.setZone(this.settings.zone())
 			.setControl(this.settings.isControl())
 			.setGateway(this.settings.isGateway())
@@ -114,6 +121,10 @@
 				(name, address, envelope) -> receive(() -> this.membership.offerRules(envelope.getRuleFile())));
 		this.transport.handle(Envelope.BodyCase.LEASE_RENEWAL,
 				(name, address, envelope) -> receive(() -> this.membership.receive(envelope.getLeaseRenewal(), now())));
+		this.transport.handle(Envelope.BodyCase.UPSTREAM_NOTICE, (name, address,
+				envelope) -> receive(() -> this.membership.receive(envelope.getUpstreamNotice(), address, now())));
+		this.transport.handle(Envelope.BodyCase.UPSTREAM_NOTICE_RECEIPT, (name, address,
+				envelope) -> receive(() -> this.membership.receive(envelope.getUpstreamNoticeReceipt(), name, now())));
 		this.loop.repeat(TICK_MILLIS, () -> step(() -> this.membership.tick(now())));
 	}
 
@@ -149,6 +160,7 @@
 			this.transport.closeInbound();
 		}
 		effects.outgoing().forEach((outgoing) -> this.transport.send(outgoing.address(), outgoing.envelope()));
+		effects.replications().forEach(this::replicated);
 		if (effects.upstreams() != null) {
 			List<UpstreamRecord> upstreams = effects.upstreams();
 			eventLog.information("upstreams-changed").with("count", upstreams.size()).write();
@@ -172,14 +184,58 @@
 	/**
 	 * Takes in an announcement of an upstream.
 	 * @param announcement the announcement
-	 * @return whether it was not older than what was known
+	 * @return whether it was not older than what was known, once enough instances hold
+	 * it; a failure with an {@link UnconfirmedException} if too few do in time
 	 */
 	public CompletableFuture<Boolean> announce(Announcement announcement) {
+		return confirm(() -> this.membership.announce(announcement, now()));
+	}
+
+	/**
+	 * Takes in the word of an upstream that it leaves for good.
+	 * @param name the name of the upstream
+	 * @param incarnation the incarnation that leaves, or zero if the upstream did not say
+	 * @return whether the word was not older than what was known, once enough instances
+	 * hold it; a failure with an {@link UnconfirmedException} if too few do in time, or
+	 * if the upstream is not known here
+	 */
+	public CompletableFuture<Boolean> withdraw(String name, long incarnation) {
+		return confirm(() -> this.membership.withdraw(name, incarnation, now())
+			.orElseThrow(() -> new UnconfirmedException("Upstream '" + name + "' is not known here.")));
+	}
+
+	private CompletableFuture<Boolean> confirm(Supplier<AnnouncementOutcome> event) {
 		CompletableFuture<Boolean> result = new CompletableFuture<>();
-		this.loop.execute(() -> step(() -> result.complete(this.membership.announce(announcement, now()))));
+		this.loop.execute(() -> step(() -> {
+			try {
+				AnnouncementOutcome outcome = event.get();
+				if (outcome.replication() == 0) {
+					result.complete(outcome.current());
+				}
+				else {
+					this.replications.computeIfAbsent(outcome.replication(), (id) -> new ArrayList<>()).add(result);
+				}
+			}
+			catch (UnconfirmedException ex) {
+				result.completeExceptionally(ex);
+			}
+		}));
 		return result;
 	}
 
+	private void replicated(ReplicationResult ended) {
+		for (CompletableFuture<Boolean> waiting : this.replications.getOrDefault(ended.id(), List.of())) {
+			if (ended.held()) {
+				waiting.complete(true);
+			}
+			else {
+				waiting.completeExceptionally(
+						new UnconfirmedException("Too few control instances confirmed the change in time."));
+			}
+		}
+		this.replications.remove(ended.id());
+	}
+
 	/**
 	 * Returns the upstreams that have not left.
 	 * @return their records
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleSubmission.java
@@ -0,0 +1,13 @@
+package org.radishthread.daemon.control;
+
+import org.radishthread.daemon.cluster.RuleSpread;
+import org.radishthread.protocol.RulesAnswer;
+
+/**
+ * What became of submitted rules.
+ *
+ * @param answer the answer of the control group
+ * @param spread how far the rules had come when the submission was answered
+ */
+public record RuleSubmission(RulesAnswer answer, RuleSpread spread) {
+}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -1,8 +1,10 @@
 package org.radishthread.daemon.gateway;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -11,6 +13,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -29,6 +32,8 @@
 
 	protected static final long RETRY_AFTER_MILLIS = 1_000;
 
+	private static final long CALLER_CHECK_MILLIS = 150;
+
 	private static final EventLog eventLog = EventLog.of(AbstractExchange.class);
 
 	private final GatewayContext context;
@@ -51,7 +56,7 @@
 
 	private final List<ScheduledFuture<?>> timers = new ArrayList<>();
 
-	private byte @Nullable [] body;
+	private volatile byte @Nullable [] body;
 
 	private @Nullable Attempt winner;
 
@@ -154,18 +159,40 @@
 	}
 
 	protected final String caller() {
-		String named = this.request.getHeaders().get(RadishthreadHeader.CALLER);
-		if (named == null) {
-			named = this.request.getHeaders().get(this.context.settings().limits().callerHeader());
-		}
+		String named = this.request.getHeaders().get(this.context.settings().limits().callerHeader());
 		return (named != null) ? named : Request.getRemoteAddr(this.request);
 	}
 
 	private long timeoutMillis() {
+		OptionalLong wanted = callerMillis();
 		long allowed = this.route.timeout().toMillis();
-		String wanted = this.request.getHeaders().get(RadishthreadHeader.DEADLINE);
+		Duration total = this.route.limits().total();
+		if (total != null) {
+			allowed = total.toMillis();
+		}
+		return Math.min(allowed, wanted.orElse(allowed));
+	}
+
+	private OptionalLong callerMillis() {
+		String wanted = this.context.dialect().remainingMillis(this.request.getHeaders());
 		boolean valid = wanted != null && wanted.matches("[0-9]{1,9}");
-		return valid ? Math.min(allowed, Long.parseLong(wanted)) : allowed;
+		return valid ? OptionalLong.of(Long.parseLong(wanted)) : OptionalLong.empty();
+	}
+
+	// The timeout of an upload bounds only the time without progress.
+	private boolean hasDeadline() {
+		return !this.route.mode().isStreamed() || this.route.limits().total() != null || callerMillis().isPresent();
+	}
+
+	/**
+	 * Returns whether the body of the request is passed on as it arrives. The body of a
+	 * small upload is held, so that it can be sent again after an upstream refused it.
+	 * @return whether the body can be sent only once
+	 */
+	protected final boolean isStreamed() {
+		long length = this.request.getLength();
+		boolean small = length >= 0 && length <= this.context.settings().limits().heldRequestBytes();
+		return this.route.mode().isStreamed() && !small;
 	}
 
 	protected final long remainingMillis() {
@@ -176,10 +203,11 @@
 
 	final void start() {
 		this.request.addFailureListener(this::callerLost);
-		if (!this.route.mode().isStreamed()) {
+		if (hasDeadline()) {
 			schedule(timeoutMillis(), this::deadlineReached);
 		}
-		if (this.route.mode().isStreamed() || !hasBody()) {
+		watchCaller();
+		if (isStreamed() || !hasBody()) {
 			begin();
 			return;
 		}
@@ -195,6 +223,24 @@
 		});
 	}
 
+	// Looks again and again, because nothing is read from the connection meanwhile.
+	private void watchCaller() {
+		if (isFinished()) {
+			return;
+		}
+		if (isBodyRead()
+				&& this.request.getConnectionMetaData().getConnection().getEndPoint() instanceof CallerEndPoint endPoint
+				&& endPoint.isCallerGone()) {
+			callerLost(new EofException("The caller closed the connection."));
+			return;
+		}
+		schedule(CALLER_CHECK_MILLIS, this::watchCaller);
+	}
+
+	private boolean isBodyRead() {
+		return !hasBody() || this.body != null;
+	}
+
 	private boolean hasBody() {
 		return this.request.getLength() > 0 || this.request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
 	}
@@ -207,16 +253,16 @@
 	 * @param address its address
 	 * @param kind a word for the kind of attempt
 	 * @param onNewConnection whether to open a connection for it
-	 * @param token the token that marks a forwarded request, or {@code null}
 	 * @return whether it was sent; if not, the caller already has its answer
 	 */
-	protected final boolean send(String name, NetworkAddress address, String kind, boolean onNewConnection,
-			@Nullable String token) {
+	protected final boolean send(String name, NetworkAddress address, String kind, boolean onNewConnection) {
 		org.eclipse.jetty.client.Request outgoing = this.context.clients().request(address, onNewConnection);
-		String requestName = this.context.settings().instance() + '-' + this.id + '-' + kind;
-		prepare(outgoing, requestName, token);
+		HttpDialect dialect = this.context.dialect();
+		String requestName = dialect.requestName(this.request.getHeaders(),
+				this.context.settings().instance() + '-' + this.id + '-' + kind);
+		prepare(outgoing, new HttpDialect.DescribedAttempt(requestName, remainingMillis(), name));
 		int limit = this.context.settings().limits().heldAnswerBytes();
-		Attempt attempt = new Attempt(name, address, outgoing, requestName, limit, onNewConnection, this);
+		Attempt attempt = new Attempt(name, address, outgoing, dialect, requestName, limit, onNewConnection, this);
 		synchronized (this) {
 			if (this.finished) {
 				return false;
@@ -227,18 +273,13 @@
 		return true;
 	}
 
-	private void prepare(org.eclipse.jetty.client.Request outgoing, String requestName, @Nullable String token) {
+	private void prepare(org.eclipse.jetty.client.Request outgoing, HttpDialect.DescribedAttempt described) {
 		outgoing.method(this.request.getMethod()).path(this.request.getHttpURI().getPathQuery());
 		outgoing.headers((headers) -> {
-			ForwardedHeaders.copyRequest(this.request.getHeaders(), headers);
-			headers.put(RadishthreadHeader.REQUEST, requestName);
-			headers.put(RadishthreadHeader.DEADLINE, Math.max(1, remainingMillis()));
-			if (token != null) {
-				headers.put(RadishthreadHeader.FORWARDED, token);
-				headers.put(RadishthreadHeader.CALLER, caller());
-			}
+			ForwardedHeaders.copyRequest(this.context.dialect(), this.request.getHeaders(), headers);
+			this.context.dialect().describe(headers, described);
 		});
-		if (this.route.mode().isStreamed()) {
+		if (isStreamed()) {
 			outgoing.idleTimeout(this.route.timeout().toMillis(), TimeUnit.MILLISECONDS);
 			outgoing.body(new ContentSourceRequestContent(this.request, contentType()));
 		}
@@ -287,7 +328,7 @@
 
 	private void copyAnswer(org.eclipse.jetty.client.Response answer) {
 		this.response.setStatus(answer.getStatus());
-		ForwardedHeaders.copyAnswer(answer.getHeaders(), this.response.getHeaders());
+		ForwardedHeaders.copyAnswer(this.context.dialect(), answer.getHeaders(), this.response.getHeaders());
 	}
 
 	@Override
@@ -426,7 +467,7 @@
 				.with("title", problem.title())
 				.write();
 			abortOthers(null);
-			problem.write(this.response, this.callback);
+			problem.write(this.context.dialect(), this.response, this.callback);
 		}
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
+import org.jspecify.annotations.Nullable;
 
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptOutcome;
@@ -28,7 +29,9 @@
 
 	private final Request request;
 
-	private final String requestName;
+	private final HttpDialect dialect;
+
+	private final @Nullable String requestName;
 
 	private final int heldLimit;
 
@@ -46,11 +49,12 @@
 
 	private boolean reported;
 
-	Attempt(String targetName, NetworkAddress targetAddress, Request request, String requestName, int heldLimit,
-			boolean onNewConnection, AttemptListener listener) {
+	Attempt(String targetName, NetworkAddress targetAddress, Request request, HttpDialect dialect,
+			@Nullable String requestName, int heldLimit, boolean onNewConnection, AttemptListener listener) {
 		this.targetName = targetName;
 		this.targetAddress = targetAddress;
 		this.request = request;
+		this.dialect = dialect;
 		this.requestName = requestName;
 		this.heldLimit = heldLimit;
 		this.onNewConnection = onNewConnection;
@@ -89,7 +93,7 @@
 
 	@Override
 	public void onHeaders(Response response) {
-		String echoed = response.getHeaders().get(RadishthreadHeader.REQUEST);
+		String echoed = this.dialect.nameOfAnswered(response.getHeaders());
 		if (echoed != null && !echoed.equals(this.requestName)) {
 			abort(new GatewayException("The answer belongs to request '" + echoed + "'."));
 		}
@@ -100,7 +104,8 @@
 
 	private boolean isEndKnown(Response response) {
 		HttpFields headers = response.getHeaders();
-		return HttpMethod.HEAD.is(this.request.getMethod()) || response.getStatus() == HttpStatus.NO_CONTENT_204
+		return this.dialect.acceptsAnswersUntilClose() || HttpMethod.HEAD.is(this.request.getMethod())
+				|| response.getStatus() == HttpStatus.NO_CONTENT_204
 				|| response.getStatus() == HttpStatus.NOT_MODIFIED_304 || headers.contains(HttpHeader.CONTENT_LENGTH)
 				|| headers.contains(HttpHeader.TRANSFER_ENCODING);
 	}
@@ -116,7 +121,7 @@
 		if (this.held.size() <= this.heldLimit) {
 			demander.run();
 		}
-		else if (this.listener.mayStream(this, response)) {
+		else if (mayStream(response)) {
 			this.streaming = true;
 			this.listener.part(this.held.toByteArray(), demander);
 		}
@@ -125,6 +130,13 @@
 		}
 	}
 
+	// What can not be judged after its end is judged before its first byte is passed on.
+	private boolean mayStream(Response response) {
+		int status = response.getStatus();
+		return this.dialect.isGenuine(status, response.getHeaders())
+				&& !this.dialect.isNotRun(status, response.getHeaders()) && this.listener.mayStream(this, response);
+	}
+
 	@Override
 	public void onComplete(Result result) {
 		synchronized (this) {
@@ -140,10 +152,13 @@
 			this.listener.failed(this, this.begun ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT,
 					result.getFailure());
 		}
-		else if (RequestOutcome.NOT_RUN.word()
-			.equals(result.getResponse().getHeaders().get(RadishthreadHeader.OUTCOME))) {
+		else if (this.dialect.isNotRun(result.getResponse().getStatus(), result.getResponse().getHeaders())) {
 			this.listener.refused(this, result.getResponse(), this.held.toByteArray());
 		}
+		else if (!this.dialect.isGenuine(result.getResponse().getStatus(), result.getResponse().getHeaders())) {
+			this.listener.failed(this, AttemptOutcome.BROKEN, new GatewayException(
+					"The answer with status " + result.getResponse().getStatus() + " does not show that it is whole."));
+		}
 		else {
 			this.listener.whole(this, result.getResponse(), this.held.toByteArray());
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
@@ -10,7 +10,6 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 
-import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.TimeSource;
 
@@ -27,9 +26,9 @@
 
 	private final ClaimKeeper claims;
 
-	private final HomeDirectory homes;
+	private final SlotService slots;
 
-	private final Map<String, ForwardStatistics> forwardStatistics = new ConcurrentHashMap<>();
+	private final HttpDialect dialect;
 
 	private final TimeSource time;
 
@@ -42,12 +41,13 @@
 	private final ScheduledThreadPoolExecutor timer;
 
 	public GatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients, ClaimKeeper claims,
-			ClusterService cluster, TimeSource time, MeterRegistry meters) {
+			SlotService slots, HttpDialect dialect, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
 		this.routing = routing;
 		this.clients = clients;
 		this.claims = claims;
-		this.homes = new HomeDirectory(cluster, time);
+		this.slots = slots;
+		this.dialect = dialect;
 		this.time = time;
 		this.meters = meters;
 		this.timer = new ScheduledThreadPoolExecutor(1, (task) -> {
@@ -74,12 +74,12 @@
 		return this.claims;
 	}
 
-	HomeDirectory homes() {
-		return this.homes;
+	HttpDialect dialect() {
+		return this.dialect;
 	}
 
-	ForwardStatistics forwardStatistics(String service) {
-		return this.forwardStatistics.computeIfAbsent(service, (name) -> new ForwardStatistics());
+	RequestRouter router(String service) {
+		return new HomeRouter(service, this.slots);
 	}
 
 	TimeSource time() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -1,6 +1,5 @@
 package org.radishthread.daemon.gateway;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -12,8 +11,6 @@
 import org.eclipse.jetty.util.Callback;
 
 import org.radishthread.daemon.cluster.ClusterService;
-import org.radishthread.daemon.gateway.HomeDirectory.Home;
-import org.radishthread.daemon.settings.Secrets;
 import org.radishthread.membership.ServingState;
 import org.radishthread.rules.RouteRule;
 
@@ -44,43 +41,32 @@
 	public boolean handle(Request request, Response response, Callback callback) {
 		this.open.incrementAndGet();
 		Callback counted = Callback.from(callback, this.open::decrementAndGet);
-		boolean forwarded = isForwarded(request);
 		ServingState state = this.cluster.servingState();
 		if (state != ServingState.READY) {
 			response.getHeaders().put(HttpHeader.CONNECTION, "close");
 		}
-		if (state != ServingState.READY && (state != ServingState.STOPPING || forwarded)) {
-			int status = forwarded ? HttpStatus.MISDIRECTED_REQUEST_421 : HttpStatus.SERVICE_UNAVAILABLE_503;
-			Problem.notRun(status, "This instance takes no new work: " + state.word() + ".", RETRY_AFTER_MILLIS)
-				.write(response, counted);
+		if (state != ServingState.READY && state != ServingState.STOPPING) {
+			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
+					"This instance takes no new work: " + state.word() + ".", RETRY_AFTER_MILLIS), response, counted);
 			return true;
 		}
 		Optional<RouteRule> route = this.context.routing()
-			.rules()
-			.match(request.getMethod(), request.getHttpURI().getCanonicalPath());
+			.route(host(request), request.getMethod(), request.getHttpURI().getPath());
 		if (route.isEmpty()) {
-			Problem.notRun(404, "No rule matches this request.", 0).write(response, counted);
+			write(Problem.notRun(HttpStatus.NOT_FOUND_404, "No rule matches this request.", 0), response, counted);
 			return true;
 		}
-		exchange(route.get(), forwarded, request, response, counted).start();
+		new RoutedExchange(this.context, route.get(), request, response, counted).start();
 		return true;
 	}
 
-	private boolean isForwarded(Request request) {
-		String token = request.getHeaders().get(RadishthreadHeader.FORWARDED);
-		return token != null && Secrets.matches(this.context.settings().secrets().peer(), token);
+	private static String host(Request request) {
+		String host = request.getHttpURI().getHost();
+		return (host != null) ? host : "";
 	}
 
-	// Uploads are routed where they arrive, so that a large body travels once.
-	private AbstractExchange exchange(RouteRule route, boolean forwarded, Request request, Response response,
-			Callback callback) {
-		if (!forwarded && !route.mode().isStreamed()) {
-			List<Home> homes = this.context.homes().homesOf(route.service());
-			if (!homes.isEmpty() && !homes.get(0).own()) {
-				return new ForwardedExchange(this.context, route, homes, request, response, callback);
-			}
-		}
-		return new LocalExchange(this.context, route, request, response, callback);
+	private void write(Problem problem, Response response, Callback callback) {
+		problem.write(this.context.dialect(), response, callback);
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -1,7 +1,13 @@
 package org.radishthread.daemon.gateway;
 
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -11,6 +17,7 @@
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
+import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.Service;
 
 /**
@@ -30,6 +37,8 @@
 
 	private static final long STOP_CHECK_MILLIS = 20;
 
+	private static final int REQUEST_HEADER_BYTES = 64 * 1024;
+
 	private static final int THREADS = 32;
 
 	private final DaemonSettings settings;
@@ -52,9 +61,23 @@
 		this.server = new Server(threads);
 		HttpConfiguration configuration = new HttpConfiguration();
 		configuration.setSendServerVersion(false);
-		this.connector = new ServerConnector(this.server, 1, 2, new HttpConnectionFactory(configuration));
-		this.connector.setHost(settings.callerAddress().host());
-		this.connector.setPort(settings.callerAddress().port());
+		// The path goes on as it came; whoever runs the request interprets it.
+		configuration.setUriCompliance(UriCompliance.UNSAFE);
+		configuration.setRequestHeaderSize(REQUEST_HEADER_BYTES);
+		this.connector = new ServerConnector(this.server, 1, 1, new HttpConnectionFactory(configuration)) {
+
+			@Override
+			protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector,
+					SelectionKey key) {
+				SocketChannelEndPoint endPoint = new CallerEndPoint(channel, selector, key, getScheduler());
+				endPoint.setIdleTimeout(getIdleTimeout());
+				return endPoint;
+			}
+
+		};
+		NetworkAddress address = Objects.requireNonNull(settings.callerAddress());
+		this.connector.setHost(address.host());
+		this.connector.setPort(address.port());
 		this.connector.setIdleTimeout(CONNECTION_IDLE_MILLIS);
 		this.server.addConnector(this.connector);
 		this.server.setHandler(this.handler);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
@@ -21,7 +21,7 @@
  * Lets many threads use one {@link ServiceRouter}, logs its decisions and hands them to
  * the requests concerned, outside the lock.
  */
-final class GuardedRouter {
+final class GuardedRouter implements RequestRouter {
 
 	private static final EventLog eventLog = EventLog.of(GuardedRouter.class);
 
@@ -133,24 +133,29 @@
 		perform((now) -> this.router.updateUpstreams(upstreams, now));
 	}
 
-	void admit(Ticket ticket, RoutingCallback callback) {
+	@Override
+	public void admit(Ticket ticket, RoutingCallback callback) {
 		this.callbacks.put(ticket.id(), callback);
 		perform((now) -> this.router.admit(ticket, now));
 	}
 
-	void attemptEnded(long ticket, String upstream, AttemptResult result) {
+	@Override
+	public void attemptEnded(long ticket, String upstream, AttemptResult result) {
 		perform((now) -> this.router.attemptEnded(ticket, upstream, result, now));
 	}
 
-	void retry(long ticket) {
+	@Override
+	public void retry(long ticket) {
 		perform((now) -> this.router.retry(ticket, now));
 	}
 
-	void hedge(long ticket) {
+	@Override
+	public void hedge(long ticket) {
 		perform((now) -> this.router.hedge(ticket, now));
 	}
 
-	void close(long ticket) {
+	@Override
+	public void close(long ticket) {
 		this.callbacks.remove(ticket);
 		synchronized (this.router) {
 			this.router.close(ticket);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.radishthread.daemon.cluster.ClusterService;
-import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.membership.InstanceView;
 import org.radishthread.protocol.InstanceRecord;
@@ -46,7 +45,7 @@
 		if (this.suspectedUntil.isEmpty()) {
 			return homes;
 		}
-		return homes.stream().filter((home) -> this.suspectedUntil.getOrDefault(home.name(), 0L) <= now).toList();
+		return homes.stream().filter((home) -> this.suspectedUntil.getOrDefault(home.address(), 0L) <= now).toList();
 	}
 
 	private List<Home> rank(String service, List<InstanceView> instances) {
@@ -59,26 +58,22 @@
 		String own = this.cluster.replica().getInstance();
 		return HomeAssignment.ranking(service, List.copyOf(live.keySet()))
 			.stream()
-			.map((name) -> new Home(name, NetworkAddress.parse(live.get(name).getCallerAddress()), name.equals(own)))
+			.map((name) -> new Home(name, live.get(name).getPeerAddress(), name.equals(own)))
 			.toList();
 	}
 
-	void suspect(String instance) {
-		this.suspectedUntil.put(instance, this.time.monotonicMillis() + SUSPICION_MILLIS);
-	}
-
-	void answered(String instance) {
-		this.suspectedUntil.remove(instance);
+	void suspect(String address) {
+		this.suspectedUntil.put(address, this.time.monotonicMillis() + SUSPICION_MILLIS);
 	}
 
 	/**
 	 * An instance that may route for a service.
 	 *
 	 * @param name the name of the instance
-	 * @param address where it takes requests
+	 * @param address where it takes messages of other instances
 	 * @param own whether it is this instance
 	 */
-	record Home(String name, NetworkAddress address, boolean own) {
+	record Home(String name, String address, boolean own) {
 	}
 
 	private record Ranking(List<InstanceView> instances, Map<String, List<Home>> homes) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Problem.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Problem.java
@@ -29,12 +29,12 @@
 		return new Problem(status, title, RequestOutcome.UNKNOWN, retryAfterMillis);
 	}
 
-	void write(Response response, Callback callback) {
+	void write(HttpDialect dialect, Response response, Callback callback) {
 		response.setStatus(this.status);
 		response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/problem+json");
 		response.getHeaders().put(RadishthreadHeader.OUTCOME, this.outcome.word());
 		if (this.retryAfterMillis > 0) {
-			response.getHeaders().put(HttpHeader.RETRY_AFTER, (this.retryAfterMillis + 999) / 1_000);
+			dialect.retryAfter(response.getHeaders(), this.retryAfterMillis);
 		}
 		response.write(true, ByteBuffer.wrap(body()), callback);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RadishthreadHeader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RadishthreadHeader.java
@@ -30,17 +30,6 @@
 	 */
 	static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-	/**
-	 * Carries the peer token on a request that another instance sent to the home of its
-	 * service.
-	 */
-	static final String FORWARDED = "Radishthread-Forwarded";
-
-	/**
-	 * Names the caller on a forwarded request.
-	 */
-	static final String CALLER = "Radishthread-Caller";
-
 	private RadishthreadHeader() {
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -20,23 +20,25 @@
 import org.radishthread.routing.AttemptOutcome;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.Ticket;
+import org.radishthread.routing.Urgency;
+import org.radishthread.rules.RouteLimits;
 import org.radishthread.rules.RouteRule;
 
 /**
  * Routes a request to upstreams from this instance: claim, queue, attempts. The decisions
  * are made by the router, by {@link AttemptOutcome} and by the control group.
  */
-final class LocalExchange extends AbstractExchange implements RoutingCallback {
+final class RoutedExchange extends AbstractExchange implements RoutingCallback {
 
-	private static final EventLog eventLog = EventLog.of(LocalExchange.class);
+	private static final EventLog eventLog = EventLog.of(RoutedExchange.class);
 
-	private final GuardedRouter router;
+	private final RequestRouter router;
 
 	private @Nullable Claim claim;
 
-	LocalExchange(GatewayContext context, RouteRule route, Request request, Response response, Callback callback) {
+	RoutedExchange(GatewayContext context, RouteRule route, Request request, Response response, Callback callback) {
 		super(context, route, request, response, callback);
-		this.router = context.routing().router(route.service());
+		this.router = context.router(route.service());
 	}
 
 	@Override
@@ -59,7 +61,13 @@
 	}
 
 	private void admit() {
-		this.router.admit(new Ticket(id(), caller(), route().mode().mayRepeat(), deadlineNanos()), this);
+		this.router.admit(ticket(), this);
+	}
+
+	private Ticket ticket() {
+		RouteLimits limits = route().limits();
+		return new Ticket(id(), caller(), route().mode().mayRepeat(), deadlineNanos(),
+				new Urgency(limits.priority(), limits.objective().toNanos()), limits.maximumAttempts());
 	}
 
 	private byte[] fingerprint() {
@@ -115,7 +123,7 @@
 	public void dispatch(RoutingEffect.Dispatch dispatch) {
 		boolean onNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST;
 		NetworkAddress address = NetworkAddress.parse(dispatch.upstream().address());
-		if (!send(dispatch.upstream().name(), address, dispatch.kind().word(), onNewConnection, null)) {
+		if (!send(dispatch.upstream().name(), address, dispatch.kind().word(), onNewConnection)) {
 			this.router.attemptEnded(id(), dispatch.upstream().name(), AttemptEnd.CANCELLED.result());
 			return;
 		}
@@ -142,7 +150,7 @@
 
 	@Override
 	protected void attemptFailed(Attempt attempt, AttemptOutcome outcome) {
-		boolean bodyAvailable = !route().mode().isStreamed() || outcome == AttemptOutcome.NOT_SENT;
+		boolean bodyAvailable = !isStreamed() || outcome == AttemptOutcome.NOT_SENT;
 		if (outcome.allowsRetry(route().mode(), bodyAvailable)) {
 			this.router.retry(id());
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.core.instrument.MeterRegistry;
 
@@ -17,6 +20,8 @@
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
 import org.radishthread.routing.Upstream;
+import org.radishthread.rules.RouteFinder;
+import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.RuleParser;
 import org.radishthread.rules.RuleSet;
 
@@ -32,6 +37,9 @@
 
 	private static final EventLog eventLog = EventLog.of(RoutingService.class);
 
+	// Multiples of it are spread evenly over the unit interval.
+	private static final double GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
+
 	private final DaemonSettings settings;
 
 	private final TimeSource time;
@@ -42,8 +50,14 @@
 
 	private final EventLoop loop = new EventLoop("routing");
 
+	private final Map<Integer, AtomicLong> splitCounters = new ConcurrentHashMap<>();
+
+	private final long splitOffset = ThreadLocalRandom.current().nextInt(1 << 16);
+
 	private volatile RuleSet rules = RuleSet.NONE;
 
+	private volatile RouteFinder routes = RuleSet.NONE.toFinder();
+
 	public RoutingService(DaemonSettings settings, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
 		this.time = time;
@@ -60,8 +74,26 @@
 		// Routers run when they are asked.
 	}
 
-	RuleSet rules() {
-		return this.rules;
+	/**
+	 * Finds the route of a request and the service that takes it.
+	 * @param host the host that the request names, without a port
+	 * @param method the HTTP method
+	 * @param path the path as sent, without the query
+	 * @return the route, to one service
+	 */
+	Optional<RouteRule> route(String host, String method, String path) {
+		return this.routes.find(host, method, path).map((route) -> route.atPosition(nextPosition(route)));
+	}
+
+	// Successive positions are spread evenly, so that each service gets its share soon.
+	private double nextPosition(RouteRule route) {
+		if (route.split().size() == 1) {
+			return 0;
+		}
+		long number = this.splitCounters.computeIfAbsent(route.line(), (line) -> new AtomicLong(this.splitOffset))
+			.incrementAndGet();
+		double position = number * GOLDEN_RATIO;
+		return position - Math.floor(position);
 	}
 
 	GuardedRouter router(String service) {
@@ -89,6 +121,7 @@
 		try {
 			RuleSet parsed = RuleParser.parse("revision-" + file.getRevision(), file.getContent());
 			this.rules = parsed;
+			this.routes = parsed.toFinder();
 			this.routers.forEach((service, router) -> router.updateRule(parsed.service(service)));
 		}
 		catch (FindingsException ex) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -21,6 +21,8 @@
 
 	private static final int MINIMUM_TOKEN_LENGTH = 8;
 
+	private static final String ENVIRONMENT = "env:";
+
 	private final Path file;
 
 	private final Findings findings;
@@ -52,7 +54,9 @@
 			root.reject("roles", "At least one of gateway and control is expected.");
 		}
 		SettingsNode listen = root.section("listen");
-		NetworkAddress caller = address(listen, "caller");
+		NetworkAddress caller = roles.contains(Role.GATEWAY) ? address(listen, "caller") : null;
+		NetworkAddress readiness = listen.has("readiness") ? address(listen, "readiness") : null;
+		NetworkAddress extensionAddress = listen.has("extension") ? address(listen, "extension") : null;
 		NetworkAddress administration = address(listen, "administration");
 		NetworkAddress peer = address(listen, "peer");
 		listen.rejectUnknown();
@@ -63,8 +67,12 @@
 		}
 		Secrets secrets = secrets(root.section("secrets"));
 		DaemonSettings.Limits limits = limits(root.section("limits"));
+		DaemonSettings.Founding founding = founding(root.section("founding"));
+		DaemonSettings.ExtensionSettings extension = root.has("extension")
+				? new DaemonSettings.ExtensionSettings(name(root, "extension"), extensionAddress) : null;
 		root.rejectUnknown();
-		return new DaemonSettings(instance, zone, roles, caller, administration, peer, seeds, data, secrets, limits);
+		return new DaemonSettings(instance, zone, roles, caller, readiness, administration, peer, seeds, data, secrets,
+				founding, extension, limits);
 	}
 
 	private String readText() {
@@ -98,11 +106,21 @@
 		}
 	}
 
+	private static DaemonSettings.Founding founding(SettingsNode node) {
+		DaemonSettings.Founding founding = new DaemonSettings.Founding(node.flag("automatic", false),
+				node.flag("first-start", false));
+		node.rejectUnknown();
+		return founding;
+	}
+
 	private static List<String> seeds(SettingsNode root) {
 		List<String> seeds = new ArrayList<>();
+		// Zero keeps the port that each seed names.
+		int port = (int) root.number("seed-port", 0, 0, 65_535);
 		for (String seed : root.texts("seeds")) {
 			try {
-				seeds.add(NetworkAddress.parse(seed).toString());
+				NetworkAddress address = NetworkAddress.parse(seed);
+				seeds.add(((port == 0) ? address : new NetworkAddress(address.host(), port)).toString());
 			}
 			catch (IllegalArgumentException ex) {
 				root.reject("seeds", String.valueOf(ex.getMessage()));
@@ -126,7 +144,8 @@
 			return "";
 		}
 		try {
-			String token = Files.readString(this.file.resolveSibling(path)).strip();
+			String token = path.startsWith(ENVIRONMENT) ? environment(path.substring(ENVIRONMENT.length()))
+					: Files.readString(this.file.resolveSibling(path)).strip();
 			if (token.length() < MINIMUM_TOKEN_LENGTH) {
 				node.reject(key,
 						"The token in '" + path + "' must have at least " + MINIMUM_TOKEN_LENGTH + " characters.");
@@ -139,15 +158,22 @@
 		}
 	}
 
+	private static String environment(String variable) {
+		String value = System.getenv(variable);
+		return (value != null) ? value.strip() : "";
+	}
+
 	private static DaemonSettings.Limits limits(SettingsNode node) {
 		int heldRequest = (int) node.number("held-request-bytes", 1 << 20, 0, 1 << 26);
 		int heldAnswer = (int) node.number("held-answer-bytes", 256 << 10, 0, 1 << 26);
 		int maximumInstances = (int) node.number("maximum-instances", 16, 1, 1_000);
 		long shutdown = node.number("shutdown-millis", 0, 0, 86_400_000);
 		long notice = node.number("notice-millis", 3_000, 0, 60_000);
+		long spread = node.number("spread-millis", 3_000, 0, 60_000);
 		String callerHeader = node.text("caller-header", "X-Forwarded-For");
 		node.rejectUnknown();
-		return new DaemonSettings.Limits(heldRequest, heldAnswer, maximumInstances, shutdown, notice, callerHeader);
+		return new DaemonSettings.Limits(heldRequest, heldAnswer, maximumInstances, shutdown, notice, spread,
+				callerHeader);
 	}
 
 }
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
@@ -159,6 +159,24 @@
 		return fallback;
 	}
 
+	/**
+	 * Returns a truth value, written {@code true} or {@code false}.
+	 * @param key the element
+	 * @param fallback the value if the element is absent
+	 * @return the value, or the fallback after a finding
+	 */
+	public boolean flag(String key, boolean fallback) {
+		Node node = take(key);
+		if (node == null) {
+			return fallback;
+		}
+		if (node instanceof ScalarNode scalar && scalar.getValue().matches("true|false")) {
+			return Boolean.parseBoolean(scalar.getValue());
+		}
+		report(node, key, "One of true and false is expected.");
+		return fallback;
+	}
+
 	/**
 	 * Returns a whole number.
 	 * @param key the element
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
+import org.radishthread.kernel.Assert;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
@@ -12,6 +14,8 @@
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.RuleRequest;
 import org.radishthread.protocol.Synchronization;
+import org.radishthread.protocol.UpstreamNotice;
+import org.radishthread.protocol.UpstreamNoticeReceipt;
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
 
@@ -34,6 +38,8 @@
 
 	private static final long SYNCHRONIZATION_PAUSE_MILLIS = 10_000;
 
+	private static final long SEQUENCES_PASSED_BY_LEAVING = 1_000_000;
+
 	private static final int BYTES_PER_INSTANCE = 13;
 
 	private static final int BYTES_PER_ROUND = 60;
@@ -56,6 +62,8 @@
 
 	private final List<Outgoing> outgoing = new ArrayList<>();
 
+	private final AnnouncementReplication replication = new AnnouncementReplication();
+
 	private boolean upstreamsChanged;
 
 	private boolean rulesChanged;
@@ -97,7 +105,8 @@
 			sendRound(this.settings.urgentFanout());
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoing),
-				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.applied() : null, this.woke);
+				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.applied() : null,
+				this.replication.takeResults(), this.woke);
 		this.outgoing.clear();
 		this.upstreamsChanged = false;
 		this.rulesChanged = false;
@@ -120,6 +129,7 @@
 		expireLeases(now);
 		forgetInstances(now);
 		confirmRulesByMajority(now);
+		replicate(now);
 		if (now >= this.nextRoundMillis) {
 			this.heartbeat++;
 			this.instances.heard(ShortName.of(this.self.getName()), this.heartbeat, this.rules.revision(), now);
@@ -170,7 +180,13 @@
 
 	private void expireLeases(long now) {
 		long since = now - silenceMillis();
-		for (UpstreamRecord changed : this.upstreams.expire(now, (holder) -> this.instances.isAlive(holder, since))) {
+		// While no control instance is heard of, upstreams have nowhere to renew leases.
+		boolean renewable = this.instances.entries()
+			.stream()
+			.anyMatch(
+					(entry) -> entry.instance.getControl() && this.instances.isAlive(entry.instance.getName(), since));
+		for (UpstreamRecord changed : this.upstreams.expire(now,
+				(holder) -> !renewable || this.instances.isAlive(holder, since))) {
 			upstreamChanged(changed);
 		}
 	}
@@ -321,19 +337,111 @@
 	 * Takes in an announcement of an upstream.
 	 * @param announced what the upstream says
 	 * @param now the monotonic time, in milliseconds
-	 * @return whether the announcement was not older than what was known
+	 * @return what became of it
 	 */
-	public boolean announce(Announcement announced, long now) {
-		UpstreamTable.Entry known = this.upstreams.find(announced.name());
+	public AnnouncementOutcome announce(Announcement announced, long now) {
 		UpstreamRecord record = toRecord(announced);
-		if (known == null || !isRenewal(record, known.upstream)) {
-			boolean newer = this.upstreams.merge(record, now);
-			if (newer) {
-				upstreamChanged(record);
+		UpstreamTable.Entry known = this.upstreams.find(announced.name());
+		if (known != null && isRenewal(record, known.upstream) && known.upstream.getState() == UpstreamState.READY) {
+			boolean current = renewAtHolder(known.upstream, record, now);
+			return current ? AnnouncementOutcome.confirmed() : AnnouncementOutcome.stale();
+		}
+		return change(record, now);
+	}
+
+	/**
+	 * Takes in the word of an upstream that it leaves for good.
+	 * @param name the name of the upstream
+	 * @param incarnation the incarnation that leaves, or zero if the upstream did not say
+	 * @param now the monotonic time, in milliseconds
+	 * @return what became of it, or empty if the upstream is not known here
+	 */
+	public Optional<AnnouncementOutcome> withdraw(String name, long incarnation, long now) {
+		UpstreamTable.Entry known = this.upstreams.find(name);
+		if (known == null) {
+			return Optional.empty();
+		}
+		if (incarnation != 0 && incarnation < known.upstream.getIncarnation()) {
+			return Optional.of(AnnouncementOutcome.confirmed());
+		}
+		if (known.upstream.getState() == UpstreamState.LEFT) {
+			return Optional.of(change(known.upstream, now));
+		}
+		// No announcement of this incarnation that is still under way may undo it.
+		UpstreamRecord left = known.upstream.toBuilder()
+			.setIncarnation(Math.max(incarnation, known.upstream.getIncarnation()))
+			.setSequence(known.upstream.getSequence() + SEQUENCES_PASSED_BY_LEAVING)
+			.setState(UpstreamState.LEFT)
+			.build();
+		return Optional.of(change(left, now));
+	}
+
+	// Takes in a record and sees to it that it is held by enough others.
+	private AnnouncementOutcome change(UpstreamRecord record, long now) {
+		boolean newer = this.upstreams.merge(record, now);
+		if (newer) {
+			upstreamChanged(record);
+		}
+		UpstreamTable.Entry held = this.upstreams.find(record.getName());
+		Assert.state(held != null, "A record must be held once it was merged.");
+		boolean same = held.upstream.getIncarnation() == record.getIncarnation()
+				&& held.upstream.getSequence() == record.getSequence();
+		if (!newer && !same) {
+			return AnnouncementOutcome.stale();
+		}
+		if (held.replicated) {
+			return AnnouncementOutcome.confirmed();
+		}
+		long replication = this.replication.start(held.upstream, now);
+		this.outgoing.addAll(this.replication.due(recipients(now)));
+		return new AnnouncementOutcome(true, replication);
+	}
+
+	private AnnouncementReplication.Recipients recipients(long now) {
+		List<AnnouncementReplication.Recipient> live = new ArrayList<>();
+		Set<String> control = new LinkedHashSet<>();
+		for (InstanceTable.Entry entry : this.instances.entries()) {
+			InstanceRecord instance = entry.instance;
+			if (instance.getName().equals(this.self.getName()) || instance.getLeaving()) {
+				continue;
+			}
+			if (entry.heardMillis >= now - silenceMillis()) {
+				live.add(new AnnouncementReplication.Recipient(instance.getName(), instance.getPeerAddress()));
+			}
+			if (instance.getControl()) {
+				control.add(instance.getName());
 			}
-			return newer;
 		}
-		return renewAtHolder(known.upstream, record, now);
+		return new AnnouncementReplication.Recipients(live, control, this.self.getControl());
+	}
+
+	private void replicate(long now) {
+		AnnouncementReplication.Recipients recipients = recipients(now);
+		this.replication.decide(recipients, now).forEach(this.upstreams::markReplicated);
+		this.outgoing.addAll(this.replication.due(recipients));
+	}
+
+	/**
+	 * Takes in a record that another instance wants to be held here.
+	 * @param notice the message
+	 * @param sender the peer address of the instance
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void receive(UpstreamNotice notice, String sender, long now) {
+		mergeUpstream(notice.getUpstream(), now);
+		send(sender, Envelope.newBuilder()
+			.setUpstreamNoticeReceipt(UpstreamNoticeReceipt.newBuilder().setId(notice.getId())));
+	}
+
+	/**
+	 * Learns that another instance holds a record.
+	 * @param receipt the message
+	 * @param sender the name of the instance
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void receive(UpstreamNoticeReceipt receipt, String sender, long now) {
+		this.replication.confirmed(receipt.getId(), sender);
+		this.replication.decide(recipients(now), now).forEach(this.upstreams::markReplicated);
 	}
 
 	private static boolean isRenewal(UpstreamRecord record, UpstreamRecord known) {
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
@@ -48,6 +48,7 @@
 			return false;
 		}
 		known.upstream = received;
+		known.replicated = false;
 		known.renewedMillis = now;
 		known.lastSequence = Math.max(known.lastSequence, received.getSequence());
 		return true;
@@ -76,6 +77,13 @@
 		return true;
 	}
 
+	void markReplicated(UpstreamRecord upstream) {
+		Entry known = this.entries.get(upstream.getName());
+		if (known != null && known.upstream.equals(upstream)) {
+			known.replicated = true;
+		}
+	}
+
 	void renewAll(long now) {
 		this.entries.values().forEach((entry) -> entry.renewedMillis = now);
 	}
@@ -109,6 +117,9 @@
 
 		long renewedMillis;
 
+		// Whether this instance saw that enough others hold the record.
+		boolean replicated;
+
 		Entry(UpstreamRecord upstream, long now) {
 			this.upstream = upstream;
 			this.lastSequence = upstream.getSequence();
--- a/radishthread-membership/src/test/java/org/radishthread/membership/FakeSystem.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/FakeSystem.java
@@ -168,7 +168,8 @@
 	boolean announce(String name, String upstream, long sequence, UpstreamState state) {
 		boolean current = this.instances.get(name)
 			.announce(new Announcement(upstream, "rotaboard", "127.0.0.1:1", "bastrop", 3, 1, sequence, state,
-					LEASE_MILLIS), this.now);
+					LEASE_MILLIS), this.now)
+			.current();
 		collect(name);
 		return current;
 	}
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/ControlStatus.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/ControlStatus.java
@@ -196,6 +196,17 @@
     return group_;
   }
 
+  public static final int LEADER_KNOWN_FIELD_NUMBER = 9;
+  private boolean leaderKnown_ = false;
+  /**
+   * <code>bool leader_known = 9;</code>
+   * @return The leaderKnown.
+   */
+  @java.lang.Override
+  public boolean getLeaderKnown() {
+    return leaderKnown_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -234,6 +245,9 @@
     if (group_ != 0L) {
       output.writeFixed64(8, group_);
     }
+    if (leaderKnown_ != false) {
+      output.writeBool(9, leaderKnown_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -269,6 +283,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(8, group_);
     }
+    if (leaderKnown_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, leaderKnown_);
+    }
     return size;
   }
   @java.lang.Override
@@ -315,6 +333,8 @@
     }
     if (getGroup()
         != other.getGroup()) return false;
+    if (getLeaderKnown()
+        != other.getLeaderKnown()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -351,6 +371,9 @@
     hash = (37 * hash) + GROUP_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getGroup());
+    hash = (37 * hash) + LEADER_KNOWN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLeaderKnown());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -505,6 +528,7 @@
         configurationBuilder_ = null;
       }
       group_ = 0L;
+      leaderKnown_ = false;
       return this;
     }
 
@@ -569,6 +593,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.group_ = group_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.leaderKnown_ = leaderKnown_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -610,6 +637,9 @@
       if (other.getGroup() != 0L) {
         setGroup(other.getGroup());
       }
+      if (other.getLeaderKnown() != false) {
+        setLeaderKnown(other.getLeaderKnown());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -678,6 +708,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 65
+            case 72: {
+              leaderKnown_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1165,6 +1200,38 @@
       return this;
     }
 
+    private boolean leaderKnown_ ;
+    /**
+     * <code>bool leader_known = 9;</code>
+     * @return The leaderKnown.
+     */
+    @java.lang.Override
+    public boolean getLeaderKnown() {
+      return leaderKnown_;
+    }
+    /**
+     * <code>bool leader_known = 9;</code>
+     * @param value The leaderKnown to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaderKnown(boolean value) {
+
+      leaderKnown_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool leader_known = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaderKnown() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      leaderKnown_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.ControlStatus)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/ControlStatusOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/ControlStatusOrBuilder.java
@@ -81,4 +81,10 @@
    * @return The group.
    */
   long getGroup();
+
+  /**
+   * <code>bool leader_known = 9;</code>
+   * @return The leaderKnown.
+   */
+  boolean getLeaderKnown();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
@@ -69,6 +69,9 @@
     CONTROL_REQUEST(9),
     CONTROL_RESPONSE(10),
     LEASE_RENEWAL(11),
+    SLOT(12),
+    UPSTREAM_NOTICE(13),
+    UPSTREAM_NOTICE_RECEIPT(14),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -97,6 +100,9 @@
         case 9: return CONTROL_REQUEST;
         case 10: return CONTROL_RESPONSE;
         case 11: return LEASE_RENEWAL;
+        case 12: return SLOT;
+        case 13: return UPSTREAM_NOTICE;
+        case 14: return UPSTREAM_NOTICE_RECEIPT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -453,6 +459,99 @@
     return org.radishthread.protocol.LeaseRenewal.getDefaultInstance();
   }
 
+  public static final int SLOT_FIELD_NUMBER = 12;
+  /**
+   * <code>.radishthread.SlotMessage slot = 12;</code>
+   * @return Whether the slot field is set.
+   */
+  @java.lang.Override
+  public boolean hasSlot() {
+    return bodyCase_ == 12;
+  }
+  /**
+   * <code>.radishthread.SlotMessage slot = 12;</code>
+   * @return The slot.
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.SlotMessage getSlot() {
+    if (bodyCase_ == 12) {
+       return (org.radishthread.protocol.SlotMessage) body_;
+    }
+    return org.radishthread.protocol.SlotMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.radishthread.SlotMessage slot = 12;</code>
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.SlotMessageOrBuilder getSlotOrBuilder() {
+    if (bodyCase_ == 12) {
+       return (org.radishthread.protocol.SlotMessage) body_;
+    }
+    return org.radishthread.protocol.SlotMessage.getDefaultInstance();
+  }
+
+  public static final int UPSTREAM_NOTICE_FIELD_NUMBER = 13;
+  /**
+   * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+   * @return Whether the upstreamNotice field is set.
+   */
+  @java.lang.Override
+  public boolean hasUpstreamNotice() {
+    return bodyCase_ == 13;
+  }
+  /**
+   * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+   * @return The upstreamNotice.
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.UpstreamNotice getUpstreamNotice() {
+    if (bodyCase_ == 13) {
+       return (org.radishthread.protocol.UpstreamNotice) body_;
+    }
+    return org.radishthread.protocol.UpstreamNotice.getDefaultInstance();
+  }
+  /**
+   * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.UpstreamNoticeOrBuilder getUpstreamNoticeOrBuilder() {
+    if (bodyCase_ == 13) {
+       return (org.radishthread.protocol.UpstreamNotice) body_;
+    }
+    return org.radishthread.protocol.UpstreamNotice.getDefaultInstance();
+  }
+
+  public static final int UPSTREAM_NOTICE_RECEIPT_FIELD_NUMBER = 14;
+  /**
+   * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+   * @return Whether the upstreamNoticeReceipt field is set.
+   */
+  @java.lang.Override
+  public boolean hasUpstreamNoticeReceipt() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+   * @return The upstreamNoticeReceipt.
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.UpstreamNoticeReceipt getUpstreamNoticeReceipt() {
+    if (bodyCase_ == 14) {
+       return (org.radishthread.protocol.UpstreamNoticeReceipt) body_;
+    }
+    return org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance();
+  }
+  /**
+   * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.UpstreamNoticeReceiptOrBuilder getUpstreamNoticeReceiptOrBuilder() {
+    if (bodyCase_ == 14) {
+       return (org.radishthread.protocol.UpstreamNoticeReceipt) body_;
+    }
+    return org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -500,6 +599,15 @@
     if (bodyCase_ == 11) {
       output.writeMessage(11, (org.radishthread.protocol.LeaseRenewal) body_);
     }
+    if (bodyCase_ == 12) {
+      output.writeMessage(12, (org.radishthread.protocol.SlotMessage) body_);
+    }
+    if (bodyCase_ == 13) {
+      output.writeMessage(13, (org.radishthread.protocol.UpstreamNotice) body_);
+    }
+    if (bodyCase_ == 14) {
+      output.writeMessage(14, (org.radishthread.protocol.UpstreamNoticeReceipt) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -548,6 +656,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, (org.radishthread.protocol.LeaseRenewal) body_);
     }
+    if (bodyCase_ == 12) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, (org.radishthread.protocol.SlotMessage) body_);
+    }
+    if (bodyCase_ == 13) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, (org.radishthread.protocol.UpstreamNotice) body_);
+    }
+    if (bodyCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (org.radishthread.protocol.UpstreamNoticeReceipt) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -618,6 +738,18 @@
         if (!getLeaseRenewal()
             .equals(other.getLeaseRenewal())) return false;
         break;
+      case 12:
+        if (!getSlot()
+            .equals(other.getSlot())) return false;
+        break;
+      case 13:
+        if (!getUpstreamNotice()
+            .equals(other.getUpstreamNotice())) return false;
+        break;
+      case 14:
+        if (!getUpstreamNoticeReceipt()
+            .equals(other.getUpstreamNoticeReceipt())) return false;
+        break;
       case 0:
       default:
     }
@@ -677,6 +809,18 @@
         hash = (37 * hash) + LEASE_RENEWAL_FIELD_NUMBER;
         hash = (53 * hash) + getLeaseRenewal().hashCode();
         break;
+      case 12:
+        hash = (37 * hash) + SLOT_FIELD_NUMBER;
+        hash = (53 * hash) + getSlot().hashCode();
+        break;
+      case 13:
+        hash = (37 * hash) + UPSTREAM_NOTICE_FIELD_NUMBER;
+        hash = (53 * hash) + getUpstreamNotice().hashCode();
+        break;
+      case 14:
+        hash = (37 * hash) + UPSTREAM_NOTICE_RECEIPT_FIELD_NUMBER;
+        hash = (53 * hash) + getUpstreamNoticeReceipt().hashCode();
+        break;
       case 0:
       default:
     }
@@ -848,6 +992,15 @@
       if (leaseRenewalBuilder_ != null) {
         leaseRenewalBuilder_.clear();
       }
+      if (slotBuilder_ != null) {
+        slotBuilder_.clear();
+      }
+      if (upstreamNoticeBuilder_ != null) {
+        upstreamNoticeBuilder_.clear();
+      }
+      if (upstreamNoticeReceiptBuilder_ != null) {
+        upstreamNoticeReceiptBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -933,6 +1086,18 @@
           leaseRenewalBuilder_ != null) {
         result.body_ = leaseRenewalBuilder_.build();
       }
+      if (bodyCase_ == 12 &&
+          slotBuilder_ != null) {
+        result.body_ = slotBuilder_.build();
+      }
+      if (bodyCase_ == 13 &&
+          upstreamNoticeBuilder_ != null) {
+        result.body_ = upstreamNoticeBuilder_.build();
+      }
+      if (bodyCase_ == 14 &&
+          upstreamNoticeReceiptBuilder_ != null) {
+        result.body_ = upstreamNoticeReceiptBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -992,6 +1157,18 @@
           mergeLeaseRenewal(other.getLeaseRenewal());
           break;
         }
+        case SLOT: {
+          mergeSlot(other.getSlot());
+          break;
+        }
+        case UPSTREAM_NOTICE: {
+          mergeUpstreamNotice(other.getUpstreamNotice());
+          break;
+        }
+        case UPSTREAM_NOTICE_RECEIPT: {
+          mergeUpstreamNoticeReceipt(other.getUpstreamNoticeReceipt());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1097,6 +1274,27 @@
               bodyCase_ = 11;
               break;
             } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetSlotFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 12;
+              break;
+            } // case 98
+            case 106: {
+              input.readMessage(
+                  internalGetUpstreamNoticeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 13;
+              break;
+            } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetUpstreamNoticeReceiptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 14;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2669,6 +2867,426 @@
       return leaseRenewalBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.SlotMessage, org.radishthread.protocol.SlotMessage.Builder, org.radishthread.protocol.SlotMessageOrBuilder> slotBuilder_;
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     * @return Whether the slot field is set.
+     */
+    @java.lang.Override
+    public boolean hasSlot() {
+      return bodyCase_ == 12;
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     * @return The slot.
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.SlotMessage getSlot() {
+      if (slotBuilder_ == null) {
+        if (bodyCase_ == 12) {
+          return (org.radishthread.protocol.SlotMessage) body_;
+        }
+        return org.radishthread.protocol.SlotMessage.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 12) {
+          return slotBuilder_.getMessage();
+        }
+        return org.radishthread.protocol.SlotMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     */
+    public Builder setSlot(org.radishthread.protocol.SlotMessage value) {
+      if (slotBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        slotBuilder_.setMessage(value);
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     */
+    public Builder setSlot(
+        org.radishthread.protocol.SlotMessage.Builder builderForValue) {
+      if (slotBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        slotBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     */
+    public Builder mergeSlot(org.radishthread.protocol.SlotMessage value) {
+      if (slotBuilder_ == null) {
+        if (bodyCase_ == 12 &&
+            body_ != org.radishthread.protocol.SlotMessage.getDefaultInstance()) {
+          body_ = org.radishthread.protocol.SlotMessage.newBuilder((org.radishthread.protocol.SlotMessage) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 12) {
+          slotBuilder_.mergeFrom(value);
+        } else {
+          slotBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     */
+    public Builder clearSlot() {
+      if (slotBuilder_ == null) {
+        if (bodyCase_ == 12) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 12) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        slotBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     */
+    public org.radishthread.protocol.SlotMessage.Builder getSlotBuilder() {
+      return internalGetSlotFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.SlotMessageOrBuilder getSlotOrBuilder() {
+      if ((bodyCase_ == 12) && (slotBuilder_ != null)) {
+        return slotBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 12) {
+          return (org.radishthread.protocol.SlotMessage) body_;
+        }
+        return org.radishthread.protocol.SlotMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.SlotMessage slot = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.SlotMessage, org.radishthread.protocol.SlotMessage.Builder, org.radishthread.protocol.SlotMessageOrBuilder> 
+        internalGetSlotFieldBuilder() {
+      if (slotBuilder_ == null) {
+        if (!(bodyCase_ == 12)) {
+          body_ = org.radishthread.protocol.SlotMessage.getDefaultInstance();
+        }
+        slotBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.radishthread.protocol.SlotMessage, org.radishthread.protocol.SlotMessage.Builder, org.radishthread.protocol.SlotMessageOrBuilder>(
+                (org.radishthread.protocol.SlotMessage) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 12;
+      onChanged();
+      return slotBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.UpstreamNotice, org.radishthread.protocol.UpstreamNotice.Builder, org.radishthread.protocol.UpstreamNoticeOrBuilder> upstreamNoticeBuilder_;
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     * @return Whether the upstreamNotice field is set.
+     */
+    @java.lang.Override
+    public boolean hasUpstreamNotice() {
+      return bodyCase_ == 13;
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     * @return The upstreamNotice.
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.UpstreamNotice getUpstreamNotice() {
+      if (upstreamNoticeBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          return (org.radishthread.protocol.UpstreamNotice) body_;
+        }
+        return org.radishthread.protocol.UpstreamNotice.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 13) {
+          return upstreamNoticeBuilder_.getMessage();
+        }
+        return org.radishthread.protocol.UpstreamNotice.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     */
+    public Builder setUpstreamNotice(org.radishthread.protocol.UpstreamNotice value) {
+      if (upstreamNoticeBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        upstreamNoticeBuilder_.setMessage(value);
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     */
+    public Builder setUpstreamNotice(
+        org.radishthread.protocol.UpstreamNotice.Builder builderForValue) {
+      if (upstreamNoticeBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        upstreamNoticeBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     */
+    public Builder mergeUpstreamNotice(org.radishthread.protocol.UpstreamNotice value) {
+      if (upstreamNoticeBuilder_ == null) {
+        if (bodyCase_ == 13 &&
+            body_ != org.radishthread.protocol.UpstreamNotice.getDefaultInstance()) {
+          body_ = org.radishthread.protocol.UpstreamNotice.newBuilder((org.radishthread.protocol.UpstreamNotice) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 13) {
+          upstreamNoticeBuilder_.mergeFrom(value);
+        } else {
+          upstreamNoticeBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     */
+    public Builder clearUpstreamNotice() {
+      if (upstreamNoticeBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        upstreamNoticeBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     */
+    public org.radishthread.protocol.UpstreamNotice.Builder getUpstreamNoticeBuilder() {
+      return internalGetUpstreamNoticeFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.UpstreamNoticeOrBuilder getUpstreamNoticeOrBuilder() {
+      if ((bodyCase_ == 13) && (upstreamNoticeBuilder_ != null)) {
+        return upstreamNoticeBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 13) {
+          return (org.radishthread.protocol.UpstreamNotice) body_;
+        }
+        return org.radishthread.protocol.UpstreamNotice.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.UpstreamNotice, org.radishthread.protocol.UpstreamNotice.Builder, org.radishthread.protocol.UpstreamNoticeOrBuilder> 
+        internalGetUpstreamNoticeFieldBuilder() {
+      if (upstreamNoticeBuilder_ == null) {
+        if (!(bodyCase_ == 13)) {
+          body_ = org.radishthread.protocol.UpstreamNotice.getDefaultInstance();
+        }
+        upstreamNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.radishthread.protocol.UpstreamNotice, org.radishthread.protocol.UpstreamNotice.Builder, org.radishthread.protocol.UpstreamNoticeOrBuilder>(
+                (org.radishthread.protocol.UpstreamNotice) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 13;
+      onChanged();
+      return upstreamNoticeBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.UpstreamNoticeReceipt, org.radishthread.protocol.UpstreamNoticeReceipt.Builder, org.radishthread.protocol.UpstreamNoticeReceiptOrBuilder> upstreamNoticeReceiptBuilder_;
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     * @return Whether the upstreamNoticeReceipt field is set.
+     */
+    @java.lang.Override
+    public boolean hasUpstreamNoticeReceipt() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     * @return The upstreamNoticeReceipt.
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.UpstreamNoticeReceipt getUpstreamNoticeReceipt() {
+      if (upstreamNoticeReceiptBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          return (org.radishthread.protocol.UpstreamNoticeReceipt) body_;
+        }
+        return org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 14) {
+          return upstreamNoticeReceiptBuilder_.getMessage();
+        }
+        return org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     */
+    public Builder setUpstreamNoticeReceipt(org.radishthread.protocol.UpstreamNoticeReceipt value) {
+      if (upstreamNoticeReceiptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        upstreamNoticeReceiptBuilder_.setMessage(value);
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     */
+    public Builder setUpstreamNoticeReceipt(
+        org.radishthread.protocol.UpstreamNoticeReceipt.Builder builderForValue) {
+      if (upstreamNoticeReceiptBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        upstreamNoticeReceiptBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     */
+    public Builder mergeUpstreamNoticeReceipt(org.radishthread.protocol.UpstreamNoticeReceipt value) {
+      if (upstreamNoticeReceiptBuilder_ == null) {
+        if (bodyCase_ == 14 &&
+            body_ != org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance()) {
+          body_ = org.radishthread.protocol.UpstreamNoticeReceipt.newBuilder((org.radishthread.protocol.UpstreamNoticeReceipt) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 14) {
+          upstreamNoticeReceiptBuilder_.mergeFrom(value);
+        } else {
+          upstreamNoticeReceiptBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     */
+    public Builder clearUpstreamNoticeReceipt() {
+      if (upstreamNoticeReceiptBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        upstreamNoticeReceiptBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     */
+    public org.radishthread.protocol.UpstreamNoticeReceipt.Builder getUpstreamNoticeReceiptBuilder() {
+      return internalGetUpstreamNoticeReceiptFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.UpstreamNoticeReceiptOrBuilder getUpstreamNoticeReceiptOrBuilder() {
+      if ((bodyCase_ == 14) && (upstreamNoticeReceiptBuilder_ != null)) {
+        return upstreamNoticeReceiptBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 14) {
+          return (org.radishthread.protocol.UpstreamNoticeReceipt) body_;
+        }
+        return org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.UpstreamNoticeReceipt, org.radishthread.protocol.UpstreamNoticeReceipt.Builder, org.radishthread.protocol.UpstreamNoticeReceiptOrBuilder> 
+        internalGetUpstreamNoticeReceiptFieldBuilder() {
+      if (upstreamNoticeReceiptBuilder_ == null) {
+        if (!(bodyCase_ == 14)) {
+          body_ = org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance();
+        }
+        upstreamNoticeReceiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.radishthread.protocol.UpstreamNoticeReceipt, org.radishthread.protocol.UpstreamNoticeReceipt.Builder, org.radishthread.protocol.UpstreamNoticeReceiptOrBuilder>(
+                (org.radishthread.protocol.UpstreamNoticeReceipt) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 14;
+      onChanged();
+      return upstreamNoticeReceiptBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.Envelope)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
@@ -175,5 +175,50 @@
    */
   org.radishthread.protocol.LeaseRenewalOrBuilder getLeaseRenewalOrBuilder();
 
+  /**
+   * <code>.radishthread.SlotMessage slot = 12;</code>
+   * @return Whether the slot field is set.
+   */
+  boolean hasSlot();
+  /**
+   * <code>.radishthread.SlotMessage slot = 12;</code>
+   * @return The slot.
+   */
+  org.radishthread.protocol.SlotMessage getSlot();
+  /**
+   * <code>.radishthread.SlotMessage slot = 12;</code>
+   */
+  org.radishthread.protocol.SlotMessageOrBuilder getSlotOrBuilder();
+
+  /**
+   * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+   * @return Whether the upstreamNotice field is set.
+   */
+  boolean hasUpstreamNotice();
+  /**
+   * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+   * @return The upstreamNotice.
+   */
+  org.radishthread.protocol.UpstreamNotice getUpstreamNotice();
+  /**
+   * <code>.radishthread.UpstreamNotice upstream_notice = 13;</code>
+   */
+  org.radishthread.protocol.UpstreamNoticeOrBuilder getUpstreamNoticeOrBuilder();
+
+  /**
+   * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+   * @return Whether the upstreamNoticeReceipt field is set.
+   */
+  boolean hasUpstreamNoticeReceipt();
+  /**
+   * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+   * @return The upstreamNoticeReceipt.
+   */
+  org.radishthread.protocol.UpstreamNoticeReceipt getUpstreamNoticeReceipt();
+  /**
+   * <code>.radishthread.UpstreamNoticeReceipt upstream_notice_receipt = 14;</code>
+   */
+  org.radishthread.protocol.UpstreamNoticeReceiptOrBuilder getUpstreamNoticeReceiptOrBuilder();
+
   org.radishthread.protocol.Envelope.BodyCase getBodyCase();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecord.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecord.java
@@ -32,7 +32,6 @@
     peerAddress_ = "";
     administrationAddress_ = "";
     zone_ = "";
-    callerAddress_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -264,45 +263,6 @@
     return gateway_;
   }
 
-  public static final int CALLER_ADDRESS_FIELD_NUMBER = 10;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object callerAddress_ = "";
-  /**
-   * <code>string caller_address = 10;</code>
-   * @return The callerAddress.
-   */
-  @java.lang.Override
-  public java.lang.String getCallerAddress() {
-    java.lang.Object ref = callerAddress_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      callerAddress_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string caller_address = 10;</code>
-   * @return The bytes for callerAddress.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getCallerAddressBytes() {
-    java.lang.Object ref = callerAddress_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      callerAddress_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -344,9 +304,6 @@
     if (gateway_ != false) {
       output.writeBool(9, gateway_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerAddress_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 10, callerAddress_);
-    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -383,9 +340,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, gateway_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerAddress_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(10, callerAddress_);
-    }
     return size;
   }
   @java.lang.Override
@@ -428,8 +382,6 @@
         != other.getLeaving()) return false;
     if (getGateway()
         != other.getGateway()) return false;
-    if (!getCallerAddress()
-        .equals(other.getCallerAddress())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -464,8 +416,6 @@
     hash = (37 * hash) + GATEWAY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getGateway());
-    hash = (37 * hash) + CALLER_ADDRESS_FIELD_NUMBER;
-    hash = (53 * hash) + getCallerAddress().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -606,7 +556,6 @@
       incarnation_ = 0L;
       leaving_ = false;
       gateway_ = false;
-      callerAddress_ = "";
       return this;
     }
 
@@ -667,9 +616,6 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.gateway_ = gateway_;
       }
-      if (((from_bitField0_ & 0x00000200) != 0)) {
-        result.callerAddress_ = callerAddress_;
-      }
     }
 
     @java.lang.Override
@@ -719,11 +665,6 @@
       if (other.getGateway() != false) {
         setGateway(other.getGateway());
       }
-      if (!other.getCallerAddress().isEmpty()) {
-        callerAddress_ = other.callerAddress_;
-        bitField0_ |= 0x00000200;
-        onChanged();
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -793,11 +734,6 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
-            case 82: {
-              callerAddress_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000200;
-              break;
-            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1263,78 +1199,6 @@
       return this;
     }
 
-    private java.lang.Object callerAddress_ = "";
-    /**
-     * <code>string caller_address = 10;</code>
-     * @return The callerAddress.
-     */
-    public java.lang.String getCallerAddress() {
-      java.lang.Object ref = callerAddress_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        callerAddress_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string caller_address = 10;</code>
-     * @return The bytes for callerAddress.
-     */
-    public com.google.protobuf.ByteString
-        getCallerAddressBytes() {
-      java.lang.Object ref = callerAddress_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        callerAddress_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string caller_address = 10;</code>
-     * @param value The callerAddress to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCallerAddress(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      callerAddress_ = value;
-      bitField0_ |= 0x00000200;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string caller_address = 10;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearCallerAddress() {
-      callerAddress_ = getDefaultInstance().getCallerAddress();
-      bitField0_ = (bitField0_ & ~0x00000200);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string caller_address = 10;</code>
-     * @param value The bytes for callerAddress to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCallerAddressBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      callerAddress_ = value;
-      bitField0_ |= 0x00000200;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:radishthread.InstanceRecord)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecordOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecordOrBuilder.java
@@ -87,16 +87,4 @@
    * @return The gateway.
    */
   boolean getGateway();
-
-  /**
-   * <code>string caller_address = 10;</code>
-   * @return The callerAddress.
-   */
-  java.lang.String getCallerAddress();
-  /**
-   * <code>string caller_address = 10;</code>
-   * @return The bytes for callerAddress.
-   */
-  com.google.protobuf.ByteString
-      getCallerAddressBytes();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -286,6 +286,66 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_radishthread_LeaseRenewal_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_UpstreamNotice_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_UpstreamNotice_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_UpstreamNoticeReceipt_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_UpstreamNoticeReceipt_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_LoadReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotEnd_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotEnd_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotRetry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotRetry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotHedge_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotHedge_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotClose_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotClose_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotQueued_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotQueued_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotGrant_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotGrant_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotRefusal_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotRefusal_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -295,7 +355,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\022radishthread.proto\022\014radishthread\"\240\004\n\010E" +
+      "\n\022radishthread.proto\022\014radishthread\"\314\005\n\010E" +
       "nvelope\022$\n\005hello\030\001 \001(\0132\023.radishthread.He" +
       "lloH\000\022\"\n\004ping\030\002 \001(\0132\022.radishthread.PingH" +
       "\000\022\"\n\004pong\030\003 \001(\0132\022.radishthread.PongH\000\0223\n" +
@@ -309,157 +369,190 @@
       "read.ControlRequestH\000\0229\n\020control_respons" +
       "e\030\n \001(\0132\035.radishthread.ControlResponseH\000" +
       "\0223\n\rlease_renewal\030\013 \001(\0132\032.radishthread.L" +
-      "easeRenewalH\000B\006\n\004body\"9\n\005Hello\022\020\n\010instan" +
-      "ce\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\r\n\005token\030\003 \001(\t" +
-      "\"\006\n\004Ping\"\006\n\004Pong\"\315\003\n\020AgreementMessage\022\r\n" +
-      "\005group\030\001 \001(\006\022\014\n\004from\030\002 \001(\006\022\n\n\002to\030\003 \001(\006\022\014" +
-      "\n\004term\030\004 \001(\004\0221\n\014vote_request\030\005 \001(\0132\031.rad" +
-      "ishthread.VoteRequestH\000\0223\n\rvote_response" +
-      "\030\006 \001(\0132\032.radishthread.VoteResponseH\000\0225\n\016" +
-      "append_request\030\007 \001(\0132\033.radishthread.Appe" +
-      "ndRequestH\000\0227\n\017append_response\030\010 \001(\0132\034.r" +
-      "adishthread.AppendResponseH\000\022*\n\010snapshot" +
-      "\030\t \001(\0132\026.radishthread.SnapshotH\000\0229\n\020foun" +
-      "ding_request\030\n \001(\0132\035.radishthread.Foundi" +
-      "ngRequestH\000\022;\n\021founding_response\030\013 \001(\0132\036" +
-      ".radishthread.FoundingResponseH\000B\006\n\004body" +
-      "\"F\n\013VoteRequest\022\020\n\010pre_vote\030\001 \001(\010\022\022\n\nlas" +
-      "t_index\030\002 \001(\004\022\021\n\tlast_term\030\003 \001(\004\"1\n\014Vote" +
-      "Response\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007granted\030\002 " +
-      "\001(\010\"\214\001\n\rAppendRequest\022\026\n\016previous_index\030" +
-      "\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022\'\n\007entries\030" +
-      "\003 \003(\0132\026.radishthread.LogEntry\022\024\n\014commit_" +
-      "index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\"?\n\016AppendResp" +
-      "onse\022\017\n\007success\030\001 \001(\010\022\r\n\005index\030\002 \001(\004\022\r\n\005" +
-      "round\030\003 \001(\004\"E\n\017FoundingRequest\0222\n\rconfig" +
-      "uration\030\001 \001(\0132\033.radishthread.Configurati" +
-      "on\"\022\n\020FoundingResponse\"B\n\021ReplicaDescrip" +
-      "tor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\022\017\n\007add" +
-      "ress\030\003 \001(\t\"N\n\013Replacement\022\017\n\007removed\030\001 \001" +
-      "(\006\022.\n\005added\030\002 \001(\0132\037.radishthread.Replica" +
-      "Descriptor\"\243\001\n\rConfiguration\022/\n\006voters\030\001" +
-      " \003(\0132\037.radishthread.ReplicaDescriptor\0221\n" +
-      "\010learners\030\002 \003(\0132\037.radishthread.ReplicaDe" +
-      "scriptor\022.\n\013replacement\030\003 \001(\0132\031.radishth" +
-      "read.Replacement\"\253\001\n\010LogEntry\022\r\n\005index\030\001" +
-      " \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022proposed_at_millis" +
-      "\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.radishthread.C" +
-      "ommandH\000\0224\n\rconfiguration\030\005 \001(\0132\033.radish" +
-      "thread.ConfigurationH\000B\006\n\004body\";\n\tHardSt" +
-      "ate\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_for\030\002 \001(\006\022\r\n\005" +
-      "group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nhard_state\030\001 " +
-      "\001(\0132\027.radishthread.HardState\022\025\n\rtruncate" +
-      "_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026.radishthr" +
-      "ead.LogEntry\"2\n\010LogBatch\022&\n\006frames\030\001 \003(\013" +
-      "2\026.radishthread.LogFrame\"b\n\tLogHeader\022(\n" +
-      "\010snapshot\030\001 \001(\0132\026.radishthread.Snapshot\022" +
-      "+\n\nhard_state\030\002 \001(\0132\027.radishthread.HardS" +
-      "tate\"\230\001\n\010Snapshot\022\r\n\005index\030\001 \001(\004\022\014\n\004term" +
-      "\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(\0132\033.radishth" +
-      "read.Configuration\022,\n\005state\030\004 \001(\0132\035.radi" +
-      "shthread.ControlSnapshot\022\r\n\005round\030\005 \001(\004\"" +
-      "-\n\010Identity\022\017\n\007replica\030\001 \001(\006\022\020\n\010instance" +
-      "\030\002 \001(\t\"\325\001\n\007Command\0221\n\014submit_rules\030\001 \001(\013" +
-      "2\031.radishthread.SubmitRulesH\000\022+\n\005claim\030\002" +
-      " \001(\0132\032.radishthread.ClaimRequestH\000\0223\n\nco" +
-      "mpletion\030\003 \001(\0132\035.radishthread.ClaimCompl" +
-      "etionH\000\022-\n\007release\030\004 \001(\0132\032.radishthread." +
-      "ClaimReleaseH\000B\006\n\004body\"F\n\013SubmitRules\022\020\n" +
-      "\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\024\n\014subm" +
-      "itted_by\030\003 \001(\t\"P\n\014ClaimRequest\022\013\n\003key\030\001 " +
-      "\001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022" +
-      "\017\n\007attempt\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006st" +
-      "atus\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body" +
-      "\030\003 \001(\014\022\021\n\tbody_kept\030\004 \001(\010\"]\n\017ClaimComple" +
-      "tion\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006an" +
-      "swer\030\003 \001(\0132\034.radishthread.RecordedAnswer" +
-      "\",\n\014ClaimRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt" +
-      "\030\002 \001(\006\"\250\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001(\0162" +
-      "\032.radishthread.RulesVerdict\022\020\n\010revision\030" +
-      "\002 \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted_" +
-      "at_millis\030\004 \001(\004\022\030\n\020current_revision\030\005 \001(" +
-      "\004\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verd" +
-      "ict\030\001 \001(\0162\032.radishthread.ClaimVerdict\022\r\n" +
-      "\005owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\0132\034.radishthr" +
-      "ead.RecordedAnswer\"\300\001\n\017ControlSnapshot\022%" +
-      "\n\005rules\030\001 \001(\0132\026.radishthread.RuleFile\022*\n" +
-      "\007history\030\002 \003(\0132\031.radishthread.RuleHistor" +
-      "y\022)\n\006claims\030\003 \003(\0132\031.radishthread.ClaimRe" +
-      "cord\022\024\n\014clock_millis\030\004 \001(\004\022\031\n\021released_a" +
-      "ttempts\030\005 \003(\006\"a\n\013RuleHistory\022\020\n\010revision" +
-      "\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\024\n\014submitted_by\030\003" +
-      " \001(\t\022\032\n\022accepted_at_millis\030\004 \001(\004\"\230\001\n\013Cla" +
-      "imRecord\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001" +
-      "(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021cl" +
-      "aimed_at_millis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034." +
-      "radishthread.RecordedAnswer\"\302\002\n\016ControlR" +
-      "equest\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.ra" +
-      "dishthread.CommandH\000\022-\n\nread_rules\030\003 \001(\013" +
-      "2\027.radishthread.ReadRulesH\000\022.\n\ninitializ" +
-      "e\030\004 \001(\0132\030.radishthread.InitializeH\000\022/\n\007r" +
-      "eplace\030\005 \001(\0132\034.radishthread.ReplaceRepli" +
-      "caH\000\022/\n\013read_status\030\006 \001(\0132\030.radishthread" +
-      ".ReadStatusH\000\0221\n\014read_history\030\007 \001(\0132\031.ra" +
-      "dishthread.ReadHistoryH\000B\006\n\004body\"\013\n\tRead" +
-      "Rules\"\014\n\nReadStatus\"\034\n\013ReadHistory\022\r\n\005li" +
-      "mit\030\001 \001(\r\"5\n\007History\022*\n\007entries\030\001 \003(\0132\031." +
-      "radishthread.RuleHistory\"?\n\nInitialize\0221" +
-      "\n\010replicas\030\001 \003(\0132\037.radishthread.ReplicaD" +
-      "escriptor\"@\n\016ReplaceReplica\022.\n\005added\030\001 \001" +
-      "(\0132\037.radishthread.ReplicaDescriptor\"3\n\tN" +
-      "otLeader\022\026\n\016leader_address\030\001 \001(\t\022\016\n\006reas" +
-      "on\030\002 \001(\t\"\336\001\n\rControlStatus\0220\n\007replica\030\001 " +
-      "\001(\0132\037.radishthread.ReplicaDescriptor\022\014\n\004" +
-      "role\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_index" +
-      "\030\004 \001(\004\022\026\n\016snapshot_index\030\005 \001(\004\022\016\n\006claims" +
-      "\030\006 \001(\004\0222\n\rconfiguration\030\007 \001(\0132\033.radishth" +
-      "read.Configuration\022\r\n\005group\030\010 \001(\006\"\200\003\n\017Co" +
-      "ntrolResponse\022\n\n\002id\030\001 \001(\004\022-\n\nnot_leader\030" +
-      "\002 \001(\0132\027.radishthread.NotLeaderH\000\022*\n\005rule" +
-      "s\030\003 \001(\0132\031.radishthread.RulesAnswerH\000\022*\n\005" +
-      "claim\030\004 \001(\0132\031.radishthread.ClaimAnswerH\000" +
-      "\022+\n\trule_file\030\005 \001(\0132\026.radishthread.RuleF" +
-      "ileH\000\022\"\n\004done\030\006 \001(\0132\022.radishthread.DoneH" +
-      "\000\022(\n\007refused\030\007 \001(\0132\025.radishthread.Refuse" +
-      "dH\000\022-\n\006status\030\010 \001(\0132\033.radishthread.Contr" +
-      "olStatusH\000\022(\n\007history\030\t \001(\0132\025.radishthre" +
-      "ad.HistoryH\000B\006\n\004body\"\006\n\004Done\"\031\n\007Refused\022" +
-      "\016\n\006reason\030\001 \001(\t\"-\n\010RuleFile\022\020\n\010revision\030" +
-      "\001 \001(\004\022\017\n\007content\030\002 \001(\t\"%\n\013RuleRequest\022\026\n" +
-      "\016known_revision\030\001 \001(\004\"\326\001\n\016UpstreamRecord" +
-      "\022\014\n\004name\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007addre" +
-      "ss\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n" +
-      "\013incarnation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005" +
-      "state\030\010 \001(\0162\033.radishthread.UpstreamState" +
-      "\022\016\n\006holder\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\"\323" +
-      "\001\n\016InstanceRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_" +
-      "address\030\002 \001(\t\022\036\n\026administration_address\030" +
-      "\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007" +
-      "replica\030\006 \001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007le" +
-      "aving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010\022\026\n\016caller_a" +
-      "ddress\030\n \001(\t\"\332\001\n\006Gossip\022\016\n\006sender\030\001 \001(\t\022" +
-      "\021\n\tinstances\030\002 \003(\007\022\022\n\nheartbeats\030\003 \003(\004\022\021" +
-      "\n\trevisions\030\004 \003(\004\022/\n\tupstreams\030\005 \003(\0132\034.r" +
-      "adishthread.UpstreamRecord\022-\n\007records\030\006 " +
-      "\003(\0132\034.radishthread.InstanceRecord\022\016\n\006dig" +
-      "est\030\007 \001(\006\022\026\n\016sender_address\030\010 \001(\t\">\n\007Ver" +
-      "sion\022\014\n\004name\030\001 \001(\007\022\023\n\013incarnation\030\002 \001(\004\022" +
-      "\020\n\010sequence\030\003 \001(\004\"\317\001\n\017Synchronization\022\016\n" +
-      "\006sender\030\001 \001(\t\022$\n\005known\030\002 \003(\0132\025.radishthr" +
-      "ead.Version\022/\n\tupstreams\030\003 \003(\0132\034.radisht" +
-      "hread.UpstreamRecord\022-\n\007records\030\004 \003(\0132\034." +
-      "radishthread.InstanceRecord\022\016\n\006answer\030\005 " +
-      "\001(\010\022\026\n\016sender_address\030\006 \001(\t\"C\n\014LeaseRene" +
-      "wal\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020" +
-      "\n\010sequence\030\003 \001(\004*a\n\014RulesVerdict\022\035\n\031RULE" +
-      "S_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n" +
-      "\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014C" +
-      "laimVerdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED" +
-      "\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003" +
-      "\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUpstreamStat" +
-      "e\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t\n\005REA" +
-      "DY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radi" +
-      "shthread.protocolP\001b\006proto3"
+      "easeRenewalH\000\022)\n\004slot\030\014 \001(\0132\031.radishthre" +
+      "ad.SlotMessageH\000\0227\n\017upstream_notice\030\r \001(" +
+      "\0132\034.radishthread.UpstreamNoticeH\000\022F\n\027ups" +
+      "tream_notice_receipt\030\016 \001(\0132#.radishthrea" +
+      "d.UpstreamNoticeReceiptH\000B\006\n\004body\"9\n\005Hel" +
+      "lo\022\020\n\010instance\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\r\n" +
+      "\005token\030\003 \001(\t\"\006\n\004Ping\"\006\n\004Pong\"\315\003\n\020Agreeme" +
+      "ntMessage\022\r\n\005group\030\001 \001(\006\022\014\n\004from\030\002 \001(\006\022\n" +
+      "\n\002to\030\003 \001(\006\022\014\n\004term\030\004 \001(\004\0221\n\014vote_request" +
+      "\030\005 \001(\0132\031.radishthread.VoteRequestH\000\0223\n\rv" +
+      "ote_response\030\006 \001(\0132\032.radishthread.VoteRe" +
+      "sponseH\000\0225\n\016append_request\030\007 \001(\0132\033.radis" +
+      "hthread.AppendRequestH\000\0227\n\017append_respon" +
+      "se\030\010 \001(\0132\034.radishthread.AppendResponseH\000" +
+      "\022*\n\010snapshot\030\t \001(\0132\026.radishthread.Snapsh" +
+      "otH\000\0229\n\020founding_request\030\n \001(\0132\035.radisht" +
+      "hread.FoundingRequestH\000\022;\n\021founding_resp" +
+      "onse\030\013 \001(\0132\036.radishthread.FoundingRespon" +
+      "seH\000B\006\n\004body\"F\n\013VoteRequest\022\020\n\010pre_vote\030" +
+      "\001 \001(\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_term\030\003" +
+      " \001(\004\"1\n\014VoteResponse\022\020\n\010pre_vote\030\001 \001(\010\022\017" +
+      "\n\007granted\030\002 \001(\010\"\214\001\n\rAppendRequest\022\026\n\016pre" +
+      "vious_index\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004" +
+      "\022\'\n\007entries\030\003 \003(\0132\026.radishthread.LogEntr" +
+      "y\022\024\n\014commit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\"?" +
+      "\n\016AppendResponse\022\017\n\007success\030\001 \001(\010\022\r\n\005ind" +
+      "ex\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017FoundingReque" +
+      "st\0222\n\rconfiguration\030\001 \001(\0132\033.radishthread" +
+      ".Configuration\"\022\n\020FoundingResponse\"B\n\021Re" +
+      "plicaDescriptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030" +
+      "\002 \001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Replacement\022\017\n" +
+      "\007removed\030\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radishth" +
+      "read.ReplicaDescriptor\"\243\001\n\rConfiguration" +
+      "\022/\n\006voters\030\001 \003(\0132\037.radishthread.ReplicaD" +
+      "escriptor\0221\n\010learners\030\002 \003(\0132\037.radishthre" +
+      "ad.ReplicaDescriptor\022.\n\013replacement\030\003 \001(" +
+      "\0132\031.radishthread.Replacement\"\253\001\n\010LogEntr" +
+      "y\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022propos" +
+      "ed_at_millis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.ra" +
+      "dishthread.CommandH\000\0224\n\rconfiguration\030\005 " +
+      "\001(\0132\033.radishthread.ConfigurationH\000B\006\n\004bo" +
+      "dy\";\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_f" +
+      "or\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nh" +
+      "ard_state\030\001 \001(\0132\027.radishthread.HardState" +
+      "\022\025\n\rtruncate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\013" +
+      "2\026.radishthread.LogEntry\"2\n\010LogBatch\022&\n\006" +
+      "frames\030\001 \003(\0132\026.radishthread.LogFrame\"b\n\t" +
+      "LogHeader\022(\n\010snapshot\030\001 \001(\0132\026.radishthre" +
+      "ad.Snapshot\022+\n\nhard_state\030\002 \001(\0132\027.radish" +
+      "thread.HardState\"\230\001\n\010Snapshot\022\r\n\005index\030\001" +
+      " \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(" +
+      "\0132\033.radishthread.Configuration\022,\n\005state\030" +
+      "\004 \001(\0132\035.radishthread.ControlSnapshot\022\r\n\005" +
+      "round\030\005 \001(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001(\006" +
+      "\022\020\n\010instance\030\002 \001(\t\"\325\001\n\007Command\0221\n\014submit" +
+      "_rules\030\001 \001(\0132\031.radishthread.SubmitRulesH" +
+      "\000\022+\n\005claim\030\002 \001(\0132\032.radishthread.ClaimReq" +
+      "uestH\000\0223\n\ncompletion\030\003 \001(\0132\035.radishthrea" +
+      "d.ClaimCompletionH\000\022-\n\007release\030\004 \001(\0132\032.r" +
+      "adishthread.ClaimReleaseH\000B\006\n\004body\"X\n\013Su" +
+      "bmitRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002" +
+      " \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010document\030\004" +
+      " \001(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013fin" +
+      "gerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt" +
+      "\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001 \001(\r" +
+      "\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\t" +
+      "body_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013\n\003ke" +
+      "y\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003 \001(\013" +
+      "2\034.radishthread.RecordedAnswer\",\n\014ClaimR" +
+      "elease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"\250\001\n" +
+      "\013RulesAnswer\022+\n\007verdict\030\001 \001(\0162\032.radishth" +
+      "read.RulesVerdict\022\020\n\010revision\030\002 \001(\004\022\024\n\014s" +
+      "ubmitted_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030" +
+      "\004 \001(\004\022\030\n\020current_revision\030\005 \001(\004\022\016\n\006diges" +
+      "t\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdict\030\001 \001(\0162" +
+      "\032.radishthread.ClaimVerdict\022\r\n\005owner\030\002 \001" +
+      "(\t\022,\n\006answer\030\003 \001(\0132\034.radishthread.Record" +
+      "edAnswer\"\300\001\n\017ControlSnapshot\022%\n\005rules\030\001 " +
+      "\001(\0132\026.radishthread.RuleFile\022*\n\007history\030\002" +
+      " \003(\0132\031.radishthread.RuleHistory\022)\n\006claim" +
+      "s\030\003 \003(\0132\031.radishthread.ClaimRecord\022\024\n\014cl" +
+      "ock_millis\030\004 \001(\004\022\031\n\021released_attempts\030\005 " +
+      "\003(\006\"a\n\013RuleHistory\022\020\n\010revision\030\001 \001(\004\022\016\n\006" +
+      "digest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022ac" +
+      "cepted_at_millis\030\004 \001(\004\"\230\001\n\013ClaimRecord\022\013" +
+      "\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owne" +
+      "r\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021claimed_at_m" +
+      "illis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.radishthre" +
+      "ad.RecordedAnswer\"\302\002\n\016ControlRequest\022\n\n\002" +
+      "id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radishthread" +
+      ".CommandH\000\022-\n\nread_rules\030\003 \001(\0132\027.radisht" +
+      "hread.ReadRulesH\000\022.\n\ninitialize\030\004 \001(\0132\030." +
+      "radishthread.InitializeH\000\022/\n\007replace\030\005 \001" +
+      "(\0132\034.radishthread.ReplaceReplicaH\000\022/\n\013re" +
+      "ad_status\030\006 \001(\0132\030.radishthread.ReadStatu" +
+      "sH\000\0221\n\014read_history\030\007 \001(\0132\031.radishthread" +
+      ".ReadHistoryH\000B\006\n\004body\"\013\n\tReadRules\"\014\n\nR" +
+      "eadStatus\"\034\n\013ReadHistory\022\r\n\005limit\030\001 \001(\r\"" +
+      "5\n\007History\022*\n\007entries\030\001 \003(\0132\031.radishthre" +
+      "ad.RuleHistory\"?\n\nInitialize\0221\n\010replicas" +
+      "\030\001 \003(\0132\037.radishthread.ReplicaDescriptor\"" +
+      "@\n\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037.radis" +
+      "hthread.ReplicaDescriptor\"3\n\tNotLeader\022\026" +
+      "\n\016leader_address\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\364" +
+      "\001\n\rControlStatus\0220\n\007replica\030\001 \001(\0132\037.radi" +
+      "shthread.ReplicaDescriptor\022\014\n\004role\030\002 \001(\t" +
+      "\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001(\004\022\026\n\016" +
+      "snapshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222\n\r" +
+      "configuration\030\007 \001(\0132\033.radishthread.Confi" +
+      "guration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_known\030" +
+      "\t \001(\010\"\200\003\n\017ControlResponse\022\n\n\002id\030\001 \001(\004\022-\n" +
+      "\nnot_leader\030\002 \001(\0132\027.radishthread.NotLead" +
+      "erH\000\022*\n\005rules\030\003 \001(\0132\031.radishthread.Rules" +
+      "AnswerH\000\022*\n\005claim\030\004 \001(\0132\031.radishthread.C" +
+      "laimAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026.radish" +
+      "thread.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022.radish" +
+      "thread.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.radisht" +
+      "hread.RefusedH\000\022-\n\006status\030\010 \001(\0132\033.radish" +
+      "thread.ControlStatusH\000\022(\n\007history\030\t \001(\0132" +
+      "\025.radishthread.HistoryH\000B\006\n\004body\"\006\n\004Done" +
+      "\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"?\n\010RuleFile\022" +
+      "\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010do" +
+      "cument\030\003 \001(\014\"%\n\013RuleRequest\022\026\n\016known_rev" +
+      "ision\030\001 \001(\004\"\326\001\n\016UpstreamRecord\022\014\n\004name\030\001" +
+      " \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014" +
+      "\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnati" +
+      "on\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(" +
+      "\0162\033.radishthread.UpstreamState\022\016\n\006holder" +
+      "\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\"\301\001\n\016Instanc" +
+      "eRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 " +
+      "\001(\t\022\036\n\026administration_address\030\003 \001(\t\022\014\n\004z" +
+      "one\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030\006 " +
+      "\001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007leaving\030\010 \001(" +
+      "\010\022\017\n\007gateway\030\t \001(\010J\004\010\n\020\013\"\332\001\n\006Gossip\022\016\n\006s" +
+      "ender\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartb" +
+      "eats\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstrea" +
+      "ms\030\005 \003(\0132\034.radishthread.UpstreamRecord\022-" +
+      "\n\007records\030\006 \003(\0132\034.radishthread.InstanceR" +
+      "ecord\022\016\n\006digest\030\007 \001(\006\022\026\n\016sender_address\030" +
+      "\010 \001(\t\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013incarn" +
+      "ation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\317\001\n\017Synchr" +
+      "onization\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030\002 \003(\013" +
+      "2\025.radishthread.Version\022/\n\tupstreams\030\003 \003" +
+      "(\0132\034.radishthread.UpstreamRecord\022-\n\007reco" +
+      "rds\030\004 \003(\0132\034.radishthread.InstanceRecord\022" +
+      "\016\n\006answer\030\005 \001(\010\022\026\n\016sender_address\030\006 \001(\t\"" +
+      "C\n\014LeaseRenewal\022\014\n\004name\030\001 \001(\t\022\023\n\013incarna" +
+      "tion\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"L\n\016Upstream" +
+      "Notice\022\n\n\002id\030\001 \001(\004\022.\n\010upstream\030\002 \001(\0132\034.r" +
+      "adishthread.UpstreamRecord\"#\n\025UpstreamNo" +
+      "ticeReceipt\022\n\n\002id\030\001 \001(\004\"\231\003\n\013SlotMessage\022" +
+      "\017\n\007service\030\001 \001(\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030" +
+      "\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.radishthread.Sl" +
+      "otRequestH\000\022$\n\003end\030\005 \001(\0132\025.radishthread." +
+      "SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027.radishthread." +
+      "SlotRetryH\000\022(\n\005hedge\030\007 \001(\0132\027.radishthrea" +
+      "d.SlotHedgeH\000\022(\n\005close\030\010 \001(\0132\027.radishthr" +
+      "ead.SlotCloseH\000\022*\n\006queued\030\t \001(\0132\030.radish" +
+      "thread.SlotQueuedH\000\022(\n\005grant\030\n \001(\0132\027.rad" +
+      "ishthread.SlotGrantH\000\022,\n\007refusal\030\013 \001(\0132\031" +
+      ".radishthread.SlotRefusalH\000B\006\n\004body\"\237\001\n\013" +
+      "SlotRequest\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_repea" +
+      "t\030\002 \001(\010\022\030\n\020remaining_micros\030\003 \001(\004\022\020\n\010pri" +
+      "ority\030\004 \001(\r\022\030\n\020objective_micros\030\005 \001(\004\022\030\n" +
+      "\020maximum_attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\"S\n" +
+      "\nLoadReport\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030" +
+      "\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_percent\030\004 \001" +
+      "(\r\"S\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006resul" +
+      "t\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthread.Loa" +
+      "dReport\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\013\n\tSlo" +
+      "tClose\"\014\n\nSlotQueued\"\202\001\n\tSlotGrant\022\020\n\010up" +
+      "stream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 " +
+      "\001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rwaited_micros\030" +
+      "\005 \001(\004\022\032\n\022hedge_after_micros\030\006 \001(\004\"9\n\013Slo" +
+      "tRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retry_after_" +
+      "millis\030\002 \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VE" +
+      "RDICT_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CON" +
+      "FLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014Claim" +
+      "Verdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013" +
+      "\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010" +
+      "MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUpstreamState\022\036\n" +
+      "\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001" +
+      "\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishth" +
+      "read.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -470,7 +563,7 @@
     internal_static_radishthread_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "Body", });
     internal_static_radishthread_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_radishthread_Hello_fieldAccessorTable = new
@@ -602,7 +695,7 @@
     internal_static_radishthread_SubmitRules_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SubmitRules_descriptor,
-        new java.lang.String[] { "Revision", "Content", "SubmittedBy", });
+        new java.lang.String[] { "Revision", "Content", "SubmittedBy", "Document", });
     internal_static_radishthread_ClaimRequest_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_radishthread_ClaimRequest_fieldAccessorTable = new
@@ -710,7 +803,7 @@
     internal_static_radishthread_ControlStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ControlStatus_descriptor,
-        new java.lang.String[] { "Replica", "Role", "Term", "CommitIndex", "SnapshotIndex", "Claims", "Configuration", "Group", });
+        new java.lang.String[] { "Replica", "Role", "Term", "CommitIndex", "SnapshotIndex", "Claims", "Configuration", "Group", "LeaderKnown", });
     internal_static_radishthread_ControlResponse_descriptor =
       getDescriptor().getMessageType(41);
     internal_static_radishthread_ControlResponse_fieldAccessorTable = new
@@ -734,7 +827,7 @@
     internal_static_radishthread_RuleFile_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RuleFile_descriptor,
-        new java.lang.String[] { "Revision", "Content", });
+        new java.lang.String[] { "Revision", "Content", "Document", });
     internal_static_radishthread_RuleRequest_descriptor =
       getDescriptor().getMessageType(45);
     internal_static_radishthread_RuleRequest_fieldAccessorTable = new
@@ -752,7 +845,7 @@
     internal_static_radishthread_InstanceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_InstanceRecord_descriptor,
-        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", "CallerAddress", });
+        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", });
     internal_static_radishthread_Gossip_descriptor =
       getDescriptor().getMessageType(48);
     internal_static_radishthread_Gossip_fieldAccessorTable = new
@@ -777,6 +870,78 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LeaseRenewal_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Sequence", });
+    internal_static_radishthread_UpstreamNotice_descriptor =
+      getDescriptor().getMessageType(52);
+    internal_static_radishthread_UpstreamNotice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_UpstreamNotice_descriptor,
+        new java.lang.String[] { "Id", "Upstream", });
+    internal_static_radishthread_UpstreamNoticeReceipt_descriptor =
+      getDescriptor().getMessageType(53);
+    internal_static_radishthread_UpstreamNoticeReceipt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_UpstreamNoticeReceipt_descriptor,
+        new java.lang.String[] { "Id", });
+    internal_static_radishthread_SlotMessage_descriptor =
+      getDescriptor().getMessageType(54);
+    internal_static_radishthread_SlotMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotMessage_descriptor,
+        new java.lang.String[] { "Service", "Ticket", "Run", "Request", "End", "Retry", "Hedge", "Close", "Queued", "Grant", "Refusal", "Body", });
+    internal_static_radishthread_SlotRequest_descriptor =
+      getDescriptor().getMessageType(55);
+    internal_static_radishthread_SlotRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotRequest_descriptor,
+        new java.lang.String[] { "Caller", "MayRepeat", "RemainingMicros", "Priority", "ObjectiveMicros", "MaximumAttempts", "Zone", });
+    internal_static_radishthread_LoadReport_descriptor =
+      getDescriptor().getMessageType(56);
+    internal_static_radishthread_LoadReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_LoadReport_descriptor,
+        new java.lang.String[] { "Running", "Waiting", "Slots", "PacePercent", });
+    internal_static_radishthread_SlotEnd_descriptor =
+      getDescriptor().getMessageType(57);
+    internal_static_radishthread_SlotEnd_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotEnd_descriptor,
+        new java.lang.String[] { "Upstream", "Result", "Load", });
+    internal_static_radishthread_SlotRetry_descriptor =
+      getDescriptor().getMessageType(58);
+    internal_static_radishthread_SlotRetry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotRetry_descriptor,
+        new java.lang.String[] { });
+    internal_static_radishthread_SlotHedge_descriptor =
+      getDescriptor().getMessageType(59);
+    internal_static_radishthread_SlotHedge_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotHedge_descriptor,
+        new java.lang.String[] { });
+    internal_static_radishthread_SlotClose_descriptor =
+      getDescriptor().getMessageType(60);
+    internal_static_radishthread_SlotClose_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotClose_descriptor,
+        new java.lang.String[] { });
+    internal_static_radishthread_SlotQueued_descriptor =
+      getDescriptor().getMessageType(61);
+    internal_static_radishthread_SlotQueued_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotQueued_descriptor,
+        new java.lang.String[] { });
+    internal_static_radishthread_SlotGrant_descriptor =
+      getDescriptor().getMessageType(62);
+    internal_static_radishthread_SlotGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotGrant_descriptor,
+        new java.lang.String[] { "Upstream", "Address", "Kind", "InFlight", "WaitedMicros", "HedgeAfterMicros", });
+    internal_static_radishthread_SlotRefusal_descriptor =
+      getDescriptor().getMessageType(63);
+    internal_static_radishthread_SlotRefusal_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotRefusal_descriptor,
+        new java.lang.String[] { "Reason", "RetryAfterMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/RuleFile.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/RuleFile.java
@@ -33,6 +33,7 @@
   }
   private RuleFile() {
     content_ = "";
+    document_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -103,6 +104,17 @@
     }
   }
 
+  public static final int DOCUMENT_FIELD_NUMBER = 3;
+  private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes document = 3;</code>
+   * @return The document.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDocument() {
+    return document_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +135,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(content_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, content_);
     }
+    if (!document_.isEmpty()) {
+      output.writeBytes(3, document_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -134,6 +149,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(content_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, content_);
     }
+    if (!document_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(3, document_);
+    }
     return size;
   }
   @java.lang.Override
@@ -162,6 +181,8 @@
         != other.getRevision()) return false;
     if (!getContent()
         .equals(other.getContent())) return false;
+    if (!getDocument()
+        .equals(other.getDocument())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -178,6 +199,8 @@
         getRevision());
     hash = (37 * hash) + CONTENT_FIELD_NUMBER;
     hash = (53 * hash) + getContent().hashCode();
+    hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
+    hash = (53 * hash) + getDocument().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -315,6 +338,7 @@
       bitField0_ = 0;
       revision_ = 0L;
       content_ = "";
+      document_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -354,6 +378,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.content_ = content_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.document_ = document_;
+      }
     }
 
     @java.lang.Override
@@ -376,6 +403,9 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (!other.getDocument().isEmpty()) {
+        setDocument(other.getDocument());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -410,6 +440,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              document_ = input.readBytes();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -531,6 +566,38 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes document = 3;</code>
+     * @return The document.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDocument() {
+      return document_;
+    }
+    /**
+     * <code>bytes document = 3;</code>
+     * @param value The document to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDocument(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      document_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes document = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDocument() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      document_ = getDefaultInstance().getDocument();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.RuleFile)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/RuleFileOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/RuleFileOrBuilder.java
@@ -27,4 +27,10 @@
    */
   com.google.protobuf.ByteString
       getContentBytes();
+
+  /**
+   * <code>bytes document = 3;</code>
+   * @return The document.
+   */
+  com.google.protobuf.ByteString getDocument();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SubmitRules.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SubmitRules.java
@@ -30,6 +30,7 @@
   private SubmitRules() {
     content_ = "";
     submittedBy_ = "";
+    document_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -139,6 +140,21 @@
     }
   }
 
+  public static final int DOCUMENT_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The form in which the rules were submitted, if it is not the content.
+   * </pre>
+   *
+   * <code>bytes document = 4;</code>
+   * @return The document.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDocument() {
+    return document_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,6 +178,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(submittedBy_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, submittedBy_);
     }
+    if (!document_.isEmpty()) {
+      output.writeBytes(4, document_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -176,6 +195,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(submittedBy_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, submittedBy_);
     }
+    if (!document_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(4, document_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,6 +229,8 @@
         .equals(other.getContent())) return false;
     if (!getSubmittedBy()
         .equals(other.getSubmittedBy())) return false;
+    if (!getDocument()
+        .equals(other.getDocument())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +249,8 @@
     hash = (53 * hash) + getContent().hashCode();
     hash = (37 * hash) + SUBMITTED_BY_FIELD_NUMBER;
     hash = (53 * hash) + getSubmittedBy().hashCode();
+    hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
+    hash = (53 * hash) + getDocument().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -358,6 +385,7 @@
       revision_ = 0L;
       content_ = "";
       submittedBy_ = "";
+      document_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -400,6 +428,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.submittedBy_ = submittedBy_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.document_ = document_;
+      }
     }
 
     @java.lang.Override
@@ -427,6 +458,9 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (!other.getDocument().isEmpty()) {
+        setDocument(other.getDocument());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -466,6 +500,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              document_ = input.readBytes();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -659,6 +698,50 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The form in which the rules were submitted, if it is not the content.
+     * </pre>
+     *
+     * <code>bytes document = 4;</code>
+     * @return The document.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDocument() {
+      return document_;
+    }
+    /**
+     * <pre>
+     * The form in which the rules were submitted, if it is not the content.
+     * </pre>
+     *
+     * <code>bytes document = 4;</code>
+     * @param value The document to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDocument(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      document_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The form in which the rules were submitted, if it is not the content.
+     * </pre>
+     *
+     * <code>bytes document = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDocument() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      document_ = getDefaultInstance().getDocument();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.SubmitRules)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SubmitRulesOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SubmitRulesOrBuilder.java
@@ -39,4 +39,14 @@
    */
   com.google.protobuf.ByteString
       getSubmittedByBytes();
+
+  /**
+   * <pre>
+   * The form in which the rules were submitted, if it is not the content.
+   * </pre>
+   *
+   * <code>bytes document = 4;</code>
+   * @return The document.
+   */
+  com.google.protobuf.ByteString getDocument();
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
@@ -30,7 +30,12 @@
 	/**
 	 * The budget of retries is spent.
 	 */
-	RETRY_BUDGET(503);
+	RETRY_BUDGET(503),
+
+	/**
+	 * The instance that was asked does not route for the service.
+	 */
+	NOT_HOME(503);
 
 	private final int status;
 
@@ -54,4 +59,14 @@
 		return name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
+	/**
+	 * Returns the reason with a word.
+	 * @param word the word
+	 * @return the reason
+	 * @throws IllegalArgumentException if there is none
+	 */
+	public static RefusalReason ofWord(String word) {
+		return valueOf(word.toUpperCase(Locale.ROOT).replace('-', '_'));
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -35,8 +35,6 @@
 
 	private static final long NO_UPSTREAM_RETRY_AFTER_MILLIS = 1_000;
 
-	private static final int MAXIMUM_ATTEMPTS = 3;
-
 	private static final int MINIMUM_CALLER_SHARE = 2;
 
 	private final String zone;
@@ -288,7 +286,7 @@
 		if (flight == null || flight.closed) {
 			return List.of();
 		}
-		if (flight.tried.size() >= MAXIMUM_ATTEMPTS || now >= flight.ticket.deadlineNanos()
+		if (flight.tried.size() >= flight.ticket.maximumAttempts() || now >= flight.ticket.deadlineNanos()
 				|| !this.retryBudget.tryTake()) {
 			return List.of(new Refusal(ticket, RefusalReason.RETRY_BUDGET, MINIMUM_RETRY_AFTER_MILLIS));
 		}
@@ -313,8 +311,8 @@
 	 */
 	public List<RoutingEffect> hedge(long ticket, long now) {
 		Flight flight = this.flights.get(ticket);
-		if (flight == null || flight.closed || flight.startedNanos.isEmpty() || flight.tried.size() >= 2
-				|| this.queues.size() > 0) {
+		if (flight == null || flight.closed || flight.startedNanos.isEmpty()
+				|| flight.tried.size() >= Math.min(2, flight.ticket.maximumAttempts()) || this.queues.size() > 0) {
 			return List.of();
 		}
 		Optional<UpstreamLoad> chosen = choose(flight, now);
--- a/radishthread-rules/src/main/java/org/radishthread/rules/PathPattern.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/PathPattern.java
@@ -42,6 +42,15 @@
 		return expected.size() == actual.size();
 	}
 
+	boolean isPrefix() {
+		return this.text.endsWith("/" + ANY_SEGMENTS);
+	}
+
+	// The text before the final wildcard.
+	String prefix() {
+		return isPrefix() ? this.text.substring(0, this.text.length() - ANY_SEGMENTS.length()) : this.text;
+	}
+
 	private static boolean segmentMatches(String expected, String actual) {
 		return expected.equals(ANY_SEGMENT) || expected.equals(actual);
 	}
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
@@ -1,21 +1,31 @@
 package org.radishthread.rules;
 
 import java.time.Duration;
+import java.util.List;
+
+import org.radishthread.kernel.Assert;
 
 /**
- * Sends requests of one method and path pattern to a service.
+ * Sends the requests that match to a service, or divides them among several.
  *
  * @param line the line of the rule file, counted from 1
- * @param service the name of the service
- * @param method the HTTP method, or {@code *} for all
- * @param pattern the path pattern
+ * @param service the name of the service; of several, the first
+ * @param split the services among which requests are divided, at least one
+ * @param match the requests to which the route applies
  * @param mode how often the request may be sent
- * @param timeout how long a call may take in all; for {@link RouteMode#UPLOAD} how long
- * it may make no progress
+ * @param limits bounds and aims
  * @param askedBy who asked for the rule
  */
-public record RouteRule(int line, String service, String method, PathPattern pattern, RouteMode mode, Duration timeout,
-		String askedBy) {
+public record RouteRule(int line, String service, List<WeightedService> split, RouteMatch match, RouteMode mode,
+		RouteLimits limits, String askedBy) {
+
+	public RouteRule {
+		Assert.isTrue(totalWeight(split) > 0, "The weights of a route must add up to more than zero.");
+	}
+
+	private static double totalWeight(List<WeightedService> split) {
+		return split.stream().mapToDouble(WeightedService::weight).sum();
+	}
 
 	/**
 	 * Matches a request.
@@ -24,7 +34,36 @@
 	 * @return whether this rule applies
 	 */
 	public boolean matches(String requestMethod, String path) {
-		return (this.method.equals("*") || this.method.equals(requestMethod)) && this.pattern.matches(path);
+		return this.match.matches(requestMethod, path);
+	}
+
+	public Duration timeout() {
+		return this.limits.timeout();
+	}
+
+	/**
+	 * Returns this route with one of its services as the only one.
+	 * @param position a place from 0 to less than 1; equal distances stand for equal
+	 * shares of the requests
+	 * @return the route to the service at that place
+	 */
+	public RouteRule atPosition(double position) {
+		if (this.split.size() == 1) {
+			return this;
+		}
+		double left = position * totalWeight(this.split);
+		WeightedService chosen = this.split.get(0);
+		for (WeightedService candidate : this.split) {
+			if (candidate.weight() > 0) {
+				chosen = candidate;
+				left -= candidate.weight();
+			}
+			if (left < 0) {
+				break;
+			}
+		}
+		return new RouteRule(this.line, chosen.service(), List.of(chosen), this.match, this.mode, this.limits,
+				this.askedBy);
 	}
 
 }
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptions.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.regex.Matcher;
@@ -42,6 +43,24 @@
 
 	private @Nullable Duration timeout;
 
+	private @Nullable Duration total;
+
+	private @Nullable Duration objective;
+
+	private int priority = -1;
+
+	private int attempts = -1;
+
+	private String host = "";
+
+	private int headerBytes = -1;
+
+	private long bodyBytes = -1;
+
+	private @Nullable Duration headerTimeout;
+
+	private @Nullable Duration idleTimeout;
+
 	private final Set<String> seen = new HashSet<>();
 
 	private final Words words;
@@ -67,13 +86,49 @@
 				orElse(this.retryPercent, defaults.retryPercent()), orElse(this.ejectAfter, defaults.ejectAfter()));
 	}
 
-	RouteRule toRouteRule(String service, String method, PathPattern pattern, String askedBy) {
+	RouteRule toRouteRule(List<WeightedService> split, String method, PathPattern pattern, String askedBy) {
 		for (int i = this.first; i < this.words.size(); i++) {
 			readRouteOption(this.words.text(i), this.words.column(i));
 		}
 		RouteMode chosen = (this.mode != null) ? this.mode : RouteMode.defaultFor(method);
 		Duration fallback = chosen.isStreamed() ? DEFAULT_UPLOAD_TIMEOUT : DEFAULT_TIMEOUT;
-		return new RouteRule(this.line, service, method, pattern, chosen, orElse(this.timeout, fallback), askedBy);
+		Duration allowed = orElse(this.timeout, fallback);
+		RouteLimits limits = new RouteLimits(allowed, this.total, orElse(this.objective, allowed),
+				orElse(this.priority, RouteLimits.DEFAULT_PRIORITY),
+				orElse(this.attempts, RouteLimits.DEFAULT_MAXIMUM_ATTEMPTS));
+		return new RouteRule(this.line, split.get(0).service(), split, new RouteMatch(this.host, method, pattern),
+				chosen, limits, askedBy);
+	}
+
+	CallerLimits toCallerLimits() {
+		for (int i = this.first; i < this.words.size(); i++) {
+			readCallerOption(this.words.text(i), this.words.column(i));
+		}
+		CallerLimits defaults = CallerLimits.DEFAULTS;
+		return new CallerLimits(orElse(this.headerBytes, defaults.headerBytes()),
+				(this.bodyBytes >= 0) ? this.bodyBytes : defaults.bodyBytes(),
+				orElse(this.headerTimeout, defaults.headerTimeout()), orElse(this.idleTimeout, defaults.idleTimeout()));
+	}
+
+	private void readCallerOption(String option, int column) {
+		String key = key(option);
+		rejectTwice(key, column);
+		switch (key) {
+			case "header" -> {
+				this.headerBytes = number(option, "b", 1 << 20, column);
+			}
+			case "body" -> {
+				this.bodyBytes = number(option, "b", Integer.MAX_VALUE, column);
+			}
+			case "header-timeout" -> {
+				this.headerTimeout = duration(option, column);
+			}
+			case "idle" -> {
+				this.idleTimeout = duration(option, column);
+			}
+			default -> this.findings.add(this.line, column, key,
+					"Unknown option for callers; header, body, header-timeout or idle is expected.");
+		}
 	}
 
 	private static int orElse(int value, int fallback) {
@@ -118,9 +173,25 @@
 			case "timeout" -> {
 				this.timeout = duration(option, column);
 			}
+			case "total" -> {
+				this.total = duration(option, column);
+			}
+			case "objective" -> {
+				this.objective = duration(option, column);
+			}
+			case "priority" -> {
+				this.priority = number(option, "", 1_000, column);
+			}
+			case "attempts" -> {
+				this.attempts = number(option, "", 100, column);
+			}
+			case "host" -> {
+				this.host = value(option).toLowerCase(Locale.ROOT);
+			}
 			case "once", "repeatable", "upload" -> readMode(option, column);
 			default -> this.findings.add(this.line, column, key,
-					"Unknown route option; once, repeatable, upload or timeout is expected.");
+					"Unknown route option; once, repeatable, upload, timeout, total, objective, priority, attempts"
+							+ " or host is expected.");
 		}
 	}
 
@@ -153,7 +224,7 @@
 	private int number(String option, String unit, int maximum, int column) {
 		String value = value(option);
 		String digits = value.endsWith(unit) ? value.substring(0, value.length() - unit.length()) : "";
-		if (digits.matches("[0-9]{1,9}") && Integer.parseInt(digits) <= maximum) {
+		if (digits.matches("[0-9]{1,10}") && Long.parseLong(digits) <= maximum) {
 			return Integer.parseInt(digits);
 		}
 		this.findings.add(this.line, column, key(option),
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
@@ -8,6 +8,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.kernel.Findings;
 import org.radishthread.kernel.FindingsException;
 
@@ -19,12 +21,14 @@
 	/**
 	 * The greatest size of a rule file in bytes.
 	 */
-	public static final int MAXIMUM_BYTES = 512 * 1024;
+	public static final int MAXIMUM_BYTES = 4 * 1024 * 1024;
 
 	private static final Pattern ASKED_BY = Pattern.compile("\\s*asked by\\s+(\\S.*)");
 
 	private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
 
+	private static final Pattern WEIGHTED = Pattern.compile("(" + NAME + "):([0-9]{1,9}(?:\\.[0-9]{1,9})?)");
+
 	private static final Pattern METHOD = Pattern.compile("[A-Z]{1,16}|\\*");
 
 	private final Findings findings;
@@ -37,6 +41,8 @@
 
 	private final List<RouteRule> routes = new ArrayList<>();
 
+	private @Nullable CallerLimits callerLimits;
+
 	private RuleParser(String source, String text) {
 		this.findings = new Findings(source);
 		this.text = text;
@@ -53,7 +59,9 @@
 		RuleParser parser = new RuleParser(source, text);
 		parser.parseLines();
 		parser.findings.throwIfAny();
-		return new RuleSet(parser.revision, Map.copyOf(parser.services), List.copyOf(parser.routes));
+		CallerLimits limits = parser.callerLimits;
+		return new RuleSet(parser.revision, Map.copyOf(parser.services), List.copyOf(parser.routes),
+				(limits != null) ? limits : CallerLimits.DEFAULTS);
 	}
 
 	private void parseLines() {
@@ -92,8 +100,9 @@
 			case "revision" -> parseRevision(line, words);
 			case "service" -> parseService(line, words);
 			case "route" -> parseRoute(line, words, askedBy);
+			case "callers" -> parseCallers(line, words);
 			default -> this.findings.add(line, words.column(0), words.text(0),
-					"Unknown rule; 'revision', 'service' or 'route' is expected.");
+					"Unknown rule; 'revision', 'service', 'route' or 'callers' is expected.");
 		}
 	}
 
@@ -119,10 +128,17 @@
 		}
 	}
 
+	private void parseCallers(int line, Words words) {
+		if (this.callerLimits != null) {
+			this.findings.add(line, words.column(0), "callers", "The limits of callers stand twice; join the lines.");
+		}
+		this.callerLimits = new RuleOptions(line, words, 1, this.findings).toCallerLimits();
+	}
+
 	private void parseRoute(int line, Words words, String askedBy) {
-		boolean named = checkName(line, words, 1);
+		List<WeightedService> split = parseSplit(line, words);
 		boolean method = check(line, words, 2, METHOD, "An HTTP method in capitals or '*' is expected.");
-		if (!named || !method) {
+		if (split.isEmpty() || !method) {
 			return;
 		}
 		if (!words.has(3)) {
@@ -132,13 +148,31 @@
 		try {
 			PathPattern pattern = new PathPattern(words.text(3));
 			RuleOptions options = new RuleOptions(line, words, 4, this.findings);
-			this.routes.add(options.toRouteRule(words.text(1), words.text(2), pattern, askedBy));
+			this.routes.add(options.toRouteRule(split, words.text(2), pattern, askedBy));
 		}
 		catch (IllegalArgumentException ex) {
 			this.findings.add(line, words.column(3), "route", String.valueOf(ex.getMessage()));
 		}
 	}
 
+	// One service, or several with weights: 'swapdesk:90,swapdesk-next:10'.
+	private List<WeightedService> parseSplit(int line, Words words) {
+		if (!words.has(1) || words.text(1).indexOf(':') < 0) {
+			return checkName(line, words, 1) ? List.of(new WeightedService(words.text(1), 1)) : List.of();
+		}
+		List<WeightedService> split = new ArrayList<>();
+		for (String part : words.text(1).split(",", -1)) {
+			Matcher matcher = WEIGHTED.matcher(part);
+			if (!matcher.matches()) {
+				this.findings.add(line, words.column(1), "route",
+						"Services with weights such as 'swapdesk:90,swapdesk-next:10' are expected.");
+				return List.of();
+			}
+			split.add(new WeightedService(matcher.group(1), Double.parseDouble(matcher.group(2))));
+		}
+		return split;
+	}
+
 	private boolean checkName(int line, Words words, int index) {
 		return check(line, words, index, NAME, "A service name of lower-case letters, digits and '-' is expected.");
 	}
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleSet.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleSet.java
@@ -13,26 +13,36 @@
  * the empty set in force before the first file
  * @param services the service rules by name
  * @param routes the routes in the order of the file
+ * @param callerLimits bounds of what callers may send
  */
-public record RuleSet(long revision, Map<String, ServiceRule> services, List<RouteRule> routes) {
+public record RuleSet(long revision, Map<String, ServiceRule> services, List<RouteRule> routes,
+		CallerLimits callerLimits) {
 
 	/**
 	 * The rules in force before the first file is accepted.
 	 */
-	public static final RuleSet NONE = new RuleSet(0, Map.of(), List.of());
+	public static final RuleSet NONE = new RuleSet(0, Map.of(), List.of(), CallerLimits.DEFAULTS);
 
 	public RuleSet {
 		Assert.isTrue(revision >= 0, "Revision " + revision + " must not be negative.");
 	}
 
 	/**
-	 * Finds the first route that applies to a request.
+	 * Finds the first route that applies to a request to any host.
 	 * @param method the HTTP method
 	 * @param path the path without the query
 	 * @return the route, if any
 	 */
 	public Optional<RouteRule> match(String method, String path) {
-		return this.routes.stream().filter((route) -> route.matches(method, path)).findFirst();
+		return toFinder().find("", method, path);
+	}
+
+	/**
+	 * Returns a finder of routes, to be made once for each set of rules.
+	 * @return the finder
+	 */
+	public RouteFinder toFinder() {
+		return new RouteTable(this.routes)::find;
 	}
 
 	/**
--- /dev/null
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/WeightedService.java
@@ -0,0 +1,17 @@
+package org.radishthread.rules;
+
+import org.radishthread.kernel.Assert;
+
+/**
+ * A service that takes part of the requests of a route.
+ *
+ * @param service the name of the service
+ * @param weight its part, in proportion to the weights of the others
+ */
+public record WeightedService(String service, double weight) {
+
+	public WeightedService {
+		Assert.isTrue(weight >= 0 && Double.isFinite(weight), "Weight " + weight + " must be a number from 0.");
+	}
+
+}
