Route by expected completion, pace reports and crowding; archive classes at build

Change: expected time from the base latency, the last pace report and what crowding costs; hedges in time for the objective; priority and late ranks in the queue; refusal of what can no longer be answered; own zone of the instance that holds the request. A class-data archive is made at build.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
@@ -35,6 +35,9 @@
 	@Option(names = "--check", description = "check the settings and exit")
 	private boolean checkOnly;
 
+	@Option(names = "--start-and-stop", description = "start, stop and exit; used to archive the loaded classes")
+	private boolean startAndStop;
+
 	private DaemonMain() {
 	}
 
@@ -52,10 +55,10 @@
 			System.err.println(ex.getMessage());
 			return EXIT_SETTINGS;
 		}
-		return this.checkOnly ? 0 : run(settings);
+		return this.checkOnly ? 0 : run(settings, this.startAndStop);
 	}
 
-	private static int run(DaemonSettings settings) throws InterruptedException {
+	private static int run(DaemonSettings settings, boolean startAndStop) throws InterruptedException {
 		LogOutput.configure();
 		Kernel kernel;
 		try {
@@ -67,6 +70,10 @@
 			return EXIT_FAILURE;
 		}
 		eventLog.information("started").with("instance", settings.instance()).with("roles", settings.roles()).write();
+		if (startAndStop) {
+			kernel.stop();
+			return 0;
+		}
 		CountDownLatch stopped = new CountDownLatch(1);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 			kernel.stop();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -150,6 +150,10 @@
 		return this.deadlineNanos;
 	}
 
+	protected final long startedNanos() {
+		return this.startedNanos;
+	}
+
 	protected final long elapsedNanos() {
 		return this.context.time().monotonicNanos() - this.startedNanos;
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -15,6 +15,7 @@
 
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptOutcome;
+import org.radishthread.routing.LoadReport;
 
 /**
  * Sends a request to one upstream or home instance and holds the answer until it is whole
@@ -47,6 +48,8 @@
 
 	private volatile boolean streaming;
 
+	private volatile @Nullable LoadReport load;
+
 	private boolean reported;
 
 	Attempt(String targetName, NetworkAddress targetAddress, Request request, HttpDialect dialect,
@@ -77,6 +80,10 @@
 		return this.answered;
 	}
 
+	@Nullable LoadReport reportedLoad() {
+		return this.load;
+	}
+
 	void send() {
 		this.request.onRequestBegin((sent) -> this.begun = true);
 		this.request.send(this);
@@ -93,6 +100,7 @@
 
 	@Override
 	public void onHeaders(Response response) {
+		this.load = this.dialect.loadOf(response.getHeaders());
 		String echoed = this.dialect.nameOfAnswered(response.getHeaders());
 		if (echoed != null && !echoed.equals(this.requestName)) {
 			abort(new GatewayException("The answer belongs to request '" + echoed + "'."));
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
@@ -7,6 +7,8 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.routing.LoadReport;
+
 /**
  * The dialect of docs/CALLERS.md and docs/UPSTREAMS.md.
  */
@@ -42,6 +44,11 @@
 		return answer.get(RadishthreadHeader.REQUEST);
 	}
 
+	@Override
+	public @Nullable LoadReport loadOf(HttpFields answer) {
+		return null;
+	}
+
 	@Override
 	public boolean isNotRun(int status, HttpFields answer) {
 		return RequestOutcome.NOT_RUN.word().equals(answer.get(RadishthreadHeader.OUTCOME));
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
@@ -6,11 +6,14 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.EventLoop;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.routing.AttemptResult;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.ServiceRouter;
 import org.radishthread.routing.Ticket;
@@ -95,7 +98,7 @@
 			callback.dispatch(dispatch);
 		}
 		else {
-			attemptEnded(dispatch.ticket(), dispatch.upstream().name(), AttemptResult.CANCELLED);
+			attemptEnded(dispatch.ticket(), dispatch.upstream().name(), AttemptResult.CANCELLED, null);
 		}
 	}
 
@@ -140,8 +143,8 @@
 	}
 
 	@Override
-	public void attemptEnded(long ticket, String upstream, AttemptResult result) {
-		perform((now) -> this.router.attemptEnded(ticket, upstream, result, now));
+	public void attemptEnded(long ticket, String upstream, AttemptResult result, @Nullable LoadReport load) {
+		perform((now) -> this.router.attemptEnded(ticket, upstream, result, load, now));
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRouter.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.daemon.gateway.HomeDirectory.Home;
 import org.radishthread.routing.AttemptResult;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.Ticket;
 
 /**
@@ -36,9 +39,9 @@
 	}
 
 	@Override
-	public void attemptEnded(long ticket, String upstream, AttemptResult result) {
-		if (!this.slots.attemptEnded(ticket, upstream, result)) {
-			local().attemptEnded(ticket, upstream, result);
+	public void attemptEnded(long ticket, String upstream, AttemptResult result, @Nullable LoadReport load) {
+		if (!this.slots.attemptEnded(ticket, upstream, result, load)) {
+			local().attemptEnded(ticket, upstream, result, load);
 		}
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
@@ -3,6 +3,8 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.routing.LoadReport;
+
 /**
  * How callers, instances and upstreams name what HTTP itself does not say: the identity
  * of a request, the time that remains, whether a request ran. Header names are compared
@@ -39,6 +41,13 @@
 	 */
 	@Nullable String nameOfAnswered(HttpFields answer);
 
+	/**
+	 * Returns what an upstream says of its load.
+	 * @param answer the headers of the answer
+	 * @return the load, or {@code null} if the upstream does not say
+	 */
+	@Nullable LoadReport loadOf(HttpFields answer);
+
 	/**
 	 * Returns whether an upstream says that it did not run the request and will not.
 	 * @param status the HTTP status
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RequestRouter.java
@@ -1,6 +1,9 @@
 package org.radishthread.daemon.gateway;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.routing.AttemptResult;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.Ticket;
 
 /**
@@ -20,8 +23,9 @@
 	 * @param ticket the request
 	 * @param upstream the name of the upstream
 	 * @param result how the attempt ended
+	 * @param load what the upstream said of its load, if it did
 	 */
-	void attemptEnded(long ticket, String upstream, AttemptResult result);
+	void attemptEnded(long ticket, String upstream, AttemptResult result, @Nullable LoadReport load);
 
 	/**
 	 * Asks for another attempt after one that failed and may be repeated.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -66,8 +66,9 @@
 
 	private Ticket ticket() {
 		RouteLimits limits = route().limits();
-		return new Ticket(id(), caller(), route().mode().mayRepeat(), deadlineNanos(),
-				new Urgency(limits.priority(), limits.objective().toNanos()), limits.maximumAttempts());
+		return new Ticket(id(), caller(), route().mode().mayRepeat(), deadlineNanos(), "",
+				new Urgency(limits.priority(), startedNanos() + limits.objective().toNanos()),
+				limits.maximumAttempts());
 	}
 
 	private byte[] fingerprint() {
@@ -124,7 +125,7 @@
 		boolean onNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST;
 		NetworkAddress address = NetworkAddress.parse(dispatch.upstream().address());
 		if (!send(dispatch.upstream().name(), address, dispatch.kind().word(), onNewConnection)) {
-			this.router.attemptEnded(id(), dispatch.upstream().name(), AttemptEnd.CANCELLED.result());
+			this.router.attemptEnded(id(), dispatch.upstream().name(), AttemptEnd.CANCELLED.result(), null);
 			return;
 		}
 		if (dispatch.hedgeAfterNanos() > 0) {
@@ -145,7 +146,7 @@
 
 	@Override
 	protected void attemptEnded(Attempt attempt, AttemptEnd end) {
-		this.router.attemptEnded(id(), attempt.targetName(), end.result());
+		this.router.attemptEnded(id(), attempt.targetName(), end.result(), attempt.reportedLoad());
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -14,12 +14,14 @@
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.membership.ServingState;
+import org.radishthread.protocol.SlotEnd;
 import org.radishthread.protocol.SlotGrant;
 import org.radishthread.protocol.SlotMessage;
 import org.radishthread.protocol.SlotQueued;
 import org.radishthread.protocol.SlotRefusal;
 import org.radishthread.protocol.SlotRequest;
 import org.radishthread.routing.AttemptResult;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RefusalReason;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.Ticket;
@@ -72,8 +74,7 @@
 		}
 		RequestRouter router = this.routing.router(granted.service);
 		switch (message.getBodyCase()) {
-			case END -> granted.end(router, message.getEnd().getUpstream(),
-					AttemptResult.valueOf(message.getEnd().getResult()));
+			case END -> granted.end(router, message.getEnd());
 			case RETRY -> router.retry(granted.ticket.id());
 			case HEDGE -> router.hedge(granted.ticket.id());
 			case CLOSE -> close(key, granted);
@@ -102,9 +103,10 @@
 
 	private Ticket ticket(SlotRequest request) {
 		long now = this.time.monotonicNanos();
-		Urgency urgency = new Urgency(request.getPriority(), request.getObjectiveMicros() * NANOS_PER_MICRO);
+		Urgency urgency = new Urgency(request.getPriority(), now + request.getObjectiveMicros() * NANOS_PER_MICRO);
 		return new Ticket(this.lastTicket.incrementAndGet(), request.getCaller(), request.getMayRepeat(),
-				now + request.getRemainingMicros() * NANOS_PER_MICRO, urgency, request.getMaximumAttempts());
+				now + request.getRemainingMicros() * NANOS_PER_MICRO, request.getZone(), urgency,
+				request.getMaximumAttempts());
 	}
 
 	private void close(Key key, Granted granted) {
@@ -196,13 +198,17 @@
 				.build());
 		}
 
-		private void end(RequestRouter router, String upstream, AttemptResult result) {
+		private void end(RequestRouter router, SlotEnd ended) {
 			boolean known;
 			synchronized (this) {
-				known = this.inFlight.remove(upstream);
+				known = this.inFlight.remove(ended.getUpstream());
 			}
 			if (known) {
-				router.attemptEnded(this.ticket.id(), upstream, result);
+				LoadReport load = ended.hasLoad() ? new LoadReport(ended.getLoad().getRunning(),
+						ended.getLoad().getWaiting(), ended.getLoad().getSlots(), ended.getLoad().getPacePercent())
+						: null;
+				router.attemptEnded(this.ticket.id(), ended.getUpstream(), AttemptResult.valueOf(ended.getResult()),
+						load);
 			}
 		}
 
@@ -211,7 +217,8 @@
 			synchronized (this) {
 				left = List.copyOf(this.inFlight);
 			}
-			left.forEach((upstream) -> end(router, upstream, AttemptResult.CANCELLED));
+			left.forEach((upstream) -> end(router,
+					SlotEnd.newBuilder().setUpstream(upstream).setResult(AttemptResult.CANCELLED.name()).build()));
 		}
 
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
@@ -17,6 +19,7 @@
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.SlotMessage;
 import org.radishthread.routing.AttemptResult;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.SlotEffect;
 import org.radishthread.routing.SlotRequester;
@@ -103,8 +106,8 @@
 		perform((now) -> this.requester.admit(ticket, service, home, now));
 	}
 
-	boolean attemptEnded(long ticket, String upstream, AttemptResult result) {
-		return ifHeld(ticket, (now) -> this.requester.attemptEnded(ticket, upstream, result));
+	boolean attemptEnded(long ticket, String upstream, AttemptResult result, @Nullable LoadReport load) {
+		return ifHeld(ticket, (now) -> this.requester.attemptEnded(ticket, upstream, result, load));
 	}
 
 	boolean retry(long ticket) {
@@ -165,7 +168,7 @@
 		if (decision instanceof RoutingEffect.Dispatch dispatch) {
 			RoutingCallback callback = this.callbacks.get(dispatch.ticket());
 			if (callback == null) {
-				attemptEnded(dispatch.ticket(), dispatch.upstream().name(), AttemptResult.CANCELLED);
+				attemptEnded(dispatch.ticket(), dispatch.upstream().name(), AttemptResult.CANCELLED, null);
 				return;
 			}
 			callback.dispatch(dispatch);
--- a/radishthread-membership/src/test/java/org/radishthread/membership/FakeSystem.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/FakeSystem.java
@@ -155,6 +155,9 @@
 			case RULE_REQUEST -> target.receive(envelope.getRuleRequest(), travelling.from());
 			case RULE_FILE -> target.offerRules(envelope.getRuleFile());
 			case LEASE_RENEWAL -> target.receive(envelope.getLeaseRenewal(), this.now);
+			case UPSTREAM_NOTICE -> target.receive(envelope.getUpstreamNotice(), travelling.from(), this.now);
+			case UPSTREAM_NOTICE_RECEIPT ->
+				target.receive(envelope.getUpstreamNoticeReceipt(), travelling.from(), this.now);
 			default -> throw new IllegalStateException("Message " + envelope.getBodyCase() + " must be handled.");
 		}
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
@@ -4,21 +4,20 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.TreeMap;
 
 import org.jspecify.annotations.Nullable;
 
 /**
- * Requests that wait, one queue for each caller, served in turn so that a caller with
- * many requests does not delay the others.
+ * Requests that wait, by rank and within a rank by caller, served in turn so that a
+ * caller with many requests does not delay the others.
  */
 final class CallerQueues {
 
-	private final Map<String, Deque<Waiting>> queues = new LinkedHashMap<>();
+	private final TreeMap<Integer, Map<String, Deque<Waiting>>> ranks = new TreeMap<>();
 
 	private final Map<String, Integer> held = new HashMap<>();
 
@@ -46,7 +45,8 @@
 	}
 
 	void add(Waiting waiting, boolean first) {
-		Deque<Waiting> queue = this.queues.computeIfAbsent(waiting.ticket().caller(), (key) -> new ArrayDeque<>());
+		Map<String, Deque<Waiting>> rank = this.ranks.computeIfAbsent(waiting.rank(), (key) -> new LinkedHashMap<>());
+		Deque<Waiting> queue = rank.computeIfAbsent(waiting.ticket().caller(), (key) -> new ArrayDeque<>());
 		if (first) {
 			queue.addFirst(waiting);
 		}
@@ -57,48 +57,75 @@
 	}
 
 	@Nullable Waiting peek() {
-		Iterator<Deque<Waiting>> iterator = this.queues.values().iterator();
-		return iterator.hasNext() ? iterator.next().peek() : null;
+		if (this.ranks.isEmpty()) {
+			return null;
+		}
+		return this.ranks.firstEntry().getValue().values().iterator().next().peek();
 	}
 
-	// Removes the request that peek returned and moves its caller to the end.
+	// Removes the request that peek returned and moves its caller to the end of its rank.
 	void removeFirst() {
-		Map.Entry<String, Deque<Waiting>> entry = this.queues.entrySet().iterator().next();
-		this.queues.remove(entry.getKey());
+		Map<String, Deque<Waiting>> rank = this.ranks.firstEntry().getValue();
+		Map.Entry<String, Deque<Waiting>> entry = rank.entrySet().iterator().next();
+		rank.remove(entry.getKey());
 		entry.getValue().remove();
 		this.size--;
 		if (!entry.getValue().isEmpty()) {
-			this.queues.put(entry.getKey(), entry.getValue());
+			rank.put(entry.getKey(), entry.getValue());
 		}
+		dropEmpty();
 	}
 
-	List<Waiting> removeExpired(long now) {
-		List<Waiting> expired = new ArrayList<>();
-		for (Deque<Waiting> queue : this.queues.values()) {
-			queue.removeIf((waiting) -> waiting.expiresNanos() <= now && expired.add(waiting));
-		}
-		this.queues.values().removeIf(Deque::isEmpty);
-		this.size -= expired.size();
-		return expired;
+	private void dropEmpty() {
+		this.ranks.values().forEach((rank) -> rank.values().removeIf(Deque::isEmpty));
+		this.ranks.values().removeIf(Map::isEmpty);
 	}
 
-	Optional<Waiting> remove(Ticket ticket) {
-		Deque<Waiting> queue = this.queues.get(ticket.caller());
-		if (queue == null) {
-			return Optional.empty();
-		}
-		Optional<Waiting> found = queue.stream().filter((waiting) -> waiting.ticket().id() == ticket.id()).findFirst();
-		found.ifPresent((waiting) -> {
-			queue.remove(waiting);
-			this.size--;
-		});
-		if (queue.isEmpty()) {
-			this.queues.remove(ticket.caller());
+	// The requests that wait in this rank and in those served before it.
+	int sizeUpTo(int rank) {
+		return this.ranks.headMap(rank, true)
+			.values()
+			.stream()
+			.flatMap((callers) -> callers.values().stream())
+			.mapToInt(Deque::size)
+			.sum();
+	}
+
+	// All that wait, in about the order in which they will be served.
+	List<Waiting> inOrder() {
+		List<Waiting> all = new ArrayList<>();
+		this.ranks.values().forEach((rank) -> rank.values().forEach(all::addAll));
+		return all;
+	}
+
+	boolean remove(Waiting waiting) {
+		Map<String, Deque<Waiting>> rank = this.ranks.getOrDefault(waiting.rank(), Map.of());
+		Deque<Waiting> queue = rank.get(waiting.ticket().caller());
+		if (queue == null || !queue.remove(waiting)) {
+			return false;
 		}
-		return found;
+		this.size--;
+		dropEmpty();
+		return true;
+	}
+
+	void remove(Ticket ticket) {
+		inOrder().stream()
+			.filter((waiting) -> waiting.ticket().id() == ticket.id())
+			.findFirst()
+			.ifPresent(this::remove);
 	}
 
-	record Waiting(Ticket ticket, AttemptKind kind, long sinceNanos, long expiresNanos) {
+	/**
+	 * A request that waits.
+	 *
+	 * @param ticket the request
+	 * @param kind why it is to be sent
+	 * @param rank its place among ranks, the least first
+	 * @param sinceNanos when it began to wait, in nanoseconds
+	 * @param expiresNanos when it is given up, in nanoseconds
+	 */
+	record Waiting(Ticket ticket, AttemptKind kind, int rank, long sinceNanos, long expiresNanos) {
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/LeastExpectedCompletion.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/LeastExpectedCompletion.java
@@ -7,24 +7,33 @@
 /**
  * Chooses the free upstream that is expected to answer first. A straggler is passed over
  * while waiting for another slot takes less time, but for a rare trial that tells whether
- * it recovered. Among equals the own availability zone goes first, then the one with the
- * fewest requests in flight.
+ * it recovered. Among those that are about as fast the own availability zone goes first,
+ * then the one with the fewest requests in flight.
  */
 final class LeastExpectedCompletion implements SelectionPolicy {
 
 	private static final double STRAGGLER_FACTOR = 3;
 
+	// Expected times within this factor of the least count as equal.
+	private static final double ABOUT_EQUAL = 1.25;
+
 	@Override
 	public Optional<UpstreamLoad> choose(List<UpstreamLoad> free, SelectionContext context) {
-		Optional<UpstreamLoad> normal = free.stream()
-			.filter((load) -> !isStraggler(load, context))
-			.min(byZoneAndLoad(context));
-		if (normal.isPresent()) {
-			return context.mayRepeat() ? trialDue(free, context).or(() -> normal) : normal;
+		List<UpstreamLoad> normal = free.stream().filter((load) -> !isStraggler(load, context)).toList();
+		if (!normal.isEmpty()) {
+			Optional<UpstreamLoad> fastest = fastest(normal, context);
+			return context.mayRepeat() ? trialDue(free, context).or(() -> fastest) : fastest;
 		}
 		return free.stream()
-			.filter((load) -> load.latencyNanos() < context.expectedWaitNanos() + context.medianLatencyNanos())
-			.min(Comparator.comparingDouble(UpstreamLoad::latencyNanos));
+			.filter((load) -> context.expectedNanos(load) < context.expectedWaitNanos() + context.medianLatencyNanos())
+			.min(Comparator.comparingDouble(context::expectedNanos));
+	}
+
+	private static Optional<UpstreamLoad> fastest(List<UpstreamLoad> candidates, SelectionContext context) {
+		double least = candidates.stream().mapToDouble(context::expectedNanos).min().orElse(0);
+		return candidates.stream()
+			.filter((load) -> context.expectedNanos(load) <= least * ABOUT_EQUAL)
+			.min(byZoneAndLoad(context));
 	}
 
 	private static Optional<UpstreamLoad> trialDue(List<UpstreamLoad> free, SelectionContext context) {
@@ -35,7 +44,7 @@
 
 	static boolean isStraggler(UpstreamLoad load, SelectionContext context) {
 		return load.isLatencyKnown() && context.medianLatencyNanos() > 0
-				&& load.latencyNanos() > STRAGGLER_FACTOR * context.medianLatencyNanos();
+				&& context.expectedNanos(load) > STRAGGLER_FACTOR * context.medianLatencyNanos();
 	}
 
 	private static Comparator<UpstreamLoad> byZoneAndLoad(SelectionContext context) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -10,6 +10,8 @@
 
 	private static final double INITIAL_TOKENS = 10;
 
+	private static final double RESERVED_FOR_RETRIES = 4;
+
 	private double tokens = INITIAL_TOKENS;
 
 	/**
@@ -32,4 +34,12 @@
 		return true;
 	}
 
+	/**
+	 * Takes one hedge from the budget, but leaves a reserve for retries.
+	 * @return whether it may be sent
+	 */
+	public boolean tryTakeForHedge() {
+		return this.tokens >= 1 + RESERVED_FOR_RETRIES && tryTake();
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -29,6 +29,8 @@
 
 	private static final double HEDGE_LATENCY_FACTOR = 3;
 
+	private static final double HEDGE_MARGIN_FACTOR = 1.5;
+
 	private static final long MINIMUM_HEDGE_NANOS = 2_000_000;
 
 	private static final long MINIMUM_RETRY_AFTER_MILLIS = 100;
@@ -37,6 +39,19 @@
 
 	private static final int MINIMUM_CALLER_SHARE = 2;
 
+	private static final double NANOS_PER_MILLI = 1_000_000;
+
+	private static final int LATE_RANK = 1_000_000;
+
+	// Callers come back only if it is within a third of the time that they have left.
+	private static final double RETURN_SHARE = 3.2;
+
+	// Multiples of the golden ratio are spread evenly over the unit interval.
+	private static final double SPREADING_RATIO = (Math.sqrt(5) - 1) / 2;
+
+	// The part of the usual time below which an attempt is not worth a slot.
+	private static final double LEAST_SERVICE_SHARE = 0.5;
+
 	private final String zone;
 
 	private final SelectionPolicy policy;
@@ -57,6 +72,8 @@
 
 	private final ThroughputEstimate throughput = new ThroughputEstimate();
 
+	private final CrowdingEstimate crowding = new CrowdingEstimate();
+
 	private List<RoutingEffect> effects = new ArrayList<>();
 
 	private boolean first = true;
@@ -146,13 +163,14 @@
 	private @Nullable Refusal reasonToRefuse(Ticket ticket, long now) {
 		long usable = usableSlots(now);
 		if (usable == 0) {
-			return new Refusal(ticket.id(), RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER_MILLIS);
+			return new Refusal(ticket.id(), RefusalReason.NO_UPSTREAM,
+					retryAfterMillis(ticket, NO_UPSTREAM_RETRY_AFTER_MILLIS, now));
 		}
 		if (this.queues.size() == 0) {
 			return null;
 		}
-		double wait = this.throughput.expectedWaitNanos(this.queues.size() + 1);
-		long retryAfter = Math.max(MINIMUM_RETRY_AFTER_MILLIS, (long) (wait / 1_000_000));
+		double wait = this.throughput.expectedWaitNanos(this.queues.sizeUpTo(rank(ticket, now)) + 1);
+		long retryAfter = retryAfterMillis(ticket, (long) (wait / NANOS_PER_MILLI), now);
 		if (exceedsShare(ticket.caller(), usable)) {
 			return new Refusal(ticket.id(), RefusalReason.CALLER_LIMIT, retryAfter);
 		}
@@ -164,6 +182,23 @@
 		return null;
 	}
 
+	// Callers that were refused together come back at different moments, and soon enough
+	// to
+	// be served still.
+	private long retryAfterMillis(Ticket ticket, long waitMillis, long now) {
+		double position = ticket.id() * SPREADING_RATIO;
+		double spread = 0.5 + (position - Math.floor(position));
+		long usable = (long) ((ticket.deadlineNanos() - now) / NANOS_PER_MILLI / RETURN_SHARE);
+		long wanted = (long) (Math.max(MINIMUM_RETRY_AFTER_MILLIS, waitMillis) * spread);
+		return Math.max(MINIMUM_RETRY_AFTER_MILLIS / 2, Math.min(wanted, usable));
+	}
+
+	// Requests that can no longer be answered in time come after all that can.
+	private int rank(Ticket ticket, long now) {
+		boolean late = now + this.throughput.serviceNanos() > ticket.urgency().objectiveAtNanos();
+		return ticket.urgency().priority() + (late ? LATE_RANK : 0);
+	}
+
 	// A caller is held to its share only while requests of others could wait behind it.
 	private boolean exceedsShare(String caller, long usableSlots) {
 		boolean alone = this.queues.callers() <= 1 && this.queues.heldBy(caller) > 0;
@@ -181,14 +216,14 @@
 
 	private void enqueue(Ticket ticket, AttemptKind kind, long now) {
 		long expires = Math.min(ticket.deadlineNanos(), now + this.rule.queueWait().toNanos());
-		this.queues.add(new Waiting(ticket, kind, now, expires), kind != AttemptKind.FIRST);
+		this.queues.add(new Waiting(ticket, kind, rank(ticket, now), now, expires), kind != AttemptKind.FIRST);
 	}
 
 	private void dispatchWaiting(long now) {
 		Waiting waiting = this.queues.peek();
 		while (waiting != null) {
 			Flight flight = flight(waiting.ticket().id());
-			Optional<UpstreamLoad> chosen = choose(flight, now).or(() -> chooseToWait(flight, now));
+			Optional<UpstreamLoad> chosen = chooseFree(flight, now).or(() -> chooseToWait(flight, now));
 			if (chosen.isEmpty()) {
 				return;
 			}
@@ -204,14 +239,21 @@
 		return flight;
 	}
 
-	private Optional<UpstreamLoad> choose(Flight flight, long now) {
-		return choose(flight, now, (load) -> load.hasFreeSlot(now));
+	// Slots that do not crowd an upstream go first.
+	private Optional<UpstreamLoad> chooseFree(Flight flight, long now) {
+		return choose(flight, now, (load) -> load.hasFreeSlot(now) && load.isCalm())
+			.or(() -> choose(flight, now, (load) -> load.hasFreeSlot(now) && mayCrowd(load)));
+	}
+
+	private boolean mayCrowd(UpstreamLoad load) {
+		return !this.crowding.costsMoreThanItBrings(load.upstream().slots()) || this.crowding.isTrialDue();
 	}
 
 	// While all slots are busy, a request may travel to one that is about to come free.
 	private Optional<UpstreamLoad> chooseToWait(Flight flight, long now) {
 		double waitingPerSlot = (double) this.queues.size() / Math.max(1, usableSlots(now));
-		return choose(flight, now, (load) -> load.mayPipeline(now, waitingPerSlot));
+		return choose(flight, now, (load) -> load.mayPipeline(now, waitingPerSlot)
+				&& !this.crowding.costsMoreThanItBrings(load.upstream().slots()));
 	}
 
 	private Optional<UpstreamLoad> choose(Flight flight, long now, Predicate<UpstreamLoad> eligible) {
@@ -224,8 +266,10 @@
 		if (candidates.isEmpty()) {
 			return Optional.empty();
 		}
-		SelectionContext context = new SelectionContext(this.zone, medianLatencyNanos(),
-				this.throughput.expectedWaitNanos(this.queues.size()), flight.ticket.mayRepeat(), now);
+		SelectionContext context = new SelectionContext(
+				flight.ticket.zone().isEmpty() ? this.zone : flight.ticket.zone(), medianLatencyNanos(),
+				this.throughput.expectedWaitNanos(this.queues.size()), this.throughput.serviceNanos(), this.crowding,
+				flight.ticket.mayRepeat(), now);
 		return this.policy.choose(candidates, context);
 	}
 
@@ -242,14 +286,22 @@
 	private void dispatch(Flight flight, UpstreamLoad load, AttemptKind kind, long waited, long now) {
 		load.dispatched(now);
 		flight.tried.add(load.upstream().name());
-		flight.startedNanos.put(load.upstream().name(), now);
+		flight.started.put(load.upstream().name(), new Started(now, load.inFlight()));
 		boolean hedgeable = flight.ticket.mayRepeat() && kind != AttemptKind.HEDGE
 				&& this.throughput.serviceNanos() > 0;
-		long hedgeAfter = hedgeable
-				? (long) Math.max(MINIMUM_HEDGE_NANOS, HEDGE_LATENCY_FACTOR * this.throughput.serviceNanos()) : 0;
+		long hedgeAfter = hedgeable ? hedgeAfterNanos(flight.ticket, now) : 0;
 		this.effects.add(new Dispatch(flight.ticket.id(), load.upstream(), kind, load.inFlight(), waited, hedgeAfter));
 	}
 
+	// A second attempt must be able to answer in time, and not be made for usual times.
+	private long hedgeAfterNanos(Ticket ticket, long now) {
+		double service = this.throughput.serviceNanos();
+		double usual = HEDGE_LATENCY_FACTOR * service;
+		double inTime = ticket.urgency().objectiveAtNanos() - now - HEDGE_MARGIN_FACTOR * service;
+		double earliest = Math.min(usual, Math.max(HEDGE_MARGIN_FACTOR * service, inTime));
+		return (long) Math.max(MINIMUM_HEDGE_NANOS, earliest);
+	}
+
 	/**
 	 * Learns that an attempt ended, which frees its slot.
 	 * @param ticket the request
@@ -259,14 +311,35 @@
 	 * @return requests that can now be sent
 	 */
 	public List<RoutingEffect> attemptEnded(long ticket, String upstream, AttemptResult result, long now) {
+		return attemptEnded(ticket, upstream, result, null, now);
+	}
+
+	/**
+	 * Learns that an attempt ended, which frees its slot.
+	 * @param ticket the request
+	 * @param upstream the name of the upstream
+	 * @param result how the attempt ended
+	 * @param report what the upstream said of its load, if it did
+	 * @param now the monotonic time, in nanoseconds
+	 * @return requests that can now be sent
+	 */
+	public List<RoutingEffect> attemptEnded(long ticket, String upstream, AttemptResult result,
+			@Nullable LoadReport report, long now) {
 		Flight flight = flight(ticket);
-		Long started = flight.startedNanos.remove(upstream);
+		Started started = flight.started.remove(upstream);
 		UpstreamLoad load = this.loads.get(upstream);
 		Assert.state(started != null && load != null, "Attempt at '" + upstream + "' must be in flight.");
-		load.finished(result, now - started, now, this.rule.ejectAfter(), this.rule.probesPerSecond() > 0);
+		long latency = now - started.atNanos();
+		if (report != null) {
+			load.reported(report, now);
+		}
+		if (result == AttemptResult.SUCCESS) {
+			this.crowding.finished(started.inFlight(), load.upstream().slots(), latency / load.paceFactor(now));
+		}
+		load.finished(result, latency, now, this.rule.ejectAfter(), this.rule.probesPerSecond() > 0);
 		if (result == AttemptResult.SUCCESS) {
 			this.retryBudget.recordSuccess(this.rule.retryPercent());
-			this.throughput.completed(now - started, now);
+			this.throughput.completed(latency, now);
 		}
 		this.loads.values().removeIf(UpstreamLoad::isForgettable);
 		forgetIfDone(flight);
@@ -311,12 +384,12 @@
 	 */
 	public List<RoutingEffect> hedge(long ticket, long now) {
 		Flight flight = this.flights.get(ticket);
-		if (flight == null || flight.closed || flight.startedNanos.isEmpty()
+		if (flight == null || flight.closed || flight.started.isEmpty()
 				|| flight.tried.size() >= Math.min(2, flight.ticket.maximumAttempts()) || this.queues.size() > 0) {
 			return List.of();
 		}
-		Optional<UpstreamLoad> chosen = choose(flight, now);
-		if (chosen.isEmpty() || !this.retryBudget.tryTake()) {
+		Optional<UpstreamLoad> chosen = choose(flight, now, (load) -> load.hasFreeSlot(now) && load.isCalm());
+		if (chosen.isEmpty() || !this.retryBudget.tryTakeForHedge()) {
 			return List.of();
 		}
 		dispatch(flight, chosen.get(), AttemptKind.HEDGE, 0, now);
@@ -340,21 +413,35 @@
 
 	// Attempts that are still in flight hold their slots until they end.
 	private void forgetIfDone(Flight flight) {
-		if (flight.closed && flight.startedNanos.isEmpty()) {
+		if (flight.closed && flight.started.isEmpty()) {
 			this.flights.remove(flight.ticket.id());
 		}
 	}
 
 	/**
-	 * Lets time pass: refuses requests that waited too long.
+	 * Lets time pass: refuses requests that waited too long or can not be answered any
+	 * more.
 	 * @param now the monotonic time, in nanoseconds
 	 * @return refusals, and requests that can now be sent
 	 */
 	public List<RoutingEffect> tick(long now) {
-		for (Waiting waiting : this.queues.removeExpired(now)) {
-			long retryAfter = (long) (this.throughput.expectedWaitNanos(this.queues.size() + 1) / 1_000_000);
-			this.effects.add(new Refusal(waiting.ticket().id(), RefusalReason.QUEUE_TIMEOUT,
-					Math.max(MINIMUM_RETRY_AFTER_MILLIS, retryAfter)));
+		int position = 0;
+		double least = LEAST_SERVICE_SHARE * this.throughput.serviceNanos();
+		for (Waiting waiting : this.queues.inOrder()) {
+			position++;
+			double wait = this.throughput.expectedWaitNanos(position);
+			boolean hopeless = now + wait + least > waiting.ticket().deadlineNanos();
+			if (hopeless || waiting.expiresNanos() <= now) {
+				this.queues.remove(waiting);
+				position--;
+				this.effects.add(new Refusal(waiting.ticket().id(), RefusalReason.QUEUE_TIMEOUT,
+						retryAfterMillis(waiting.ticket(), (long) (wait / NANOS_PER_MILLI), now)));
+			}
+			else if (waiting.rank() != rank(waiting.ticket(), now)) {
+				this.queues.remove(waiting);
+				this.queues.add(new Waiting(waiting.ticket(), waiting.kind(), rank(waiting.ticket(), now),
+						waiting.sinceNanos(), waiting.expiresNanos()), false);
+			}
 		}
 		probeEjected(now);
 		dispatchWaiting(now);
@@ -422,13 +509,16 @@
 		return (load != null) ? load.inFlight() : 0;
 	}
 
+	private record Started(long atNanos, int inFlight) {
+	}
+
 	private static final class Flight {
 
 		private final Ticket ticket;
 
 		private final Set<String> tried = new HashSet<>();
 
-		private final Map<String, Long> startedNanos = new HashMap<>();
+		private final Map<String, Started> started = new HashMap<>();
 
 		private boolean closed;
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.protocol.SlotClose;
 import org.radishthread.protocol.SlotEnd;
 import org.radishthread.protocol.SlotGrant;
@@ -85,7 +87,7 @@
 					.setMayRepeat(request.ticket.mayRepeat())
 					.setRemainingMicros(Math.max(0, request.ticket.deadlineNanos() - now) / NANOS_PER_MICRO)
 					.setPriority(urgency.priority())
-					.setObjectiveMicros(urgency.objectiveNanos() / NANOS_PER_MICRO)
+					.setObjectiveMicros(Math.max(0, urgency.objectiveAtNanos() - now) / NANOS_PER_MICRO)
 					.setMaximumAttempts(request.ticket.maximumAttempts())
 					.setZone(this.zone)));
 	}
@@ -180,12 +182,22 @@
 	 * @param ticket the request
 	 * @param upstream the name of the upstream
 	 * @param result how the attempt ended
+	 * @param load what the upstream said of its load, if it did
 	 * @return what to do
 	 */
-	public List<SlotEffect> attemptEnded(long ticket, String upstream, AttemptResult result) {
+	public List<SlotEffect> attemptEnded(long ticket, String upstream, AttemptResult result,
+			@Nullable LoadReport load) {
 		Asked request = this.asked.get(ticket);
 		if (request != null) {
-			send(request, message(request).setEnd(end(upstream, result)));
+			SlotEnd.Builder end = end(upstream, result).toBuilder();
+			if (load != null) {
+				end.setLoad(org.radishthread.protocol.LoadReport.newBuilder()
+					.setRunning(load.running())
+					.setWaiting(load.waiting())
+					.setSlots(load.slots())
+					.setPacePercent(load.pacePercent()));
+			}
+			send(request, message(request).setEnd(end));
 		}
 		return takeEffects();
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -25,6 +25,11 @@
 
 	private int inFlight;
 
+	private final PaceEstimate pace = new PaceEstimate();
+
+	// The time that an attempt takes at the usual pace.
+	private double baseNanos;
+
 	private double latencyNanos;
 
 	private int samples;
@@ -127,6 +132,14 @@
 		return this.inFlight < (isOnTrial() ? 1 : usableSlots(now));
 	}
 
+	boolean isCalm() {
+		return this.inFlight < CrowdingEstimate.calmSlots(this.upstream.slots());
+	}
+
+	double paceFactor(long now) {
+		return this.pace.factor(now);
+	}
+
 	// One more request may be on its way while the slots are busy, so that a slot does
 	// not
 	// stand idle for the time that an answer and the next request travel.
@@ -151,6 +164,17 @@
 		return this.latencyNanos;
 	}
 
+	// The time that an attempt that begins now is expected to take, in nanoseconds.
+	double expectedNanos(double usualNanos, CrowdingEstimate crowding, long now) {
+		double base = isLatencyKnown() ? this.baseNanos : usualNanos;
+		boolean crowded = this.inFlight + 1 > CrowdingEstimate.calmSlots(this.upstream.slots());
+		return base * this.pace.factor(now) * (crowded ? crowding.factor() : 1);
+	}
+
+	void reported(LoadReport report, long now) {
+		this.pace.reported(report.pacePercent(), now);
+	}
+
 	boolean isTrialDue(long now) {
 		return now - this.lastDispatchNanos > TRIAL_PAUSE_NANOS;
 	}
@@ -165,19 +189,20 @@
 		if (result == AttemptResult.SUCCESS) {
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
-			recordLatency(latency);
+			recordLatency(latency, now);
 		}
 		else if (result == AttemptResult.CANCELLED) {
 			// A cancelled attempt ran at least that long.
-			recordLatency(Math.max(latency, (long) this.latencyNanos));
+			recordLatency(Math.max(latency, (long) this.latencyNanos), now);
 		}
 		else if (result.countsAgainstUpstream()) {
 			failed(now, ejectAfter, probed);
 		}
 	}
 
-	private void recordLatency(long latency) {
+	private void recordLatency(long latency, long now) {
 		double weight = (this.samples == 0) ? 1 : LATENCY_WEIGHT;
+		this.baseNanos += weight * (latency / this.pace.factor(now) - this.baseNanos);
 		this.latencyNanos += weight * (latency - this.latencyNanos);
 		this.samples++;
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/Urgency.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/Urgency.java
@@ -4,9 +4,10 @@
  * How much it matters to answer a request soon.
  *
  * @param priority the rank among requests that wait, 0 first
- * @param objectiveNanos the time within which an answer is of full use, in nanoseconds
+ * @param objectiveAtNanos the monotonic time until which an answer is of full use, in
+ * nanoseconds
  */
-public record Urgency(int priority, long objectiveNanos) {
+public record Urgency(int priority, long objectiveAtNanos) {
 
 	/**
 	 * The urgency of a request whose route names none.
