--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonComponent.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonComponent.java
@@ -4,6 +4,7 @@
 import dagger.Component;
 import jakarta.inject.Singleton;
 
+import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.Kernel;
 
@@ -16,6 +17,8 @@
 
 	Kernel kernel();
 
+	ClusterService cluster();
+
 	/**
 	 * Creates the component.
 	 */
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
@@ -10,6 +10,7 @@
 
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.daemon.settings.SettingsReader;
+import org.radishthread.daemon.settings.SettingsReload;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.kernel.Kernel;
@@ -55,14 +56,16 @@
 			System.err.println(ex.getMessage());
 			return EXIT_SETTINGS;
 		}
-		return this.checkOnly ? 0 : run(settings, this.startAndStop);
+		return this.checkOnly ? 0 : run(settings);
 	}
 
-	private static int run(DaemonSettings settings, boolean startAndStop) throws InterruptedException {
+	private int run(DaemonSettings settings) throws InterruptedException {
 		LogOutput.configure();
 		Kernel kernel;
 		try {
-			kernel = DaggerDaemonComponent.factory().create(settings).kernel();
+			DaemonComponent component = DaggerDaemonComponent.factory().create(settings);
+			kernel = component.kernel();
+			kernel.register(new SettingsReload(this.settingsFile, component.cluster()::settingsChanged));
 			kernel.start();
 		}
 		catch (RadishthreadException | IllegalStateException ex) {
@@ -70,7 +73,7 @@
 			return EXIT_FAILURE;
 		}
 		eventLog.information("started").with("instance", settings.instance()).with("roles", settings.roles()).write();
-		if (startAndStop) {
+		if (this.startAndStop) {
 			kernel.stop();
 			return 0;
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -128,6 +128,14 @@
 		this.loop.repeat(TICK_MILLIS, () -> step(() -> this.membership.tick(now())));
 	}
 
+	/**
+	 * Takes settings that were read again; the seeds are all that can change.
+	 * @param changed the settings
+	 */
+	public void settingsChanged(DaemonSettings changed) {
+		this.loop.execute(() -> step(() -> this.membership.updateSeeds(changed.seeds())));
+	}
+
 	private long now() {
 		return this.time.monotonicMillis();
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptEnd.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptEnd.java
@@ -23,6 +23,11 @@
 	 */
 	FAILED(AttemptResult.FAILURE),
 
+	/**
+	 * No connection could be opened.
+	 */
+	UNREACHABLE(AttemptResult.UNREACHABLE),
+
 	/**
 	 * The other end did not run the request.
 	 */
@@ -52,7 +57,11 @@
 	}
 
 	static AttemptEnd of(AttemptOutcome outcome) {
-		return (outcome == AttemptOutcome.REFUSED) ? REFUSED : FAILED;
+		return switch (outcome) {
+			case NOT_SENT -> UNREACHABLE;
+			case REFUSED -> REFUSED;
+			case BROKEN -> FAILED;
+		};
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -52,6 +52,11 @@
 		}
 		Optional<RouteRule> route = this.context.routing()
 			.route(host(request), request.getMethod(), request.getHttpURI().getPath());
+		if (route.isEmpty() && !this.context.routing().hasRules()) {
+			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "No rules are known yet.", RETRY_AFTER_MILLIS),
+					response, counted);
+			return true;
+		}
 		if (route.isEmpty()) {
 			write(Problem.notRun(HttpStatus.NOT_FOUND_404, "No rule matches this request.", 0), response, counted);
 			return true;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -74,6 +74,10 @@
 		// Routers run when they are asked.
 	}
 
+	boolean hasRules() {
+		return this.rules.revision() > 0;
+	}
+
 	/**
 	 * Finds the route of a request and the service that takes it.
 	 * @param host the host that the request names, without a port
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -23,7 +23,9 @@
 
 	private static final int CONNECTIONS_PER_UPSTREAM = 512;
 
-	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+	// A hundred round trips between availability zones; a lost packet is sent again only
+	// after a second.
+	private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
 	private static final long KEPT_IDLE_MILLIS = 30_000;
 
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -46,6 +46,8 @@
 
 	private final MembershipSettings settings;
 
+	private List<String> seeds;
+
 	private final PeerSelector selector;
 
 	private InstanceRecord self;
@@ -82,15 +84,18 @@
 
 	private boolean rulesConfirmed;
 
+	private boolean upstreamsLearned;
+
 	public Membership(InstanceRecord self, MembershipSettings settings, PeerSelector selector) {
 		this.self = self;
 		this.settings = settings;
+		this.seeds = settings.seeds();
 		this.selector = selector;
 		this.heartbeat = self.getIncarnation();
 		this.instances = new InstanceTable(self.getName());
 		this.upstreams = new UpstreamTable(self.getName());
 		this.instances.merge(self, 0);
-		this.changedInstances.add(self.getName(), self, settings.seeds().size());
+		this.changedInstances.add(self.getName(), self, seeds.size());
 	}
 
 	// Effects
@@ -118,6 +123,14 @@
 		this.outgoing.add(new Outgoing(address, envelope.build()));
 	}
 
+	/**
+	 * Sets whom to ask first when too few instances are heard of.
+	 * @param updated peer addresses
+	 */
+	public void updateSeeds(List<String> updated) {
+		this.seeds = List.copyOf(updated);
+	}
+
 	// Time
 
 	/**
@@ -130,6 +143,7 @@
 		forgetInstances(now);
 		confirmRulesByMajority(now);
 		replicate(now);
+		learnUpstreams(now);
 		if (now >= this.nextRoundMillis) {
 			this.heartbeat++;
 			this.instances.heard(ShortName.of(this.self.getName()), this.heartbeat, this.rules.revision(), now);
@@ -203,7 +217,7 @@
 	private void sendRound(int fanout) {
 		Set<String> candidates = new LinkedHashSet<>(this.instances.otherAddresses());
 		if (!hasMajority(this.lastTimeMillis)) {
-			candidates.addAll(this.settings.seeds());
+			candidates.addAll(this.seeds);
 		}
 		candidates.remove(this.self.getPeerAddress());
 		List<String> chosen = this.selector.choose(List.copyOf(candidates), fanout);
@@ -272,6 +286,7 @@
 
 	private void mergeInstance(InstanceRecord received, long now) {
 		if (received.getName().equals(this.self.getName())) {
+			outlive(received);
 			return;
 		}
 		if (this.instances.merge(received, now)) {
@@ -280,6 +295,18 @@
 		}
 	}
 
+	// A former run started while the calendar time was ahead; others would ignore this
+	// one.
+	private void outlive(InstanceRecord former) {
+		if (former.getIncarnation() <= this.self.getIncarnation()) {
+			return;
+		}
+		this.self = this.self.toBuilder().setIncarnation(former.getIncarnation() + 1).build();
+		this.instances.merge(this.self, 0);
+		this.changedInstances.add(this.self.getName(), this.self, this.instances.entries().size());
+		this.urgent = true;
+	}
+
 	private void mergeUpstream(UpstreamRecord received, long now) {
 		if (this.upstreams.merge(received, now)) {
 			upstreamChanged(received);
@@ -298,6 +325,13 @@
 		return UpstreamVersions.digest(this.upstreams.entries());
 	}
 
+	private void learnUpstreams(long now) {
+		if (!this.upstreamsLearned) {
+			this.selector.choose(this.instances.otherAddresses(), 1)
+				.forEach((address) -> requestSynchronization(address, now, JOIN_PAUSE_MILLIS));
+		}
+	}
+
 	private void requestSynchronization(String address, long now, long pauseMillis) {
 		if (now - this.lastSynchronizationMillis < pauseMillis) {
 			return;
@@ -323,6 +357,7 @@
 		received.getRecordsList().forEach((instance) -> mergeInstance(instance, now));
 		received.getUpstreamsList().forEach((upstream) -> mergeUpstream(upstream, now));
 		if (received.getAnswer()) {
+			this.upstreamsLearned = true;
 			return;
 		}
 		Synchronization.Builder answer = versions(true);
@@ -580,7 +615,10 @@
 	 * @return the count, with this instance
 	 */
 	public int expectedInstances() {
-		return Math.max(this.instances.expectedCount(), this.settings.seeds().size());
+		int known = this.instances.expectedCount();
+		boolean othersUnknown = known <= 1
+				&& this.seeds.stream().anyMatch((seed) -> !seed.equals(this.self.getPeerAddress()));
+		return Math.max(known + (othersUnknown ? 1 : 0), this.seeds.size());
 	}
 
 	/**
@@ -609,7 +647,10 @@
 		if (stale || !hasMajority(now) || this.rules.isBehindLongerThan(RULE_LAG_MILLIS, now)) {
 			return ServingState.ISOLATED;
 		}
-		return this.rulesConfirmed ? ServingState.READY : ServingState.STARTING;
+		// An instance that starts must not route before it knows which upstreams have
+		// left.
+		boolean learned = this.upstreamsLearned || this.instances.entries().size() == 1;
+		return (this.rulesConfirmed && learned) ? ServingState.READY : ServingState.STARTING;
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
@@ -17,6 +17,11 @@
 	 */
 	FAILURE(true),
 
+	/**
+	 * No connection to the upstream could be opened.
+	 */
+	UNREACHABLE(true),
+
 	/**
 	 * The upstream refused the request before running it.
 	 */
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -8,7 +8,7 @@
 
 	private static final double MAXIMUM_TOKENS = 20;
 
-	private static final double INITIAL_TOKENS = 10;
+	private static final double INITIAL_TOKENS = 3;
 
 	private static final double RESERVED_FOR_RETRIES = 4;
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -175,6 +175,10 @@
 		this.pace.reported(report.pacePercent(), now);
 	}
 
+	long lastDispatchNanos() {
+		return this.lastDispatchNanos;
+	}
+
 	boolean isTrialDue(long now) {
 		return now - this.lastDispatchNanos > TRIAL_PAUSE_NANOS;
 	}
@@ -196,7 +200,7 @@
 			recordLatency(Math.max(latency, (long) this.latencyNanos), now);
 		}
 		else if (result.countsAgainstUpstream()) {
-			failed(now, ejectAfter, probed);
+			failed(now, (result == AttemptResult.UNREACHABLE) ? 1 : ejectAfter, probed);
 		}
 	}
 
