--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -138,11 +138,15 @@
 		}
 	}
 
+	private boolean isGenuine(Response response) {
+		return this.dialect.isGenuine(this.requestName, response.getStatus(), response.getHeaders());
+	}
+
 	// What can not be judged after its end is judged before its first byte is passed on.
 	private boolean mayStream(Response response) {
 		int status = response.getStatus();
-		return this.dialect.isGenuine(status, response.getHeaders())
-				&& !this.dialect.isNotRun(status, response.getHeaders()) && this.listener.mayStream(this, response);
+		return isGenuine(response) && !this.dialect.isNotRun(status, response.getHeaders())
+				&& this.listener.mayStream(this, response);
 	}
 
 	@Override
@@ -163,7 +167,7 @@
 		else if (this.dialect.isNotRun(result.getResponse().getStatus(), result.getResponse().getHeaders())) {
 			this.listener.refused(this, result.getResponse(), this.held.toByteArray());
 		}
-		else if (!this.dialect.isGenuine(result.getResponse().getStatus(), result.getResponse().getHeaders())) {
+		else if (!isGenuine(result.getResponse())) {
 			this.listener.failed(this, AttemptOutcome.BROKEN, new GatewayException(
 					"The answer with status " + result.getResponse().getStatus() + " does not show that it is whole."));
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
@@ -55,7 +55,7 @@
 	}
 
 	@Override
-	public boolean isGenuine(int status, HttpFields answer) {
+	public boolean isGenuine(@Nullable String requestName, int status, HttpFields answer) {
 		return true;
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
@@ -58,11 +58,12 @@
 
 	/**
 	 * Returns whether an answer may be passed on as the upstream's own.
+	 * @param requestName the name of the request, if it has one
 	 * @param status the HTTP status
 	 * @param answer the headers of the answer
-	 * @return whether it is an answer to a request that ran
+	 * @return whether it is an answer to this request, which ran
 	 */
-	boolean isGenuine(int status, HttpFields answer);
+	boolean isGenuine(@Nullable String requestName, int status, HttpFields answer);
 
 	/**
 	 * Returns whether an answer without a length is whole when its connection closes in
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -95,7 +95,7 @@
 		this.instances = new InstanceTable(self.getName());
 		this.upstreams = new UpstreamTable(self.getName());
 		this.instances.merge(self, 0);
-		this.changedInstances.add(self.getName(), self, seeds.size());
+		this.changedInstances.add(self.getName(), self, this.seeds.size());
 	}
 
 	// Effects
