--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -91,8 +91,15 @@
 
 	@Provides
 	@Singleton
-	static RoutingService routingService(DaemonSettings settings, TimeSource time, MeterRegistry meters) {
-		return new RoutingService(settings, time, meters);
+	static HttpDialect httpDialect(Optional<DaemonExtension> extension) {
+		return extension.map(DaemonExtension::dialect).orElseGet(DefaultHttpDialect::new);
+	}
+
+	@Provides
+	@Singleton
+	static RoutingService routingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
+			TimeSource time, MeterRegistry meters) {
+		return new RoutingService(settings, clients, dialect, time, meters);
 	}
 
 	@Provides
@@ -118,9 +125,7 @@
 	@Provides
 	@Singleton
 	static GatewayContext gatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients,
-			ControlClient control, SlotService slots, Optional<DaemonExtension> extension, TimeSource time,
-			MeterRegistry meters) {
-		HttpDialect dialect = extension.map(DaemonExtension::dialect).orElseGet(DefaultHttpDialect::new);
+			ControlClient control, SlotService slots, HttpDialect dialect, TimeSource time, MeterRegistry meters) {
 		return new GatewayContext(settings, routing, clients, new ClaimKeeper(settings, control), slots, dialect, time,
 				meters);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
@@ -82,6 +82,10 @@
 		else if (effect instanceof RoutingEffect.Probe probe) {
 			probe(probe.upstream());
 		}
+		else if (effect instanceof RoutingEffect.PaceProbe probe) {
+			this.prober.askPace(probe.upstream(), probe.path())
+				.thenAccept((report) -> perform((now) -> this.router.paceProbed(probe.upstream().name(), report, now)));
+		}
 	}
 
 	private void dispatch(RoutingEffect.Dispatch dispatch) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -58,10 +58,11 @@
 
 	private volatile RouteFinder routes = RuleSet.NONE.toFinder();
 
-	public RoutingService(DaemonSettings settings, TimeSource time, MeterRegistry meters) {
+	public RoutingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect, TimeSource time,
+			MeterRegistry meters) {
 		this.settings = settings;
 		this.time = time;
-		this.prober = new UpstreamProber(meters);
+		this.prober = new UpstreamProber(clients, dialect, meters);
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
@@ -6,11 +6,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 
 import org.radishthread.kernel.NetworkAddress;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.Upstream;
 
 /**
@@ -20,6 +22,13 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+	// Older news of the pace is of no use.
+	private static final int PACE_TIMEOUT_MILLIS = 250;
+
+	private final UpstreamClients clients;
+
+	private final HttpDialect dialect;
+
 	private final Counter probes;
 
 	private final ExecutorService threads = Executors.newCachedThreadPool((task) -> {
@@ -28,7 +37,9 @@
 		return thread;
 	});
 
-	UpstreamProber(MeterRegistry meters) {
+	UpstreamProber(UpstreamClients clients, HttpDialect dialect, MeterRegistry meters) {
+		this.clients = clients;
+		this.dialect = dialect;
 		this.probes = meters.counter("radishthread.probes");
 	}
 
@@ -47,4 +58,27 @@
 		}
 	}
 
+	/**
+	 * Asks an upstream how fast it works.
+	 * @param upstream the upstream
+	 * @param path the path of the request
+	 * @return what it said; never completed if it said nothing
+	 */
+	CompletableFuture<LoadReport> askPace(Upstream upstream, String path) {
+		this.probes.increment();
+		CompletableFuture<LoadReport> result = new CompletableFuture<>();
+		this.clients.request(NetworkAddress.parse(upstream.address()), false)
+			.path(path)
+			.timeout(PACE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.onResponseHeaders((response) -> {
+				LoadReport report = this.dialect.loadOf(response.getHeaders());
+				if (report != null) {
+					result.complete(report);
+				}
+			})
+			.send((ended) -> {
+			});
+		return result;
+	}
+
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReload.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReload.java
@@ -6,11 +6,12 @@
 import java.nio.file.attribute.FileTime;
 import java.util.function.Consumer;
 
+import sun.misc.Signal;
+
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.EventLoop;
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.kernel.Service;
-import sun.misc.Signal;
 
 /**
  * Reads the settings file again on SIGHUP and when it has changed. What can change
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -30,6 +30,16 @@
 	record Refusal(long ticket, RefusalReason reason, long retryAfterMillis) implements RoutingEffect {
 	}
 
+	/**
+	 * An upstream is to be asked how fast it works; {@link ServiceRouter#paceProbed}
+	 * takes the answer.
+	 *
+	 * @param upstream the upstream
+	 * @param path the path of the request that asks
+	 */
+	record PaceProbe(Upstream upstream, String path) implements RoutingEffect {
+	}
+
 	/**
 	 * An ejected upstream is to be probed by opening a connection to it;
 	 * {@link ServiceRouter#probed} takes the result.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -15,8 +15,10 @@
 import org.radishthread.kernel.Assert;
 import org.radishthread.routing.CallerQueues.Waiting;
 import org.radishthread.routing.RoutingEffect.Dispatch;
+import org.radishthread.routing.RoutingEffect.PaceProbe;
 import org.radishthread.routing.RoutingEffect.Probe;
 import org.radishthread.routing.RoutingEffect.Refusal;
+import org.radishthread.rules.PaceProbing;
 import org.radishthread.rules.ServiceRule;
 
 /**
@@ -41,6 +43,11 @@
 
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
+	private static final double NANOS_PER_SECOND = 1_000_000_000;
+
+	// A probe costs some thousandths of what a late answer does.
+	private static final double PACE_PROBES_PER_REQUEST = 8;
+
 	private static final int LATE_RANK = 1_000_000;
 
 	// Callers come back only if it is within a third of the time that they have left.
@@ -74,6 +81,10 @@
 
 	private final CrowdingEstimate crowding = new CrowdingEstimate();
 
+	private final DemandEstimate demand = new DemandEstimate();
+
+	private boolean active;
+
 	private List<RoutingEffect> effects = new ArrayList<>();
 
 	private boolean first = true;
@@ -149,6 +160,8 @@
 	 * @return its dispatch or refusal, or nothing while it waits
 	 */
 	public List<RoutingEffect> admit(Ticket ticket, long now) {
+		this.demand.arrived(now);
+		this.active = true;
 		Refusal refusal = reasonToRefuse(ticket, now);
 		if (refusal != null) {
 			return List.of(refusal);
@@ -444,6 +457,40 @@
 			}
 		}
 		probeEjected(now);
+		probePaces(now);
+		dispatchWaiting(now);
+		return takeEffects();
+	}
+
+	// Probes keep to the demand: a service that is asked rarely is probed rarely.
+	private void probePaces(long now) {
+		this.active = !this.demand.isIdle(now);
+		PaceProbing probing = this.rule.paceProbing();
+		if (probing == null || !this.active) {
+			return;
+		}
+		double byDemand = this.loads.size() * this.demand.pauseNanos() / PACE_PROBES_PER_REQUEST;
+		long interval = (long) Math.max(NANOS_PER_SECOND / probing.perSecond(), byDemand);
+		for (UpstreamLoad load : this.loads.values()) {
+			if (load.acceptsWork() && !load.isEjected(now) && load.isPaceProbeDue(interval, now)) {
+				load.paceProbing(now);
+				this.effects.add(new PaceProbe(load.upstream(), probing.path()));
+			}
+		}
+	}
+
+	/**
+	 * Learns how fast an upstream works that was asked.
+	 * @param upstream the name of the upstream
+	 * @param report what it said
+	 * @param now the monotonic time, in nanoseconds
+	 * @return requests that can now be sent
+	 */
+	public List<RoutingEffect> paceProbed(String upstream, LoadReport report, long now) {
+		UpstreamLoad load = this.loads.get(upstream);
+		if (load != null) {
+			load.paceProbed(report, now);
+		}
 		dispatchWaiting(now);
 		return takeEffects();
 	}
@@ -480,7 +527,8 @@
 	 * @return whether {@link #tick} is worth a call
 	 */
 	public boolean needsTime() {
-		return this.queues.size() > 0 || this.loads.values().stream().anyMatch(UpstreamLoad::awaitsProbe);
+		boolean probing = this.active && this.rule.paceProbing() != null;
+		return probing || this.queues.size() > 0 || this.loads.values().stream().anyMatch(UpstreamLoad::awaitsProbe);
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -17,6 +17,8 @@
 
 	private static final int MAXIMUM_EJECTION_DOUBLINGS = 5;
 
+	private static final int SILENT_PACE_PROBES = 50;
+
 	private static final long TRIAL_PAUSE_NANOS = 500_000_000L;
 
 	private Upstream upstream;
@@ -46,6 +48,12 @@
 
 	private boolean removed;
 
+	private long reportedNanos = Long.MIN_VALUE / 2;
+
+	private long paceProbedNanos = Long.MIN_VALUE / 2;
+
+	private int silentPaceProbes;
+
 	UpstreamLoad(Upstream upstream, long easedInSinceNanos) {
 		this.upstream = upstream;
 		this.easedInSinceNanos = easedInSinceNanos;
@@ -172,9 +180,28 @@
 	}
 
 	void reported(LoadReport report, long now) {
+		this.reportedNanos = now;
 		this.pace.reported(report.pacePercent(), now);
 	}
 
+	// Returns whether nothing was heard of the pace for so long, and no probe is under
+	// way.
+	boolean isPaceProbeDue(long intervalNanos, long now) {
+		return this.silentPaceProbes < SILENT_PACE_PROBES && now - this.reportedNanos >= intervalNanos
+				&& now - this.paceProbedNanos >= intervalNanos;
+	}
+
+	void paceProbing(long now) {
+		this.paceProbedNanos = now;
+		this.silentPaceProbes++;
+	}
+
+	// An upstream that never tells its pace is not asked for ever.
+	void paceProbed(LoadReport report, long now) {
+		this.silentPaceProbes = (report.pacePercent() > 0) ? 0 : this.silentPaceProbes;
+		reported(report, now);
+	}
+
 	long lastDispatchNanos() {
 		return this.lastDispatchNanos;
 	}
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptions.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptions.java
@@ -37,6 +37,10 @@
 
 	private int retryPercent = -1;
 
+	private int paceProbes = -1;
+
+	private String healthPath = "";
+
 	private int ejectAfter = -1;
 
 	private @Nullable RouteMode mode;
@@ -83,7 +87,15 @@
 				orElse(this.queueWait, defaults.queueWait()),
 				orElse(this.callerSharePercent, defaults.callerSharePercent()),
 				orElse(this.probesPerSecond, defaults.probesPerSecond()),
-				orElse(this.retryPercent, defaults.retryPercent()), orElse(this.ejectAfter, defaults.ejectAfter()));
+				orElse(this.retryPercent, defaults.retryPercent()), orElse(this.ejectAfter, defaults.ejectAfter()),
+				paceProbing());
+	}
+
+	private @Nullable PaceProbing paceProbing() {
+		if (this.paceProbes <= 0) {
+			return null;
+		}
+		return new PaceProbing(this.healthPath.isEmpty() ? "/" : this.healthPath, this.paceProbes);
 	}
 
 	RouteRule toRouteRule(List<WeightedService> split, String method, PathPattern pattern, String askedBy) {
@@ -155,6 +167,10 @@
 			case "probes" -> {
 				this.probesPerSecond = number(option, "/s", 10_000, column);
 			}
+			case "pace-probes" -> {
+				this.paceProbes = number(option, "/s", 1_000, column);
+			}
+			case "health" -> readHealthPath(option, column);
 			case "retries" -> {
 				this.retryPercent = number(option, "%", 100, column);
 			}
@@ -162,7 +178,8 @@
 				this.ejectAfter = number(option, "", 1_000, column);
 			}
 			default -> this.findings.add(this.line, column, key,
-					"Unknown service option; queue, wait, caller-share, probes, retries or eject-after is expected.");
+					"Unknown service option; queue, wait, caller-share, probes, pace-probes, health, retries"
+							+ " or eject-after is expected.");
 		}
 	}
 
@@ -195,6 +212,14 @@
 		}
 	}
 
+	private void readHealthPath(String option, int column) {
+		this.healthPath = value(option);
+		if (!this.healthPath.startsWith("/")) {
+			this.findings.add(this.line, column, "health", "A path that starts with a slash is expected.");
+			this.healthPath = "/";
+		}
+	}
+
 	private void readMode(String option, int column) {
 		if (this.mode != null) {
 			this.findings.add(this.line, column, option, "Only one of once, repeatable and upload may stand here.");
--- a/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Sets the limits and budgets of a service.
  *
@@ -13,9 +15,15 @@
  * @param probesPerSecond the measuring budget of all instances together
  * @param retryPercent the retries and hedges allowed per hundred successes
  * @param ejectAfter the consecutive failures after which an upstream is ejected
+ * @param paceProbing how upstreams are asked for their pace, or {@code null} for not
  */
 public record ServiceRule(String service, int queueLimit, Duration queueWait, int callerSharePercent,
-		int probesPerSecond, int retryPercent, int ejectAfter) {
+		int probesPerSecond, int retryPercent, int ejectAfter, @Nullable PaceProbing paceProbing) {
+
+	public ServiceRule(String service, int queueLimit, Duration queueWait, int callerSharePercent, int probesPerSecond,
+			int retryPercent, int ejectAfter) {
+		this(service, queueLimit, queueWait, callerSharePercent, probesPerSecond, retryPercent, ejectAfter, null);
+	}
 
 	/**
 	 * Returns the values that hold for a service without a rule of its own.
