Tell a reset of an upstream from an orderly end; come back sooner after all stopped

Change: end points of upstream connections report resets; elections after 0.5 to 1 s; the first question goes to the seeds at once; control instances keep the announced upstreams in a file.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ReplicaSettings.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ReplicaSettings.java
@@ -18,7 +18,7 @@
 	/**
 	 * Values for instances in a few availability zones some milliseconds apart.
 	 */
-	public static final ReplicaSettings DEFAULTS = new ReplicaSettings(250, 1_000, 256, 512);
+	public static final ReplicaSettings DEFAULTS = new ReplicaSettings(125, 500, 256, 512);
 
 	public ReplicaSettings {
 		Assert.isTrue(heartbeatMillis > 0, "Heartbeat " + heartbeatMillis + " ms must be positive.");
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -13,6 +13,7 @@
 
 import org.radishthread.daemon.administration.AdministrationServer;
 import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.cluster.UpstreamStore;
 import org.radishthread.daemon.control.ControlClient;
 import org.radishthread.daemon.control.ControlService;
 import org.radishthread.daemon.control.FormationService;
@@ -139,6 +140,11 @@
 		Kernel kernel = new Kernel();
 		kernel.register(transport);
 		cluster.addListener(routing);
+		if (settings.isControl()) {
+			UpstreamStore store = new UpstreamStore(settings.dataFolder().resolve("control"));
+			cluster.restoreUpstreams(store.load());
+			cluster.addListener(store);
+		}
 		kernel.register(cluster);
 		if (settings.isControl()) {
 			kernel.register(new ControlService(settings, transport, cluster, time));
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -125,9 +125,19 @@
 				envelope) -> receive(() -> this.membership.receive(envelope.getUpstreamNotice(), address, now())));
 		this.transport.handle(Envelope.BodyCase.UPSTREAM_NOTICE_RECEIPT, (name, address,
 				envelope) -> receive(() -> this.membership.receive(envelope.getUpstreamNoticeReceipt(), name, now())));
+		this.loop.execute(() -> step(() -> this.membership.tick(now())));
 		this.loop.repeat(TICK_MILLIS, () -> step(() -> this.membership.tick(now())));
 	}
 
+	/**
+	 * Takes upstreams that were known before this instance stopped; to be called before
+	 * {@link #start()}.
+	 * @param upstreams the upstreams
+	 */
+	public void restoreUpstreams(List<UpstreamRecord> upstreams) {
+		this.membership.restore(upstreams, now());
+	}
+
 	/**
 	 * Takes settings that were read again; the seeds are all that can change.
 	 * @param changed the settings
@@ -314,12 +324,14 @@
 	 * @return the addresses, live ones first
 	 */
 	public List<String> controlAddresses() {
-		return this.view.instances()
+		List<String> known = this.view.instances()
 			.stream()
 			.filter((instance) -> instance.instance().getControl() && !instance.instance().getLeaving())
 			.sorted((left, right) -> Boolean.compare(right.live(), left.live()))
 			.map((instance) -> instance.instance().getPeerAddress())
 			.toList();
+		// An instance that starts knows nobody yet; seeds are often control instances.
+		return known.isEmpty() ? this.settings.seeds() : known;
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -26,7 +26,7 @@
 	 */
 	public static final String NAME = "control-client";
 
-	private static final long TICK_MILLIS = 200;
+	private static final long TICK_MILLIS = 100;
 
 	private static final long CONFIRMATION_MILLIS = 2_000;
 
@@ -59,6 +59,7 @@
 	public void start() {
 		this.transport.handle(Envelope.BodyCase.CONTROL_RESPONSE, (name, address, envelope) -> this.loop
 			.execute(() -> step(() -> this.requester.receive(envelope.getControlResponse(), now()))));
+		this.loop.execute(this::tick);
 		this.loop.repeat(TICK_MILLIS, this::tick);
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -39,7 +39,7 @@
 
 	private static final EventLog eventLog = EventLog.of(ControlService.class);
 
-	private static final long TICK_MILLIS = 100;
+	private static final long TICK_MILLIS = 50;
 
 	private static final int BATCH_LIMIT = 1_024;
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -31,9 +32,9 @@
 
 	private static final int THREADS = 16;
 
-	private final HttpClient kept = new HttpClient();
+	private final HttpClient kept = new HttpClient(transport());
 
-	private final HttpClient fresh = new HttpClient();
+	private final HttpClient fresh = new HttpClient(transport());
 
 	@Override
 	public String name() {
@@ -46,6 +47,12 @@
 		configure(this.fresh, "upstream-new", 1);
 	}
 
+	private static HttpClientTransportOverHTTP transport() {
+		UpstreamConnector connector = new UpstreamConnector();
+		connector.setSelectors(1);
+		return new HttpClientTransportOverHTTP(connector);
+	}
+
 	private static void configure(HttpClient client, String name, int usesPerConnection) {
 		QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
 		threads.setName(name);
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -529,6 +529,15 @@
 		this.upstreams.renew(renewal.getName(), renewal.getIncarnation(), renewal.getSequence(), now);
 	}
 
+	/**
+	 * Takes in records that were known before this instance stopped.
+	 * @param known the records
+	 * @param now the monotonic time, in milliseconds
+	 */
+	public void restore(List<UpstreamRecord> known, long now) {
+		known.forEach((upstream) -> mergeUpstream(upstream, now));
+	}
+
 	/**
 	 * Returns the upstreams that have not left.
 	 * @return their records
