Hedge by the typical time at the usual pace, with a floor of three a second

Cause: hedges came at 1.5 times the mean, which slow machines inflate, so that the second answer missed the objective. Change: the typical time is that at the usual pace of an upstream that is not crowded; three retries a second beside the share of successes; expected times within 1.6 count as equal.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/CrowdingEstimate.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CrowdingEstimate.java
@@ -57,6 +57,12 @@
 		return known ? Math.max(1, this.crowdedNanos / this.calmNanos) : 1;
 	}
 
+	// The time that an attempt takes at the usual pace of an upstream that is not
+	// crowded.
+	double typicalNanos(double unknown) {
+		return (this.calmSamples > 0) ? this.calmNanos : unknown;
+	}
+
 	// Returns whether requests should rather wait than crowd an upstream.
 	boolean costsMoreThanItBrings(int slots) {
 		return factor() > (double) slots / calmSlots(slots);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/LeastExpectedCompletion.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/LeastExpectedCompletion.java
@@ -15,7 +15,7 @@
 	private static final double STRAGGLER_FACTOR = 3;
 
 	// Expected times within this factor of the least count as equal.
-	private static final double ABOUT_EQUAL = 1.25;
+	private static final double ABOUT_EQUAL = 1.6;
 
 	@Override
 	public Optional<UpstreamLoad> choose(List<UpstreamLoad> free, SelectionContext context) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -12,8 +12,15 @@
 
 	private static final double RESERVED_FOR_RETRIES = 4;
 
+	// A service that is asked rarely gets some retries all the same.
+	private static final double TOKENS_PER_SECOND = 3;
+
+	private static final double NANOS_PER_SECOND = 1_000_000_000;
+
 	private double tokens = INITIAL_TOKENS;
 
+	private long refilledNanos = Long.MIN_VALUE;
+
 	/**
 	 * Learns of a success.
 	 * @param retryPercent the retries and hedges allowed per hundred successes
@@ -22,11 +29,21 @@
 		this.tokens = Math.min(MAXIMUM_TOKENS, this.tokens + retryPercent / 100.0);
 	}
 
+	private void refill(long now) {
+		if (this.refilledNanos != Long.MIN_VALUE) {
+			double added = TOKENS_PER_SECOND * (now - this.refilledNanos) / NANOS_PER_SECOND;
+			this.tokens = Math.min(MAXIMUM_TOKENS, this.tokens + added);
+		}
+		this.refilledNanos = now;
+	}
+
 	/**
 	 * Takes one retry or hedge from the budget.
+	 * @param now the monotonic time, in nanoseconds
 	 * @return whether it may be sent
 	 */
-	public boolean tryTake() {
+	public boolean tryTake(long now) {
+		refill(now);
 		if (this.tokens < 1) {
 			return false;
 		}
@@ -36,10 +53,12 @@
 
 	/**
 	 * Takes one hedge from the budget, but leaves a reserve for retries.
+	 * @param now the monotonic time, in nanoseconds
 	 * @return whether it may be sent
 	 */
-	public boolean tryTakeForHedge() {
-		return this.tokens >= 1 + RESERVED_FOR_RETRIES && tryTake();
+	public boolean tryTakeForHedge(long now) {
+		refill(now);
+		return this.tokens >= 1 + RESERVED_FOR_RETRIES && tryTake(now);
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -31,7 +31,9 @@
 
 	private static final double HEDGE_LATENCY_FACTOR = 3;
 
-	private static final double HEDGE_MARGIN_FACTOR = 1.5;
+	private static final double HEDGE_MARGIN_FACTOR = 1.3;
+
+	private static final double HEDGE_LEAST_FACTOR = 1.15;
 
 	private static final long MINIMUM_HEDGE_NANOS = 2_000_000;
 
@@ -319,10 +321,9 @@
 
 	// A second attempt must be able to answer in time, and not be made for usual times.
 	private long hedgeAfterNanos(Ticket ticket, long now) {
-		double service = this.throughput.serviceNanos();
-		double usual = HEDGE_LATENCY_FACTOR * service;
-		double inTime = ticket.urgency().objectiveAtNanos() - now - HEDGE_MARGIN_FACTOR * service;
-		double earliest = Math.min(usual, Math.max(HEDGE_MARGIN_FACTOR * service, inTime));
+		double typical = this.crowding.typicalNanos(this.throughput.serviceNanos());
+		double inTime = ticket.urgency().objectiveAtNanos() - now - HEDGE_MARGIN_FACTOR * typical;
+		double earliest = Math.min(HEDGE_LATENCY_FACTOR * typical, Math.max(HEDGE_LEAST_FACTOR * typical, inTime));
 		return (long) Math.max(MINIMUM_HEDGE_NANOS, earliest);
 	}
 
@@ -384,7 +385,7 @@
 			return List.of();
 		}
 		if (flight.tried.size() >= flight.ticket.maximumAttempts() || now >= flight.ticket.deadlineNanos()
-				|| !this.retryBudget.tryTake()) {
+				|| !this.retryBudget.tryTake(now)) {
 			return List.of(new Refusal(ticket, RefusalReason.RETRY_BUDGET, MINIMUM_RETRY_AFTER_MILLIS));
 		}
 		boolean untried = this.loads.values()
@@ -413,7 +414,7 @@
 			return List.of();
 		}
 		Optional<UpstreamLoad> chosen = choose(flight, now, (load) -> load.hasFreeSlot(now) && load.isCalm());
-		if (chosen.isEmpty() || !this.retryBudget.tryTakeForHedge()) {
+		if (chosen.isEmpty() || !this.retryBudget.tryTakeForHedge(now)) {
 			return List.of();
 		}
 		dispatch(flight, chosen.get(), AttemptKind.HEDGE, 0, now);
