--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -130,6 +130,13 @@
 		return this.context;
 	}
 
+	// The caller's own name of the request, where it has one.
+	protected final String logName() {
+		String number = this.context.settings().instance() + '-' + this.id;
+		String name = this.context.dialect().requestName(this.request.getHeaders(), number);
+		return (name != null) ? name : number;
+	}
+
 	protected final RouteRule route() {
 		return this.route;
 	}
@@ -266,6 +273,14 @@
 				this.context.settings().instance() + '-' + this.id + '-' + kind);
 		prepare(outgoing, new HttpDialect.DescribedAttempt(requestName, remainingMillis(), name));
 		int limit = this.context.settings().limits().heldAnswerBytes();
+		eventLog.information("attempt")
+			.with("request", logName())
+			.with("number", this.id)
+			.with("service", this.route.service())
+			.with("upstream", name)
+			.with("kind", kind)
+			.with("remaining-millis", remainingMillis())
+			.write();
 		Attempt attempt = new Attempt(name, address, outgoing, dialect, requestName, limit, onNewConnection, this);
 		synchronized (this) {
 			if (this.finished) {
@@ -379,7 +394,7 @@
 			return;
 		}
 		eventLog.information("attempt-failed")
-			.with("request", this.id)
+			.with("request", logName())
 			.with("target", attempt.targetName())
 			.with("outcome", outcome)
 			.with("cause", cause.getMessage())
@@ -455,7 +470,7 @@
 
 	private void callerLost(Throwable cause) {
 		if (tryFinish()) {
-			eventLog.information("caller-lost").with("request", this.id).with("cause", cause).write();
+			eventLog.information("caller-lost").with("request", logName()).with("cause", cause).write();
 			abortOthers(null);
 			this.callback.failed(cause);
 		}
@@ -464,7 +479,7 @@
 	protected final void finish(Problem problem) {
 		if (tryFinish()) {
 			eventLog.information("problem")
-				.with("request", this.id)
+				.with("request", logName())
 				.with("service", this.route.service())
 				.with("status", problem.status())
 				.with("outcome", problem.outcome().word())
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -80,7 +80,7 @@
 
 	private void claimed(Claim taken, ClaimAnswer answer) {
 		eventLog.information("claim")
-			.with("request", id())
+			.with("request", logName())
 			.with("service", route().service())
 			.with("verdict", answer.getVerdict())
 			.with("owner", answer.getOwner())
