Keep connections open on shutdown until their answer; hedge past stuck attempts

Change: the idle time stays on shutdown; a second attempt that was not granted is asked for again each 0.1 s; beside one that takes five times the typical time any free slot will do.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -165,6 +165,10 @@
 		return this.context.time().monotonicNanos() - this.startedNanos;
 	}
 
+	protected final synchronized int attemptsUnderWay() {
+		return this.attempts.size();
+	}
+
 	protected final synchronized boolean isFinished() {
 		return this.finished;
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -79,6 +79,8 @@
 		this.connector.setHost(address.host());
 		this.connector.setPort(address.port());
 		this.connector.setIdleTimeout(CONNECTION_IDLE_MILLIS);
+		// On shutdown a connection whose request waits for its upstream is idle, too.
+		this.connector.setShutdownIdleTimeout(CONNECTION_IDLE_MILLIS);
 		this.server.addConnector(this.connector);
 		this.server.setHandler(this.handler);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GuardedRouter.java
@@ -158,7 +158,13 @@
 
 	@Override
 	public void hedge(long ticket) {
-		perform((now) -> this.router.hedge(ticket, now));
+		perform((now) -> {
+			List<RoutingEffect> effects = this.router.hedge(ticket, now);
+			if (effects.isEmpty()) {
+				eventLog.detail("hedge-refused").with("service", this.service).with("request", ticket).write();
+			}
+			return effects;
+		});
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -32,6 +32,8 @@
 
 	private static final EventLog eventLog = EventLog.of(RoutedExchange.class);
 
+	private static final long HEDGE_AGAIN_MILLIS = 100;
+
 	private final RequestRouter router;
 
 	private @Nullable Claim claim;
@@ -129,9 +131,18 @@
 			return;
 		}
 		if (dispatch.hedgeAfterNanos() > 0) {
-			schedule(Math.max(1, TimeUnit.NANOSECONDS.toMillis(dispatch.hedgeAfterNanos())),
-					() -> this.router.hedge(id()));
+			schedule(Math.max(1, TimeUnit.NANOSECONDS.toMillis(dispatch.hedgeAfterNanos())), this::hedge);
+		}
+	}
+
+	// A second attempt that was not granted, for want of a slot or of budget, may be
+	// later.
+	private void hedge() {
+		if (isFinished() || attemptsUnderWay() != 1) {
+			return;
 		}
+		this.router.hedge(id());
+		schedule(HEDGE_AGAIN_MILLIS, this::hedge);
 	}
 
 	@Override
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -8,9 +8,9 @@
 
 	private static final double MAXIMUM_TOKENS = 20;
 
-	private static final double INITIAL_TOKENS = 3;
+	private static final double INITIAL_TOKENS = 6;
 
-	private static final double RESERVED_FOR_RETRIES = 4;
+	private static final double RESERVED_FOR_RETRIES = 3;
 
 	// A service that is asked rarely gets some retries all the same.
 	private static final double TOKENS_PER_SECOND = 3;
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -1,6 +1,7 @@
 package org.radishthread.routing;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -31,6 +32,8 @@
 
 	private static final double HEDGE_LATENCY_FACTOR = 3;
 
+	private static final double STUCK_FACTOR = 5;
+
 	private static final double HEDGE_MARGIN_FACTOR = 1.3;
 
 	private static final double HEDGE_LEAST_FACTOR = 1.15;
@@ -400,6 +403,20 @@
 		return takeEffects();
 	}
 
+	// Beside an attempt that seems stuck even a straggler or the last slot is welcome.
+	private Optional<UpstreamLoad> chooseForStuck(Flight flight, long now) {
+		double usual = this.throughput.serviceNanos();
+		long lastStart = flight.started.values().stream().mapToLong(Started::atNanos).max().orElse(now);
+		if (now - lastStart < STUCK_FACTOR * this.crowding.typicalNanos(usual)) {
+			return Optional.empty();
+		}
+		return this.loads.values()
+			.stream()
+			.filter((load) -> load.hasFreeSlot(now))
+			.filter((load) -> !flight.tried.contains(load.upstream().name()))
+			.min(Comparator.comparingDouble((load) -> load.expectedNanos(usual, this.crowding, now)));
+	}
+
 	/**
 	 * Asks for a second attempt beside a slow one; it is granted only if a slot is free
 	 * and the budget allows it.
@@ -413,7 +430,8 @@
 				|| flight.tried.size() >= Math.min(2, flight.ticket.maximumAttempts()) || this.queues.size() > 0) {
 			return List.of();
 		}
-		Optional<UpstreamLoad> chosen = choose(flight, now, (load) -> load.hasFreeSlot(now) && load.isCalm());
+		Optional<UpstreamLoad> chosen = choose(flight, now, (load) -> load.hasFreeSlot(now) && load.isCalm())
+			.or(() -> chooseForStuck(flight, now));
 		if (chosen.isEmpty() || !this.retryBudget.tryTakeForHedge(now)) {
 			return List.of();
 		}
