--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -26,7 +26,8 @@
 
 /**
  * Shared flow of taking one request of a caller to its one final answer: body, attempts,
- * answer. Subclasses say where attempts go and what follows when one fails.
+ * answer, departure of the caller. Subclasses say where attempts go and what follows when
+ * one fails.
  */
 abstract class AbstractExchange implements AttemptListener {
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -15,8 +15,7 @@
 import org.radishthread.rules.RouteRule;
 
 /**
- * Starts an exchange for each request that a rule matches, here or at the home of its
- * service.
+ * Starts an exchange for each request that a rule matches.
  */
 final class GatewayHandler extends Handler.Abstract.NonBlocking {
 
