--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlGroupTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlGroupTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -10,6 +11,8 @@
 import org.radishthread.protocol.ControlRequest;
 import org.radishthread.protocol.ControlResponse;
 import org.radishthread.protocol.LogEntry;
+import org.radishthread.protocol.ReplaceReplica;
+import org.radishthread.protocol.ReplicaDescriptor;
 import org.radishthread.protocol.RulesAnswer;
 import org.radishthread.protocol.RulesVerdict;
 import org.radishthread.protocol.SubmitRules;
@@ -99,6 +102,60 @@
 
 	}
 
+	@Nested
+	class Joining {
+
+		private Optional<ReplicaDescriptor> added(int leader) {
+			return ControlGroupTests.this.cluster.instances.get(leader)
+				.group()
+				.status(0)
+				.getConfiguration()
+				.getLearnersList()
+				.stream()
+				.findFirst();
+		}
+
+		private long removed(int leader) {
+			return ControlGroupTests.this.cluster.instances.get(leader)
+				.group()
+				.status(0)
+				.getConfiguration()
+				.getReplacement()
+				.getRemoved();
+		}
+
+		private void join(int leader) {
+			ReplicaDescriptor stranger = ReplicaDescriptor.newBuilder()
+				.setId(4711)
+				.setInstance("stranger")
+				.setAddress("stranger:1")
+				.build();
+			ControlGroupTests.this.cluster.ask(leader,
+					ControlRequest.newBuilder().setReplace(ReplaceReplica.newBuilder().setAdded(stranger)));
+			ControlGroupTests.this.cluster.run(300);
+		}
+
+		@Test
+		void instanceOfANewNameIsAddedWhileAllVotersAnswer() {
+			int leader = leader();
+			join(leader);
+			assertThat(added(leader)).get().extracting(ReplicaDescriptor::getInstance).isEqualTo("stranger");
+			assertThat(removed(leader)).isZero();
+		}
+
+		@Test
+		void instanceOfANewNameReplacesAVoterThatIsSilentForLong() {
+			int leader = leader();
+			int silent = (leader + 1) % 3;
+			long identity = ControlGroupTests.this.cluster.instances.get(silent).descriptor().getId();
+			ControlGroupTests.this.cluster.isolate(silent);
+			ControlGroupTests.this.cluster.run(10_000);
+			join(leader);
+			assertThat(removed(leader)).isEqualTo(identity);
+		}
+
+	}
+
 	@Nested
 	class Rules {
 
