--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -171,7 +171,11 @@
 		// kept.
 		List<InstanceView> instances = this.membership.instances(now);
 		List<InstanceView> known = this.view.instances();
-		this.view = new ClusterView(this.membership.servingState(now), now, instances.equals(known) ? known : instances,
+		ServingState state = this.membership.servingState(now);
+		if (state != this.view.state()) {
+			logState(state, now);
+		}
+		this.view = new ClusterView(state, now, instances.equals(known) ? known : instances,
 				this.membership.appliedRules());
 		if (effects.woke()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
@@ -191,6 +195,18 @@
 		}
 	}
 
+	private void logState(ServingState state, long now) {
+		eventLog.information("state-changed")
+			.with("from", this.view.state().word())
+			.with("to", state.word())
+			.with("revision", this.membership.appliedRules().getRevision())
+			.with("live", this.membership.liveInstances(now))
+			.with("expected", this.membership.expectedInstances())
+			.with("rules-confirmed", this.membership.isRulesConfirmed())
+			.with("upstreams-learned", this.membership.isUpstreamsLearned())
+			.write();
+	}
+
 	/**
 	 * Returns the replica of this instance.
 	 * @return its descriptor, with identity zero without the control role
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -589,6 +589,23 @@
 		return this.rules.applied();
 	}
 
+	/**
+	 * Returns whether the rules applied here were confirmed since this process started or
+	 * woke.
+	 * @return whether they are known to be in force
+	 */
+	public boolean isRulesConfirmed() {
+		return this.rulesConfirmed;
+	}
+
+	/**
+	 * Returns whether another instance has told all upstreams that it knows.
+	 * @return whether the upstreams are known
+	 */
+	public boolean isUpstreamsLearned() {
+		return this.upstreamsLearned;
+	}
+
 	// An accepted revision is in force at a majority, and two majorities overlap.
 	private void confirmRulesByMajority(long now) {
 		long since = now - isolationMillis();
