Give the ports for operators, readiness and the platform one server

Cause: three classes opened a port, threads and a server in the same way. Change: HttpPort with the handler as the only difference. Tests of the platform path green.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -11,7 +11,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import jakarta.inject.Singleton;
 
-import org.radishthread.daemon.administration.AdministrationServer;
+import org.radishthread.daemon.administration.AdministrationHandler;
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.cluster.UpstreamStore;
 import org.radishthread.daemon.control.ControlClient;
@@ -26,10 +26,11 @@
 import org.radishthread.daemon.gateway.GatewayContext;
 import org.radishthread.daemon.gateway.GatewayServer;
 import org.radishthread.daemon.gateway.HttpDialect;
-import org.radishthread.daemon.gateway.ReadinessServer;
+import org.radishthread.daemon.gateway.ReadinessHandler;
 import org.radishthread.daemon.gateway.RoutingService;
 import org.radishthread.daemon.gateway.SlotService;
 import org.radishthread.daemon.gateway.UpstreamClients;
+import org.radishthread.daemon.http.HttpPort;
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.Kernel;
@@ -43,6 +44,10 @@
 @Module
 final class DaemonModule {
 
+	private static final int ADMINISTRATION_THREADS = 8;
+
+	private static final int READINESS_THREADS = 4;
+
 	private DaemonModule() {
 	}
 
@@ -153,10 +158,12 @@
 		if (settings.isControl() && settings.founding().automatic()) {
 			kernel.register(new FormationService(settings, cluster, control, time));
 		}
-		kernel.register(new AdministrationServer(settings, cluster, control, rules, meters));
+		kernel.register(new HttpPort("administration", settings.administrationAddress(), ADMINISTRATION_THREADS,
+				new AdministrationHandler(settings.secrets(), cluster, control, rules, meters)));
 		NetworkAddress readinessAddress = settings.readinessAddress();
 		if (readinessAddress != null) {
-			kernel.register(new ReadinessServer(readinessAddress, cluster));
+			kernel.register(
+					new HttpPort("readiness", readinessAddress, READINESS_THREADS, new ReadinessHandler(cluster)));
 		}
 		extension.flatMap((found) -> found.service(new ExtensionContext(settings, cluster, rules)))
 			.ifPresent(kernel::register);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
@@ -20,7 +20,9 @@
 
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.cluster.UnconfirmedException;
+import org.radishthread.daemon.control.ControlClient;
 import org.radishthread.daemon.control.ControlTimeoutException;
+import org.radishthread.daemon.control.RuleOperations;
 import org.radishthread.daemon.settings.Secrets;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.membership.ServingState;
@@ -29,7 +31,7 @@
 /**
  * Serves operators, announcements of upstreams, health checks and metrics.
  */
-final class AdministrationHandler extends Handler.Abstract.NonBlocking {
+public final class AdministrationHandler extends Handler.Abstract.NonBlocking {
 
 	private static final EventLog eventLog = EventLog.of(AdministrationHandler.class);
 
@@ -51,12 +53,12 @@
 
 	private final PrometheusMeterRegistry meters;
 
-	AdministrationHandler(Secrets secrets, ClusterService cluster, OperatorRequests operators,
-			AnnouncementRequests announcements, PrometheusMeterRegistry meters) {
+	public AdministrationHandler(Secrets secrets, ClusterService cluster, ControlClient control, RuleOperations rules,
+			PrometheusMeterRegistry meters) {
 		this.secrets = secrets;
 		this.cluster = cluster;
-		this.operators = operators;
-		this.announcements = announcements;
+		this.operators = new OperatorRequests(cluster, control, rules);
+		this.announcements = new AnnouncementRequests(cluster);
 		this.meters = meters;
 	}
 
--- a/platform/src/main/java/org/radishthread/platform/PlatformServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HttpPort.java
@@ -1,4 +1,4 @@
-package org.radishthread.platform;
+package org.radishthread.daemon.http;
 
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -12,22 +12,33 @@
 import org.radishthread.kernel.Service;
 
 /**
- * Listens for operators and upstreams of the platform.
+ * Serves one handler on one port, with few threads; for operators, upstreams and health
+ * checks rather than for callers.
  */
-final class PlatformServer implements Service {
+public final class HttpPort implements Service {
 
-	private static final int THREADS = 8;
+	private static final int MINIMUM_THREADS = 2;
+
+	private final String name;
 
 	private final NetworkAddress address;
 
 	private final Server server;
 
-	PlatformServer(NetworkAddress address, Handler handler) {
+	/**
+	 * Creates a port.
+	 * @param name the name of the service, also of its threads
+	 * @param address where to listen
+	 * @param threads the greatest number of threads
+	 * @param handler answers the requests
+	 */
+	public HttpPort(String name, NetworkAddress address, int threads, Handler handler) {
+		this.name = name;
 		this.address = address;
-		QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
-		threads.setName("platform");
-		threads.setDaemon(true);
-		this.server = new Server(threads);
+		QueuedThreadPool pool = new QueuedThreadPool(threads, MINIMUM_THREADS);
+		pool.setName(name);
+		pool.setDaemon(true);
+		this.server = new Server(pool);
 		HttpConfiguration configuration = new HttpConfiguration();
 		configuration.setSendServerVersion(false);
 		ServerConnector connector = new ServerConnector(this.server, 1, 1, new HttpConnectionFactory(configuration));
@@ -39,7 +50,7 @@
 
 	@Override
 	public String name() {
-		return "platform";
+		return this.name;
 	}
 
 	@Override
@@ -48,7 +59,7 @@
 			this.server.start();
 		}
 		catch (Exception ex) {
-			throw new PlatformException("Port " + this.address + " for the platform can not be opened.", ex);
+			throw new HttpPortException("Port " + this.address + " for " + this.name + " can not be opened.", ex);
 		}
 	}
 
@@ -58,16 +69,16 @@
 			this.server.stop();
 		}
 		catch (Exception ex) {
-			throw new PlatformException("The port for the platform can not be closed.", ex);
+			throw new HttpPortException("Port " + this.address + " for " + this.name + " can not be closed.", ex);
 		}
 	}
 
 	/**
-	 * Signals that the interface of the platform can not be served.
+	 * Signals that a port can not be opened or closed.
 	 */
-	static final class PlatformException extends RadishthreadException {
+	public static class HttpPortException extends RadishthreadException {
 
-		private PlatformException(String message, Throwable cause) {
+		HttpPortException(String message, Throwable cause) {
 			super(message, cause);
 		}
 
