Refuse requests that come after the notice of a shutdown

Change: after the notice, when the port is closed, requests on open connections are refused as not run, with a close. Test that failed first: PlatformPathTests.gatewayThatStopsAnswersWhatItHasTaken.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -27,11 +27,18 @@
 
 	private final AtomicInteger open = new AtomicInteger();
 
+	private volatile boolean refusing;
+
 	GatewayHandler(GatewayContext context, ClusterService cluster) {
 		this.context = context;
 		this.cluster = cluster;
 	}
 
+	// From now on a request could not be finished before this instance ends.
+	void refuseNewRequests() {
+		this.refusing = true;
+	}
+
 	int openRequests() {
 		return this.open.get();
 	}
@@ -44,7 +51,7 @@
 		if (state != ServingState.READY) {
 			response.getHeaders().put(HttpHeader.CONNECTION, "close");
 		}
-		if (state != ServingState.READY && state != ServingState.STOPPING) {
+		if (this.refusing || (state != ServingState.READY && state != ServingState.STOPPING)) {
 			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
 					"This instance takes no new work: " + state.word() + ".", RETRY_AFTER_MILLIS), response, counted);
 			return true;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -22,7 +22,8 @@
 
 /**
  * Listens for callers. On stop it first says that it is no longer ready, then closes its
- * port, then waits for the requests that are under way.
+ * port and refuses what still comes on open connections, then waits for the requests that
+ * are under way.
  */
 public final class GatewayServer implements Service {
 
@@ -105,6 +106,7 @@
 		this.cluster.leave();
 		try {
 			TimeUnit.MILLISECONDS.sleep(this.settings.limits().noticeMillis());
+			this.handler.refuseNewRequests();
 			this.connector.shutdown();
 			awaitOpenRequests();
 			this.server.stop();
