Write small files durably in one place; read what a caller allows once

Found on reading the change again: IdentityFile and UpstreamStore each wrote a temporary file, synced it, moved it and synced the folder; DurableFile.replace serves both now.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
@@ -223,9 +223,8 @@
 		}
 	}
 
-	// The former replica of the same instance, else one that is silent, else none while
-	// the
-	// group may grow.
+	// The former replica of the same instance, else one that is silent, else none
+	// while the group may grow.
 	private Optional<ReplicaDescriptor> replacedBy(ReplicaDescriptor added, Configuration configuration, long now) {
 		Optional<ReplicaDescriptor> former = configuration.getVotersList()
 			.stream()
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/IdentityFile.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/IdentityFile.java
@@ -1,15 +1,12 @@
 package org.radishthread.agreement;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.function.LongSupplier;
 
 import org.radishthread.kernel.Assert;
+import org.radishthread.kernel.DurableFile;
 import org.radishthread.protocol.Identity;
 
 /**
@@ -38,7 +35,7 @@
 		try {
 			Files.createDirectories(this.folder);
 			Path file = this.folder.resolve(NAME);
-			return Files.exists(file) ? read(file, instance) : create(file, instance, candidates);
+			return Files.exists(file) ? read(file, instance) : create(instance, candidates);
 		}
 		catch (IOException ex) {
 			throw new AgreementException("Identity in folder " + this.folder + " can not be read or written.", ex);
@@ -54,20 +51,11 @@
 		return identity.getReplica();
 	}
 
-	private long create(Path file, String instance, LongSupplier candidates) throws IOException {
+	private long create(String instance, LongSupplier candidates) throws IOException {
 		long replica = candidates.getAsLong();
 		Assert.state(replica != 0, "Identity of a replica must not be zero.");
 		byte[] content = Identity.newBuilder().setReplica(replica).setInstance(instance).build().toByteArray();
-		Path temporary = this.folder.resolve(NAME + ".tmp");
-		try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-				StandardOpenOption.TRUNCATE_EXISTING)) {
-			channel.write(ByteBuffer.wrap(content));
-			channel.force(true);
-		}
-		Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
-		try (FileChannel directory = FileChannel.open(this.folder, StandardOpenOption.READ)) {
-			directory.force(true);
-		}
+		DurableFile.replace(this.folder, NAME, content);
 		return replica;
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/UpstreamStore.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/UpstreamStore.java
@@ -1,14 +1,11 @@
 package org.radishthread.daemon.cluster;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.List;
 
+import org.radishthread.kernel.DurableFile;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.EventLoop;
 import org.radishthread.protocol.RuleFile;
@@ -59,21 +56,9 @@
 	}
 
 	private void write(byte[] content) {
-		Path temporary = this.folder.resolve(NAME + ".tmp");
 		try {
 			Files.createDirectories(this.folder);
-			try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-					StandardOpenOption.TRUNCATE_EXISTING)) {
-				ByteBuffer buffer = ByteBuffer.wrap(content);
-				while (buffer.hasRemaining()) {
-					channel.write(buffer);
-				}
-				channel.force(true);
-			}
-			Files.move(temporary, this.folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE);
-			try (FileChannel directory = FileChannel.open(this.folder, StandardOpenOption.READ)) {
-				directory.force(true);
-			}
+			DurableFile.replace(this.folder, NAME, content);
 		}
 		catch (IOException ex) {
 			// The file only shortens a later start.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -51,6 +51,10 @@
 
 	private final long startedNanos;
 
+	private final OptionalLong callerMillis;
+
+	private final long timeoutMillis;
+
 	private final long deadlineNanos;
 
 	private final List<Attempt> attempts = new ArrayList<>();
@@ -76,7 +80,9 @@
 		this.callback = callback;
 		this.id = context.nextTicket();
 		this.startedNanos = context.time().monotonicNanos();
-		this.deadlineNanos = this.startedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis());
+		this.callerMillis = readCallerMillis();
+		this.timeoutMillis = timeoutMillis();
+		this.deadlineNanos = this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis);
 	}
 
 	/**
@@ -180,16 +186,12 @@
 	}
 
 	private long timeoutMillis() {
-		OptionalLong wanted = callerMillis();
-		long allowed = this.route.timeout().toMillis();
 		Duration total = this.route.limits().total();
-		if (total != null) {
-			allowed = total.toMillis();
-		}
-		return Math.min(allowed, wanted.orElse(allowed));
+		long allowed = ((total != null) ? total : this.route.timeout()).toMillis();
+		return Math.min(allowed, this.callerMillis.orElse(allowed));
 	}
 
-	private OptionalLong callerMillis() {
+	private OptionalLong readCallerMillis() {
 		String wanted = this.context.dialect().remainingMillis(this.request.getHeaders());
 		boolean valid = wanted != null && wanted.matches("[0-9]{1,9}");
 		return valid ? OptionalLong.of(Long.parseLong(wanted)) : OptionalLong.empty();
@@ -197,7 +199,7 @@
 
 	// The timeout of an upload bounds only the time without progress.
 	private boolean hasDeadline() {
-		return !this.route.mode().isStreamed() || this.route.limits().total() != null || callerMillis().isPresent();
+		return !this.route.mode().isStreamed() || this.route.limits().total() != null || this.callerMillis.isPresent();
 	}
 
 	/**
@@ -220,7 +222,7 @@
 	final void start() {
 		this.request.addFailureListener(this::callerLost);
 		if (hasDeadline()) {
-			schedule(timeoutMillis(), this::deadlineReached);
+			schedule(this.timeoutMillis, this::deadlineReached);
 		}
 		watchCaller();
 		if (isStreamed() || !hasBody()) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -203,17 +203,15 @@
 		return null;
 	}
 
-	// While more arrives than can be answered in time, whoever comes late would only wait
-	// to
-	// be refused. A few may wait: they are served when the rush ends.
+	// While more arrives than can be answered in time, whoever comes late would only
+	// wait to be refused. A few may wait: they are served when the rush ends.
 	private boolean isRoomForLate(long usableSlots) {
 		int late = this.queues.size() - this.queues.sizeUpTo(LATE_RANK - 1);
 		return late < usableSlots * LATE_PER_SLOT;
 	}
 
-	// Callers that were refused together come back at different moments, and soon enough
-	// to
-	// be served still.
+	// Callers that were refused together come back at different moments, and soon
+	// enough to be served still.
 	private long retryAfterMillis(Ticket ticket, long waitMillis, long now) {
 		double position = ticket.id() * SPREADING_RATIO;
 		double spread = 0.5 + (position - Math.floor(position));
@@ -361,11 +359,9 @@
 		if (report != null) {
 			load.reported(report, now);
 		}
-		if (result == AttemptResult.SUCCESS) {
-			this.crowding.finished(started.inFlight(), load.upstream().slots(), latency / load.paceFactor(now));
-		}
 		load.finished(result, latency, now, this.rule.ejectAfter(), this.rule.probesPerSecond() > 0);
 		if (result == AttemptResult.SUCCESS) {
+			this.crowding.finished(started.inFlight(), load.upstream().slots(), latency / load.paceFactor(now));
 			this.retryBudget.recordSuccess(this.rule.retryPercent());
 			this.throughput.completed(latency, now);
 		}
