Load no trust store, management beans, calendars and locale data at start

Cause: after all processes stop nothing is served until they are up; start of an instance loads much that it never uses. Seen in the order of loaded classes: both clients for upstreams parse the trusted certificates, the JVM meters and Jetty's cache line size start the management beans (and with them the flight recorder), the log manager configures itself before this project does, and patterns and mappers load calendars and locales. Ruled out: fewer compilations (thresholds times 2, 4, 10) and another heap make no difference beyond noise.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
@@ -60,7 +60,6 @@
 	}
 
 	private int run(DaemonSettings settings) throws InterruptedException {
-		LogOutput.configure();
 		Kernel kernel;
 		try {
 			DaemonComponent component = DaggerDaemonComponent.factory().create(settings);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -5,13 +5,12 @@
 import dagger.Module;
 import dagger.Provides;
 import io.micrometer.core.instrument.MeterRegistry;
-import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
-import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import jakarta.inject.Singleton;
 
 import org.radishthread.daemon.administration.AdministrationHandler;
+import org.radishthread.daemon.administration.MetricsPage;
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.cluster.UpstreamStore;
 import org.radishthread.daemon.control.ControlClient;
@@ -60,10 +59,7 @@
 	@Provides
 	@Singleton
 	static PrometheusMeterRegistry prometheusMeterRegistry() {
-		PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-		new JvmMemoryMetrics().bindTo(meters);
-		new ProcessorMetrics().bindTo(meters);
-		return meters;
+		return new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 	}
 
 	@Provides
@@ -159,7 +155,7 @@
 			kernel.register(new FormationService(settings, cluster, control, time));
 		}
 		kernel.register(new HttpPort("administration", settings.administrationAddress(), ADMINISTRATION_THREADS,
-				new AdministrationHandler(settings.secrets(), cluster, control, rules, meters)));
+				new AdministrationHandler(settings.secrets(), cluster, control, rules, new MetricsPage(meters))));
 		NetworkAddress readinessAddress = settings.readinessAddress();
 		if (readinessAddress != null) {
 			kernel.register(
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/LogOutput.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/LogOutput.java
@@ -1,42 +1,49 @@
 package org.radishthread.daemon;
 
-import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.Logger;
 
-import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.ConfiguratorFactory;
+import org.jboss.logmanager.LogContext;
+import org.jboss.logmanager.LogContextConfigurator;
+import org.jboss.logmanager.Logger;
 import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /**
- * Sends log lines to standard output from a thread of their own.
+ * Sends log lines to standard output from a thread of their own. The log manager finds it
+ * as a service and calls it before the first line, in place of its own configuration.
  */
-final class LogOutput {
+public final class LogOutput implements ConfiguratorFactory {
 
-	private static final String LINE = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} level=%p logger=%c{1} %m%n";
+	// The log manager's own configuration has 100; the lowest number is taken.
+	private static final int PRIORITY = 1;
 
 	private static final int QUEUE_LENGTH = 65_536;
 
 	private static final AsyncHandler output = new AsyncHandler(QUEUE_LENGTH);
 
-	private LogOutput() {
+	@Override
+	public LogContextConfigurator create() {
+		return (context, configuration) -> configure(context);
 	}
 
-	static void configure() {
-		ConsoleHandler console = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new PatternFormatter(LINE));
+	@Override
+	public int priority() {
+		return PRIORITY;
+	}
+
+	private static void configure(LogContext context) {
+		ConsoleHandler console = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new LineFormatter());
 		console.setAutoFlush(true);
 		console.setLevel(Level.ALL);
 		output.addHandler(console);
 		output.setLevel(Level.ALL);
 		output.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
-		Logger root = Logger.getLogger("");
-		for (Handler handler : root.getHandlers()) {
-			root.removeHandler(handler);
-		}
+		Logger root = context.getLogger("");
 		root.addHandler(output);
 		root.setLevel(Level.INFO);
-		Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
-		Logger.getLogger("io.netty").setLevel(Level.WARNING);
+		context.getLogger("org.eclipse.jetty").setLevel(org.jboss.logmanager.Level.WARN);
+		context.getLogger("io.netty").setLevel(org.jboss.logmanager.Level.WARN);
 	}
 
 	static void flush() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
@@ -7,9 +7,7 @@
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -41,8 +39,6 @@
 
 	private static final int MAXIMUM_ANNOUNCEMENT_BYTES = 8 * 1024;
 
-	private final ObjectMapper mapper = new ObjectMapper();
-
 	private final Secrets secrets;
 
 	private final ClusterService cluster;
@@ -51,15 +47,15 @@
 
 	private final AnnouncementRequests announcements;
 
-	private final PrometheusMeterRegistry meters;
+	private final MetricsPage metrics;
 
 	public AdministrationHandler(Secrets secrets, ClusterService cluster, ControlClient control, RuleOperations rules,
-			PrometheusMeterRegistry meters) {
+			MetricsPage metrics) {
 		this.secrets = secrets;
 		this.cluster = cluster;
 		this.operators = new OperatorRequests(cluster, control, rules);
 		this.announcements = new AnnouncementRequests(cluster);
-		this.meters = meters;
+		this.metrics = metrics;
 	}
 
 	@Override
@@ -87,7 +83,7 @@
 				ServingState state = this.cluster.servingState();
 				writeText(response, callback, (state == ServingState.READY) ? 200 : 503, state.word() + "\n");
 			}
-			case "/metrics" -> writeText(response, callback, 200, this.meters.scrape());
+			case "/metrics" -> writeText(response, callback, 200, this.metrics.text());
 			default -> writeText(response, callback, 404, "not found\n");
 		}
 	}
@@ -133,7 +129,7 @@
 	}
 
 	private JsonAnswer error(int status, @Nullable String message) {
-		ObjectNode body = this.mapper.createObjectNode().put("error", message);
+		ObjectNode body = Json.object().put("error", message);
 		return new JsonAnswer(status, body);
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AnnouncementRequests.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AnnouncementRequests.java
@@ -5,7 +5,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.kernel.Assert;
@@ -20,8 +19,6 @@
 
 	private static final int DEFAULT_LEASE_MILLIS = 3_000;
 
-	private final ObjectMapper mapper = new ObjectMapper();
-
 	private final ClusterService cluster;
 
 	AnnouncementRequests(ClusterService cluster) {
@@ -31,14 +28,14 @@
 	CompletableFuture<JsonAnswer> answer(String method, String name, String body) {
 		Assert.isTrue(method.equals("PUT"), "Announcements are sent by PUT.");
 		return this.cluster.announce(parse(name, body)).thenApply((current) -> {
-			JsonNode answer = this.mapper.createObjectNode().put("current", current);
+			JsonNode answer = Json.object().put("current", current);
 			return new JsonAnswer(current ? 200 : 409, answer);
 		});
 	}
 
 	private Announcement parse(String name, String body) {
 		try {
-			JsonNode json = this.mapper.readTree(body);
+			JsonNode json = Json.parse(body);
 			Assert.isTrue(json.isObject(), "An announcement must be a JSON object.");
 			String address = NetworkAddress.parse(json.path("address").asText()).toString();
 			return new Announcement(name, json.path("service").asText(), address, json.path("zone").asText(),
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
@@ -6,7 +6,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.eclipse.jetty.server.Request;
@@ -49,8 +48,6 @@
 
 	private static final String OPERATOR_HEADER = "Radishthread-Operator";
 
-	private final ObjectMapper mapper = new ObjectMapper();
-
 	private final ClusterService cluster;
 
 	private final ControlClient control;
@@ -77,7 +74,7 @@
 	}
 
 	private JsonAnswer error(int status, String message) {
-		return new JsonAnswer(status, this.mapper.createObjectNode().put("error", message));
+		return new JsonAnswer(status, Json.object().put("error", message));
 	}
 
 	// Rules
@@ -101,7 +98,7 @@
 	}
 
 	private JsonAnswer findings(FindingsException failure) {
-		ObjectNode body = this.mapper.createObjectNode().put("verdict", "invalid");
+		ObjectNode body = Json.object().put("verdict", "invalid");
 		ArrayNode list = body.putArray("findings");
 		for (Finding finding : failure.getFindings()) {
 			list.addObject()
@@ -123,7 +120,7 @@
 	}
 
 	private ObjectNode toJson(RulesAnswer answer) {
-		return this.mapper.createObjectNode()
+		return Json.object()
 			.put("verdict", answer.getVerdict().name().toLowerCase(Locale.ROOT))
 			.put("revision", answer.getRevision())
 			.put("submittedBy", answer.getSubmittedBy())
@@ -133,7 +130,7 @@
 
 	private JsonAnswer rules() {
 		return new JsonAnswer(200,
-				this.mapper.createObjectNode()
+				Json.object()
 					.put("revision", this.cluster.view().rules().getRevision())
 					.put("content", this.cluster.view().rules().getContent()));
 	}
@@ -142,7 +139,7 @@
 		ControlRequest.Builder request = ControlRequest.newBuilder()
 			.setReadHistory(ReadHistory.newBuilder().setLimit(HISTORY_LIMIT));
 		return this.control.ask(request, ASK_MILLIS).thenApply((response) -> {
-			ObjectNode body = this.mapper.createObjectNode();
+			ObjectNode body = Json.object();
 			ArrayNode list = body.putArray("revisions");
 			response.getHistory()
 				.getEntriesList()
@@ -164,7 +161,7 @@
 	}
 
 	private ObjectNode status(ControlStatus controlStatus) {
-		ObjectNode body = this.mapper.createObjectNode()
+		ObjectNode body = Json.object()
 			.put("instance", this.cluster.replica().getInstance())
 			.put("state", this.cluster.servingState().word())
 			.put("revision", this.cluster.view().rules().getRevision());
@@ -199,7 +196,7 @@
 
 	private CompletableFuture<JsonAnswer> upstreams() {
 		return this.cluster.upstreams().thenApply((upstreams) -> {
-			ObjectNode body = this.mapper.createObjectNode();
+			ObjectNode body = Json.object();
 			ArrayNode list = body.putArray("upstreams");
 			upstreams.forEach((upstream) -> list.addObject()
 				.put("name", upstream.getName())
@@ -217,7 +214,7 @@
 
 	private JsonNode readJson(String body) {
 		try {
-			return this.mapper.readTree(body);
+			return Json.parse(body);
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalArgumentException("The body is not valid JSON: " + ex.getOriginalMessage(), ex);
@@ -248,7 +245,7 @@
 		if (response.hasRefused()) {
 			return error(409, response.getRefused().getReason());
 		}
-		return new JsonAnswer(200, this.mapper.createObjectNode().put("done", true));
+		return new JsonAnswer(200, Json.object().put("done", true));
 	}
 
 	private ReplicaDescriptor replicaOf(String instance) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamConnector.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamConnector.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -20,11 +21,28 @@
  */
 final class UpstreamConnector extends ClientConnector {
 
+	@Override
+	protected SslContextFactory.Client newSslContextFactory() {
+		return new UnusedSslContextFactory();
+	}
+
 	@Override
 	protected EndPoint newEndPoint(SelectableChannel selectable, ManagedSelector selector, SelectionKey key) {
 		return new ResettableEndPoint((SocketChannel) selectable, selector, key, getScheduler());
 	}
 
+	/**
+	 * Loads no trust store on start, because upstreams are reached without TLS.
+	 */
+	private static final class UnusedSslContextFactory extends SslContextFactory.Client {
+
+		@Override
+		protected void doStart() {
+			// A start would read and parse all trusted certificates of the runtime.
+		}
+
+	}
+
 	private static final class ResettableEndPoint extends SocketChannelEndPoint {
 
 		private ResettableEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key,
