Leave slow and crowded slots to late requests; eject no upstream that sheds

(2) Upstreams that shed a part of their requests were ejected, all of them at once, also for seconds afterwards (1,866 refused: no upstream). (3) The budget of retries grew with successes only, so that it was least where it was needed. Ruled out: a fixed limit of four of five slots (no better than the learned one once the pace is right). Change: the pace at the start counts; an upstream that would miss the objective is no choice while waiting for a fast one keeps it, and the slow ones serve those that are late anyway; more requests than slots travel only where work is about as short as the way; refusals of an upstream raise its expected time instead of ejecting it; the budget grows with requests, and its stock is smaller.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
@@ -23,9 +23,10 @@
 	UNREACHABLE(true),
 
 	/**
-	 * The upstream refused the request before running it.
+	 * The upstream refused the request before running it. It is at work, so it is not
+	 * ejected; a router learns how often it refuses.
 	 */
-	SHED(true),
+	SHED(false),
 
 	/**
 	 * The attempt was given up because it was not needed any more.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
@@ -56,22 +56,20 @@
 		this.size++;
 	}
 
-	@Nullable Waiting peek() {
-		if (this.ranks.isEmpty()) {
-			return null;
-		}
-		return this.ranks.firstEntry().getValue().values().iterator().next().peek();
+	// The request whose turn it is among those of a rank and of the later ones.
+	@Nullable Waiting peek(int leastRank) {
+		Map.Entry<Integer, Map<String, Deque<Waiting>>> rank = this.ranks.ceilingEntry(leastRank);
+		return (rank != null) ? rank.getValue().values().iterator().next().peek() : null;
 	}
 
-	// Removes the request that peek returned and moves its caller to the end of its rank.
-	void removeFirst() {
-		Map<String, Deque<Waiting>> rank = this.ranks.firstEntry().getValue();
-		Map.Entry<String, Deque<Waiting>> entry = rank.entrySet().iterator().next();
-		rank.remove(entry.getKey());
-		entry.getValue().remove();
+	// Removes a request that peek returned and moves its caller to the end of its rank.
+	void removeFirst(Waiting waiting) {
+		Map<String, Deque<Waiting>> rank = this.ranks.getOrDefault(waiting.rank(), Map.of());
+		Deque<Waiting> queue = rank.remove(waiting.ticket().caller());
+		queue.remove();
 		this.size--;
-		if (!entry.getValue().isEmpty()) {
-			rank.put(entry.getKey(), entry.getValue());
+		if (!queue.isEmpty()) {
+			rank.put(waiting.ticket().caller(), queue);
 		}
 		dropEmpty();
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -1,12 +1,13 @@
 package org.radishthread.routing;
 
 /**
- * Allows retries and hedges in proportion to successes, so that they can not multiply the
+ * Allows retries and hedges in proportion to requests, so that they can not multiply the
  * load of a service that fails. It is not safe for use by several threads at once.
  */
 public final class RetryBudget {
 
-	private static final double MAXIMUM_TOKENS = 20;
+	// With the allowance of ten seconds this stays below 50 beyond the proportion.
+	private static final double MAXIMUM_TOKENS = 14;
 
 	private static final double INITIAL_TOKENS = 6;
 
@@ -22,10 +23,10 @@
 	private long refilledNanos = Long.MIN_VALUE;
 
 	/**
-	 * Learns of a success.
-	 * @param retryPercent the retries and hedges allowed per hundred successes
+	 * Learns of a new request.
+	 * @param retryPercent the retries and hedges allowed per hundred requests
 	 */
-	public void recordSuccess(int retryPercent) {
+	public void recordRequest(int retryPercent) {
 		this.tokens = Math.min(MAXIMUM_TOKENS, this.tokens + retryPercent / 100.0);
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -36,6 +36,9 @@
 
 	private static final double HEDGE_MARGIN_FACTOR = 1.3;
 
+	// Nine of ten requests of a service take less than this multiple of the usual work.
+	private static final double SPREAD_FACTOR = 1.3;
+
 	private static final double HEDGE_LEAST_FACTOR = 1.15;
 
 	private static final long MINIMUM_HEDGE_NANOS = 2_000_000;
@@ -168,6 +171,7 @@
 	 */
 	public List<RoutingEffect> admit(Ticket ticket, long now) {
 		this.demand.arrived(now);
+		this.retryBudget.recordRequest(this.rule.retryPercent());
 		this.active = true;
 		Refusal refusal = reasonToRefuse(ticket, now);
 		if (refusal != null) {
@@ -194,9 +198,8 @@
 		if (exceedsShare(ticket.caller(), usable)) {
 			return new Refusal(ticket.id(), RefusalReason.CALLER_LIMIT, retryAfter);
 		}
-		boolean late = now + wait + this.throughput.serviceNanos() > ticket.deadlineNanos()
-				|| wait > this.rule.queueWait().toNanos();
-		boolean afterObjective = now + wait + this.throughput.serviceNanos() > ticket.urgency().objectiveAtNanos();
+		boolean late = now + wait + typicalNanos() > ticket.deadlineNanos() || wait > this.rule.queueWait().toNanos();
+		boolean afterObjective = now + wait + typicalNanos() > ticket.urgency().objectiveAtNanos();
 		if (late || (afterObjective && !isRoomForLate(usable)) || this.queues.size() >= this.rule.queueLimit()) {
 			return new Refusal(ticket.id(), RefusalReason.OVERLOAD, retryAfter);
 		}
@@ -222,7 +225,7 @@
 
 	// Requests that can no longer be answered in time come after all that can.
 	private int rank(Ticket ticket, long now) {
-		boolean late = now + this.throughput.serviceNanos() > ticket.urgency().objectiveAtNanos();
+		boolean late = now + typicalNanos() > ticket.urgency().objectiveAtNanos();
 		return ticket.urgency().priority() + (late ? LATE_RANK : 0);
 	}
 
@@ -246,17 +249,25 @@
 		this.queues.add(new Waiting(ticket, kind, rank(ticket, now), now, expires), kind != AttemptKind.FIRST);
 	}
 
+	// A request that waits for a fast upstream leaves the slow ones to those that are
+	// late
+	// anyway.
 	private void dispatchWaiting(long now) {
-		Waiting waiting = this.queues.peek();
+		dispatchFrom(Integer.MIN_VALUE, now);
+		dispatchFrom(LATE_RANK, now);
+	}
+
+	private void dispatchFrom(int leastRank, long now) {
+		Waiting waiting = this.queues.peek(leastRank);
 		while (waiting != null) {
 			Flight flight = flight(waiting.ticket().id());
 			Optional<UpstreamLoad> chosen = chooseFree(flight, now).or(() -> chooseToWait(flight, now));
 			if (chosen.isEmpty()) {
 				return;
 			}
-			this.queues.removeFirst();
+			this.queues.removeFirst(waiting);
 			dispatch(flight, chosen.get(), waiting.kind(), now - waiting.sinceNanos(), now);
-			waiting = this.queues.peek();
+			waiting = this.queues.peek(leastRank);
 		}
 	}
 
@@ -279,14 +290,16 @@
 	// While all slots are busy, a request may travel to one that is about to come free.
 	private Optional<UpstreamLoad> chooseToWait(Flight flight, long now) {
 		double waitingPerSlot = (double) this.queues.size() / Math.max(1, usableSlots(now));
-		return choose(flight, now, (load) -> load.mayPipeline(now, waitingPerSlot)
+		return choose(flight, now, (load) -> load.mayPipeline(now, waitingPerSlot, this.throughput.serviceNanos())
 				&& !this.crowding.costsMoreThanItBrings(load.upstream().slots()));
 	}
 
 	private Optional<UpstreamLoad> choose(Flight flight, long now, Predicate<UpstreamLoad> eligible) {
 		List<UpstreamLoad> candidates = new ArrayList<>();
+		long latestEnd = latestUsefulEnd(flight.ticket, now);
 		for (UpstreamLoad load : this.loads.values()) {
-			if (eligible.test(load) && !flight.tried.contains(load.upstream().name())) {
+			if (eligible.test(load) && !flight.tried.contains(load.upstream().name())
+					&& now + expectedNanos(load, now) <= latestEnd) {
 				candidates.add(load);
 			}
 		}
@@ -300,6 +313,26 @@
 		return this.policy.choose(candidates, context);
 	}
 
+	// While a request can still be answered within its objective by an upstream at the
+	// usual pace, one that would miss the objective is no choice.
+	private long latestUsefulEnd(Ticket ticket, long now) {
+		double fast = now + this.throughput.expectedWaitNanos(1) + typicalNanos();
+		boolean worthWaiting = fast <= ticket.urgency().objectiveAtNanos();
+		return worthWaiting ? Math.min(ticket.urgency().objectiveAtNanos(), ticket.deadlineNanos())
+				: ticket.deadlineNanos();
+	}
+
+	private double expectedNanos(UpstreamLoad load, long now) {
+		return load.expectedNanos(this.throughput.serviceNanos(), this.crowding, now);
+	}
+
+	// The time of an attempt at an upstream that is neither slowed down nor crowded, with
+	// a margin for the spread of work.
+	private double typicalNanos() {
+		double usual = this.throughput.serviceNanos();
+		return Math.min(usual, SPREAD_FACTOR * this.crowding.typicalNanos(usual));
+	}
+
 	private double medianLatencyNanos() {
 		double[] known = this.loads.values()
 			.stream()
@@ -313,7 +346,7 @@
 	private void dispatch(Flight flight, UpstreamLoad load, AttemptKind kind, long waited, long now) {
 		load.dispatched(now);
 		flight.tried.add(load.upstream().name());
-		flight.started.put(load.upstream().name(), new Started(now, load.inFlight()));
+		flight.started.put(load.upstream().name(), new Started(now, load.inFlight(), load.paceFactor(now)));
 		boolean hedgeable = flight.ticket.mayRepeat() && kind != AttemptKind.HEDGE
 				&& this.throughput.serviceNanos() > 0;
 		long hedgeAfter = hedgeable ? hedgeAfterNanos(flight.ticket, now) : 0;
@@ -359,10 +392,10 @@
 		if (report != null) {
 			load.reported(report, now);
 		}
-		load.finished(result, latency, now, this.rule.ejectAfter(), this.rule.probesPerSecond() > 0);
+		load.finished(result, latency, started.paceFactor(), now, this.rule.ejectAfter(),
+				this.rule.probesPerSecond() > 0);
 		if (result == AttemptResult.SUCCESS) {
-			this.crowding.finished(started.inFlight(), load.upstream().slots(), latency / load.paceFactor(now));
-			this.retryBudget.recordSuccess(this.rule.retryPercent());
+			this.crowding.finished(started.inFlight(), load.upstream().slots(), latency / started.paceFactor());
 			this.throughput.completed(latency, now);
 		}
 		this.loads.values().removeIf(UpstreamLoad::isForgettable);
@@ -403,7 +436,7 @@
 	private Optional<UpstreamLoad> chooseForStuck(Flight flight, long now) {
 		double usual = this.throughput.serviceNanos();
 		long lastStart = flight.started.values().stream().mapToLong(Started::atNanos).max().orElse(now);
-		if (now - lastStart < STUCK_FACTOR * this.crowding.typicalNanos(usual)) {
+		if (now - lastStart < STUCK_FACTOR * typicalNanos()) {
 			return Optional.empty();
 		}
 		return this.loads.values()
@@ -466,7 +499,7 @@
 	public List<RoutingEffect> tick(long now) {
 		int position = 0;
 		long usable = usableSlots(now);
-		double least = LEAST_SERVICE_SHARE * this.throughput.serviceNanos();
+		double least = LEAST_SERVICE_SHARE * typicalNanos();
 		for (Waiting waiting : this.queues.inOrder()) {
 			position++;
 			double wait = this.throughput.expectedWaitNanos(position);
@@ -587,7 +620,7 @@
 		return (load != null) ? load.inFlight() : 0;
 	}
 
-	private record Started(long atNanos, int inFlight) {
+	private record Started(long atNanos, int inFlight, double paceFactor) {
 	}
 
 	private static final class Flight {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -11,6 +11,10 @@
 
 	private static final double BASE_PIPELINED_SHARE = 0.3;
 
+	// Beside work that takes much longer than this, a slot that stands idle for the round
+	// trip between two requests makes no difference.
+	private static final double SHORT_WORK_NANOS = 40_000_000;
+
 	private static final long EASING_NANOS = 2_000_000_000L;
 
 	private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
@@ -29,6 +33,8 @@
 
 	private final PaceEstimate pace = new PaceEstimate();
 
+	private final ShedEstimate shed = new ShedEstimate();
+
 	// The time that an attempt takes at the usual pace.
 	private double baseNanos;
 
@@ -151,17 +157,21 @@
 	// One more request may be on its way while the slots are busy, so that a slot does
 	// not
 	// stand idle for the time that an answer and the next request travel.
-	boolean mayPipeline(long now, double waitingPerSlot) {
+	boolean mayPipeline(long now, double waitingPerSlot, double usualNanos) {
 		if (!acceptsWork() || isEjected(now) || isOnTrial() || usableSlots(now) < this.upstream.slots()) {
 			return false;
 		}
-		return this.inFlight < this.upstream.slots() + pipelinedRequests(waitingPerSlot);
+		return this.inFlight < this.upstream.slots() + pipelinedRequests(waitingPerSlot, usualNanos);
 	}
 
-	// The longer the queue, the less is lost by waiting at an upstream instead.
-	private int pipelinedRequests(double waitingPerSlot) {
+	// The longer the queue, the less is lost by waiting at an upstream instead. Where
+	// work
+	// takes much longer than the way, next to nothing is won: the request would be bound
+	// to one upstream while others may come free.
+	private int pipelinedRequests(double waitingPerSlot, double usualNanos) {
 		double share = Math.min(1, BASE_PIPELINED_SHARE + waitingPerSlot);
-		return (int) Math.max(1, Math.ceil(this.upstream.slots() * share));
+		double idle = (usualNanos > SHORT_WORK_NANOS) ? SHORT_WORK_NANOS / usualNanos : 1;
+		return (int) Math.ceil(this.upstream.slots() * share * idle - 0.5);
 	}
 
 	boolean isLatencyKnown() {
@@ -176,7 +186,9 @@
 	double expectedNanos(double usualNanos, CrowdingEstimate crowding, long now) {
 		double base = isLatencyKnown() ? this.baseNanos : usualNanos;
 		boolean crowded = this.inFlight + 1 > CrowdingEstimate.calmSlots(this.upstream.slots());
-		return base * this.pace.factor(now) * (crowded ? crowding.factor() : 1);
+		double work = base * this.pace.factor(now) * (crowded ? crowding.factor() : 1);
+		int ahead = Math.max(0, this.inFlight + 1 - this.upstream.slots());
+		return (work + work * ahead / this.upstream.slots()) * this.shed.expectedAttempts(now);
 	}
 
 	void reported(LoadReport report, long now) {
@@ -217,25 +229,26 @@
 		this.lastDispatchNanos = now;
 	}
 
-	void finished(AttemptResult result, long latency, long now, int ejectAfter, boolean probed) {
+	void finished(AttemptResult result, long latency, double paceAtStart, long now, int ejectAfter, boolean probed) {
 		this.inFlight--;
+		this.shed.finished(result, now);
 		if (result == AttemptResult.SUCCESS) {
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
-			recordLatency(latency, now);
+			recordLatency(latency, paceAtStart);
 		}
 		else if (result == AttemptResult.CANCELLED) {
 			// A cancelled attempt ran at least that long.
-			recordLatency(Math.max(latency, (long) this.latencyNanos), now);
+			recordLatency(Math.max(latency, (long) this.latencyNanos), paceAtStart);
 		}
 		else if (result.countsAgainstUpstream()) {
 			failed(now, (result == AttemptResult.UNREACHABLE) ? 1 : ejectAfter, probed);
 		}
 	}
 
-	private void recordLatency(long latency, long now) {
+	private void recordLatency(long latency, double paceAtStart) {
 		double weight = (this.samples == 0) ? 1 : LATENCY_WEIGHT;
-		this.baseNanos += weight * (latency / this.pace.factor(now) - this.baseNanos);
+		this.baseNanos += weight * (latency / paceAtStart - this.baseNanos);
 		this.latencyNanos += weight * (latency - this.latencyNanos);
 		this.samples++;
 	}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/NoisyNeighboursTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/NoisyNeighboursTests.java
@@ -47,6 +47,57 @@
 
 	}
 
+	// Slots that crowd an upstream cost more than they bring, and a request that waits at
+	// a
+	// slow upstream is bound to it.
+	@Nested
+	class RushOfLongWork {
+
+		private final Load reads = new Load(12, 6, 160, 400, 1_000, 160, 1.6, true, 0.35, 4);
+
+		private final Load writes = new Load(7, 6, 210, 500, 1_200, 75, 1.6, false, 0.35, 4);
+
+		private final Load nearlyAllSlots = new Load(12, 6, 160, 400, 2_000, 130, 1.5, true, 0.35, 4);
+
+		@Test
+		void readsAreServedByUpstreamsThatAreNeitherSlowNorCrowded() {
+			Tally tally = run(this.reads, true);
+			assertThat(tally.servedShare()).isGreaterThan(0.85);
+			assertThat(tally.inTimeShare()).isGreaterThan(0.55);
+			assertThat(tally.givenUp).as("sent and not answered").isLessThan(tally.asked / 20);
+		}
+
+		@Test
+		void writesThatMayNotRepeatAreSentOnlyWhereTheyCanBeAnswered() {
+			Tally tally = run(this.writes, true);
+			assertThat(tally.servedShare()).isGreaterThan(0.85);
+			assertThat(tally.inTimeShare()).isGreaterThan(0.6);
+			assertThat(tally.givenUp).as("sent and not answered").isLessThan(tally.asked / 20);
+		}
+
+		@Test
+		void loadBelowTheLimitIsAnsweredInTime() {
+			assertThat(run(this.nearlyAllSlots, true).inTimeShare()).isGreaterThan(0.85);
+		}
+
+	}
+
+	// All upstreams refuse more than half of what they could run.
+	@Nested
+	class FalseShedding {
+
+		private final Load reads = new Load(12, 6, 160, 400, 1_000, 100, 1, true, 0.35, 4, 0.55);
+
+		private final Load writes = new Load(8, 3, 78, 250, 1_000, 60, 1, false, 0.25, 4, 0.55);
+
+		@Test
+		void refusedRequestsAreSentToAnotherUpstreamWithinTheBudget() {
+			assertThat(run(this.reads, true).inTimeShare()).isGreaterThan(0.8);
+			assertThat(run(this.writes, true).inTimeShare()).isGreaterThan(0.8);
+		}
+
+	}
+
 	@Nested
 	class Rush {
 
--- a/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
@@ -13,7 +13,7 @@
  * @param callerSharePercent the share of in-flight and waiting requests at one instance
  * that one caller may hold while others ask, in percent
  * @param probesPerSecond the measuring budget of all instances together
- * @param retryPercent the retries and hedges allowed per hundred successes
+ * @param retryPercent the retries and hedges allowed per hundred requests
  * @param ejectAfter the consecutive failures after which an upstream is ejected
  * @param paceProbing how upstreams are asked for their pace, or {@code null} for not
  */
