Count only confirmed rules as in force; find the others sooner while starting

Ruled out: shorter rounds in general (the byte budget). Change: an instance reports its revision once it is confirmed, and a majority of such instances confirms; while starting, for five seconds at most, rounds follow each 100 ms and carry the own record, and upstreams are learned from control instances; not ready for callers without rules; a connection that does not open is tried anew after 300 ms.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -45,6 +45,8 @@
 
 	private static final long TICK_MILLIS = 200;
 
+	private static final long STARTING_TICK_MILLIS = 50;
+
 	private final DaemonSettings settings;
 
 	private final PeerTransport transport;
@@ -125,8 +127,17 @@
 				envelope) -> receive(() -> this.membership.receive(envelope.getUpstreamNotice(), address, now())));
 		this.transport.handle(Envelope.BodyCase.UPSTREAM_NOTICE_RECEIPT, (name, address,
 				envelope) -> receive(() -> this.membership.receive(envelope.getUpstreamNoticeReceipt(), name, now())));
-		this.loop.execute(() -> step(() -> this.membership.tick(now())));
-		this.loop.repeat(TICK_MILLIS, () -> step(() -> this.membership.tick(now())));
+		this.loop.execute(this::tick);
+	}
+
+	private void tick() {
+		try {
+			step(() -> this.membership.tick(now()));
+		}
+		finally {
+			boolean starting = this.view.state() == ServingState.STARTING || this.view.state() == ServingState.ISOLATED;
+			this.loop.after(starting ? STARTING_TICK_MILLIS : TICK_MILLIS, this::tick);
+		}
 	}
 
 	/**
@@ -313,7 +324,9 @@
 	 * @return whether to ask the control group
 	 */
 	public boolean needsRuleConfirmation() {
-		return this.view.state() != ServingState.READY && this.view.state() != ServingState.STOPPING;
+		ClusterView current = this.view;
+		boolean confirmed = current.state() == ServingState.READY && current.rules().getRevision() > 0;
+		return !confirmed && current.state() != ServingState.STOPPING;
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReadinessHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReadinessHandler.java
@@ -23,7 +23,9 @@
 
 	@Override
 	public boolean handle(Request request, Response response, Callback callback) {
-		boolean ready = this.cluster.servingState() == ServingState.READY;
+		// Without rules an instance can refuse requests only.
+		boolean ready = this.cluster.servingState() == ServingState.READY
+				&& this.cluster.view().rules().getRevision() > 0;
 		response.setStatus(ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
 		callback.succeeded();
 		return true;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
@@ -41,7 +41,9 @@
 	 */
 	public static final String NAME = "peer-transport";
 
-	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+	// Many round trips between availability zones, and less than the second after which a
+	// lost opening packet is sent again.
+	private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
 	private static final int STOP_MILLIS = 500;
 
--- a/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -16,6 +17,11 @@
  */
 final class InstanceTable {
 
+	/**
+	 * The revision that an instance reports while it has not confirmed its rules.
+	 */
+	static final long UNCONFIRMED = 0;
+
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final String self;
@@ -107,6 +113,14 @@
 			.count();
 	}
 
+	// The others heard of that had confirmed their rules.
+	int confirmedSince(long since) {
+		return (int) this.entries.values()
+			.stream()
+			.filter((entry) -> !isSelf(entry) && entry.heardMillis >= since && entry.revision > UNCONFIRMED)
+			.count();
+	}
+
 	long highestRevisionHeard(long since) {
 		return this.entries.values()
 			.stream()
@@ -117,9 +131,17 @@
 	}
 
 	List<String> otherAddresses() {
+		return addresses((entry) -> true);
+	}
+
+	List<String> otherControlAddresses() {
+		return addresses((entry) -> entry.instance.getControl());
+	}
+
+	private List<String> addresses(Predicate<Entry> wanted) {
 		List<String> addresses = new ArrayList<>();
 		for (Entry entry : this.entries.values()) {
-			if (!isSelf(entry) && !entry.instance.getLeaving()) {
+			if (!isSelf(entry) && !entry.instance.getLeaving() && wanted.test(entry)) {
 				addresses.add(entry.instance.getPeerAddress());
 			}
 		}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -36,6 +36,13 @@
 
 	private static final long JOIN_PAUSE_MILLIS = 1_000;
 
+	// An instance that starts finds the others sooner by more rounds, for a time that
+	// does
+	// not count beside the byte budget.
+	private static final long STARTING_MILLIS = 5_000;
+
+	private static final long STARTING_PAUSE_MILLIS = 100;
+
 	private static final long SYNCHRONIZATION_PAUSE_MILLIS = 10_000;
 
 	private static final long SEQUENCES_PASSED_BY_LEAVING = 1_000_000;
@@ -78,6 +85,8 @@
 
 	private long lastTimeMillis = Long.MIN_VALUE;
 
+	private long startedMillis = Long.MIN_VALUE;
+
 	private long nextRoundMillis = Long.MIN_VALUE;
 
 	private long lastSynchronizationMillis = Long.MIN_VALUE / 2;
@@ -147,11 +156,20 @@
 		if (now >= this.nextRoundMillis) {
 			this.heartbeat++;
 			this.instances.heard(ShortName.of(this.self.getName()), this.heartbeat, this.rules.revision(), now);
+			if (isStarting(now)) {
+				// Peers that just started, too, may have missed the rounds before.
+				this.changedInstances.add(this.self.getName(), this.self, 1);
+			}
 			sendRound(this.settings.fanout());
-			this.nextRoundMillis = now + roundMillis();
+			this.nextRoundMillis = now + (isStarting(now) ? STARTING_PAUSE_MILLIS : roundMillis());
 		}
 	}
 
+	private boolean isStarting(long now) {
+		boolean knowsEnough = this.rulesConfirmed && this.upstreamsLearned;
+		return !knowsEnough && now - this.startedMillis < STARTING_MILLIS;
+	}
+
 	// With many instances rounds are spaced out to keep the byte budget. Only the vector
 	// of heartbeats counts: were a burst of changes to delay heartbeats, live instances
 	// would seem lost, which is a change in turn.
@@ -182,6 +200,9 @@
 	 */
 	public boolean observe(long now) {
 		boolean gap = this.lastTimeMillis != Long.MIN_VALUE && now - this.lastTimeMillis > WAKE_GAP_MILLIS;
+		if (this.lastTimeMillis == Long.MIN_VALUE) {
+			this.startedMillis = now;
+		}
 		this.lastTimeMillis = now;
 		if (gap) {
 			this.instances.distrust();
@@ -238,7 +259,7 @@
 			if (own || entry.heardMillis >= since) {
 				gossip.addInstances(ShortName.of(entry.instance.getName()));
 				gossip.addHeartbeats(own ? this.heartbeat : entry.heartbeat);
-				gossip.addRevisions(own ? this.rules.revision() : entry.revision);
+				gossip.addRevisions(own ? reportedRevision() : entry.revision);
 			}
 		}
 		gossip.addAllUpstreams(this.changedUpstreams.takeRound(RECORDS_PER_ROUND));
@@ -246,6 +267,13 @@
 		return gossip.setDigest(digest()).build();
 	}
 
+	// What an instance read from its disk, or from another that just started, may be
+	// older
+	// than what was accepted meanwhile; it must not count as in force.
+	private long reportedRevision() {
+		return this.rulesConfirmed ? this.rules.revision() : InstanceTable.UNCONFIRMED;
+	}
+
 	/**
 	 * Takes in a round of gossip.
 	 * @param gossip the message
@@ -325,10 +353,14 @@
 		return UpstreamVersions.digest(this.upstreams.entries());
 	}
 
+	// Control instances keep upstreams across restarts; another instance may just have
+	// started, too.
 	private void learnUpstreams(long now) {
 		if (!this.upstreamsLearned) {
-			this.selector.choose(this.instances.otherAddresses(), 1)
-				.forEach((address) -> requestSynchronization(address, now, JOIN_PAUSE_MILLIS));
+			List<String> control = this.instances.otherControlAddresses();
+			this.selector.choose(control.isEmpty() ? this.instances.otherAddresses() : control, 1)
+				.forEach((address) -> requestSynchronization(address, now,
+						isStarting(now) ? STARTING_PAUSE_MILLIS : JOIN_PAUSE_MILLIS));
 		}
 	}
 
@@ -606,10 +638,11 @@
 		return this.upstreamsLearned;
 	}
 
-	// An accepted revision is in force at a majority, and two majorities overlap.
+	// An accepted revision is in force at a majority, and two majorities overlap. After a
+	// stop of all instances nobody has confirmed rules, and only the control group can.
 	private void confirmRulesByMajority(long now) {
 		long since = now - isolationMillis();
-		if (!this.rulesConfirmed && hasMajority(now)
+		if (!this.rulesConfirmed && 2 * this.instances.confirmedSince(since) > expectedInstances()
 				&& this.rules.revision() >= this.instances.highestRevisionHeard(since)) {
 			this.rulesConfirmed = true;
 		}
--- a/radishthread-membership/src/test/java/org/radishthread/membership/FakeSystem.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/FakeSystem.java
@@ -49,9 +49,16 @@
 		}
 		for (int i = 0; i < size; i++) {
 			start("node-" + i);
+			confirm("node-" + i, 1);
 		}
 	}
 
+	// What the control group answers an instance that asks for the rules in force.
+	void confirm(String name, long revision) {
+		this.instances.get(name).confirmRules(rules(revision));
+		collect(name);
+	}
+
 	void start(String name) {
 		InstanceRecord self = InstanceRecord.newBuilder()
 			.setName(name)
@@ -163,11 +170,14 @@
 	}
 
 	void offer(String name, long revision) {
-		this.instances.get(name)
-			.offerRules(RuleFile.newBuilder().setRevision(revision).setContent("content of " + revision).build());
+		this.instances.get(name).offerRules(rules(revision));
 		collect(name);
 	}
 
+	private static RuleFile rules(long revision) {
+		return RuleFile.newBuilder().setRevision(revision).setContent("content of " + revision).build();
+	}
+
 	boolean announce(String name, String upstream, long sequence, UpstreamState state) {
 		boolean current = this.instances.get(name)
 			.announce(new Announcement(upstream, "rotaboard", "127.0.0.1:1", "bastrop", 3, 1, sequence, state,
--- a/radishthread-membership/src/test/java/org/radishthread/membership/MembershipTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/MembershipTests.java
@@ -1,5 +1,7 @@
 package org.radishthread.membership;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -59,6 +61,71 @@
 
 	}
 
+	@Nested
+	class StopOfAll {
+
+		@Test
+		void oldRulesFromADiskAreNotInForceBeforeTheControlGroupSaysSo() {
+			FakeSystem system = MembershipTests.this.system;
+			system.offer("node-2", 7);
+			system.run(3_000);
+			List<String> names = List.copyOf(system.instances.keySet());
+			names.forEach(system::stop);
+			names.forEach(system::start);
+			system.offer("node-0", 6);
+			system.offer("node-1", 6);
+			system.run(10_000);
+			assertThat(system.instances.values())
+				.allSatisfy((node) -> assertThat(node.servingState(system.now)).isNotEqualTo(ServingState.READY));
+			names.forEach((name) -> system.confirm(name, 7));
+			system.run(1_000);
+			assertThat(system.instances.values()).allSatisfy((node) -> {
+				assertThat(node.servingState(system.now)).isEqualTo(ServingState.READY);
+				assertThat(node.appliedRules().getRevision()).isEqualTo(7);
+			});
+		}
+
+	}
+
+	@Nested
+	class Starting {
+
+		// Each step of these tests is a message's way of up to 50 ms.
+		private static final long BOUND_MILLIS = 600;
+
+		@Test
+		void instancesThatAllStartTogetherAreReadySoon() {
+			FakeSystem system = new FakeSystem(INSTANCES, 7);
+			assertThat(untilAllReady(system)).isLessThanOrEqualTo(BOUND_MILLIS);
+		}
+
+		@Test
+		void instancesThatWaitForTheirSeedsAreReadySoonAfterThem() {
+			FakeSystem system = new FakeSystem(INSTANCES, 7);
+			for (int seed = 0; seed < 3; seed++) {
+				system.stop("node-" + seed);
+			}
+			system.run(730);
+			for (int seed = 0; seed < 3; seed++) {
+				system.start("node-" + seed);
+				system.confirm("node-" + seed, 1);
+			}
+			assertThat(untilAllReady(system)).isLessThanOrEqualTo(BOUND_MILLIS);
+		}
+
+		private long untilAllReady(FakeSystem system) {
+			long started = system.now;
+			while (!system.instances.values()
+				.stream()
+				.allMatch((node) -> node.servingState(system.now) == ServingState.READY)) {
+				assertThat(system.now).as("time").isLessThan(started + 20_000);
+				system.run(FakeSystem.TICK_MILLIS);
+			}
+			return system.now - started;
+		}
+
+	}
+
 	@Nested
 	class Isolation {
 
