Give admission to a service a class of its own; log each answer

Change: Admission judges what waits, in which order, and what is refused; one line for each answer with upstream and time. Conclusion: behaviour as before, but for the spread return of requests that found no budget.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -346,12 +346,24 @@
 		if (!tryFinish()) {
 			return;
 		}
+		logAnswered(attempt, answer.getStatus(), "whole");
 		answerTaken(answer, content);
 		abortOthers(attempt);
 		copyAnswer(answer);
 		this.response.write(true, ByteBuffer.wrap(content), this.callback);
 	}
 
+	private void logAnswered(Attempt attempt, int status, String form) {
+		eventLog.information("answered")
+			.with("request", logName())
+			.with("service", this.route.service())
+			.with("upstream", attempt.targetName())
+			.with("status", status)
+			.with("form", form)
+			.with("elapsed-millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
+			.write();
+	}
+
 	private void copyAnswer(org.eclipse.jetty.client.Response answer) {
 		this.response.setStatus(answer.getStatus());
 		ForwardedHeaders.copyAnswer(this.context.dialect(), answer.getHeaders(), this.response.getHeaders());
@@ -380,6 +392,7 @@
 		if (!tryFinish()) {
 			return;
 		}
+		logAnswered(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
 		if (complete) {
 			this.response.write(true, ByteBuffer.allocate(0), this.callback);
 		}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -36,39 +36,15 @@
 
 	private static final double HEDGE_MARGIN_FACTOR = 1.3;
 
-	// Nine of ten requests of a service take less than this multiple of the usual work.
-	private static final double SPREAD_FACTOR = 1.3;
-
 	private static final double HEDGE_LEAST_FACTOR = 1.15;
 
 	private static final long MINIMUM_HEDGE_NANOS = 2_000_000;
 
-	private static final long MINIMUM_RETRY_AFTER_MILLIS = 100;
-
-	private static final long NO_UPSTREAM_RETRY_AFTER_MILLIS = 1_000;
-
-	private static final int MINIMUM_CALLER_SHARE = 2;
-
-	private static final double NANOS_PER_MILLI = 1_000_000;
-
 	private static final double NANOS_PER_SECOND = 1_000_000_000;
 
 	// A probe costs some thousandths of what a late answer does.
 	private static final double PACE_PROBES_PER_REQUEST = 8;
 
-	private static final int LATE_RANK = 1_000_000;
-
-	// Callers come back only if it is within a third of the time that they have left.
-	private static final double RETURN_SHARE = 3.2;
-
-	// Multiples of the golden ratio are spread evenly over the unit interval.
-	private static final double SPREADING_RATIO = (Math.sqrt(5) - 1) / 2;
-
-	private static final double LATE_PER_SLOT = 0.5;
-
-	// The part of the usual time below which an attempt is not worth a slot.
-	private static final double LEAST_SERVICE_SHARE = 0.5;
-
 	private final String zone;
 
 	private final SelectionPolicy policy;
@@ -91,6 +67,8 @@
 
 	private final CrowdingEstimate crowding = new CrowdingEstimate();
 
+	private final Admission admission = new Admission(this.queues, this.throughput, this.crowding);
+
 	private final DemandEstimate demand = new DemandEstimate();
 
 	private boolean active;
@@ -173,7 +151,7 @@
 		this.demand.arrived(now);
 		this.retryBudget.recordRequest(this.rule.retryPercent());
 		this.active = true;
-		Refusal refusal = reasonToRefuse(ticket, now);
+		Refusal refusal = this.admission.reasonToRefuse(ticket, this.rule, usableSlots(now), now);
 		if (refusal != null) {
 			return List.of(refusal);
 		}
@@ -184,58 +162,6 @@
 		return takeEffects();
 	}
 
-	private @Nullable Refusal reasonToRefuse(Ticket ticket, long now) {
-		long usable = usableSlots(now);
-		if (usable == 0) {
-			return new Refusal(ticket.id(), RefusalReason.NO_UPSTREAM,
-					retryAfterMillis(ticket, NO_UPSTREAM_RETRY_AFTER_MILLIS, now));
-		}
-		if (this.queues.size() == 0) {
-			return null;
-		}
-		double wait = this.throughput.expectedWaitNanos(this.queues.sizeUpTo(rank(ticket, now)) + 1);
-		long retryAfter = retryAfterMillis(ticket, (long) (wait / NANOS_PER_MILLI), now);
-		if (exceedsShare(ticket.caller(), usable)) {
-			return new Refusal(ticket.id(), RefusalReason.CALLER_LIMIT, retryAfter);
-		}
-		boolean late = now + wait + typicalNanos() > ticket.deadlineNanos() || wait > this.rule.queueWait().toNanos();
-		boolean afterObjective = now + wait + typicalNanos() > ticket.urgency().objectiveAtNanos();
-		if (late || (afterObjective && !isRoomForLate(usable)) || this.queues.size() >= this.rule.queueLimit()) {
-			return new Refusal(ticket.id(), RefusalReason.OVERLOAD, retryAfter);
-		}
-		return null;
-	}
-
-	// While more arrives than can be answered in time, whoever comes late would only
-	// wait to be refused. A few may wait: they are served when the rush ends.
-	private boolean isRoomForLate(long usableSlots) {
-		int late = this.queues.size() - this.queues.sizeUpTo(LATE_RANK - 1);
-		return late < usableSlots * LATE_PER_SLOT;
-	}
-
-	// Callers that were refused together come back at different moments, and soon
-	// enough to be served still.
-	private long retryAfterMillis(Ticket ticket, long waitMillis, long now) {
-		double position = ticket.id() * SPREADING_RATIO;
-		double spread = 0.5 + (position - Math.floor(position));
-		long usable = (long) ((ticket.deadlineNanos() - now) / NANOS_PER_MILLI / RETURN_SHARE);
-		long wanted = (long) (Math.max(MINIMUM_RETRY_AFTER_MILLIS, waitMillis) * spread);
-		return Math.max(MINIMUM_RETRY_AFTER_MILLIS / 2, Math.min(wanted, usable));
-	}
-
-	// Requests that can no longer be answered in time come after all that can.
-	private int rank(Ticket ticket, long now) {
-		boolean late = now + typicalNanos() > ticket.urgency().objectiveAtNanos();
-		return ticket.urgency().priority() + (late ? LATE_RANK : 0);
-	}
-
-	// A caller is held to its share only while requests of others could wait behind it.
-	private boolean exceedsShare(String caller, long usableSlots) {
-		boolean alone = this.queues.callers() <= 1 && this.queues.heldBy(caller) > 0;
-		long share = (usableSlots + this.rule.queueLimit()) * this.rule.callerSharePercent() / 100;
-		return !alone && this.queues.heldBy(caller) >= Math.max(MINIMUM_CALLER_SHARE, share);
-	}
-
 	private long usableSlots(long now) {
 		return this.loads.values()
 			.stream()
@@ -246,7 +172,8 @@
 
 	private void enqueue(Ticket ticket, AttemptKind kind, long now) {
 		long expires = Math.min(ticket.deadlineNanos(), now + this.rule.queueWait().toNanos());
-		this.queues.add(new Waiting(ticket, kind, rank(ticket, now), now, expires), kind != AttemptKind.FIRST);
+		this.queues.add(new Waiting(ticket, kind, this.admission.rank(ticket, now), now, expires),
+				kind != AttemptKind.FIRST);
 	}
 
 	// A request that waits for a fast upstream leaves the slow ones to those that are
@@ -254,7 +181,7 @@
 	// anyway.
 	private void dispatchWaiting(long now) {
 		dispatchFrom(Integer.MIN_VALUE, now);
-		dispatchFrom(LATE_RANK, now);
+		dispatchFrom(Admission.LATE_RANK, now);
 	}
 
 	private void dispatchFrom(int leastRank, long now) {
@@ -296,7 +223,7 @@
 
 	private Optional<UpstreamLoad> choose(Flight flight, long now, Predicate<UpstreamLoad> eligible) {
 		List<UpstreamLoad> candidates = new ArrayList<>();
-		long latestEnd = latestUsefulEnd(flight.ticket, now);
+		long latestEnd = this.admission.latestUsefulEnd(flight.ticket, now);
 		for (UpstreamLoad load : this.loads.values()) {
 			if (eligible.test(load) && !flight.tried.contains(load.upstream().name())
 					&& now + expectedNanos(load, now) <= latestEnd) {
@@ -313,26 +240,10 @@
 		return this.policy.choose(candidates, context);
 	}
 
-	// While a request can still be answered within its objective by an upstream at the
-	// usual pace, one that would miss the objective is no choice.
-	private long latestUsefulEnd(Ticket ticket, long now) {
-		double fast = now + this.throughput.expectedWaitNanos(1) + typicalNanos();
-		boolean worthWaiting = fast <= ticket.urgency().objectiveAtNanos();
-		return worthWaiting ? Math.min(ticket.urgency().objectiveAtNanos(), ticket.deadlineNanos())
-				: ticket.deadlineNanos();
-	}
-
 	private double expectedNanos(UpstreamLoad load, long now) {
 		return load.expectedNanos(this.throughput.serviceNanos(), this.crowding, now);
 	}
 
-	// The time of an attempt at an upstream that is neither slowed down nor crowded, with
-	// a margin for the spread of work.
-	private double typicalNanos() {
-		double usual = this.throughput.serviceNanos();
-		return Math.min(usual, SPREAD_FACTOR * this.crowding.typicalNanos(usual));
-	}
-
 	private double medianLatencyNanos() {
 		double[] known = this.loads.values()
 			.stream()
@@ -418,14 +329,16 @@
 		}
 		if (flight.tried.size() >= flight.ticket.maximumAttempts() || now >= flight.ticket.deadlineNanos()
 				|| !this.retryBudget.tryTake(now)) {
-			return List.of(new Refusal(ticket, RefusalReason.RETRY_BUDGET, MINIMUM_RETRY_AFTER_MILLIS));
+			return List.of(new Refusal(ticket, RefusalReason.RETRY_BUDGET,
+					this.admission.retryAfterMillis(flight.ticket, Admission.MINIMUM_RETRY_AFTER_MILLIS, now)));
 		}
 		boolean untried = this.loads.values()
 			.stream()
 			.anyMatch((load) -> load.acceptsWork() && !load.isEjected(now)
 					&& !flight.tried.contains(load.upstream().name()));
 		if (!untried) {
-			return List.of(new Refusal(ticket, RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER_MILLIS));
+			return List.of(new Refusal(ticket, RefusalReason.NO_UPSTREAM,
+					this.admission.retryAfterMillis(flight.ticket, Admission.NO_UPSTREAM_RETRY_AFTER_MILLIS, now)));
 		}
 		enqueue(flight.ticket, AttemptKind.RETRY, now);
 		dispatchWaiting(now);
@@ -436,7 +349,7 @@
 	private Optional<UpstreamLoad> chooseForStuck(Flight flight, long now) {
 		double usual = this.throughput.serviceNanos();
 		long lastStart = flight.started.values().stream().mapToLong(Started::atNanos).max().orElse(now);
-		if (now - lastStart < STUCK_FACTOR * typicalNanos()) {
+		if (now - lastStart < STUCK_FACTOR * this.admission.typicalNanos()) {
 			return Optional.empty();
 		}
 		return this.loads.values()
@@ -499,19 +412,17 @@
 	public List<RoutingEffect> tick(long now) {
 		int position = 0;
 		long usable = usableSlots(now);
-		double least = LEAST_SERVICE_SHARE * typicalNanos();
 		for (Waiting waiting : this.queues.inOrder()) {
 			position++;
-			double wait = this.throughput.expectedWaitNanos(position);
-			int rank = rank(waiting.ticket(), now);
+			int rank = this.admission.rank(waiting.ticket(), now);
 			boolean becameLate = rank != waiting.rank();
-			boolean hopeless = now + wait + least > waiting.ticket().deadlineNanos()
-					|| (becameLate && !isRoomForLate(usable));
+			boolean hopeless = this.admission.isHopeless(waiting.ticket(), position, now)
+					|| (becameLate && !this.admission.isRoomForLate(usable));
 			if (hopeless || waiting.expiresNanos() <= now) {
 				this.queues.remove(waiting);
-				position--;
 				this.effects.add(new Refusal(waiting.ticket().id(), RefusalReason.QUEUE_TIMEOUT,
-						retryAfterMillis(waiting.ticket(), (long) (wait / NANOS_PER_MILLI), now)));
+						this.admission.retryAfterMillisAt(waiting.ticket(), position, now)));
+				position--;
 			}
 			else if (becameLate) {
 				this.queues.remove(waiting);
