--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlGroup.java
@@ -133,6 +133,14 @@
 			.build();
 	}
 
+	/**
+	 * Returns what this replica believes of the leadership of its group.
+	 * @return role, term and leader
+	 */
+	public Leadership leadership() {
+		return new Leadership(role(), this.replica.term(), this.replica.leader());
+	}
+
 	/**
 	 * Takes in a message of another replica.
 	 * @param message the message
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
@@ -37,6 +37,9 @@
 	// zones.
 	private static final int FIRST_ELECTION_DIVISOR = 5;
 
+	// Processes that start share a small processor with the loading of their classes.
+	private static final int LATER_ELECTION_DIVISOR = 2;
+
 	private final long identity;
 
 	private final ReplicaSettings settings;
@@ -65,6 +68,8 @@
 
 	private long leaderContactMillis = NEVER;
 
+	private boolean electionTried;
+
 	private final Set<Long> votes = new HashSet<>();
 
 	private final FollowerTable followers = new FollowerTable();
@@ -175,11 +180,13 @@
 
 	// Until a leader is heard for the first time there is none whose silence could be a
 	// short one. A replica that starts beside a live leader disturbs nobody, because the
-	// others refuse its pre-vote.
+	// others refuse its pre-vote. A second try waits longer, as answers of replicas that
+	// start, too, are slow.
 	private void scheduleElection(long now) {
-		boolean neverLed = this.leaderContactMillis == NEVER;
-		long timeout = neverLed ? this.settings.electionTimeoutMillis() / FIRST_ELECTION_DIVISOR
-				: this.settings.electionTimeoutMillis();
+		long timeout = this.settings.electionTimeoutMillis();
+		if (this.leaderContactMillis == NEVER) {
+			timeout /= this.electionTried ? LATER_ELECTION_DIVISOR : FIRST_ELECTION_DIVISOR;
+		}
 		this.electionDeadline = now + this.timeouts.nextMillis(timeout);
 	}
 
@@ -303,6 +310,7 @@
 		this.leader = NOBODY;
 		this.votes.clear();
 		this.votes.add(this.identity);
+		this.electionTried = true;
 		scheduleElection(now);
 		if (quorum(this.votes::contains)) {
 			startElection(now);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -14,6 +14,7 @@
 import org.radishthread.agreement.GroupDriver;
 import org.radishthread.agreement.GroupOutput;
 import org.radishthread.agreement.IdentityFile;
+import org.radishthread.agreement.Leadership;
 import org.radishthread.agreement.ReplicaSettings;
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.peer.PeerTransport;
@@ -61,6 +62,9 @@
 
 	private final Thread thread;
 
+	// Used on the thread of this service only.
+	private Leadership leadership;
+
 	private volatile boolean stopping;
 
 	public ControlService(DaemonSettings settings, PeerTransport transport, ClusterService cluster, TimeSource time) {
@@ -72,6 +76,7 @@
 		this.group = new ControlGroup(cluster.replica(), ReplicaSettings.DEFAULTS, ClaimLimits.DEFAULTS,
 				(minimum) -> minimum + ThreadLocalRandom.current().nextLong(minimum), this.storage.load());
 		this.driver = new GroupDriver(this.group, this.storage, this);
+		this.leadership = this.group.leadership();
 		this.thread = new Thread(this::run, "control");
 		this.thread.setDaemon(true);
 	}
@@ -141,6 +146,23 @@
 		this.group.tick(now());
 		batch.forEach((event) -> event.accept(this.group));
 		this.driver.flush(now());
+		logLeadership();
+	}
+
+	private void logLeadership() {
+		Leadership current = this.group.leadership();
+		if (current.equals(this.leadership)) {
+			return;
+		}
+		eventLog.information("leadership-changed")
+			.with("instance", this.settings.instance())
+			.with("from", this.leadership.role().word())
+			.with("role", current.role().word())
+			.with("term", current.term())
+			.with("leader", Long.toHexString(current.leader()))
+			.with("commit", this.group.status(now()).getCommitIndex())
+			.write();
+		this.leadership = current;
 	}
 
 	@Override
