Let callers that an instance refuses come back within the time that they have

Cause: an instance that starts, stops or is isolated told every caller to come back after one second. Callers come back within a third of the time that they have left; one with 800 ms could not, and all came at the same moment. Change: one place says when callers return (ReturnTime, so far in the admission to a service); refusals of the instance itself use it: 100 ms around while it stops, since another instance takes the request at once, 500 ms while it starts.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -80,7 +80,7 @@
 		this.callback = callback;
 		this.id = context.nextTicket();
 		this.startedNanos = context.time().monotonicNanos();
-		this.callerMillis = readCallerMillis();
+		this.callerMillis = CallerTime.remainingMillis(context.dialect(), request.getHeaders());
 		this.timeoutMillis = timeoutMillis();
 		this.deadlineNanos = this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis);
 	}
@@ -191,12 +191,6 @@
 		return Math.min(allowed, this.callerMillis.orElse(allowed));
 	}
 
-	private OptionalLong readCallerMillis() {
-		String wanted = this.context.dialect().remainingMillis(this.request.getHeaders());
-		boolean valid = wanted != null && wanted.matches("[0-9]{1,9}");
-		return valid ? OptionalLong.of(Long.parseLong(wanted)) : OptionalLong.empty();
-	}
-
 	// The timeout of an upload bounds only the time without progress.
 	private boolean hasDeadline() {
 		return !this.route.mode().isStreamed() || this.route.limits().total() != null || this.callerMillis.isPresent();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -12,6 +12,7 @@
 
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.membership.ServingState;
+import org.radishthread.routing.ReturnTime;
 import org.radishthread.rules.RouteRule;
 
 /**
@@ -19,7 +20,11 @@
  */
 final class GatewayHandler extends Handler.Abstract.NonBlocking {
 
-	private static final long RETRY_AFTER_MILLIS = 1_000;
+	// Another instance takes the request at once, so that a short pause suffices.
+	private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
+
+	// About the time in which an instance that starts learns what it needs.
+	private static final long STARTING_RETRY_AFTER_MILLIS = 500;
 
 	private final GatewayContext context;
 
@@ -52,15 +57,17 @@
 			response.getHeaders().put(HttpHeader.CONNECTION, "close");
 		}
 		if (this.refusing || (state != ServingState.READY && state != ServingState.STOPPING)) {
+			long retryAfter = retryAfterMillis(request,
+					this.refusing ? STOPPING_RETRY_AFTER_MILLIS : STARTING_RETRY_AFTER_MILLIS);
 			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
-					"This instance takes no new work: " + state.word() + ".", RETRY_AFTER_MILLIS), response, counted);
+					"This instance takes no new work: " + state.word() + ".", retryAfter), response, counted);
 			return true;
 		}
 		Optional<RouteRule> route = this.context.routing()
 			.route(host(request), request.getMethod(), request.getHttpURI().getPath());
 		if (route.isEmpty() && !this.context.routing().hasRules()) {
-			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "No rules are known yet.", RETRY_AFTER_MILLIS),
-					response, counted);
+			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "No rules are known yet.",
+					retryAfterMillis(request, STARTING_RETRY_AFTER_MILLIS)), response, counted);
 			return true;
 		}
 		if (route.isEmpty()) {
@@ -71,6 +78,12 @@
 		return true;
 	}
 
+	private long retryAfterMillis(Request request, long wantedMillis) {
+		long remaining = CallerTime.remainingMillis(this.context.dialect(), request.getHeaders())
+			.orElse(Long.MAX_VALUE);
+		return ReturnTime.millis(wantedMillis, remaining, this.context.nextTicket());
+	}
+
 	private static String host(Request request) {
 		String host = request.getHttpURI().getHost();
 		return (host != null) ? host : "";
--- a/radishthread-routing/src/main/java/org/radishthread/routing/Admission.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/Admission.java
@@ -20,7 +20,7 @@
 	/**
 	 * When a caller may come back that was refused for want of budget, in milliseconds.
 	 */
-	static final long MINIMUM_RETRY_AFTER_MILLIS = 100;
+	static final long NO_BUDGET_RETRY_AFTER_MILLIS = 100;
 
 	/**
 	 * When a caller may come back while no upstream takes work, in milliseconds.
@@ -31,12 +31,6 @@
 
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
-	// Callers come back only if it is within a third of the time that they have left.
-	private static final double RETURN_SHARE = 3.2;
-
-	// Multiples of the golden ratio are spread evenly over the unit interval.
-	private static final double SPREADING_RATIO = (Math.sqrt(5) - 1) / 2;
-
 	private static final double LATE_PER_SLOT = 0.5;
 
 	// The part of the usual time below which an attempt is not worth a slot.
@@ -85,14 +79,9 @@
 		return late < usableSlots * LATE_PER_SLOT;
 	}
 
-	// Callers that were refused together come back at different moments, and soon
-	// enough to be served still.
 	long retryAfterMillis(Ticket ticket, long waitMillis, long now) {
-		double position = ticket.id() * SPREADING_RATIO;
-		double spread = 0.5 + (position - Math.floor(position));
-		long usable = (long) ((ticket.deadlineNanos() - now) / NANOS_PER_MILLI / RETURN_SHARE);
-		long wanted = (long) (Math.max(MINIMUM_RETRY_AFTER_MILLIS, waitMillis) * spread);
-		return Math.max(MINIMUM_RETRY_AFTER_MILLIS / 2, Math.min(wanted, usable));
+		long remainingMillis = (long) ((ticket.deadlineNanos() - now) / NANOS_PER_MILLI);
+		return ReturnTime.millis(waitMillis, remainingMillis, ticket.id());
 	}
 
 	// Requests that can no longer be answered in time come after all that can.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -330,7 +330,7 @@
 		if (flight.tried.size() >= flight.ticket.maximumAttempts() || now >= flight.ticket.deadlineNanos()
 				|| !this.retryBudget.tryTake(now)) {
 			return List.of(new Refusal(ticket, RefusalReason.RETRY_BUDGET,
-					this.admission.retryAfterMillis(flight.ticket, Admission.MINIMUM_RETRY_AFTER_MILLIS, now)));
+					this.admission.retryAfterMillis(flight.ticket, Admission.NO_BUDGET_RETRY_AFTER_MILLIS, now)));
 		}
 		boolean untried = this.loads.values()
 			.stream()
