Keep half of the upstreams in use, however many fail

Cause: an upstream that fails three times in a row is ejected. Where all upstreams of a service fail a part of their requests, all are ejected in turn, and what they would have answered is refused. Ruled out: more failures in a row (with 0.55 of failures also five come soon). Change: at most half of the upstreams are ejected for failing; one that can not be reached still is, always. The estimate that lengthened the expected time of an upstream that refuses counts failures, too, so that one that fails fast does not attract requests.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -19,6 +19,7 @@
 import org.radishthread.routing.RoutingEffect.PaceProbe;
 import org.radishthread.routing.RoutingEffect.Probe;
 import org.radishthread.routing.RoutingEffect.Refusal;
+import org.radishthread.routing.UpstreamLoad.EjectionRule;
 import org.radishthread.rules.PaceProbing;
 import org.radishthread.rules.ServiceRule;
 
@@ -36,6 +37,8 @@
 
 	private static final double HEDGE_MARGIN_FACTOR = 1.3;
 
+	private static final double MAXIMUM_EJECTED_SHARE = 0.5;
+
 	private static final double HEDGE_LEAST_FACTOR = 1.15;
 
 	private static final long MINIMUM_HEDGE_NANOS = 2_000_000;
@@ -303,8 +306,7 @@
 		if (report != null) {
 			load.reported(report, now);
 		}
-		load.finished(result, latency, started.paceFactor(), now, this.rule.ejectAfter(),
-				this.rule.probesPerSecond() > 0);
+		load.finished(result, latency, started.paceFactor(), now, ejectionRule(now));
 		if (result == AttemptResult.SUCCESS) {
 			this.crowding.finished(started.inFlight(), load.upstream().slots(), latency / started.paceFactor());
 			this.throughput.completed(latency, now);
@@ -315,6 +317,15 @@
 		return takeEffects();
 	}
 
+	// Where most upstreams fail a part of their requests, the others could not bear the
+	// load either; then it is better to use them all and to try again.
+	private EjectionRule ejectionRule(long now) {
+		long working = this.loads.values().stream().filter(UpstreamLoad::acceptsWork).count();
+		long ejected = this.loads.values().stream().filter((load) -> load.isEjected(now)).count();
+		boolean allowed = (ejected + 1) <= working * MAXIMUM_EJECTED_SHARE;
+		return new EjectionRule(this.rule.ejectAfter(), allowed || working == 1, this.rule.probesPerSecond() > 0);
+	}
+
 	/**
 	 * Asks for another attempt after one that failed. The caller has made sure that the
 	 * request may be sent again.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -33,7 +33,7 @@
 
 	private final PaceEstimate pace = new PaceEstimate();
 
-	private final ShedEstimate shed = new ShedEstimate();
+	private final FailureEstimate failures = new FailureEstimate();
 
 	// The time that an attempt takes at the usual pace.
 	private double baseNanos;
@@ -188,7 +188,7 @@
 		boolean crowded = this.inFlight + 1 > CrowdingEstimate.calmSlots(this.upstream.slots());
 		double work = base * this.pace.factor(now) * (crowded ? crowding.factor() : 1);
 		int ahead = Math.max(0, this.inFlight + 1 - this.upstream.slots());
-		return (work + work * ahead / this.upstream.slots()) * this.shed.expectedAttempts(now);
+		return (work + work * ahead / this.upstream.slots()) * this.failures.expectedAttempts(now);
 	}
 
 	void reported(LoadReport report, long now) {
@@ -229,9 +229,9 @@
 		this.lastDispatchNanos = now;
 	}
 
-	void finished(AttemptResult result, long latency, double paceAtStart, long now, int ejectAfter, boolean probed) {
+	void finished(AttemptResult result, long latency, double paceAtStart, long now, EjectionRule ejection) {
 		this.inFlight--;
-		this.shed.finished(result, now);
+		this.failures.finished(result, now);
 		if (result == AttemptResult.SUCCESS) {
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
@@ -242,7 +242,7 @@
 			recordLatency(Math.max(latency, (long) this.latencyNanos), paceAtStart);
 		}
 		else if (result.countsAgainstUpstream()) {
-			failed(now, (result == AttemptResult.UNREACHABLE) ? 1 : ejectAfter, probed);
+			failed(result, now, ejection);
 		}
 	}
 
@@ -253,11 +253,13 @@
 		this.samples++;
 	}
 
-	private void failed(long now, int ejectAfter, boolean probed) {
+	private void failed(AttemptResult result, long now, EjectionRule ejection) {
 		this.consecutiveFailures++;
-		if (this.consecutiveFailures >= ejectAfter || isOnTrial()) {
+		boolean unreachable = result == AttemptResult.UNREACHABLE;
+		boolean failing = this.consecutiveFailures >= ejection.afterFailures() || isOnTrial();
+		if (unreachable || (failing && ejection.allowed())) {
 			eject(now);
-			this.awaitsProbe = probed;
+			this.awaitsProbe = ejection.probed();
 		}
 	}
 
@@ -268,4 +270,15 @@
 		this.consecutiveFailures = 0;
 	}
 
+	/**
+	 * When an upstream that fails is taken out of use.
+	 *
+	 * @param afterFailures the failures in a row
+	 * @param allowed whether enough others are in use; one that can not be reached is
+	 * taken out in any case
+	 * @param probed whether it is probed before it is used again
+	 */
+	record EjectionRule(int afterFailures, boolean allowed, boolean probed) {
+	}
+
 }
