Log requests that an instance refuses itself, and the revision; bound the lines of a second

Cause: requests refused while an instance starts or stops, or because no rule matches, left no line, so that the first failures of a recovery and every 404 could not be found by their names; nothing bounded the lines, and those that the queue dropped were not counted. The home of a service still logs its own numbers for requests, not the caller's names.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/LineFormatter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/LineFormatter.java
@@ -21,11 +21,20 @@
 	private static final DateTimeFormatter time = new DateTimeFormatterBuilder().appendInstant(MILLISECOND_DIGITS)
 		.toFormatter();
 
+	private final LineBudget budget;
+
+	LineFormatter(LineBudget budget) {
+		this.budget = budget;
+	}
+
 	@Override
 	public String format(ExtLogRecord record) {
-		StringBuilder line = new StringBuilder(256).append("time=");
-		time.formatTo(Instant.ofEpochMilli(record.getMillis()), line);
-		line.append(" level=").append(record.getLevel()).append(" logger=");
+		StringBuilder line = new StringBuilder(256);
+		long dropped = this.budget.takeDropped();
+		if (dropped > 0) {
+			startLine(line, record).append("LogOutput event=log-lines-dropped count=").append(dropped).append('\n');
+		}
+		startLine(line, record);
 		String name = record.getLoggerName();
 		line.append(name, name.lastIndexOf('.') + 1, name.length());
 		line.append(' ').append(record.getFormattedMessage()).append('\n');
@@ -37,4 +46,10 @@
 		return line.toString();
 	}
 
+	private static StringBuilder startLine(StringBuilder line, ExtLogRecord record) {
+		line.append("time=");
+		time.formatTo(Instant.ofEpochMilli(record.getMillis()), line);
+		return line.append(" level=").append(record.getLevel()).append(" logger=");
+	}
+
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/LogOutput.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/LogOutput.java
@@ -20,6 +20,9 @@
 
 	private static final int QUEUE_LENGTH = 65_536;
 
+	// Some three lines for each of several hundred requests a second.
+	private static final int LINES_PER_SECOND = 2_000;
+
 	private static final AsyncHandler output = new AsyncHandler(QUEUE_LENGTH);
 
 	@Override
@@ -33,11 +36,13 @@
 	}
 
 	private static void configure(LogContext context) {
-		ConsoleHandler console = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new LineFormatter());
+		LineBudget budget = new LineBudget(LINES_PER_SECOND);
+		ConsoleHandler console = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new LineFormatter(budget));
 		console.setAutoFlush(true);
 		console.setLevel(Level.ALL);
 		output.addHandler(console);
 		output.setLevel(Level.ALL);
+		output.setFilter((record) -> budget.tryTake(record.getMillis()));
 		output.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
 		Logger root = context.getLogger("");
 		root.addHandler(output);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -49,6 +49,9 @@
 
 	private final long id;
 
+	// Of the rules by which the request was routed.
+	private final long revision;
+
 	private final long startedNanos;
 
 	private final OptionalLong callerMillis;
@@ -79,6 +82,7 @@
 		this.response = response;
 		this.callback = callback;
 		this.id = context.nextTicket();
+		this.revision = context.routing().revision();
 		this.startedNanos = context.time().monotonicNanos();
 		this.callerMillis = CallerTime.remainingMillis(context.dialect(), request.getHeaders());
 		this.timeoutMillis = timeoutMillis();
@@ -280,6 +284,7 @@
 			.with("service", this.route.service())
 			.with("upstream", name)
 			.with("kind", kind)
+			.with("revision", this.revision)
 			.with("remaining-millis", remainingMillis())
 			.write();
 		Attempt attempt = new Attempt(name, address, outgoing, dialect, requestName, limit, onNewConnection, this);
@@ -498,6 +503,8 @@
 				.with("status", problem.status())
 				.with("outcome", problem.outcome().word())
 				.with("title", problem.title())
+				.with("revision", this.revision)
+				.with("elapsed-millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
 				.write();
 			abortOthers(null);
 			problem.write(this.context.dialect(), this.response, this.callback);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.util.Callback;
 
 import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.kernel.EventLog;
 import org.radishthread.membership.ServingState;
 import org.radishthread.routing.ReturnTime;
 import org.radishthread.rules.RouteRule;
@@ -20,6 +21,8 @@
  */
 final class GatewayHandler extends Handler.Abstract.NonBlocking {
 
+	private static final EventLog eventLog = EventLog.of(GatewayHandler.class);
+
 	// Another instance takes the request at once, so that a short pause suffices.
 	private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
 
@@ -59,19 +62,20 @@
 		if (this.refusing || (state != ServingState.READY && state != ServingState.STOPPING)) {
 			long retryAfter = retryAfterMillis(request,
 					this.refusing ? STOPPING_RETRY_AFTER_MILLIS : STARTING_RETRY_AFTER_MILLIS);
-			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
+			refuse(request, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
 					"This instance takes no new work: " + state.word() + ".", retryAfter), response, counted);
 			return true;
 		}
 		Optional<RouteRule> route = this.context.routing()
 			.route(host(request), request.getMethod(), request.getHttpURI().getPath());
 		if (route.isEmpty() && !this.context.routing().hasRules()) {
-			write(Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "No rules are known yet.",
+			refuse(request, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "No rules are known yet.",
 					retryAfterMillis(request, STARTING_RETRY_AFTER_MILLIS)), response, counted);
 			return true;
 		}
 		if (route.isEmpty()) {
-			write(Problem.notRun(HttpStatus.NOT_FOUND_404, "No rule matches this request.", 0), response, counted);
+			refuse(request, Problem.notRun(HttpStatus.NOT_FOUND_404, "No rule matches this request.", 0), response,
+					counted);
 			return true;
 		}
 		new RoutedExchange(this.context, route.get(), request, response, counted).start();
@@ -89,7 +93,14 @@
 		return (host != null) ? host : "";
 	}
 
-	private void write(Problem problem, Response response, Callback callback) {
+	private void refuse(Request request, Problem problem, Response response, Callback callback) {
+		eventLog.information("refused-here")
+			.with("request", this.context.dialect().requestName(request.getHeaders(), "unnamed"))
+			.with("status", problem.status())
+			.with("title", problem.title())
+			.with("revision", this.context.routing().revision())
+			.with("retry-after-millis", problem.retryAfterMillis())
+			.write();
 		problem.write(this.context.dialect(), response, callback);
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -76,7 +76,12 @@
 	}
 
 	boolean hasRules() {
-		return this.rules.revision() > 0;
+		return revision() > 0;
+	}
+
+	// The revision of the rules that requests are routed by.
+	long revision() {
+		return this.rules.revision();
 	}
 
 	/**
