Remove what the archive of classes left dead; ask for the ejection rule only after a failure

Change: these only; behaviour is as before. Seen and left: an ejected upstream that is leaving still counts as ejected in that rule; Problem makes its JSON mapper with the first refusal.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
@@ -36,9 +36,6 @@
 	@Option(names = "--check", description = "check the settings and exit")
 	private boolean checkOnly;
 
-	@Option(names = "--start-and-stop", description = "start, stop and exit; used to archive the loaded classes")
-	private boolean startAndStop;
-
 	private DaemonMain() {
 	}
 
@@ -72,10 +69,6 @@
 			return EXIT_FAILURE;
 		}
 		eventLog.information("started").with("instance", settings.instance()).with("roles", settings.roles()).write();
-		if (this.startAndStop) {
-			kernel.stop();
-			return 0;
-		}
 		CountDownLatch stopped = new CountDownLatch(1);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 			kernel.stop();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -325,7 +325,7 @@
 	 */
 	public boolean needsRuleConfirmation() {
 		ClusterView current = this.view;
-		boolean confirmed = current.state() == ServingState.READY && current.rules().getRevision() > 0;
+		boolean confirmed = current.state() == ServingState.READY && current.hasRules();
 		return !confirmed && current.state() != ServingState.STOPPING;
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
@@ -21,4 +21,12 @@
 	 */
 	public static final long STALE_MILLIS = 2_000;
 
+	/**
+	 * Returns whether any rules are applied here.
+	 * @return whether there is a revision
+	 */
+	public boolean hasRules() {
+		return this.rules.getRevision() > 0;
+	}
+
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReadinessHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReadinessHandler.java
@@ -24,8 +24,7 @@
 	@Override
 	public boolean handle(Request request, Response response, Callback callback) {
 		// Without rules an instance can refuse requests only.
-		boolean ready = this.cluster.servingState() == ServingState.READY
-				&& this.cluster.view().rules().getRevision() > 0;
+		boolean ready = this.cluster.servingState() == ServingState.READY && this.cluster.view().hasRules();
 		response.setStatus(ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
 		callback.succeeded();
 		return true;
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -306,7 +306,10 @@
 		if (report != null) {
 			load.reported(report, now);
 		}
-		load.finished(result, latency, started.paceFactor(), now, ejectionRule(now));
+		load.finished(result, latency, started.paceFactor(), now);
+		if (result.countsAgainstUpstream()) {
+			load.failed(result, now, ejectionRule(now));
+		}
 		if (result == AttemptResult.SUCCESS) {
 			this.crowding.finished(started.inFlight(), load.upstream().slots(), latency / started.paceFactor());
 			this.throughput.completed(latency, now);
@@ -358,7 +361,6 @@
 
 	// Beside an attempt that seems stuck even a straggler or the last slot is welcome.
 	private Optional<UpstreamLoad> chooseForStuck(Flight flight, long now) {
-		double usual = this.throughput.serviceNanos();
 		long lastStart = flight.started.values().stream().mapToLong(Started::atNanos).max().orElse(now);
 		if (now - lastStart < STUCK_FACTOR * this.admission.typicalNanos()) {
 			return Optional.empty();
@@ -367,7 +369,7 @@
 			.stream()
 			.filter((load) -> load.hasFreeSlot(now))
 			.filter((load) -> !flight.tried.contains(load.upstream().name()))
-			.min(Comparator.comparingDouble((load) -> load.expectedNanos(usual, this.crowding, now)));
+			.min(Comparator.comparingDouble((load) -> expectedNanos(load, now)));
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamLoad.java
@@ -229,7 +229,7 @@
 		this.lastDispatchNanos = now;
 	}
 
-	void finished(AttemptResult result, long latency, double paceAtStart, long now, EjectionRule ejection) {
+	void finished(AttemptResult result, long latency, double paceAtStart, long now) {
 		this.inFlight--;
 		this.failures.finished(result, now);
 		if (result == AttemptResult.SUCCESS) {
@@ -241,9 +241,6 @@
 			// A cancelled attempt ran at least that long.
 			recordLatency(Math.max(latency, (long) this.latencyNanos), paceAtStart);
 		}
-		else if (result.countsAgainstUpstream()) {
-			failed(result, now, ejection);
-		}
 	}
 
 	private void recordLatency(long latency, double paceAtStart) {
@@ -253,7 +250,8 @@
 		this.samples++;
 	}
 
-	private void failed(AttemptResult result, long now, EjectionRule ejection) {
+	// Follows finished for an attempt that counts against the upstream.
+	void failed(AttemptResult result, long now, EjectionRule ejection) {
 		this.consecutiveFailures++;
 		boolean unreachable = result == AttemptResult.UNREACHABLE;
 		boolean failing = this.consecutiveFailures >= ejection.afterFailures() || isOnTrial();
