Part the registry of upstreams from the membership protocol

The second job is now UpstreamRegistry; Membership passes time and recipients to it and collects its messages and changes.

No change of behaviour.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -6,7 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.radishthread.kernel.Assert;
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
@@ -17,7 +18,6 @@
 import org.radishthread.protocol.UpstreamNotice;
 import org.radishthread.protocol.UpstreamNoticeReceipt;
 import org.radishthread.protocol.UpstreamRecord;
-import org.radishthread.protocol.UpstreamState;
 
 /**
  * Runs the part of one instance in the membership protocol. In each round of gossip, an
@@ -50,9 +50,6 @@
 
 	private static final long SYNCHRONIZATION_INTERVAL_MILLIS = 10_000;
 
-	// Exceeds the number of announcements that can still arrive after a withdrawal.
-	private static final long WITHDRAWAL_SEQUENCE_INCREMENT = 1_000_000;
-
 	private static final int HEARTBEAT_BYTES_PER_INSTANCE = 13;
 
 	private static final int GOSSIP_MESSAGE_BASE_BYTES = 60;
@@ -67,7 +64,7 @@
 
 	private final InstanceTable instances;
 
-	private final UpstreamTable upstreams;
+	private final UpstreamRegistry upstreams;
 
 	private final AppliedRules rules = new AppliedRules();
 
@@ -77,8 +74,6 @@
 
 	private final List<OutgoingMessage> outgoingMessages = new ArrayList<>();
 
-	private final AnnouncementReplication replication = new AnnouncementReplication();
-
 	private boolean upstreamsChanged;
 
 	private boolean rulesChanged;
@@ -108,7 +103,7 @@
 		this.selector = selector;
 		this.heartbeat = self.getIncarnation();
 		this.instances = new InstanceTable(self.getName());
-		this.upstreams = new UpstreamTable(self.getName());
+		this.upstreams = new UpstreamRegistry(self.getName());
 		this.instances.merge(self, 0);
 		this.changedInstances.add(self.getName(), self, this.seeds.size());
 	}
@@ -120,13 +115,14 @@
 	 * @return the effects
 	 */
 	public MembershipEffects drain() {
+		collectUpstreamEffects();
 		if (this.urgentRoundPending) {
 			this.urgentRoundPending = false;
 			sendGossipRound(this.settings.urgentFanout());
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoingMessages),
 				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.ruleFile() : null,
-				this.replication.drainResults(), this.resumedFromFreeze);
+				this.upstreams.drainResults(), this.resumedFromFreeze);
 		this.outgoingMessages.clear();
 		this.upstreamsChanged = false;
 		this.rulesChanged = false;
@@ -134,6 +130,15 @@
 		return effects;
 	}
 
+	private void collectUpstreamEffects() {
+		this.outgoingMessages.addAll(this.upstreams.drainMessages());
+		for (UpstreamRecord changedRecord : this.upstreams.drainChanges()) {
+			this.changedUpstreams.add(changedRecord.getName(), changedRecord, this.instances.entries().size());
+			this.upstreamsChanged = true;
+			this.urgentRoundPending = true;
+		}
+	}
+
 	private void send(String address, Envelope.Builder envelope) {
 		this.outgoingMessages.add(new OutgoingMessage(address, envelope.build()));
 	}
@@ -157,7 +162,8 @@
 		expireLeases(nowMillis);
 		removeLostInstances(nowMillis);
 		confirmRulesByMajority(nowMillis);
-		replicate(nowMillis);
+		this.upstreams.replicate(recipients(nowMillis), nowMillis);
+		collectUpstreamEffects();
 		requestUpstreams(nowMillis);
 		if (nowMillis >= this.nextRoundMillis) {
 			this.heartbeat++;
@@ -234,10 +240,8 @@
 			.stream()
 			.anyMatch((entry) -> entry.instance.getControl()
 					&& this.instances.isLive(entry.instance.getName(), sinceMillis));
-		for (UpstreamRecord expiredRecord : this.upstreams.expireLeases(nowMillis,
-				(holder) -> !controlInstanceLive || this.instances.isLive(holder, sinceMillis))) {
-			recordUpstreamChange(expiredRecord);
-		}
+		this.upstreams.expireLeases(nowMillis,
+				(holder) -> !controlInstanceLive || this.instances.isLive(holder, sinceMillis));
 	}
 
 	private void removeLostInstances(long nowMillis) {
@@ -276,7 +280,7 @@
 		}
 		gossip.addAllUpstreams(this.changedUpstreams.pollRound(MAXIMUM_RECORDS_PER_ROUND));
 		gossip.addAllRecords(this.changedInstances.pollRound(MAXIMUM_RECORDS_PER_ROUND));
-		return gossip.setDigest(digest()).build();
+		return gossip.setDigest(this.upstreams.digest()).build();
 	}
 
 	// Rules read from the disk, or received from a peer that just started, may be older
@@ -292,7 +296,7 @@
 	 */
 	public void receive(Gossip gossip, long nowMillis) {
 		gossip.getRecordsList().forEach((instance) -> mergeInstance(instance, nowMillis));
-		gossip.getUpstreamsList().forEach((upstream) -> mergeUpstream(upstream, nowMillis));
+		gossip.getUpstreamsList().forEach((upstream) -> this.upstreams.merge(upstream, nowMillis));
 		boolean hasUnknownInstances = false;
 		int count = Math.min(gossip.getInstancesCount(),
 				Math.min(gossip.getHeartbeatsCount(), gossip.getRevisionsCount()));
@@ -311,7 +315,7 @@
 		if (sender == null || hasUnknownInstances) {
 			requestSynchronization(address, nowMillis, JOIN_SYNCHRONIZATION_INTERVAL_MILLIS);
 		}
-		else if (noChangesPending && gossip.getDigest() != digest()) {
+		else if (noChangesPending && gossip.getDigest() != this.upstreams.digest()) {
 			requestSynchronization(address, nowMillis, SYNCHRONIZATION_INTERVAL_MILLIS);
 		}
 	}
@@ -348,22 +352,6 @@
 		this.urgentRoundPending = true;
 	}
 
-	private void mergeUpstream(UpstreamRecord receivedRecord, long nowMillis) {
-		if (this.upstreams.merge(receivedRecord, nowMillis)) {
-			recordUpstreamChange(receivedRecord);
-		}
-	}
-
-	private void recordUpstreamChange(UpstreamRecord changedRecord) {
-		this.changedUpstreams.add(changedRecord.getName(), changedRecord, this.instances.entries().size());
-		this.upstreamsChanged = true;
-		this.urgentRoundPending = true;
-	}
-
-	private long digest() {
-		return UpstreamVersions.digest(this.upstreams.entries());
-	}
-
 	// Control instances are preferred because they store upstreams across restarts;
 	// another instance may also have just started.
 	private void requestUpstreams(long nowMillis) {
@@ -388,7 +376,7 @@
 			.setSender(this.self.getName())
 			.setSenderAddress(this.self.getPeerAddress())
 			.setAnswer(response)
-			.addAllKnown(UpstreamVersions.toVersions(this.upstreams.entries()));
+			.addAllKnown(this.upstreams.versions());
 	}
 
 	/**
@@ -400,15 +388,14 @@
 	 */
 	public void receive(Synchronization synchronization, long nowMillis) {
 		synchronization.getRecordsList().forEach((instance) -> mergeInstance(instance, nowMillis));
-		synchronization.getUpstreamsList().forEach((upstream) -> mergeUpstream(upstream, nowMillis));
+		synchronization.getUpstreamsList().forEach((upstream) -> this.upstreams.merge(upstream, nowMillis));
 		if (synchronization.getAnswer()) {
 			this.upstreamsSynchronized = true;
 			return;
 		}
 		Synchronization.Builder response = createSynchronization(true);
 		this.instances.entries().forEach((entry) -> response.addRecords(entry.instance));
-		response
-			.addAllUpstreams(UpstreamVersions.findMissing(this.upstreams.entries(), synchronization.getKnownList()));
+		response.addAllUpstreams(this.upstreams.findMissing(synchronization.getKnownList()));
 		send(synchronization.getSenderAddress(), Envelope.newBuilder().setSynchronization(response));
 	}
 
@@ -419,14 +406,14 @@
 	 * @return the outcome
 	 */
 	public AnnouncementOutcome announce(Announcement announcement, long nowMillis) {
-		UpstreamRecord record = toRecord(announcement);
-		UpstreamTable.Entry storedEntry = this.upstreams.find(announcement.name());
-		if (storedEntry != null && isRenewal(record, storedEntry.upstream)
-				&& storedEntry.upstream.getState() == UpstreamState.READY) {
-			boolean accepted = renewLease(storedEntry.upstream, record, nowMillis);
-			return accepted ? AnnouncementOutcome.confirmed() : AnnouncementOutcome.stale();
-		}
-		return applyChange(record, nowMillis);
+		return this.upstreams.announce(announcement, (holder) -> findLiveAddress(holder, nowMillis),
+				recipients(nowMillis), nowMillis);
+	}
+
+	private @Nullable String findLiveAddress(String instanceName, long nowMillis) {
+		InstanceTable.Entry entry = this.instances.find(instanceName);
+		boolean live = entry != null && this.instances.isLive(instanceName, nowMillis - failureTimeoutMillis());
+		return live ? entry.instance.getPeerAddress() : null;
 	}
 
 	/**
@@ -438,44 +425,7 @@
 	 * @return the outcome, or empty if there is no record of the upstream
 	 */
 	public Optional<AnnouncementOutcome> withdraw(String name, long incarnation, long nowMillis) {
-		UpstreamTable.Entry storedEntry = this.upstreams.find(name);
-		if (storedEntry == null) {
-			return Optional.empty();
-		}
-		if (incarnation != 0 && incarnation < storedEntry.upstream.getIncarnation()) {
-			return Optional.of(AnnouncementOutcome.confirmed());
-		}
-		if (storedEntry.upstream.getState() == UpstreamState.LEFT) {
-			return Optional.of(applyChange(storedEntry.upstream, nowMillis));
-		}
-		// A late announcement of this incarnation must not undo the withdrawal.
-		UpstreamRecord withdrawnRecord = storedEntry.upstream.toBuilder()
-			.setIncarnation(Math.max(incarnation, storedEntry.upstream.getIncarnation()))
-			.setSequence(storedEntry.upstream.getSequence() + WITHDRAWAL_SEQUENCE_INCREMENT)
-			.setState(UpstreamState.LEFT)
-			.build();
-		return Optional.of(applyChange(withdrawnRecord, nowMillis));
-	}
-
-	// Merges a record and starts its replication, unless it was replicated before.
-	private AnnouncementOutcome applyChange(UpstreamRecord record, long nowMillis) {
-		boolean newer = this.upstreams.merge(record, nowMillis);
-		if (newer) {
-			recordUpstreamChange(record);
-		}
-		UpstreamTable.Entry storedEntry = this.upstreams.find(record.getName());
-		Assert.state(storedEntry != null, "A merged upstream record must be in the table.");
-		boolean sameVersion = storedEntry.upstream.getIncarnation() == record.getIncarnation()
-				&& storedEntry.upstream.getSequence() == record.getSequence();
-		if (!newer && !sameVersion) {
-			return AnnouncementOutcome.stale();
-		}
-		if (storedEntry.replicated) {
-			return AnnouncementOutcome.confirmed();
-		}
-		long replicationId = this.replication.start(storedEntry.upstream, nowMillis);
-		this.outgoingMessages.addAll(this.replication.createMessages(recipients(nowMillis)));
-		return new AnnouncementOutcome(true, replicationId);
+		return this.upstreams.withdraw(name, incarnation, recipients(nowMillis), nowMillis);
 	}
 
 	private AnnouncementReplication.Recipients recipients(long nowMillis) {
@@ -497,12 +447,6 @@
 		return new AnnouncementReplication.Recipients(liveRecipients, controlNames, this.self.getControl());
 	}
 
-	private void replicate(long nowMillis) {
-		AnnouncementReplication.Recipients recipients = recipients(nowMillis);
-		this.replication.completeReplications(recipients, nowMillis).forEach(this.upstreams::markReplicated);
-		this.outgoingMessages.addAll(this.replication.createMessages(recipients));
-	}
-
 	/**
 	 * Stores an upstream record that another instance replicates, and confirms it.
 	 * @param notice the message
@@ -510,7 +454,7 @@
 	 * @param nowMillis the monotonic time, in milliseconds
 	 */
 	public void receive(UpstreamNotice notice, String senderAddress, long nowMillis) {
-		mergeUpstream(notice.getUpstream(), nowMillis);
+		this.upstreams.merge(notice.getUpstream(), nowMillis);
 		send(senderAddress, Envelope.newBuilder()
 			.setUpstreamNoticeReceipt(UpstreamNoticeReceipt.newBuilder().setId(notice.getId())));
 	}
@@ -522,55 +466,7 @@
 	 * @param nowMillis the monotonic time, in milliseconds
 	 */
 	public void receive(UpstreamNoticeReceipt receipt, String senderName, long nowMillis) {
-		this.replication.recordConfirmation(receipt.getId(), senderName);
-		this.replication.completeReplications(recipients(nowMillis), nowMillis).forEach(this.upstreams::markReplicated);
-	}
-
-	private static boolean isRenewal(UpstreamRecord record, UpstreamRecord storedRecord) {
-		return storedRecord.toBuilder()
-			.setSequence(record.getSequence())
-			.setHolder(record.getHolder())
-			.build()
-			.equals(record) && storedRecord.getState() != UpstreamState.LEFT;
-	}
-
-	// Renews a lease held by this instance, forwards the renewal to the live holder, or
-	// takes over the lease of a lost holder. Returns whether the renewal is newer than
-	// the stored announcement.
-	private boolean renewLease(UpstreamRecord storedRecord, UpstreamRecord record, long nowMillis) {
-		if (storedRecord.getHolder().equals(this.self.getName())) {
-			return this.upstreams.renew(record.getName(), record.getIncarnation(), record.getSequence(), nowMillis);
-		}
-		InstanceTable.Entry holder = this.instances.find(storedRecord.getHolder());
-		if (holder == null || !this.instances.isLive(storedRecord.getHolder(), nowMillis - failureTimeoutMillis())) {
-			boolean newer = this.upstreams.merge(record, nowMillis);
-			if (newer) {
-				recordUpstreamChange(record);
-			}
-			return newer;
-		}
-		LeaseRenewal renewal = LeaseRenewal.newBuilder()
-			.setName(record.getName())
-			.setIncarnation(record.getIncarnation())
-			.setSequence(record.getSequence())
-			.build();
-		send(holder.instance.getPeerAddress(), Envelope.newBuilder().setLeaseRenewal(renewal));
-		return record.getSequence() > storedRecord.getSequence();
-	}
-
-	private UpstreamRecord toRecord(Announcement announcement) {
-		return UpstreamRecord.newBuilder()
-			.setName(announcement.name())
-			.setService(announcement.service())
-			.setAddress(announcement.address())
-			.setZone(announcement.zone())
-			.setSlots(announcement.slots())
-			.setIncarnation(announcement.incarnation())
-			.setSequence(announcement.sequence())
-			.setState(announcement.state())
-			.setHolder(this.self.getName())
-			.setLeaseMillis(announcement.leaseMillis())
-			.build();
+		this.upstreams.recordConfirmation(receipt.getId(), senderName, recipients(nowMillis), nowMillis);
 	}
 
 	/**
@@ -579,7 +475,7 @@
 	 * @param nowMillis the monotonic time, in milliseconds
 	 */
 	public void receive(LeaseRenewal renewal, long nowMillis) {
-		this.upstreams.renew(renewal.getName(), renewal.getIncarnation(), renewal.getSequence(), nowMillis);
+		this.upstreams.renew(renewal, nowMillis);
 	}
 
 	/**
@@ -588,7 +484,7 @@
 	 * @param nowMillis the monotonic time, in milliseconds
 	 */
 	public void restore(List<UpstreamRecord> records, long nowMillis) {
-		records.forEach((upstream) -> mergeUpstream(upstream, nowMillis));
+		records.forEach((upstream) -> this.upstreams.merge(upstream, nowMillis));
 	}
 
 	/**
@@ -596,11 +492,7 @@
 	 * @return their records
 	 */
 	public List<UpstreamRecord> upstreams() {
-		return this.upstreams.entries()
-			.stream()
-			.map((entry) -> entry.upstream)
-			.filter((upstream) -> upstream.getState() != UpstreamState.LEFT)
-			.toList();
+		return this.upstreams.activeUpstreams();
 	}
 
 	/**
--- /dev/null
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
@@ -0,0 +1,228 @@
+package org.radishthread.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.jspecify.annotations.Nullable;
+
+import org.radishthread.kernel.Assert;
+import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.LeaseRenewal;
+import org.radishthread.protocol.UpstreamRecord;
+import org.radishthread.protocol.UpstreamState;
+import org.radishthread.protocol.Version;
+
+/**
+ * Applies the announcements of upstreams: orders them, renews leases, and replicates
+ * changes to other instances. Not thread-safe; callers pass the monotonic time and
+ * collect messages and results.
+ */
+final class UpstreamRegistry {
+
+	// Exceeds the number of announcements that can still arrive after a withdrawal.
+	private static final long WITHDRAWAL_SEQUENCE_INCREMENT = 1_000_000;
+
+	private final String selfName;
+
+	private final UpstreamTable table;
+
+	private final AnnouncementReplication replication = new AnnouncementReplication();
+
+	private final List<OutgoingMessage> outgoingMessages = new ArrayList<>();
+
+	private final List<UpstreamRecord> changes = new ArrayList<>();
+
+	UpstreamRegistry(String selfName) {
+		this.selfName = selfName;
+		this.table = new UpstreamTable(selfName);
+	}
+
+	AnnouncementOutcome announce(Announcement announcement, HolderDirectory holders,
+			AnnouncementReplication.Recipients recipients, long nowMillis) {
+		UpstreamRecord record = toRecord(announcement);
+		UpstreamTable.Entry storedEntry = this.table.find(announcement.name());
+		if (storedEntry != null && isRenewal(record, storedEntry.upstream)
+				&& storedEntry.upstream.getState() == UpstreamState.READY) {
+			boolean accepted = renewLease(storedEntry.upstream, record, holders, nowMillis);
+			return accepted ? AnnouncementOutcome.confirmed() : AnnouncementOutcome.stale();
+		}
+		return applyChange(record, recipients, nowMillis);
+	}
+
+	// Empty if there is no record of the upstream.
+	Optional<AnnouncementOutcome> withdraw(String name, long incarnation, AnnouncementReplication.Recipients recipients,
+			long nowMillis) {
+		UpstreamTable.Entry storedEntry = this.table.find(name);
+		if (storedEntry == null) {
+			return Optional.empty();
+		}
+		if (incarnation != 0 && incarnation < storedEntry.upstream.getIncarnation()) {
+			return Optional.of(AnnouncementOutcome.confirmed());
+		}
+		if (storedEntry.upstream.getState() == UpstreamState.LEFT) {
+			return Optional.of(applyChange(storedEntry.upstream, recipients, nowMillis));
+		}
+		// A late announcement of this incarnation must not undo the withdrawal.
+		UpstreamRecord withdrawnRecord = storedEntry.upstream.toBuilder()
+			.setIncarnation(Math.max(incarnation, storedEntry.upstream.getIncarnation()))
+			.setSequence(storedEntry.upstream.getSequence() + WITHDRAWAL_SEQUENCE_INCREMENT)
+			.setState(UpstreamState.LEFT)
+			.build();
+		return Optional.of(applyChange(withdrawnRecord, recipients, nowMillis));
+	}
+
+	// Merges a record and starts its replication, unless it was replicated before.
+	private AnnouncementOutcome applyChange(UpstreamRecord record, AnnouncementReplication.Recipients recipients,
+			long nowMillis) {
+		boolean newer = merge(record, nowMillis);
+		UpstreamTable.Entry storedEntry = this.table.find(record.getName());
+		Assert.state(storedEntry != null, "A merged upstream record must be in the table.");
+		boolean sameVersion = storedEntry.upstream.getIncarnation() == record.getIncarnation()
+				&& storedEntry.upstream.getSequence() == record.getSequence();
+		if (!newer && !sameVersion) {
+			return AnnouncementOutcome.stale();
+		}
+		if (storedEntry.replicated) {
+			return AnnouncementOutcome.confirmed();
+		}
+		long replicationId = this.replication.start(storedEntry.upstream, nowMillis);
+		this.outgoingMessages.addAll(this.replication.createMessages(recipients));
+		return new AnnouncementOutcome(true, replicationId);
+	}
+
+	private static boolean isRenewal(UpstreamRecord record, UpstreamRecord storedRecord) {
+		return storedRecord.toBuilder()
+			.setSequence(record.getSequence())
+			.setHolder(record.getHolder())
+			.build()
+			.equals(record) && storedRecord.getState() != UpstreamState.LEFT;
+	}
+
+	// Renews a lease held by this instance, forwards the renewal to the live holder, or
+	// takes over the lease of a lost holder. Returns whether the renewal is newer than
+	// the stored announcement.
+	private boolean renewLease(UpstreamRecord storedRecord, UpstreamRecord record, HolderDirectory holders,
+			long nowMillis) {
+		if (storedRecord.getHolder().equals(this.selfName)) {
+			return this.table.renew(record.getName(), record.getIncarnation(), record.getSequence(), nowMillis);
+		}
+		String holderAddress = holders.findLiveAddress(storedRecord.getHolder());
+		if (holderAddress == null) {
+			return merge(record, nowMillis);
+		}
+		LeaseRenewal renewal = LeaseRenewal.newBuilder()
+			.setName(record.getName())
+			.setIncarnation(record.getIncarnation())
+			.setSequence(record.getSequence())
+			.build();
+		this.outgoingMessages
+			.add(new OutgoingMessage(holderAddress, Envelope.newBuilder().setLeaseRenewal(renewal).build()));
+		return record.getSequence() > storedRecord.getSequence();
+	}
+
+	private UpstreamRecord toRecord(Announcement announcement) {
+		return UpstreamRecord.newBuilder()
+			.setName(announcement.name())
+			.setService(announcement.service())
+			.setAddress(announcement.address())
+			.setZone(announcement.zone())
+			.setSlots(announcement.slots())
+			.setIncarnation(announcement.incarnation())
+			.setSequence(announcement.sequence())
+			.setState(announcement.state())
+			.setHolder(this.selfName)
+			.setLeaseMillis(announcement.leaseMillis())
+			.build();
+	}
+
+	// Returns whether the record is newer than the stored one.
+	boolean merge(UpstreamRecord receivedRecord, long nowMillis) {
+		boolean newer = this.table.merge(receivedRecord, nowMillis);
+		if (newer) {
+			this.changes.add(receivedRecord);
+		}
+		return newer;
+	}
+
+	void renew(LeaseRenewal renewal, long nowMillis) {
+		this.table.renew(renewal.getName(), renewal.getIncarnation(), renewal.getSequence(), nowMillis);
+	}
+
+	void renewAll(long nowMillis) {
+		this.table.renewAll(nowMillis);
+	}
+
+	void expireLeases(long nowMillis, Predicate<String> holderLive) {
+		this.changes.addAll(this.table.expireLeases(nowMillis, holderLive));
+	}
+
+	void replicate(AnnouncementReplication.Recipients recipients, long nowMillis) {
+		completeReplications(recipients, nowMillis);
+		this.outgoingMessages.addAll(this.replication.createMessages(recipients));
+	}
+
+	void recordConfirmation(long replicationId, String instanceName, AnnouncementReplication.Recipients recipients,
+			long nowMillis) {
+		this.replication.recordConfirmation(replicationId, instanceName);
+		completeReplications(recipients, nowMillis);
+	}
+
+	private void completeReplications(AnnouncementReplication.Recipients recipients, long nowMillis) {
+		this.replication.completeReplications(recipients, nowMillis).forEach(this.table::markReplicated);
+	}
+
+	// The upstreams that have not left.
+	List<UpstreamRecord> activeUpstreams() {
+		return this.table.entries()
+			.stream()
+			.map((entry) -> entry.upstream)
+			.filter((upstream) -> upstream.getState() != UpstreamState.LEFT)
+			.toList();
+	}
+
+	long digest() {
+		return UpstreamVersions.digest(this.table.entries());
+	}
+
+	List<Version> versions() {
+		return UpstreamVersions.toVersions(this.table.entries());
+	}
+
+	List<UpstreamRecord> findMissing(List<Version> versions) {
+		return UpstreamVersions.findMissing(this.table.entries(), versions);
+	}
+
+	List<UpstreamRecord> drainChanges() {
+		List<UpstreamRecord> drainedChanges = List.copyOf(this.changes);
+		this.changes.clear();
+		return drainedChanges;
+	}
+
+	List<OutgoingMessage> drainMessages() {
+		List<OutgoingMessage> drainedMessages = List.copyOf(this.outgoingMessages);
+		this.outgoingMessages.clear();
+		return drainedMessages;
+	}
+
+	List<ReplicationResult> drainResults() {
+		return this.replication.drainResults();
+	}
+
+	/**
+	 * Finds the instances that hold leases.
+	 */
+	@FunctionalInterface
+	interface HolderDirectory {
+
+		/**
+		 * Finds the peer address of a holder.
+		 * @param name the name of the instance
+		 * @return the address, or {@code null} if the instance is not live
+		 */
+		@Nullable String findLiveAddress(String name);
+
+	}
+
+}
