Derive retries and shutdown from the platform's bounds, and obey leaving and refusing upstreams

Shutdown left open requests 2.7 s at any grace period. The platform's new words, Server-Leaving and Retry-After on a 503 of an upstream, were not read.

Change: settings for ratio, slack and window of retries, for the grace period and for the acknowledgement time, rendered from the platform's bounds. Only the home of a service draws on the slack, in shares that hold while the home changes. An upstream that leaves gets no request of any instance, one that refuses gets none of that instance until its time is over; the home grants no such slot, and the gateway returns one that a new home grants. Where nothing else can serve, the request is refused at once with the time left.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -101,7 +101,7 @@
 
 	@Override
 	public void onHeaders(Response response) {
-		this.loadReport = this.dialect.loadReport(response.getHeaders());
+		this.loadReport = this.dialect.loadReport(response.getStatus(), response.getHeaders());
 		String echoedRequestId = this.dialect.echoedRequestId(response.getHeaders());
 		if (echoedRequestId != null && !echoedRequestId.equals(this.requestId)) {
 			abort(new GatewayException("The response belongs to another request: '" + echoedRequestId + "'."));
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
@@ -46,7 +46,7 @@
 	}
 
 	@Override
-	public @Nullable LoadReport loadReport(HttpFields responseHeaders) {
+	public @Nullable LoadReport loadReport(int status, HttpFields responseHeaders) {
 		return null;
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
@@ -24,14 +24,18 @@
 		this.slots = slots;
 	}
 
-	private RequestRouter localRouter() {
+	private LocalRequestRouter localRouter() {
 		return this.slots.localRouter(this.service);
 	}
 
 	@Override
 	public void admit(RoutingRequest request, RoutingCallback callback) {
 		List<HomeCandidate> candidates = this.slots.homes().candidateHomes(this.service);
-		if (candidates.isEmpty() || candidates.get(0).local()) {
+		if (candidates.isEmpty()) {
+			localRouter().admitWithoutHome(request, callback);
+			return;
+		}
+		if (candidates.get(0).local()) {
 			localRouter().admit(request, callback);
 			return;
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
@@ -44,11 +44,12 @@
 	@Nullable String echoedRequestId(HttpFields responseHeaders);
 
 	/**
-	 * Returns the load that an upstream reports.
+	 * Returns what an upstream reports of its load and of further requests.
+	 * @param status the HTTP status
 	 * @param responseHeaders the headers of the response
-	 * @return the load, or {@code null} if the response does not state it
+	 * @return the report, or {@code null} if the response does not contain one
 	 */
-	@Nullable LoadReport loadReport(HttpFields responseHeaders);
+	@Nullable LoadReport loadReport(int status, HttpFields responseHeaders);
 
 	/**
 	 * Returns whether an upstream states that it did not run the request and will not.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -49,7 +49,7 @@
 			EventLoop eventLoop) {
 		this.service = rule.service();
 		this.router = new ServiceRouter(rule, settings.zone(), settings.limits().maximumInstances(),
-				time.monotonicNanos());
+				settings.retryLimits(), time.monotonicNanos());
 		this.time = time;
 		this.prober = prober;
 		this.eventLoop = eventLoop;
@@ -146,7 +146,13 @@
 	@Override
 	public void admit(RoutingRequest request, RoutingCallback callback) {
 		this.callbacks.put(request.id(), callback);
-		process((nowNanos) -> this.router.admit(request, nowNanos));
+		process((nowNanos) -> this.router.admit(request, true, nowNanos));
+	}
+
+	// Routes a request whose home is unavailable.
+	void admitWithoutHome(RoutingRequest request, RoutingCallback callback) {
+		this.callbacks.put(request.id(), callback);
+		process((nowNanos) -> this.router.admit(request, false, nowNanos));
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -18,6 +18,7 @@
 import org.radishthread.protocol.RecordedAnswer;
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.routing.AttemptKind;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Urgency;
@@ -129,6 +130,15 @@
 
 	@Override
 	public void onDispatch(RoutingEffect.Dispatch dispatch) {
+		LoadReport constraint = context().routing().findConstraint(dispatch.upstream().name());
+		if (constraint != null) {
+			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
+					AttemptCompletion.CANCELLED.result(), constraint);
+			if (dispatch.kind() != AttemptKind.HEDGE) {
+				this.router.retry(requestNumber());
+			}
+			return;
+		}
 		boolean useNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST;
 		NetworkAddress address = NetworkAddress.parse(dispatch.upstream().address());
 		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection)) {
@@ -165,6 +175,10 @@
 
 	@Override
 	protected void onAttemptCompleted(Attempt attempt, AttemptCompletion completion) {
+		LoadReport report = attempt.loadReport();
+		if (report != null) {
+			context().routing().recordReport(attempt.upstreamName(), report);
+		}
 		this.router.completeAttempt(requestNumber(), attempt.upstreamName(), completion.result(), attempt.loadReport());
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.cluster.ClusterListener;
 import org.radishthread.daemon.settings.DaemonSettings;
@@ -19,7 +20,9 @@
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
+import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.Upstream;
+import org.radishthread.routing.UpstreamConstraints;
 import org.radishthread.rules.RouteFinder;
 import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.RuleParser;
@@ -49,6 +52,8 @@
 
 	private final Map<String, LocalRequestRouter> routers = new ConcurrentHashMap<>();
 
+	private final UpstreamConstraints constraints = new UpstreamConstraints();
+
 	private final EventLoop eventLoop = new EventLoop("routing");
 
 	private final Map<Integer, AtomicLong> splitCounters = new ConcurrentHashMap<>();
@@ -115,8 +120,24 @@
 				this.settings, this.time, this.prober, this.eventLoop));
 	}
 
+	void recordReport(String upstream, LoadReport report) {
+		synchronized (this.constraints) {
+			this.constraints.record(upstream, report, this.time.monotonicNanos());
+		}
+	}
+
+	// Returns why this instance may send no request to an upstream now, or null.
+	@Nullable LoadReport findConstraint(String upstream) {
+		synchronized (this.constraints) {
+			return this.constraints.find(upstream, this.time.monotonicNanos());
+		}
+	}
+
 	@Override
 	public void upstreamsChanged(List<UpstreamRecord> upstreams) {
+		synchronized (this.constraints) {
+			this.constraints.updateUpstreams(upstreams.stream().map(RoutingService::toUpstream).toList());
+		}
 		upstreams.forEach((upstream) -> router(upstream.getService()));
 		this.routers.forEach((service,
 				router) -> router.updateUpstreams(upstreams.stream()
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -97,18 +97,19 @@
 						.build());
 			return;
 		}
-		RemoteRequest request = new RemoteRequest(key, message.getService(), toRoutingRequest(message.getRequest()));
+		RemoteRequest request = new RemoteRequest(key, message.getService(),
+				toRoutingRequest(message.getRequest(), key.peerAddress()));
 		this.remoteRequests.put(key, request);
 		this.routing.router(message.getService()).admit(request.routingRequest, request);
 		request.sendQueuedIfUndecided();
 	}
 
-	private RoutingRequest toRoutingRequest(SlotRequest request) {
+	private RoutingRequest toRoutingRequest(SlotRequest request, String origin) {
 		long nowNanos = this.time.monotonicNanos();
 		Urgency urgency = new Urgency(request.getPriority(), nowNanos + request.getObjectiveMicros() * NANOS_PER_MICRO);
 		return new RoutingRequest(this.lastRequestId.incrementAndGet(), request.getCaller(), request.getMayRepeat(),
 				nowNanos + request.getRemainingMicros() * NANOS_PER_MICRO, request.getZone(), urgency,
-				request.getMaximumAttempts());
+				request.getMaximumAttempts(), origin);
 	}
 
 	private void close(RequestKey key, RemoteRequest request) {
@@ -218,7 +219,8 @@
 			}
 			if (inProgress) {
 				LoadReport loadReport = end.hasLoad() ? new LoadReport(end.getLoad().getRunning(),
-						end.getLoad().getWaiting(), end.getLoad().getSlots(), end.getLoad().getPacePercent()) : null;
+						end.getLoad().getWaiting(), end.getLoad().getSlots(), end.getLoad().getPacePercent(),
+						end.getLoad().getLeaving(), end.getLoad().getRefusedMillis()) : null;
 				router.completeAttempt(this.routingRequest.id(), end.getUpstream(),
 						AttemptResult.valueOf(end.getResult()), loadReport);
 			}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -98,7 +98,7 @@
 		return this.homes;
 	}
 
-	RequestRouter localRouter(String service) {
+	LocalRequestRouter localRouter(String service) {
 		return this.routing.router(service);
 	}
 
@@ -194,7 +194,7 @@
 		this.homes.suspect(homeUnavailable.homeAddress());
 		RoutingCallback callback = this.callbacks.remove(homeUnavailable.request().id());
 		if (callback != null) {
-			localRouter(homeUnavailable.service()).admit(homeUnavailable.request(), callback);
+			localRouter(homeUnavailable.service()).admitWithoutHome(homeUnavailable.request(), callback);
 		}
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
@@ -74,7 +74,7 @@
 			.path(path)
 			.timeout(PACE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 			.onResponseHeaders((response) -> {
-				LoadReport loadReport = this.dialect.loadReport(response.getHeaders());
+				LoadReport loadReport = this.dialect.loadReport(response.getStatus(), response.getHeaders());
 				if (loadReport != null) {
 					result.complete(loadReport);
 				}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.kernel.NetworkAddress;
+import org.radishthread.routing.RetryLimits;
 
 /**
  * The settings of one instance.
@@ -27,11 +28,12 @@
  * @param bootstrap how the control group is created
  * @param extension the extension in use, or {@code null} for none
  * @param limits size limits and timeouts
+ * @param retryLimits the limit on the retries of a service
  */
 public record DaemonSettings(String instance, String zone, Set<Role> roles, @Nullable NetworkAddress callerAddress,
 		@Nullable NetworkAddress readinessAddress, NetworkAddress administrationAddress, NetworkAddress peerAddress,
 		List<String> seeds, Path dataFolder, Secrets secrets, Bootstrap bootstrap,
-		@Nullable ExtensionSettings extension, Limits limits) {
+		@Nullable ExtensionSettings extension, Limits limits, RetryLimits retryLimits) {
 
 	public boolean isGateway() {
 		return this.roles.contains(Role.GATEWAY);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -11,6 +11,7 @@
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.SettingsNode;
+import org.radishthread.routing.RetryLimits;
 
 /**
  * Reads and validates a settings file. All findings are reported together.
@@ -21,6 +22,13 @@
 
 	private static final int MINIMUM_TOKEN_LENGTH = 8;
 
+	// The time that a process needs to stop once no request is open, in milliseconds.
+	private static final long STOP_MILLIS = 700;
+
+	// The share of the time for an acknowledgement in which live instances are waited
+	// for. The rest is left to agreement, also after the loss of its leader.
+	private static final double PROPAGATION_SHARE = 0.15;
+
 	private static final String ENVIRONMENT_PREFIX = "env:";
 
 	private final Path file;
@@ -67,12 +75,13 @@
 		}
 		Secrets secrets = readSecrets(root.getSection("secrets"));
 		DaemonSettings.Limits limits = readLimits(root.getSection("limits"));
+		RetryLimits retryLimits = readRetryLimits(root.getSection("retries"));
 		DaemonSettings.Bootstrap bootstrap = readBootstrap(root.getSection("founding"));
 		DaemonSettings.ExtensionSettings extension = root.has("extension")
 				? new DaemonSettings.ExtensionSettings(readName(root, "extension"), extensionAddress) : null;
 		root.rejectUnknownKeys();
 		return new DaemonSettings(instance, zone, roles, callerAddress, readinessAddress, administrationAddress,
-				peerAddress, seeds, dataFolder, secrets, bootstrap, extension, limits);
+				peerAddress, seeds, dataFolder, secrets, bootstrap, extension, limits, retryLimits);
 	}
 
 	private String readFile() {
@@ -166,13 +175,32 @@
 		return (value != null) ? value.strip() : "";
 	}
 
+	private static RetryLimits readRetryLimits(SettingsNode node) {
+		RetryLimits defaults = RetryLimits.DEFAULTS;
+		RetryLimits limits = new RetryLimits(node.getFraction("ratio", defaults.ratio()),
+				(int) node.getLong("slack", defaults.slack(), 0, 1_000_000),
+				(int) node.getLong("window-seconds", defaults.windowSeconds(), 1, 3_600));
+		node.rejectUnknownKeys();
+		return limits;
+	}
+
+	// The platform kills a process some time after it asked it to stop.
+	private static long readShutdownTimeoutMillis(SettingsNode node, long shutdownDelayMillis) {
+		long graceSeconds = node.getLong("grace-seconds", 0, 0, 86_400);
+		long remainingMillis = graceSeconds * 1_000 - shutdownDelayMillis - STOP_MILLIS;
+		return (graceSeconds == 0) ? 0 : Math.max(1, remainingMillis);
+	}
+
 	private static DaemonSettings.Limits readLimits(SettingsNode node) {
 		int requestBufferBytes = (int) node.getLong("held-request-bytes", 1 << 20, 0, 1 << 26);
 		int responseBufferBytes = (int) node.getLong("held-answer-bytes", 256 << 10, 0, 1 << 26);
 		int maximumInstances = (int) node.getLong("maximum-instances", 16, 1, 1_000);
-		long shutdownTimeoutMillis = node.getLong("shutdown-millis", 0, 0, 86_400_000);
 		long shutdownDelayMillis = node.getLong("notice-millis", 3_000, 0, 60_000);
-		long rulePropagationTimeoutMillis = node.getLong("spread-millis", 3_000, 0, 60_000);
+		long shutdownTimeoutMillis = node.getLong("shutdown-millis",
+				readShutdownTimeoutMillis(node, shutdownDelayMillis), 0, 86_400_000);
+		long acknowledgementMillis = node.getLong("acknowledgement-millis", 0, 0, 3_600_000);
+		long rulePropagationTimeoutMillis = node.getLong("spread-millis",
+				(acknowledgementMillis > 0) ? Math.round(acknowledgementMillis * PROPAGATION_SHARE) : 3_000, 0, 60_000);
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
 		node.rejectUnknownKeys();
 		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, maximumInstances,
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
@@ -205,6 +205,30 @@
 		return defaultValue;
 	}
 
+	/**
+	 * Returns a number from zero to one.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @return the value, or the default after a finding
+	 */
+	public double getFraction(String key, double defaultValue) {
+		Node node = readNode(key);
+		if (node == null) {
+			return defaultValue;
+		}
+		try {
+			double value = Double.parseDouble(getString(key, ""));
+			if (value >= 0 && value <= 1) {
+				return value;
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Reported below, in the same way as a value out of range.
+		}
+		report(node, key, "A number from 0 to 1 is expected.");
+		return defaultValue;
+	}
+
 	/**
 	 * Returns a list of strings.
 	 * @param key the key
--- a/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
@@ -3,19 +3,47 @@
 import org.radishthread.kernel.Assert;
 
 /**
- * The load of an upstream, as reported with one of its responses.
+ * What an upstream reports with one of its responses: its load, and whether it accepts
+ * further requests.
  *
  * @param runningRequests the number of requests that it is processing
  * @param waitingRequests the number of requests that wait at the upstream
  * @param slots the number of requests that it processes concurrently
  * @param pacePercent the current service time in percent of the usual one, or zero if not
  * reported
+ * @param leaving whether the upstream announces that it leaves
+ * @param refusedMillis the time for which the upstream refuses requests of the instance
+ * that received the response, in milliseconds, or zero if it accepts them
  */
-public record LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent) {
+public record LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent, boolean leaving,
+		long refusedMillis) {
+
+	/**
+	 * The report of an upstream that announces that it leaves.
+	 */
+	public static final LoadReport LEAVING = new LoadReport(0, 0, 0, 0, true, 0);
 
 	public LoadReport {
-		Assert.isTrue(runningRequests >= 0 && waitingRequests >= 0 && slots >= 0 && pacePercent >= 0,
+		Assert.isTrue(
+				runningRequests >= 0 && waitingRequests >= 0 && slots >= 0 && pacePercent >= 0 && refusedMillis >= 0,
 				"Numbers of a load report must not be negative.");
 	}
 
+	public LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent) {
+		this(runningRequests, waitingRequests, slots, pacePercent, false, 0);
+	}
+
+	/**
+	 * Returns a report of an upstream that refuses requests for some time.
+	 * @param millis the time in milliseconds
+	 * @return the report
+	 */
+	public static LoadReport refusedFor(long millis) {
+		return new LoadReport(0, 0, 0, 0, false, millis);
+	}
+
+	boolean hasLoad() {
+		return this.slots > 0;
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
@@ -13,9 +13,11 @@
  * for the zone of the router
  * @param urgency the priority and the objective of the request
  * @param maximumAttempts the maximum number of upstreams to which it may be sent
+ * @param origin the peer address of the instance that received the request, or empty for
+ * this instance
  */
 public record RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone,
-		Urgency urgency, int maximumAttempts) {
+		Urgency urgency, int maximumAttempts, String origin) {
 
 	private static final int DEFAULT_MAXIMUM_ATTEMPTS = 3;
 
@@ -23,4 +25,9 @@
 		this(id, caller, mayRepeat, deadlineNanos, "", Urgency.NORMAL, DEFAULT_MAXIMUM_ATTEMPTS);
 	}
 
+	public RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone, Urgency urgency,
+			int maximumAttempts) {
+		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, "");
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
@@ -83,7 +84,7 @@
 
 	private final CallerQueues queues = new CallerQueues();
 
-	private final RetryBudget retryBudget = new RetryBudget();
+	private final RetryBudget retryBudget;
 
 	private final ThroughputEstimate throughput = new ThroughputEstimate();
 
@@ -108,10 +109,29 @@
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
 	public ServiceRouter(ServiceRule rule, String zone, int maximumInstances, long nowNanos) {
-		this(rule, zone, new EarliestCompletionPolicy(), maximumInstances, nowNanos);
+		this(rule, zone, new EarliestCompletionPolicy(), maximumInstances, RetryLimits.DEFAULTS, nowNanos);
+	}
+
+	/**
+	 * Creates a router.
+	 * @param rule the limits of the service
+	 * @param zone the availability zone of this instance
+	 * @param maximumInstances the maximum number of instances, which share the probe
+	 * budget
+	 * @param retryLimits the limit on retries and hedges that all instances share
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 */
+	public ServiceRouter(ServiceRule rule, String zone, int maximumInstances, RetryLimits retryLimits, long nowNanos) {
+		this(rule, zone, new EarliestCompletionPolicy(), maximumInstances, retryLimits, nowNanos);
 	}
 
 	ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy, int maximumInstances, long nowNanos) {
+		this(rule, zone, policy, maximumInstances, RetryLimits.DEFAULTS, nowNanos);
+	}
+
+	private ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy, int maximumInstances,
+			RetryLimits retryLimits, long nowNanos) {
+		this.retryBudget = new RetryBudget(retryLimits);
 		this.rule = rule;
 		this.zone = zone;
 		this.policy = policy;
@@ -165,16 +185,27 @@
 	}
 
 	/**
-	 * Dispatches, queues or refuses a new request.
+	 * Dispatches, queues or refuses a new request, as the home of the service.
 	 * @param request the request
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 * @return its dispatch or refusal, or nothing if it was queued
 	 */
 	public List<RoutingEffect> admit(RoutingRequest request, long nowNanos) {
+		return admit(request, true, nowNanos);
+	}
+
+	/**
+	 * Dispatches, queues or refuses a new request.
+	 * @param request the request
+	 * @param home whether this instance is the home of the service
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return its dispatch or refusal, or nothing if it was queued
+	 */
+	public List<RoutingEffect> admit(RoutingRequest request, boolean home, long nowNanos) {
 		this.arrivals.recordArrival(nowNanos);
-		this.retryBudget.recordRequest(this.rule.retryPercent());
+		this.retryBudget.recordRequest(this.rule.retryPercent(), home, nowNanos);
 		this.receivingRequests = true;
-		Refusal refusal = this.admission.findRefusal(request, this.rule, usableSlots(nowNanos), nowNanos);
+		Refusal refusal = findRefusal(request, nowNanos);
 		if (refusal != null) {
 			return List.of(refusal);
 		}
@@ -185,6 +216,21 @@
 		return takeEffects();
 	}
 
+	private @Nullable Refusal findRefusal(RoutingRequest request, long nowNanos) {
+		long usableSlots = usableSlots(nowNanos);
+		long refusedNanos = this.trackers.values()
+			.stream()
+			.filter((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos))
+			.mapToLong((tracker) -> tracker.refusedUntilNanos(request.origin()) - nowNanos)
+			.min()
+			.orElse(0);
+		if (usableSlots > 0 && refusedNanos > 0) {
+			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM,
+					this.admission.retryAfterMillis(request, TimeUnit.NANOSECONDS.toMillis(refusedNanos), nowNanos));
+		}
+		return this.admission.findRefusal(request, this.rule, usableSlots, nowNanos);
+	}
+
 	private long usableSlots(long nowNanos) {
 		return this.trackers.values()
 			.stream()
@@ -251,7 +297,8 @@
 		List<UpstreamTracker> candidates = new ArrayList<>();
 		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request, nowNanos);
 		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (eligible.test(tracker) && !state.triedUpstreams.contains(tracker.upstream().name())
+			if (eligible.test(tracker) && !tracker.refuses(state.request.origin(), nowNanos)
+					&& !state.triedUpstreams.contains(tracker.upstream().name())
 					&& nowNanos + expectedDurationNanos(tracker, nowNanos) <= latestCompletionNanos) {
 				candidates.add(tracker);
 			}
@@ -333,7 +380,7 @@
 		Assert.state(attemptStart != null && tracker != null, "Attempt at '" + upstream + "' must be in flight.");
 		long latencyNanos = nowNanos - attemptStart.startNanos();
 		if (report != null) {
-			tracker.recordReport(report, nowNanos);
+			tracker.recordReport(report, state.request.origin(), nowNanos);
 		}
 		tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
 		if (result.countsAgainstUpstream()) {
@@ -381,6 +428,7 @@
 		boolean hasUntriedUpstream = this.trackers.values()
 			.stream()
 			.anyMatch((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos)
+					&& !tracker.refuses(state.request.origin(), nowNanos)
 					&& !state.triedUpstreams.contains(tracker.upstream().name()));
 		if (!hasUntriedUpstream) {
 			return List.of(new Refusal(requestId, RefusalReason.NO_UPSTREAM, this.admission
@@ -405,6 +453,7 @@
 		return this.trackers.values()
 			.stream()
 			.filter((tracker) -> tracker.hasFreeSlot(nowNanos))
+			.filter((tracker) -> !tracker.refuses(state.request.origin(), nowNanos))
 			.filter((tracker) -> !state.triedUpstreams.contains(tracker.upstream().name()))
 			.min(Comparator.comparingDouble((tracker) -> expectedDurationNanos(tracker, nowNanos)));
 	}
@@ -500,7 +549,7 @@
 		long intervalNanos = (long) Math.max(NANOS_PER_SECOND / probeRule.maximumProbesPerSecond(),
 				demandIntervalNanos);
 		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (tracker.acceptsRequests() && !tracker.isEjected(nowNanos)
+			if (tracker.acceptsRequests() && !tracker.isEjected(nowNanos) && !tracker.refuses("", nowNanos)
 					&& tracker.isPaceProbeDue(intervalNanos, nowNanos)) {
 				tracker.recordPaceProbeSent(nowNanos);
 				this.effects.add(new PaceProbe(tracker.upstream(), probeRule.path()));
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -198,7 +198,9 @@
 					.setRunning(report.runningRequests())
 					.setWaiting(report.waitingRequests())
 					.setSlots(report.slots())
-					.setPacePercent(report.pacePercent()));
+					.setPacePercent(report.pacePercent())
+					.setLeaving(report.leaving())
+					.setRefusedMillis(report.refusedMillis()));
 			}
 			send(state, newMessage(state).setEnd(slotEnd));
 		}
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -0,0 +1,76 @@
+package org.radishthread.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Remembers which upstreams told this instance to send no requests: because they leave,
+ * or for some time. The home of a service may not know it yet when it grants a slot, such
+ * as after the home changed. Points in time are monotonic, in nanoseconds. Not safe for
+ * concurrent use.
+ */
+public final class UpstreamConstraints {
+
+	// This and the following map are keyed by the name of the upstream.
+	private final Map<String, Constraint> constraints = new HashMap<>();
+
+	private final Map<String, Long> incarnations = new HashMap<>();
+
+	/**
+	 * Sets the announced upstreams. A new incarnation of an upstream is not bound by what
+	 * an earlier one reported.
+	 * @param upstreams all announced upstreams of all services
+	 */
+	public void updateUpstreams(List<Upstream> upstreams) {
+		// The incarnation of a bound upstream is kept while it is not announced.
+		this.incarnations.keySet().retainAll(this.constraints.keySet());
+		for (Upstream upstream : upstreams) {
+			Long formerIncarnation = this.incarnations.put(upstream.name(), upstream.incarnation());
+			if (formerIncarnation != null && upstream.incarnation() > formerIncarnation) {
+				this.constraints.remove(upstream.name());
+			}
+		}
+	}
+
+	/**
+	 * Records what an upstream reported with a response.
+	 * @param upstream the name of the upstream
+	 * @param report the report
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 */
+	public void record(String upstream, LoadReport report, long nowNanos) {
+		if (!report.leaving() && report.refusedMillis() == 0) {
+			return;
+		}
+		Constraint former = this.constraints.getOrDefault(upstream, new Constraint(false, nowNanos));
+		long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(report.refusedMillis());
+		this.constraints.put(upstream,
+				new Constraint(former.leaving() || report.leaving(), Math.max(former.refusedUntilNanos(), untilNanos)));
+	}
+
+	/**
+	 * Returns why no request may be sent to an upstream now.
+	 * @param upstream the name of the upstream
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the report to give to the home, or {@code null} if requests may be sent
+	 */
+	public @Nullable LoadReport find(String upstream, long nowNanos) {
+		Constraint constraint = this.constraints.get(upstream);
+		if (constraint == null) {
+			return null;
+		}
+		if (constraint.leaving()) {
+			return LoadReport.LEAVING;
+		}
+		long refusedMillis = TimeUnit.NANOSECONDS.toMillis(constraint.refusedUntilNanos() - nowNanos);
+		return (refusedMillis > 0) ? LoadReport.refusedFor(refusedMillis) : null;
+	}
+
+	private record Constraint(boolean leaving, long refusedUntilNanos) {
+	}
+
+}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -1,5 +1,9 @@
 package org.radishthread.routing;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
 /**
  * Tracks one upstream of a service: its attempts in flight, latency, pace, failures and
  * ejection. Points in time are monotonic, in nanoseconds.
@@ -24,6 +28,13 @@
 
 	private static final int MAXIMUM_EJECTION_DOUBLINGS = 5;
 
+	// An instance that knows of the announcement repeats it with each slot that it is
+	// granted. A report about an earlier incarnation has no effect for longer than this.
+	private static final long LEAVING_PERIOD_NANOS = 5_000_000_000L;
+
+	// Half of the minimum, so that differences of times do not overflow.
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private static final int MAXIMUM_PACE_PROBES_WITHOUT_REPORT = 50;
 
 	private static final long STRAGGLER_TRIAL_INTERVAL_NANOS = 500_000_000L;
@@ -63,6 +74,11 @@
 
 	private int paceProbesWithoutReport;
 
+	private long leavingUntilNanos = NEVER;
+
+	// Keyed by the origin of the requests that the upstream refuses.
+	private final Map<String, Long> refusedUntilNanos = new HashMap<>();
+
 	UpstreamTracker(Upstream upstream, long slowStartBeginNanos) {
 		this.upstream = upstream;
 		this.slowStartBeginNanos = slowStartBeginNanos;
@@ -80,6 +96,8 @@
 			this.ejections = 0;
 			this.ejectedUntilNanos = Long.MIN_VALUE;
 			this.awaitsConnectionProbe = false;
+			this.leavingUntilNanos = NEVER;
+			this.refusedUntilNanos.clear();
 		}
 		this.upstream = announcedUpstream;
 		this.removed = false;
@@ -111,6 +129,15 @@
 		return !this.removed && this.upstream.acceptsRequests();
 	}
 
+	// Whether the upstream has told the instance of the origin to send no requests now.
+	boolean refuses(String origin, long nowNanos) {
+		return nowNanos < refusedUntilNanos(origin);
+	}
+
+	long refusedUntilNanos(String origin) {
+		return Math.max(this.leavingUntilNanos, this.refusedUntilNanos.getOrDefault(origin, NEVER));
+	}
+
 	boolean isEjected(long nowNanos) {
 		return nowNanos < this.ejectedUntilNanos || this.awaitsConnectionProbe;
 	}
@@ -197,9 +224,17 @@
 				* this.failures.expectedAttempts(nowNanos);
 	}
 
-	void recordReport(LoadReport report, long nowNanos) {
-		this.lastReportNanos = nowNanos;
-		this.pace.recordReport(report.pacePercent(), nowNanos);
+	void recordReport(LoadReport report, String origin, long nowNanos) {
+		if (report.leaving()) {
+			this.leavingUntilNanos = nowNanos + LEAVING_PERIOD_NANOS;
+		}
+		if (report.refusedMillis() > 0) {
+			this.refusedUntilNanos.put(origin, nowNanos + TimeUnit.MILLISECONDS.toNanos(report.refusedMillis()));
+		}
+		if (report.hasLoad()) {
+			this.lastReportNanos = nowNanos;
+			this.pace.recordReport(report.pacePercent(), nowNanos);
+		}
 	}
 
 	// Returns whether both the latest load report and the latest pace probe are
@@ -220,7 +255,7 @@
 	// never reports its pace is no longer probed once the count is at its maximum.
 	void recordPaceProbe(LoadReport report, long nowNanos) {
 		this.paceProbesWithoutReport = (report.pacePercent() > 0) ? 0 : this.paceProbesWithoutReport;
-		recordReport(report, nowNanos);
+		recordReport(report, "", nowNanos);
 	}
 
 	// A new upstream without measurements must be preferred once: otherwise it
