--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
@@ -1,12 +1,14 @@
 package org.radishthread.daemon;
 
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
 import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
 
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.daemon.settings.SettingsReader;
@@ -20,10 +22,6 @@
  * Runs one instance of the load balancer. On SIGTERM it stops after its open requests
  * have completed or the shutdown timeout has expired.
  */
-@Command(name = "radishthreadd", mixinStandardHelpOptions = true, version = "radishthreadd 0.1.0",
-		description = "Runs one instance of the load balancer.", exitCodeListHeading = "%nExit codes:%n",
-		exitCodeList = { "0:stopped on request", "1:failed to start or to keep running",
-				"2:invalid settings or arguments" })
 public final class DaemonMain implements Callable<Integer> {
 
 	private static final int EXIT_FAILURE = 1;
@@ -32,38 +30,77 @@
 
 	private static final EventLog eventLog = EventLog.of(DaemonMain.class);
 
-	@Option(names = { "-s", "--settings" }, required = true, paramLabel = "FILE", description = "the settings file")
-	private Path settingsFile = Path.of("radishthread.yaml");
+	// The command is defined without annotations, because reading them takes a
+	// noticeable part of the start of a process.
+	private final OptionSpec settingsOption = OptionSpec.builder("-s", "--settings")
+		.required(true)
+		.type(Path.class)
+		.paramLabel("FILE")
+		.description("the settings file")
+		.build();
 
-	@Option(names = "--check", description = "check the settings and exit")
-	private boolean checkOnly;
+	private final OptionSpec checkOption = OptionSpec.builder("--check")
+		.type(boolean.class)
+		.description("check the settings and exit")
+		.build();
 
 	private DaemonMain() {
 	}
 
 	public static void main(String[] arguments) {
-		System.exit(new CommandLine(new DaemonMain()).execute(arguments));
+		System.exit(new DaemonMain().commandLine().execute(arguments));
+	}
+
+	private CommandLine commandLine() {
+		CommandSpec command = CommandSpec.wrapWithoutInspection(this)
+			.name("radishthreadd")
+			.version("radishthreadd 0.1.0")
+			.addOption(this.settingsOption)
+			.addOption(this.checkOption)
+			.addOption(OptionSpec.builder("-h", "--help")
+				.usageHelp(true)
+				.description("Show this help message and exit.")
+				.build())
+			.addOption(OptionSpec.builder("-V", "--version")
+				.versionHelp(true)
+				.description("Print version information and exit.")
+				.build());
+		command.usageMessage()
+			.description("Runs one instance of the load balancer.")
+			.exitCodeListHeading("%nExit codes:%n")
+			.exitCodeList(exitCodes());
+		return new CommandLine(command);
+	}
+
+	private static Map<String, String> exitCodes() {
+		Map<String, String> exitCodes = new LinkedHashMap<>();
+		exitCodes.put("0", "stopped on request");
+		exitCodes.put(String.valueOf(EXIT_FAILURE), "failed to start or to keep running");
+		exitCodes.put(String.valueOf(EXIT_INVALID_SETTINGS), "invalid settings or arguments");
+		return exitCodes;
 	}
 
 	@Override
 	public Integer call() throws InterruptedException {
+		Path settingsFile = this.settingsOption.getValue();
 		DaemonSettings settings;
 		try {
-			settings = SettingsReader.read(this.settingsFile);
+			settings = SettingsReader.read(settingsFile);
 		}
 		catch (FindingsException ex) {
 			System.err.println(ex.getMessage());
 			return EXIT_INVALID_SETTINGS;
 		}
-		return this.checkOnly ? 0 : run(settings);
+		boolean checkOnly = Boolean.TRUE.equals(this.checkOption.getValue());
+		return checkOnly ? 0 : run(settings, settingsFile);
 	}
 
-	private int run(DaemonSettings settings) throws InterruptedException {
+	private int run(DaemonSettings settings, Path settingsFile) throws InterruptedException {
 		Kernel kernel;
 		try {
 			DaemonComponent component = DaggerDaemonComponent.factory().create(settings);
 			kernel = component.kernel();
-			kernel.register(new SettingsReloader(this.settingsFile, component.cluster()::updateSettings));
+			kernel.register(new SettingsReloader(settingsFile, component.cluster()::updateSettings));
 			kernel.start();
 		}
 		catch (RadishthreadException | IllegalStateException ex) {
