Probe the pace of upstreams only at the home, within the share of its link and processor

Cause: on the large fleet a home asked 76 upstreams 25 times a second each, some 1,900 probes a second on 0.3 of a core and 2 Mbit/s.

Change: an instance that routes without the home does not probe. The home probes at a rate from the settings: 500 a second for a whole core, and at most a tenth of the link; probes are spread over time. The settings of the routers are one record.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -48,8 +48,7 @@
 	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, TimeSource time, UpstreamProber prober,
 			EventLoop eventLoop) {
 		this.service = rule.service();
-		this.router = new ServiceRouter(rule, settings.zone(), settings.limits().maximumInstances(),
-				settings.retryLimits(), time.monotonicNanos());
+		this.router = new ServiceRouter(rule, settings.routerSettings(), time.monotonicNanos());
 		this.time = time;
 		this.prober = prober;
 		this.eventLoop = eventLoop;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.kernel.NetworkAddress;
-import org.radishthread.routing.RetryLimits;
+import org.radishthread.routing.RouterSettings;
 
 /**
  * The settings of one instance.
@@ -28,12 +28,12 @@
  * @param bootstrap how the control group is created
  * @param extension the extension in use, or {@code null} for none
  * @param limits size limits and timeouts
- * @param retryLimits the limit on the retries of a service
+ * @param routerSettings the settings of the routers
  */
 public record DaemonSettings(String instance, String zone, Set<Role> roles, @Nullable NetworkAddress callerAddress,
 		@Nullable NetworkAddress readinessAddress, NetworkAddress administrationAddress, NetworkAddress peerAddress,
 		List<String> seeds, Path dataFolder, Secrets secrets, Bootstrap bootstrap,
-		@Nullable ExtensionSettings extension, Limits limits, RetryLimits retryLimits) {
+		@Nullable ExtensionSettings extension, Limits limits, RouterSettings routerSettings) {
 
 	public boolean isGateway() {
 		return this.roles.contains(Role.GATEWAY);
@@ -50,8 +50,6 @@
 	 * larger one is refused, or streamed if its route is for uploads
 	 * @param responseBufferBytes the size up to which a response is buffered until it is
 	 * complete; a larger one is streamed
-	 * @param maximumInstances the greatest number of instances that may exist; the budget
-	 * of probe requests is divided by it
 	 * @param shutdownTimeoutMillis how long a shutdown waits for open requests, in
 	 * milliseconds, or zero for no limit
 	 * @param shutdownDelayMillis how long an instance that shuts down still accepts
@@ -62,9 +60,8 @@
 	 * @param callerHeader the header in which the platform's load balancer identifies the
 	 * caller
 	 */
-	public record Limits(int requestBufferBytes, int responseBufferBytes, int maximumInstances,
-			long shutdownTimeoutMillis, long shutdownDelayMillis, long rulePropagationTimeoutMillis,
-			String callerHeader) {
+	public record Limits(int requestBufferBytes, int responseBufferBytes, long shutdownTimeoutMillis,
+			long shutdownDelayMillis, long rulePropagationTimeoutMillis, String callerHeader) {
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -12,6 +12,7 @@
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.SettingsNode;
 import org.radishthread.routing.RetryLimits;
+import org.radishthread.routing.RouterSettings;
 
 /**
  * Reads and validates a settings file. All findings are reported together.
@@ -22,6 +23,15 @@
 
 	private static final int MINIMUM_TOKEN_LENGTH = 8;
 
+	private static final double UNLIMITED_LINK_MEGABITS = 1_000_000;
+
+	private static final double BYTES_PER_MEGABIT = 125_000;
+
+	private static final double PROBES_LINK_SHARE = 0.1;
+
+	// Request and response with the headers of their packets.
+	private static final double BYTES_PER_PROBE = 600;
+
 	// The time that a process needs to stop once no request is open, in milliseconds.
 	private static final long STOP_MILLIS = 700;
 
@@ -74,14 +84,18 @@
 			root.reject("data", "The control role requires a data folder on disk.");
 		}
 		Secrets secrets = readSecrets(root.getSection("secrets"));
-		DaemonSettings.Limits limits = readLimits(root.getSection("limits"));
-		RetryLimits retryLimits = readRetryLimits(root.getSection("retries"));
+		SettingsNode limitsSection = root.getSection("limits");
+		DaemonSettings.Limits limits = readLimits(limitsSection);
+		RouterSettings routerSettings = new RouterSettings(zone,
+				(int) limitsSection.getLong("maximum-instances", 16, 1, 1_000),
+				readRetryLimits(root.getSection("retries")), readPaceProbesPerSecond(limitsSection));
+		limitsSection.rejectUnknownKeys();
 		DaemonSettings.Bootstrap bootstrap = readBootstrap(root.getSection("founding"));
 		DaemonSettings.ExtensionSettings extension = root.has("extension")
 				? new DaemonSettings.ExtensionSettings(readName(root, "extension"), extensionAddress) : null;
 		root.rejectUnknownKeys();
 		return new DaemonSettings(instance, zone, roles, callerAddress, readinessAddress, administrationAddress,
-				peerAddress, seeds, dataFolder, secrets, bootstrap, extension, limits, retryLimits);
+				peerAddress, seeds, dataFolder, secrets, bootstrap, extension, limits, routerSettings);
 	}
 
 	private String readFile() {
@@ -184,6 +198,15 @@
 		return limits;
 	}
 
+	// Probes may use a share of the link and of the processor.
+	private static double readPaceProbesPerSecond(SettingsNode node) {
+		double processorShare = node.getFraction("processor-share", 1);
+		double linkMegabitsPerSecond = node.getNumber("link-megabits", UNLIMITED_LINK_MEGABITS);
+		double byLink = linkMegabitsPerSecond * BYTES_PER_MEGABIT * PROBES_LINK_SHARE / BYTES_PER_PROBE;
+		double byProcessor = processorShare * RouterSettings.DEFAULT_PACE_PROBES_PER_SECOND;
+		return Math.max(1, Math.min(byLink, byProcessor));
+	}
+
 	// The platform kills a process some time after it asked it to stop.
 	private static long readShutdownTimeoutMillis(SettingsNode node, long shutdownDelayMillis) {
 		long graceSeconds = node.getLong("grace-seconds", 0, 0, 86_400);
@@ -194,7 +217,6 @@
 	private static DaemonSettings.Limits readLimits(SettingsNode node) {
 		int requestBufferBytes = (int) node.getLong("held-request-bytes", 1 << 20, 0, 1 << 26);
 		int responseBufferBytes = (int) node.getLong("held-answer-bytes", 256 << 10, 0, 1 << 26);
-		int maximumInstances = (int) node.getLong("maximum-instances", 16, 1, 1_000);
 		long shutdownDelayMillis = node.getLong("notice-millis", 3_000, 0, 60_000);
 		long shutdownTimeoutMillis = node.getLong("shutdown-millis",
 				readShutdownTimeoutMillis(node, shutdownDelayMillis), 0, 86_400_000);
@@ -202,9 +224,8 @@
 		long rulePropagationTimeoutMillis = node.getLong("spread-millis",
 				(acknowledgementMillis > 0) ? Math.round(acknowledgementMillis * PROPAGATION_SHARE) : 3_000, 0, 60_000);
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
-		node.rejectUnknownKeys();
-		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, maximumInstances,
-				shutdownTimeoutMillis, shutdownDelayMillis, rulePropagationTimeoutMillis, callerHeader);
+		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, shutdownTimeoutMillis,
+				shutdownDelayMillis, rulePropagationTimeoutMillis, callerHeader);
 	}
 
 }
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -17,6 +17,7 @@
 import org.radishthread.routing.RetryLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
 /**
@@ -86,8 +87,8 @@
 		@Test
 		void retryLimitsAreRead() throws IOException {
 			String retries = "retries: {ratio: 0.35, slack: 216, window-seconds: 15}\n";
-			assertThat(read(VALID + retries).retryLimits()).isEqualTo(new RetryLimits(0.35, 216, 15));
-			assertThat(read(VALID).retryLimits()).isEqualTo(RetryLimits.DEFAULTS);
+			assertThat(read(VALID + retries).routerSettings().retryLimits()).isEqualTo(new RetryLimits(0.35, 216, 15));
+			assertThat(read(VALID).routerSettings().retryLimits()).isEqualTo(RetryLimits.DEFAULTS);
 		}
 
 		@ParameterizedTest
@@ -110,6 +111,15 @@
 			assertThat(limits.rulePropagationTimeoutMillis()).isEqualTo(expectedMillis);
 		}
 
+		@ParameterizedTest
+		@CsvSource({ "0.6, 1000, 300", "0.3, 2.4, 50", "1, 1000, 500" })
+		void paceProbesAreLimitedByProcessorAndLink(double processorShare, double megabits, double expectedRate)
+				throws IOException {
+			DaemonSettings settings = read(
+					VALID + "limits: {processor-share: " + processorShare + ", link-megabits: " + megabits + "}\n");
+			assertThat(settings.routerSettings().paceProbesPerSecond()).isCloseTo(expectedRate, within(0.001));
+		}
+
 		@ParameterizedTest
 		@ValueSource(strings = { "{ratio: 1.5}", "{ratio: much}", "{slack: -1}", "{window-seconds: 0}", "{burst: 1}" })
 		void invalidRetryLimitsAreFindings(String retries) {
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.DoublePredicate;
 
 import org.jspecify.annotations.Nullable;
 import org.yaml.snakeyaml.LoaderOptions;
@@ -212,20 +213,35 @@
 	 * @return the value, or the default after a finding
 	 */
 	public double getFraction(String key, double defaultValue) {
+		return getDecimal(key, defaultValue, (value) -> value >= 0 && value <= 1, "A number from 0 to 1 is expected.");
+	}
+
+	/**
+	 * Returns a positive number.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @return the value, or the default after a finding
+	 */
+	public double getNumber(String key, double defaultValue) {
+		return getDecimal(key, defaultValue, (value) -> value > 0 && Double.isFinite(value),
+				"A positive number is expected.");
+	}
+
+	private double getDecimal(String key, double defaultValue, DoublePredicate valid, String expectation) {
 		Node node = readNode(key);
 		if (node == null) {
 			return defaultValue;
 		}
 		try {
 			double value = Double.parseDouble(getString(key, ""));
-			if (value >= 0 && value <= 1) {
+			if (valid.test(value)) {
 				return value;
 			}
 		}
 		catch (NumberFormatException ex) {
 			// Reported below, in the same way as a value out of range.
 		}
-		report(node, key, "A number from 0 to 1 is expected.");
+		report(node, key, expectation);
 		return defaultValue;
 	}
 
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
@@ -0,0 +1,36 @@
+package org.radishthread.routing;
+
+import org.radishthread.kernel.Assert;
+
+/**
+ * What the routers of an instance depend on besides the rules.
+ *
+ * @param zone the availability zone of the instance
+ * @param maximumInstances the maximum number of instances, which share the budget of
+ * connection probes
+ * @param retryLimits the limit on retries and hedges that all instances share
+ * @param paceProbesPerSecond the maximum number of pace probes per second of one router
+ */
+public record RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond) {
+
+	/**
+	 * The rate of pace probes that an instance with a whole core can send.
+	 */
+	public static final double DEFAULT_PACE_PROBES_PER_SECOND = 500;
+
+	public RouterSettings {
+		Assert.isTrue(maximumInstances > 0, "Number of instances " + maximumInstances + " must be positive.");
+		Assert.isTrue(paceProbesPerSecond > 0, "Probe rate " + paceProbesPerSecond + " must be positive.");
+	}
+
+	/**
+	 * Returns the settings of an instance of a deployment whose settings state no limits.
+	 * @param zone the availability zone of the instance
+	 * @param maximumInstances the maximum number of instances
+	 * @return the settings
+	 */
+	public static RouterSettings defaults(String zone, int maximumInstances) {
+		return new RouterSettings(zone, maximumInstances, RetryLimits.DEFAULTS, DEFAULT_PACE_PROBES_PER_SECOND);
+	}
+
+}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -68,12 +68,10 @@
 	// what a late response costs.
 	private static final double PACE_PROBES_PER_REQUEST = 8;
 
-	private final String zone;
+	private final RouterSettings settings;
 
 	private final SelectionPolicy policy;
 
-	private final int maximumInstances;
-
 	private ServiceRule rule;
 
 	private ProbeBudget probeBudget;
@@ -86,6 +84,8 @@
 
 	private final RetryBudget retryBudget;
 
+	private final PaceProbeBudget paceProbeBudget;
+
 	private final ThroughputEstimate throughput = new ThroughputEstimate();
 
 	private final ContentionEstimate contention = new ContentionEstimate();
@@ -109,34 +109,30 @@
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
 	public ServiceRouter(ServiceRule rule, String zone, int maximumInstances, long nowNanos) {
-		this(rule, zone, new EarliestCompletionPolicy(), maximumInstances, RetryLimits.DEFAULTS, nowNanos);
+		this(rule, RouterSettings.defaults(zone, maximumInstances), nowNanos);
 	}
 
 	/**
 	 * Creates a router.
 	 * @param rule the limits of the service
-	 * @param zone the availability zone of this instance
-	 * @param maximumInstances the maximum number of instances, which share the probe
-	 * budget
-	 * @param retryLimits the limit on retries and hedges that all instances share
+	 * @param settings the settings of the instance
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
-	public ServiceRouter(ServiceRule rule, String zone, int maximumInstances, RetryLimits retryLimits, long nowNanos) {
-		this(rule, zone, new EarliestCompletionPolicy(), maximumInstances, retryLimits, nowNanos);
+	public ServiceRouter(ServiceRule rule, RouterSettings settings, long nowNanos) {
+		this(rule, settings, new EarliestCompletionPolicy(), nowNanos);
 	}
 
 	ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy, int maximumInstances, long nowNanos) {
-		this(rule, zone, policy, maximumInstances, RetryLimits.DEFAULTS, nowNanos);
+		this(rule, RouterSettings.defaults(zone, maximumInstances), policy, nowNanos);
 	}
 
-	private ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy, int maximumInstances,
-			RetryLimits retryLimits, long nowNanos) {
-		this.retryBudget = new RetryBudget(retryLimits);
+	private ServiceRouter(ServiceRule rule, RouterSettings settings, SelectionPolicy policy, long nowNanos) {
 		this.rule = rule;
-		this.zone = zone;
+		this.settings = settings;
 		this.policy = policy;
-		this.maximumInstances = maximumInstances;
-		this.probeBudget = new ProbeBudget(rule.probesPerSecond(), maximumInstances, nowNanos);
+		this.retryBudget = new RetryBudget(settings.retryLimits());
+		this.paceProbeBudget = new PaceProbeBudget(settings.paceProbesPerSecond());
+		this.probeBudget = new ProbeBudget(rule.probesPerSecond(), settings.maximumInstances(), nowNanos);
 	}
 
 	/**
@@ -146,7 +142,8 @@
 	 */
 	public void updateRule(ServiceRule updatedRule, long nowNanos) {
 		if (updatedRule.probesPerSecond() != this.rule.probesPerSecond()) {
-			this.probeBudget = new ProbeBudget(updatedRule.probesPerSecond(), this.maximumInstances, nowNanos);
+			this.probeBudget = new ProbeBudget(updatedRule.probesPerSecond(), this.settings.maximumInstances(),
+					nowNanos);
 		}
 		this.rule = updatedRule;
 	}
@@ -202,9 +199,13 @@
 	 * @return its dispatch or refusal, or nothing if it was queued
 	 */
 	public List<RoutingEffect> admit(RoutingRequest request, boolean home, long nowNanos) {
-		this.arrivals.recordArrival(nowNanos);
 		this.retryBudget.recordRequest(this.rule.retryPercent(), home, nowNanos);
-		this.receivingRequests = true;
+		if (home) {
+			// Only the home probes. Others would each probe all upstreams for the few
+			// requests that they route without it.
+			this.arrivals.recordArrival(nowNanos);
+			this.receivingRequests = true;
+		}
 		Refusal refusal = findRefusal(request, nowNanos);
 		if (refusal != null) {
 			return List.of(refusal);
@@ -307,7 +308,7 @@
 			return Optional.empty();
 		}
 		SelectionContext context = new SelectionContext(
-				state.request.zone().isEmpty() ? this.zone : state.request.zone(), medianLatencyNanos(),
+				state.request.zone().isEmpty() ? this.settings.zone() : state.request.zone(), medianLatencyNanos(),
 				this.throughput.expectedWaitNanos(this.queues.size()), this.throughput.meanServiceNanos(),
 				this.contention, state.request.mayRepeat(), nowNanos);
 		return this.policy.choose(candidates, context);
@@ -546,11 +547,11 @@
 			return;
 		}
 		double demandIntervalNanos = this.trackers.size() * this.arrivals.intervalNanos() / PACE_PROBES_PER_REQUEST;
-		long intervalNanos = (long) Math.max(NANOS_PER_SECOND / probeRule.maximumProbesPerSecond(),
-				demandIntervalNanos);
+		long intervalNanos = (long) Math.max(this.paceProbeBudget.intervalNanos(this.trackers.size()),
+				Math.max(NANOS_PER_SECOND / probeRule.maximumProbesPerSecond(), demandIntervalNanos));
 		for (UpstreamTracker tracker : this.trackers.values()) {
 			if (tracker.acceptsRequests() && !tracker.isEjected(nowNanos) && !tracker.refuses("", nowNanos)
-					&& tracker.isPaceProbeDue(intervalNanos, nowNanos)) {
+					&& tracker.isPaceProbeDue(intervalNanos, nowNanos) && this.paceProbeBudget.tryAcquire(nowNanos)) {
 				tracker.recordPaceProbeSent(nowNanos);
 				this.effects.add(new PaceProbe(tracker.upstream(), probeRule.path()));
 			}
