Let an instance that started with its clock ahead be live after its next start

Cause: incarnations and heartbeats begin at the wall clock. An instance that started while its clock was ahead and starts again with the right time counts below its former state; others ignore its heartbeats, and it stays lost to them. Gateways learned their former heartbeat from gossip, which they no longer get; control instances learned it only within the 4 s in which they still counted as live.

Change: whoever gets a heartbeat lower than the one it knows from that instance itself sends back the known state.

Tests: FleetStartTests.ClockAhead, for a gateway and for a control instance; both red without the change (19 of 20 responsive), green with it. MembershipTests, AcknowledgementTests and SilentConnectionProperties passed.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -447,6 +447,10 @@
 			send(address, Envelope.newBuilder()
 				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
 		}
+		int senderIndex = (sender != null) ? gossip.getInstancesList().indexOf(NameHash.of(gossip.getSender())) : -1;
+		if (senderIndex >= 0 && senderIndex < count && gossip.getHeartbeats(senderIndex) < sender.heartbeat) {
+			sendFormerState(address, sender);
+		}
 		if (this.self.getControl() && isGateway(gossip, sender)) {
 			if (sender != null && sender.ruleRevision > formerRevision) {
 				this.revisedGateways.add(NameHash.of(gossip.getSender()));
@@ -468,6 +472,21 @@
 		}
 	}
 
+	// Tells an instance what is known of its former incarnation, which started while the
+	// wall clock was ahead: it must exceed that, or its heartbeats would be ignored.
+	private void sendFormerState(String address, InstanceTable.Entry former) {
+		send(address,
+				Envelope.newBuilder()
+					.setGossip(Gossip.newBuilder()
+						.setSender(this.self.getName())
+						.setSenderAddress(this.self.getPeerAddress())
+						.addInstances(NameHash.of(former.instance.getName()))
+						.addHeartbeats(former.heartbeat)
+						.addRevisions(InstanceTable.UNCONFIRMED_REVISION)
+						.addRecords(former.instance)
+						.setDigest(this.upstreams.digest())));
+	}
+
 	private static boolean isGateway(Gossip gossip, InstanceTable.@Nullable Entry sender) {
 		return (sender != null) ? !sender.instance.getControl() : gossip.getLiveDigest() != 0;
 	}
--- a/radishthread-membership/src/test/java/org/radishthread/membership/FleetStartTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/FleetStartTests.java
@@ -116,6 +116,34 @@
 
 	}
 
+	@Nested
+	class ClockAhead {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "gateway-3", "control-1" })
+		void instanceThatStartedWhileItsClockWasAheadIsLiveAfterItsNextStart(String name) {
+			SimulatedFleet fleet = startFleet(20);
+			fleet.acceptRules(1);
+			fleet.run(5_000);
+			boolean control = name.startsWith("control");
+			fleet.stop(name);
+			fleet.clockOffsetMillis = 2_400_000;
+			fleet.start(name, 1, control);
+			fleet.run(5_000);
+			fleet.stop(name);
+			fleet.run(10_000);
+			fleet.clockOffsetMillis = 0;
+			fleet.start(name, 1, control);
+			fleet.run(4_000);
+			assertThat(fleet.readyCount()).isEqualTo(fleet.size());
+			for (String other : fleet.names(true)) {
+				assertThat(fleet.membership(other).responsiveInstanceCount(fleet.nowMillis)).as(other)
+					.isEqualTo(fleet.size());
+			}
+		}
+
+	}
+
 	@Nested
 	class Cost {
 
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -83,6 +83,9 @@
 
 	long nowMillis = 10_000;
 
+	// The difference between the wall clock of instances that start and the true time.
+	long clockOffsetMillis;
+
 	SimulatedFleet(int controlCount, int gatewayCount, long seed) {
 		this.random = new Random(seed);
 		this.controlCount = controlCount;
@@ -106,7 +109,7 @@
 			.setControl(control)
 			.setGateway(!control)
 			.setReplica(control ? index + 1 : 0)
-			.setIncarnation(1_700_000_000_000L + this.nowMillis)
+			.setIncarnation(1_700_000_000_000L + this.nowMillis + this.clockOffsetMillis)
 			.build();
 		Membership membership = new Membership(self, MembershipSettings.defaults(this.seeds), this::select);
 		this.nodes.put(name,
