Keep the versions of instance records in their table

The records that another instance lacks are found by InstanceTable instead of GatewayReports, which is about gateways only; the request for newer rules stands once in Membership; counters of the simulation that nothing reads are gone. Tests: MembershipTests, AcknowledgementTests, SilentConnectionProperties, AnnouncementReplicationTests, FleetStartTests.ClockAhead passed.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
@@ -1,6 +1,5 @@
 package org.radishthread.membership;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -166,20 +165,4 @@
 		return this.subscription.drainSilentAddresses();
 	}
 
-	// The versions of the records that this gateway has.
-	List<Integer> knownVersions() {
-		List<Integer> versions = new ArrayList<>();
-		this.instances.entries().forEach((entry) -> versions.add(entry.version));
-		return versions;
-	}
-
-	static List<InstanceRecord> findMissing(InstanceTable instances, List<Integer> knownVersions) {
-		Set<Integer> known = new HashSet<>(knownVersions);
-		return instances.entries()
-			.stream()
-			.filter((entry) -> !known.contains(entry.version))
-			.map((entry) -> entry.instance)
-			.toList();
-	}
-
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -152,6 +153,21 @@
 		return this.entries.values().stream().anyMatch((entry) -> entry.instance.getControl());
 	}
 
+	// The versions of all records.
+	List<Integer> versions() {
+		return this.entries.values().stream().map((entry) -> entry.version).toList();
+	}
+
+	// The records that an instance with the given versions lacks.
+	List<InstanceRecord> findMissing(List<Integer> knownVersions) {
+		Set<Integer> known = new HashSet<>(knownVersions);
+		return this.entries.values()
+			.stream()
+			.filter((entry) -> !known.contains(entry.version))
+			.map((entry) -> entry.instance)
+			.toList();
+	}
+
 	void recordRevision(int nameHash, long ruleRevision) {
 		Entry entry = this.entries.get(nameHash);
 		if (entry != null) {
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -443,10 +443,7 @@
 		}
 		InstanceTable.Entry sender = this.instances.find(gossip.getSender());
 		String address = gossip.getSenderAddress();
-		if (sender != null && this.rules.shouldRequest(sender.ruleRevision, nowMillis)) {
-			send(address, Envelope.newBuilder()
-				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
-		}
+		requestRulesIfBehind(sender, nowMillis);
 		int senderIndex = (sender != null) ? gossip.getInstancesList().indexOf(NameHash.of(gossip.getSender())) : -1;
 		if (senderIndex >= 0 && senderIndex < count && gossip.getHeartbeats(senderIndex) < sender.heartbeat) {
 			sendFormerState(address, sender);
@@ -500,10 +497,7 @@
 			requestInstances(address, nowMillis);
 		}
 		InstanceTable.Entry sender = this.instances.find(response.getSender());
-		if (sender != null && this.rules.shouldRequest(sender.ruleRevision, nowMillis)) {
-			send(address, Envelope.newBuilder()
-				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
-		}
+		requestRulesIfBehind(sender, nowMillis);
 		if (response.getDigest() == this.upstreams.stateDigest()) {
 			this.upstreamsDifferSinceMillis = Long.MAX_VALUE;
 			return;
@@ -515,6 +509,13 @@
 		}
 	}
 
+	private void requestRulesIfBehind(InstanceTable.@Nullable Entry peer, long nowMillis) {
+		if (peer != null && this.rules.shouldRequest(peer.ruleRevision, nowMillis)) {
+			send(peer.instance.getPeerAddress(), Envelope.newBuilder()
+				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
+		}
+	}
+
 	private void requestInstances(String address, long nowMillis) {
 		if (nowMillis - this.lastSynchronizationRequestMillis < JOIN_SYNCHRONIZATION_INTERVAL_MILLIS) {
 			return;
@@ -526,7 +527,7 @@
 						.setSender(this.self.getName())
 						.setSenderAddress(this.self.getPeerAddress())
 						.setInstancesOnly(true)
-						.addAllKnownInstances(this.reports.knownVersions())));
+						.addAllKnownInstances(this.instances.versions())));
 	}
 
 	private boolean recordHeartbeat(int nameHash, long receivedHeartbeat, long ruleRevision, long nowMillis) {
@@ -595,7 +596,7 @@
 		return Synchronization.newBuilder()
 			.setSender(this.self.getName())
 			.setSenderAddress(this.self.getPeerAddress())
-			.addAllKnownInstances(this.reports.knownVersions())
+			.addAllKnownInstances(this.instances.versions())
 			.addAllKnown(this.upstreams.versions());
 	}
 
@@ -617,7 +618,7 @@
 			.setSenderAddress(this.self.getPeerAddress())
 			.setAnswer(true)
 			.setInstancesOnly(synchronization.getInstancesOnly())
-			.addAllRecords(GatewayReports.findMissing(this.instances, synchronization.getKnownInstancesList()));
+			.addAllRecords(this.instances.findMissing(synchronization.getKnownInstancesList()));
 		if (!synchronization.getInstancesOnly()) {
 			response.addAllUpstreams(this.upstreams.findMissing(synchronization.getKnownList()));
 		}
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -197,7 +197,6 @@
 		for (OutgoingMessage message : effects.messages()) {
 			int bytes = message.envelope().getSerializedSize() + PACKET_OVERHEAD_BYTES;
 			node.sentBytes += bytes;
-			node.sentMessages++;
 			double sendMillis = node.useProcessor(atMillis);
 			double sentMillis = node.occupyLink(sendMillis, bytes);
 			Node target = this.nodes.get(message.address());
@@ -279,14 +278,6 @@
 		return this.nodes.size();
 	}
 
-	long sentBytes(boolean control) {
-		return this.nodes.values()
-			.stream()
-			.filter((node) -> node.control == control)
-			.mapToLong((node) -> node.sentBytes)
-			.sum();
-	}
-
 	long maximumSentBytes(boolean control) {
 		return this.nodes.values()
 			.stream()
@@ -309,7 +300,6 @@
 	void resetCounters() {
 		this.nodes.values().forEach((node) -> {
 			node.sentBytes = 0;
-			node.sentMessages = 0;
 			node.usedProcessorMillis = 0;
 		});
 	}
@@ -341,8 +331,6 @@
 
 		private long sentBytes;
 
-		private long sentMessages;
-
 		private Node(String name, boolean control, Membership membership, long startMillis) {
 			this.name = name;
 			this.control = control;
