--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -17,8 +17,8 @@
 import org.radishthread.routing.RetryLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.within;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
+import static org.assertj.core.api.Assertions.within;
 
 /**
  * Tests for {@link SettingsReader}.
