--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryLimits.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryLimits.java
@@ -1,6 +1,6 @@
 package org.radishthread.routing;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 import org.radishthread.kernel.Assert;
 
@@ -26,7 +26,7 @@
 	}
 
 	long windowNanos() {
-		return TimeUnit.SECONDS.toNanos(this.windowSeconds);
+		return Duration.ofSeconds(this.windowSeconds).toNanos();
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -1,5 +1,6 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -9,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
@@ -227,7 +227,7 @@
 			.orElse(0);
 		if (usableSlots > 0 && refusedNanos > 0) {
 			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM,
-					this.admission.retryAfterMillis(request, TimeUnit.NANOSECONDS.toMillis(refusedNanos), nowNanos));
+					this.admission.retryAfterMillis(request, Duration.ofNanos(refusedNanos).toMillis(), nowNanos));
 		}
 		return this.admission.findRefusal(request, this.rule, usableSlots, nowNanos);
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -1,9 +1,9 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 
@@ -47,7 +47,7 @@
 			return;
 		}
 		Constraint former = this.constraints.getOrDefault(upstream, new Constraint(false, nowNanos));
-		long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(report.refusedMillis());
+		long untilNanos = nowNanos + Duration.ofMillis(report.refusedMillis()).toNanos();
 		this.constraints.put(upstream,
 				new Constraint(former.leaving() || report.leaving(), Math.max(former.refusedUntilNanos(), untilNanos)));
 	}
@@ -66,7 +66,7 @@
 		if (constraint.leaving()) {
 			return LoadReport.LEAVING;
 		}
-		long refusedMillis = TimeUnit.NANOSECONDS.toMillis(constraint.refusedUntilNanos() - nowNanos);
+		long refusedMillis = Duration.ofNanos(constraint.refusedUntilNanos() - nowNanos).toMillis();
 		return (refusedMillis > 0) ? LoadReport.refusedFor(refusedMillis) : null;
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -1,8 +1,8 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Tracks one upstream of a service: its attempts in flight, latency, pace, failures and
@@ -229,7 +229,7 @@
 			this.leavingUntilNanos = nowNanos + LEAVING_PERIOD_NANOS;
 		}
 		if (report.refusedMillis() > 0) {
-			this.refusedUntilNanos.put(origin, nowNanos + TimeUnit.MILLISECONDS.toNanos(report.refusedMillis()));
+			this.refusedUntilNanos.put(origin, nowNanos + Duration.ofMillis(report.refusedMillis()).toNanos());
 		}
 		if (report.hasLoad()) {
 			this.lastReportNanos = nowNanos;
