Keep the control instances and the hash of a name in the table of instances

Membership asks for each message and tick several times whether there is a control instance (each timeout depends on it), and each time the whole table was searched; the hash of each name was computed for each gossip message. The table now derives the records of control instances once after a change, and an entry keeps the hash under which it is stored.

The router looked up for each request how long each upstream refuses it. Now it stops at the first that does not, and the filter of usable upstreams, which stood three times, is one method. A constant that nothing read is gone.

No change of behaviour.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/ControlSubscription.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ControlSubscription.java
@@ -18,11 +18,6 @@
  */
 final class ControlSubscription {
 
-	/**
-	 * The number of control instances that a gateway reports to.
-	 */
-	static final int INSTANCE_COUNT = 2;
-
 	// Two report intervals. With the interval itself and the time to connect to another
 	// instance, a silent connection is replaced within two seconds.
 	private static final long RESPONSE_TIMEOUT_MILLIS = 1_000;
--- a/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
@@ -33,6 +33,9 @@
 	// Keyed by the hash of the name.
 	private final Map<Integer, Entry> entries = new TreeMap<>();
 
+	// Derived from the entries when it is needed; null after they changed.
+	private @Nullable List<InstanceRecord> controlRecords;
+
 	InstanceTable(String selfName) {
 		this.selfName = selfName;
 	}
@@ -41,13 +44,14 @@
 	boolean merge(InstanceRecord receivedRecord, long nowMillis) {
 		int nameHash = NameHash.of(receivedRecord.getName());
 		Entry existingEntry = this.entries.get(nameHash);
+		if (existingEntry != null && !isNewer(receivedRecord, existingEntry.instance)) {
+			return false;
+		}
+		this.controlRecords = null;
 		if (existingEntry == null) {
-			this.entries.put(nameHash, new Entry(receivedRecord, nowMillis));
+			this.entries.put(nameHash, new Entry(nameHash, receivedRecord, nowMillis));
 			return true;
 		}
-		if (!isNewer(receivedRecord, existingEntry.instance)) {
-			return false;
-		}
 		existingEntry.replace(receivedRecord);
 		return true;
 	}
@@ -82,14 +86,17 @@
 	}
 
 	void removeSilentSince(long sinceMillis) {
-		this.entries.values()
-			.removeIf(
-					(entry) -> !isSelf(entry) && Math.max(entry.lastHeartbeatMillis, entry.addedMillis) < sinceMillis);
+		removeIf((entry) -> !isSelf(entry) && Math.max(entry.lastHeartbeatMillis, entry.addedMillis) < sinceMillis);
 	}
 
 	void removeLeavingSilentSince(long sinceMillis) {
-		this.entries.values()
-			.removeIf((entry) -> entry.instance.getLeaving() && entry.lastHeartbeatMillis < sinceMillis);
+		removeIf((entry) -> entry.instance.getLeaving() && entry.lastHeartbeatMillis < sinceMillis);
+	}
+
+	private void removeIf(Predicate<Entry> filter) {
+		if (this.entries.values().removeIf(filter)) {
+			this.controlRecords = null;
+		}
 	}
 
 	Collection<Entry> entries() {
@@ -142,15 +149,24 @@
 
 	// The control instances that are not leaving, lost ones included.
 	List<InstanceRecord> controlInstances() {
-		return this.entries.values()
-			.stream()
-			.map((entry) -> entry.instance)
-			.filter((instance) -> instance.getControl() && !instance.getLeaving())
-			.toList();
+		return controlRecords().stream().filter((instance) -> !instance.getLeaving()).toList();
 	}
 
 	boolean hasControlInstance() {
-		return this.entries.values().stream().anyMatch((entry) -> entry.instance.getControl());
+		return !controlRecords().isEmpty();
+	}
+
+	private List<InstanceRecord> controlRecords() {
+		List<InstanceRecord> records = this.controlRecords;
+		if (records == null) {
+			records = this.entries.values()
+				.stream()
+				.map((entry) -> entry.instance)
+				.filter(InstanceRecord::getControl)
+				.toList();
+			this.controlRecords = records;
+		}
+		return records;
 	}
 
 	// The versions of all records.
@@ -242,6 +258,8 @@
 
 	static final class Entry {
 
+		final int nameHash;
+
 		InstanceRecord instance;
 
 		int version;
@@ -254,7 +272,8 @@
 
 		long addedMillis;
 
-		Entry(InstanceRecord instance, long nowMillis) {
+		Entry(int nameHash, InstanceRecord instance, long nowMillis) {
+			this.nameHash = nameHash;
 			this.instance = instance;
 			this.version = InstanceVersion.of(instance);
 			this.addedMillis = nowMillis;
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -400,11 +400,10 @@
 		long sinceMillis = this.lastClockReadingMillis - failureTimeoutMillis();
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
-			int nameHash = NameHash.of(entry.instance.getName());
-			boolean included = this.revisedGateways.contains(nameHash)
+			boolean included = this.revisedGateways.contains(entry.nameHash)
 					|| (withHeartbeats && entry.lastHeartbeatMillis >= sinceMillis);
 			if (isSelf || included) {
-				gossip.addInstances(nameHash);
+				gossip.addInstances(entry.nameHash);
 				gossip.addHeartbeats(isSelf ? this.heartbeat : entry.heartbeat);
 				gossip.addRevisions(isSelf ? reportedRevision() : entry.ruleRevision);
 			}
@@ -477,7 +476,7 @@
 					.setGossip(Gossip.newBuilder()
 						.setSender(this.self.getName())
 						.setSenderAddress(this.self.getPeerAddress())
-						.addInstances(NameHash.of(former.instance.getName()))
+						.addInstances(former.nameHash)
 						.addHeartbeats(former.heartbeat)
 						.addRevisions(InstanceTable.UNCONFIRMED_REVISION)
 						.addRecords(former.instance)
--- a/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
@@ -58,7 +58,7 @@
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(self.getName());
 			if (entry.instance.getControl() && (isSelf || entry.lastHeartbeatMillis >= liveSinceMillis)) {
-				message.addInstances(NameHash.of(entry.instance.getName()));
+				message.addInstances(entry.nameHash);
 				message.addRevisions(isSelf ? revision : entry.ruleRevision);
 			}
 		}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -219,25 +220,27 @@
 
 	private @Nullable Refusal findRefusal(RoutingRequest request, long nowNanos) {
 		long usableSlots = usableSlots(nowNanos);
-		long refusedNanos = this.trackers.values()
-			.stream()
-			.filter((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos))
-			.mapToLong((tracker) -> tracker.refusedUntilNanos(request.origin()) - nowNanos)
-			.min()
-			.orElse(0);
-		if (usableSlots > 0 && refusedNanos > 0) {
+		boolean refusedByAll = usableTrackers(nowNanos)
+			.allMatch((tracker) -> tracker.refuses(request.origin(), nowNanos));
+		if (usableSlots > 0 && refusedByAll) {
+			long refusedNanos = usableTrackers(nowNanos)
+				.mapToLong((tracker) -> tracker.refusedUntilNanos(request.origin()) - nowNanos)
+				.min()
+				.orElse(0);
 			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM,
 					this.admission.retryAfterMillis(request, Duration.ofNanos(refusedNanos).toMillis(), nowNanos));
 		}
 		return this.admission.findRefusal(request, this.rule, usableSlots, nowNanos);
 	}
 
-	private long usableSlots(long nowNanos) {
+	private Stream<UpstreamTracker> usableTrackers(long nowNanos) {
 		return this.trackers.values()
 			.stream()
-			.filter((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos))
-			.mapToLong((tracker) -> tracker.usableSlots(nowNanos))
-			.sum();
+			.filter((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos));
+	}
+
+	private long usableSlots(long nowNanos) {
+		return usableTrackers(nowNanos).mapToLong((tracker) -> tracker.usableSlots(nowNanos)).sum();
 	}
 
 	private void enqueue(RoutingRequest request, AttemptKind kind, long nowNanos) {
@@ -426,10 +429,8 @@
 			return List.of(new Refusal(requestId, RefusalReason.RETRY_BUDGET, this.admission
 				.retryAfterMillis(state.request, AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
 		}
-		boolean hasUntriedUpstream = this.trackers.values()
-			.stream()
-			.anyMatch((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos)
-					&& !tracker.refuses(state.request.origin(), nowNanos)
+		boolean hasUntriedUpstream = usableTrackers(nowNanos)
+			.anyMatch((tracker) -> !tracker.refuses(state.request.origin(), nowNanos)
 					&& !state.triedUpstreams.contains(tracker.upstream().name()));
 		if (!hasUntriedUpstream) {
 			return List.of(new Refusal(requestId, RefusalReason.NO_UPSTREAM, this.admission
