Read numbers of settings, and set up serving fleets, in one place each

getLong and the decimal settings repeated the same steps of reading, checking and reporting; the tests of a fleet that serves began with the same three lines. Findings keep their texts, tests their assertions. SettingsReaderTests and FleetStartTests passed.

--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
@@ -8,7 +8,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.DoublePredicate;
+import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 import org.yaml.snakeyaml.LoaderOptions;
@@ -189,21 +190,8 @@
 	 * @return the value, or the default after a finding
 	 */
 	public long getLong(String key, long defaultValue, long minimum, long maximum) {
-		Node node = readNode(key);
-		if (node == null) {
-			return defaultValue;
-		}
-		try {
-			long value = Long.parseLong(getString(key, ""));
-			if (value >= minimum && value <= maximum) {
-				return value;
-			}
-		}
-		catch (NumberFormatException ex) {
-			// Reported below, in the same way as a value out of range.
-		}
-		report(node, key, "An integer from " + minimum + " to " + maximum + " is expected.");
-		return defaultValue;
+		return readNumber(key, defaultValue, Long::valueOf, (value) -> value >= minimum && value <= maximum,
+				"An integer from " + minimum + " to " + maximum + " is expected.");
 	}
 
 	/**
@@ -213,7 +201,8 @@
 	 * @return the value, or the default after a finding
 	 */
 	public double getFraction(String key, double defaultValue) {
-		return getDecimal(key, defaultValue, (value) -> value >= 0 && value <= 1, "A number from 0 to 1 is expected.");
+		return readNumber(key, defaultValue, Double::valueOf, (value) -> value >= 0 && value <= 1,
+				"A number from 0 to 1 is expected.");
 	}
 
 	/**
@@ -223,17 +212,18 @@
 	 * @return the value, or the default after a finding
 	 */
 	public double getNumber(String key, double defaultValue) {
-		return getDecimal(key, defaultValue, (value) -> value > 0 && Double.isFinite(value),
+		return readNumber(key, defaultValue, Double::valueOf, (value) -> value > 0 && Double.isFinite(value),
 				"A positive number is expected.");
 	}
 
-	private double getDecimal(String key, double defaultValue, DoublePredicate valid, String expectation) {
+	private <T extends Number> T readNumber(String key, T defaultValue, Function<String, T> parser, Predicate<T> valid,
+			String expectation) {
 		Node node = readNode(key);
 		if (node == null) {
 			return defaultValue;
 		}
 		try {
-			double value = Double.parseDouble(getString(key, ""));
+			T value = parser.apply(getString(key, ""));
 			if (valid.test(value)) {
 				return value;
 			}
--- a/radishthread-membership/src/test/java/org/radishthread/membership/FleetStartTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/FleetStartTests.java
@@ -29,6 +29,14 @@
 		return new SimulatedFleet(controlCount, instanceCount - controlCount, SEED);
 	}
 
+	// A fleet that has started with its first rules and all upstreams.
+	private SimulatedFleet startServingFleet(int instanceCount) {
+		SimulatedFleet fleet = startFleet(instanceCount);
+		fleet.acceptRules(1);
+		runWithUpstreams(fleet, LEAD_MILLIS);
+		return fleet;
+	}
+
 	private void runWithUpstreams(SimulatedFleet fleet, long durationMillis) {
 		int step = HEARTBEAT_INTERVAL_MILLIS / 50;
 		for (int round = 0; round < durationMillis / 50; round++) {
@@ -69,9 +77,7 @@
 		@ParameterizedTest
 		@ValueSource(ints = { 30, 150, 300 })
 		void isCompleteWithinTheLeadTime(int instanceCount) {
-			SimulatedFleet fleet = startFleet(instanceCount);
-			fleet.acceptRules(1);
-			runWithUpstreams(fleet, LEAD_MILLIS);
+			SimulatedFleet fleet = startServingFleet(instanceCount);
 			for (boolean control : new boolean[] { true, false }) {
 				int index = 0;
 				for (String name : fleet.names(control)) {
@@ -85,9 +91,7 @@
 
 		@Test
 		void restartOfAllControlInstancesKeepsGatewaysReady() {
-			SimulatedFleet fleet = startFleet(150);
-			fleet.acceptRules(1);
-			runWithUpstreams(fleet, LEAD_MILLIS);
+			SimulatedFleet fleet = startServingFleet(150);
 			for (String name : fleet.names(true)) {
 				fleet.stop(name);
 			}
@@ -100,9 +104,7 @@
 
 		@Test
 		void exchangeOfAThirdOfTheInstancesLeavesTheOthersReady() {
-			SimulatedFleet fleet = startFleet(150);
-			fleet.acceptRules(1);
-			runWithUpstreams(fleet, LEAD_MILLIS);
+			SimulatedFleet fleet = startServingFleet(150);
 			int exchangedCount = fleet.names(false).size() / 3;
 			for (int i = 0; i < exchangedCount; i++) {
 				fleet.stop("gateway-" + i);
