--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlRequester.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlRequester.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.radishthread.kernel.Backoff;
 import org.radishthread.protocol.ControlRequest;
 import org.radishthread.protocol.ControlResponse;
 
@@ -25,7 +26,7 @@
 	// A leader that was silent for longer may have been lost since.
 	private static final long LEADER_TRUST_MILLIS = 1_000;
 
-	// While no leader is known, each delay is twice as long as the one before.
+	// The delay grows to this while no leader is known.
 	private static final long MAXIMUM_REDIRECT_DELAY_MILLIS = 400;
 
 	private List<String> addresses = List.of();
@@ -38,7 +39,7 @@
 
 	private int addressIndex;
 
-	private long redirectDelayMillis = REDIRECT_DELAY_MILLIS;
+	private final Backoff redirectDelay = new Backoff(REDIRECT_DELAY_MILLIS, MAXIMUM_REDIRECT_DELAY_MILLIS);
 
 	private long lastRequestId;
 
@@ -142,7 +143,7 @@
 			return;
 		}
 		this.lastResponseMillis = nowMillis;
-		this.redirectDelayMillis = REDIRECT_DELAY_MILLIS;
+		this.redirectDelay.reset();
 		this.pendingRequests.remove(response.getId());
 		if (pendingRequest.fixedTargetAddress.isEmpty()) {
 			this.leaderAddress = pendingRequest.targetAddress;
@@ -152,12 +153,10 @@
 
 	private long nextRedirectDelayMillis() {
 		if (!this.leaderAddress.isEmpty()) {
-			this.redirectDelayMillis = REDIRECT_DELAY_MILLIS;
+			this.redirectDelay.reset();
 			return REDIRECT_DELAY_MILLIS;
 		}
-		long delayMillis = this.redirectDelayMillis;
-		this.redirectDelayMillis = Math.min(MAXIMUM_REDIRECT_DELAY_MILLIS, delayMillis * 2);
-		return delayMillis;
+		return this.redirectDelay.nextMillis();
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -7,6 +7,7 @@
 import org.radishthread.agreement.ControlRequester;
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.peer.PeerTransport;
+import org.radishthread.kernel.Backoff;
 import org.radishthread.kernel.EventLoop;
 import org.radishthread.kernel.Service;
 import org.radishthread.kernel.TimeSource;
@@ -53,7 +54,8 @@
 
 	private long nextConfirmationMillis = Long.MIN_VALUE;
 
-	private long confirmationIntervalMillis = MINIMUM_CONFIRMATION_INTERVAL_MILLIS;
+	private final Backoff confirmationInterval = new Backoff(MINIMUM_CONFIRMATION_INTERVAL_MILLIS,
+			MAXIMUM_CONFIRMATION_INTERVAL_MILLIS);
 
 	public ControlClient(PeerTransport transport, ClusterService cluster, TimeSource time) {
 		this.transport = transport;
@@ -89,18 +91,14 @@
 
 	private void confirmRulesIfNeeded() {
 		if (!this.cluster.needsRuleConfirmation()) {
-			this.confirmationIntervalMillis = MINIMUM_CONFIRMATION_INTERVAL_MILLIS;
+			this.confirmationInterval.reset();
 			return;
 		}
 		if (this.confirmationPending || nowMillis() < this.nextConfirmationMillis) {
 			return;
 		}
 		this.confirmationPending = true;
-		// Each interval is twice as long as the one before, so that instances that cannot
-		// be served do not add load.
-		this.nextConfirmationMillis = nowMillis() + this.confirmationIntervalMillis;
-		this.confirmationIntervalMillis = Math.min(MAXIMUM_CONFIRMATION_INTERVAL_MILLIS,
-				this.confirmationIntervalMillis * 2);
+		this.nextConfirmationMillis = nowMillis() + this.confirmationInterval.nextMillis();
 		ControlRequest.Builder request = ControlRequest.newBuilder().setReadRules(ReadRules.getDefaultInstance());
 		sendToLeader(request, CONFIRMATION_TIMEOUT_MILLIS).whenComplete((response, failure) -> {
 			this.confirmationPending = false;
--- a/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.radishthread.kernel.Backoff;
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
 
@@ -22,7 +23,7 @@
 	 */
 	static final long REPORT_INTERVAL_MILLIS = 500;
 
-	// The first intervals after the start; the last of them is the regular one.
+	// The first interval after the start; it grows to the regular one.
 	private static final long MINIMUM_REPORT_INTERVAL_MILLIS = 100;
 
 	// Three missed reports to each of the control instances reported to.
@@ -36,7 +37,7 @@
 
 	private final InstanceTable instances;
 
-	private long intervalMillis = MINIMUM_REPORT_INTERVAL_MILLIS;
+	private final Backoff interval = new Backoff(MINIMUM_REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS);
 
 	private long startMillis = Long.MIN_VALUE;
 
@@ -59,12 +60,8 @@
 		return targets;
 	}
 
-	// Each interval until the regular one is twice as long as the one before, so that a
-	// slow start does not add load.
 	long nextIntervalMillis() {
-		long nextMillis = this.intervalMillis;
-		this.intervalMillis = Math.min(REPORT_INTERVAL_MILLIS, this.intervalMillis * 2);
-		return nextMillis;
+		return this.interval.nextMillis();
 	}
 
 	Gossip createReport(String address, InstanceRecord self, long heartbeat, long revision, long upstreamDigest,
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -9,6 +9,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.kernel.Backoff;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
@@ -134,7 +135,8 @@
 
 	private long lastSynchronizationRequestMillis = Long.MIN_VALUE / 2;
 
-	private long upstreamRetryIntervalMillis = MINIMUM_RETRY_INTERVAL_MILLIS;
+	private final Backoff upstreamRequestInterval = new Backoff(MINIMUM_RETRY_INTERVAL_MILLIS,
+			MAXIMUM_RETRY_INTERVAL_MILLIS);
 
 	private long nextUpstreamRequestMillis = Long.MIN_VALUE;
 
@@ -575,11 +577,7 @@
 		if (targets.isEmpty()) {
 			return;
 		}
-		// Each interval is twice as long as the one before, so that a slow start does not
-		// add load.
-		this.nextUpstreamRequestMillis = nowMillis + this.upstreamRetryIntervalMillis;
-		this.upstreamRetryIntervalMillis = Math.min(MAXIMUM_RETRY_INTERVAL_MILLIS,
-				this.upstreamRetryIntervalMillis * 2);
+		this.nextUpstreamRequestMillis = nowMillis + this.upstreamRequestInterval.nextMillis();
 		targets.forEach((address) -> send(address, Envelope.newBuilder().setSynchronization(createSynchronization())));
 	}
 
