Tell from the table whether a change of an upstream matters to gateways

A control instance kept the last record of every upstream that it had ever sent to gateways, only to see whether more than the lease had changed; upstreams come with new names, so this grew without end. The registry has the former record when it merges the new one, and now says so with the change (UpstreamChange).

The two digests of upstreams share one loop, the digest of live instances uses the hash function that is there, and the requester of a control instance gets its address once, not with each tick.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -72,6 +72,9 @@
 	public void start() {
 		this.transport.registerHandler(Envelope.BodyCase.CONTROL_RESPONSE, (name, address, envelope) -> this.eventLoop
 			.execute(() -> process(() -> this.requester.receive(envelope.getControlResponse(), nowMillis()))));
+		if (this.cluster.replica().getId() != 0) {
+			this.requester.setOwnAddress(this.cluster.replica().getAddress());
+		}
 		this.eventLoop.execute(this::tick);
 		this.eventLoop.scheduleWithFixedDelay(TICK_INTERVAL_MILLIS, this::tick);
 	}
@@ -81,9 +84,6 @@
 	}
 
 	private void tick() {
-		if (this.cluster.replica().getId() != 0) {
-			this.requester.setOwnAddress(this.cluster.replica().getAddress());
-		}
 		this.requester.updateAddresses(this.cluster.controlInstanceAddresses());
 		confirmRulesIfNeeded();
 		process(() -> this.requester.tick(nowMillis()));
--- a/radishthread-membership/src/main/java/org/radishthread/membership/InstanceVersion.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/InstanceVersion.java
@@ -15,10 +15,9 @@
 		return NameHash.of(instance.getName() + '/' + instance.getIncarnation());
 	}
 
-	// The multiplier of a linear congruential generator (Knuth, MMIX) spreads the bits,
-	// so that sums of different sets rarely agree.
+	// Sums of the digests of different sets rarely agree.
 	static long digest(int version) {
-		return (version + 1L) * 6_364_136_223_846_793_005L;
+		return NameHash.mix(version);
 	}
 
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -191,11 +191,14 @@
 
 	private void collectUpstreamEffects() {
 		this.outgoingMessages.addAll(this.upstreams.drainMessages());
-		for (UpstreamRecord changedRecord : this.upstreams.drainChanges()) {
+		for (UpstreamChange change : this.upstreams.drainChanges()) {
 			this.upstreamsChanged = true;
 			if (gossips()) {
-				this.changedUpstreams.add(changedRecord.getName(), changedRecord, gossipingInstanceCount());
-				this.updatePending |= this.responses.addChange(changedRecord);
+				this.changedUpstreams.add(change.upstream().getName(), change.upstream(), gossipingInstanceCount());
+				if (!change.leaseOnly()) {
+					this.responses.addChange(change.upstream());
+					this.updatePending = true;
+				}
 				// Control instances replicate announcements to each other.
 				this.urgentRoundPending |= !this.instances.hasControlInstance();
 			}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
@@ -1,7 +1,6 @@
 package org.radishthread.membership;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,9 +26,6 @@
 
 	private final Map<String, UpstreamRecord> changedUpstreams = new LinkedHashMap<>();
 
-	// The record of each upstream that gateways were last sent.
-	private final Map<String, UpstreamRecord> knownUpstreams = new HashMap<>();
-
 	ReportResponses(InstanceTable instances) {
 		this.instances = instances;
 	}
@@ -65,19 +61,8 @@
 		return message;
 	}
 
-	// Returns whether the change matters to gateways: if only the holder of the lease
-	// changed, it does not.
-	boolean addChange(UpstreamRecord changedUpstream) {
-		UpstreamRecord knownUpstream = this.knownUpstreams.put(changedUpstream.getName(), changedUpstream);
-		if (knownUpstream != null && withoutLease(knownUpstream).equals(withoutLease(changedUpstream))) {
-			return false;
-		}
+	void addChange(UpstreamRecord changedUpstream) {
 		this.changedUpstreams.put(changedUpstream.getName(), changedUpstream);
-		return true;
-	}
-
-	private static UpstreamRecord withoutLease(UpstreamRecord upstream) {
-		return upstream.toBuilder().clearHolder().clearSequence().build();
 	}
 
 	// Creates the message that tells all gateways what has changed since the last one. A
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
@@ -32,7 +32,7 @@
 
 	private final List<OutgoingMessage> outgoingMessages = new ArrayList<>();
 
-	private final List<UpstreamRecord> changes = new ArrayList<>();
+	private final List<UpstreamChange> changes = new ArrayList<>();
 
 	UpstreamRegistry(String selfName) {
 		this.selfName = selfName;
@@ -139,9 +139,11 @@
 
 	// Returns whether the record is newer than the stored one.
 	boolean merge(UpstreamRecord receivedRecord, long nowMillis) {
+		UpstreamTable.Entry storedEntry = this.table.find(receivedRecord.getName());
+		UpstreamRecord formerRecord = (storedEntry != null) ? storedEntry.upstream : null;
 		boolean newer = this.table.merge(receivedRecord, nowMillis);
 		if (newer) {
-			this.changes.add(receivedRecord);
+			this.changes.add(UpstreamChange.of(formerRecord, receivedRecord));
 		}
 		return newer;
 	}
@@ -156,7 +158,9 @@
 
 	// Returns whether any lease expired.
 	boolean expireLeases(long nowMillis, Predicate<String> holderLive) {
-		return this.changes.addAll(this.table.expireLeases(nowMillis, holderLive));
+		List<UpstreamRecord> expiredRecords = this.table.expireLeases(nowMillis, holderLive);
+		expiredRecords.forEach((expiredRecord) -> this.changes.add(new UpstreamChange(expiredRecord, false)));
+		return !expiredRecords.isEmpty();
 	}
 
 	void replicate(AnnouncementReplication.Recipients recipients, long nowMillis) {
@@ -200,8 +204,8 @@
 		return UpstreamVersions.findMissing(this.table.entries(), versions);
 	}
 
-	List<UpstreamRecord> drainChanges() {
-		List<UpstreamRecord> drainedChanges = List.copyOf(this.changes);
+	List<UpstreamChange> drainChanges() {
+		List<UpstreamChange> drainedChanges = List.copyOf(this.changes);
 		this.changes.clear();
 		return drainedChanges;
 	}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamVersions.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamVersions.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
@@ -21,23 +22,21 @@
 	}
 
 	static long digest(Collection<UpstreamTable.Entry> entries) {
-		long digest = 0;
-		for (UpstreamTable.Entry entry : entries) {
-			UpstreamRecord upstream = entry.upstream;
-			if (upstream.getState() != UpstreamState.LEFT) {
-				digest ^= mix(NameHash.of(upstream.getName()), upstream.getIncarnation(), upstream.getSequence());
-			}
-		}
-		return digest;
+		return digest(entries, UpstreamRecord::getSequence);
 	}
 
 	// A digest that does not change when only the holder of a lease does.
 	static long stateDigest(Collection<UpstreamTable.Entry> entries) {
+		return digest(entries, UpstreamRecord::getStateValue);
+	}
+
+	private static long digest(Collection<UpstreamTable.Entry> entries, ToLongFunction<UpstreamRecord> lastPart) {
 		long digest = 0;
 		for (UpstreamTable.Entry entry : entries) {
 			UpstreamRecord upstream = entry.upstream;
 			if (upstream.getState() != UpstreamState.LEFT) {
-				digest ^= mix(NameHash.of(upstream.getName()), upstream.getIncarnation(), upstream.getStateValue());
+				digest ^= mix(NameHash.of(upstream.getName()), upstream.getIncarnation(),
+						lastPart.applyAsLong(upstream));
 			}
 		}
 		return digest;
