--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
@@ -143,6 +143,15 @@
 		return new Leadership(role(), this.replica.term(), this.replica.leaderId());
 	}
 
+	/**
+	 * Returns the latest time as of which this replica has committed all rules that the
+	 * group had accepted.
+	 * @return the monotonic time, in milliseconds, very low if it is not known
+	 */
+	public long rulesCurrentAtMillis() {
+		return this.replica.currentAtMillis();
+	}
+
 	/**
 	 * Processes a message from another replica.
 	 * @param message the message
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
@@ -72,6 +72,8 @@
 
 	private long lastLeaderContactMillis = NEVER;
 
+	private final CommitCurrency commitCurrency = new CommitCurrency();
+
 	private boolean electionAttempted;
 
 	private final Set<Long> receivedVotes = new HashSet<>();
@@ -124,6 +126,12 @@
 		return this.commitIndex;
 	}
 
+	// Returns the latest time as of which every entry that the group had committed is
+	// committed here, or a very low value.
+	long currentAtMillis() {
+		return this.commitCurrency.currentAtMillis();
+	}
+
 	ReplicaLog log() {
 		return this.log;
 	}
@@ -309,6 +317,7 @@
 			this.votedFor = NO_ID;
 			persistHardState();
 		}
+		this.commitCurrency.startTerm();
 		this.role = ReplicaRole.FOLLOWER;
 		this.leaderId = newLeaderId;
 		scheduleElection(nowMillis);
@@ -450,6 +459,7 @@
 		this.role = ReplicaRole.LEADER;
 		this.leaderId = this.id;
 		this.followers.clear();
+		this.commitCurrency.startTerm();
 		this.termStartIndex = this.log.lastIndex() + 1;
 		updateFollowers(nowMillis);
 		appendEntry(LogEntry.newBuilder());
@@ -531,12 +541,21 @@
 				(round) -> hasQuorum((id) -> id == this.id || this.followers.hasAcknowledged(id, round))));
 	}
 
+	private void recordQuorum(long acknowledgedRound) {
+		if (isReadyLeader()
+				&& hasQuorum((id) -> id == this.id || this.followers.hasAcknowledged(id, acknowledgedRound))) {
+			this.commitCurrency.recordQuorum(acknowledgedRound);
+		}
+	}
+
 	private void broadcast(long nowMillis) {
 		this.broadcastPending = false;
 		this.followers.nextRound();
+		this.commitCurrency.recordRound(this.followers.round(), nowMillis);
 		this.nextHeartbeatMillis = nowMillis + this.settings.heartbeatIntervalMillis();
 		this.followers.forEach((id, progress) -> sendEntries(id, progress, nowMillis));
 		if (this.followers.isEmpty()) {
+			recordQuorum(this.followers.round());
 			collectConfirmedReads();
 		}
 	}
@@ -548,13 +567,16 @@
 		}
 		long previousIndex = progress.nextIndex() - 1;
 		List<LogEntry> entries = this.log.entriesFrom(progress.nextIndex(), this.settings.maximumEntriesPerAppend());
-		AppendRequest request = AppendRequest.newBuilder()
+		AppendRequest.Builder request = AppendRequest.newBuilder()
 			.setPreviousIndex(previousIndex)
 			.setPreviousTerm(this.log.termAt(previousIndex))
 			.addAllEntries(entries)
 			.setCommitIndex(this.commitIndex)
 			.setRound(this.followers.round())
-			.build();
+			.setAcknowledgedRound(progress.acknowledgedRound());
+		if (isReadyLeader()) {
+			this.commitCurrency.ageMillis(nowMillis).ifPresent(request::setCommitAgeMillis);
+		}
 		this.effects.immediateMessages.add(newMessage(receiverId).setAppendRequest(request).build());
 		progress.recordSent(previousIndex + entries.size());
 	}
@@ -579,6 +601,7 @@
 		}
 		AppendResponse response = message.getAppendResponse();
 		progress.recordResponse(response.getRound(), nowMillis);
+		recordQuorum(response.getRound());
 		if (response.getSuccess()) {
 			progress.recordMatch(response.getIndex());
 			advanceCommit(nowMillis);
@@ -638,6 +661,9 @@
 		if (message.getTerm() > this.term || this.role != ReplicaRole.FOLLOWER) {
 			becomeFollower(message.getTerm(), message.getFrom(), nowMillis);
 		}
+		if (this.leaderId != message.getFrom()) {
+			this.commitCurrency.startTerm();
+		}
 		this.leaderId = message.getFrom();
 		this.lastLeaderContactMillis = nowMillis;
 		scheduleElection(nowMillis);
@@ -646,6 +672,7 @@
 		}
 		else {
 			receiveAppend(message);
+			this.commitCurrency.recordRound(message.getAppendRequest().getRound(), nowMillis);
 		}
 	}
 
@@ -663,6 +690,9 @@
 		appendMissingEntries(request.getEntriesList());
 		long matchedIndex = request.getPreviousIndex() + request.getEntriesCount();
 		commitUpTo(Math.min(request.getCommitIndex(), matchedIndex));
+		if (this.commitIndex == request.getCommitIndex()) {
+			this.commitCurrency.recordRequest(request);
+		}
 		respondToAppend(message.getFrom(), true, matchedIndex, request.getRound());
 	}
 
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementChecker.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementChecker.java
@@ -3,7 +3,9 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
+import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +37,9 @@
 
 	private final Map<FakeControlInstance, Long> appliedRevisionByInstance = new HashMap<>();
 
+	// The highest revision that was accepted until each time, in milliseconds.
+	private final NavigableMap<Long, Long> acceptedRevisionByMillis = new TreeMap<>();
+
 	private final Map<ByteString, Long> executedAttemptByKey = new HashMap<>();
 
 	private final Map<ByteString, RecordedAnswer> recordedResponseByKey = new HashMap<>();
@@ -53,6 +58,8 @@
 
 	int confirmedReadCount;
 
+	int checkedCurrencyCount;
+
 	void recordRequest(ControlRequest request) {
 		this.requests.put(request.getId(), request);
 		this.acceptedRevisionAtRequest.put(request.getId(), this.acceptedRevision);
@@ -63,11 +70,11 @@
 		return (request != null && request.getCommand().hasClaim()) ? request.getCommand().getClaim() : null;
 	}
 
-	void checkResponse(ControlResponse response) {
+	void checkResponse(ControlResponse response, long nowMillis) {
 		ControlRequest request = this.requests.get(response.getId());
 		assertThat(request).as("response to a known request").isNotNull();
 		if (response.hasRules()) {
-			checkRulesAnswer(request, response);
+			checkRulesAnswer(request, response, nowMillis);
 		}
 		if (response.hasRuleFile()) {
 			this.confirmedReadCount++;
@@ -79,7 +86,7 @@
 		}
 	}
 
-	private void checkRulesAnswer(ControlRequest request, ControlResponse response) {
+	private void checkRulesAnswer(ControlRequest request, ControlResponse response, long nowMillis) {
 		if (response.getRules().getVerdict() != RulesVerdict.ACCEPTED) {
 			assertThat(request.getCommand().getSubmitRules().getRevision()).as("revision that was not accepted")
 				.isLessThanOrEqualTo(response.getRules().getCurrentRevision());
@@ -89,6 +96,7 @@
 		long revision = request.getCommand().getSubmitRules().getRevision();
 		recordRevision(revision, request.getCommand().getSubmitRules().getContent());
 		this.acceptedRevision = Math.max(this.acceptedRevision, revision);
+		this.acceptedRevisionByMillis.put(nowMillis, this.acceptedRevision);
 	}
 
 	private void recordRevision(long revision, String content) {
@@ -122,6 +130,19 @@
 		}
 	}
 
+	// Checks that an instance has applied every revision that was accepted before the
+	// time
+	// as of which it claims to know all.
+	void checkCurrency(FakeControlInstance instance, ControlReplica replica, long nowMillis) {
+		assertThat(replica.rulesCurrentAtMillis()).as("currency of %s", instance).isLessThanOrEqualTo(nowMillis);
+		Map.Entry<Long, Long> accepted = this.acceptedRevisionByMillis.lowerEntry(replica.rulesCurrentAtMillis());
+		if (accepted != null) {
+			this.checkedCurrencyCount++;
+			assertThat(this.appliedRevisionByInstance.getOrDefault(instance, 0L)).as("applied revision of %s", instance)
+				.isGreaterThanOrEqualTo(accepted.getValue());
+		}
+	}
+
 	void recordRestart(FakeControlInstance instance) {
 		this.appliedRevisionByInstance.remove(instance);
 	}
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
@@ -19,7 +19,8 @@
  * {@link AgreementChecker}: messages are dropped, delayed, reordered and duplicated,
  * links are cut in one or both directions, and instances crash before or after a write,
  * freeze, lose their disk and are replaced, while operators submit rules concurrently and
- * requests are claimed.
+ * requests are claimed. At each step, no instance takes its rules for newer than they
+ * are.
  */
 class AgreementProperties {
 
@@ -44,6 +45,7 @@
 		cluster.repairAllFaults();
 		assertThat(cluster.acceptsRules()).as("a repaired group accepts rules%n%s", cluster.describe()).isTrue();
 		assertThat(cluster.canClaimReleasedKeys()).as("a key whose request did not run can be claimed").isTrue();
+		assertThat(cluster.checkedCurrencyCount()).as("checks of the currency of rules").isPositive();
 		assertThat(cluster.allInstancesApplyAcceptedRules())
 			.as("accepted rules are in force at all instances%n%s", cluster.describe())
 			.isTrue();
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
@@ -305,7 +305,17 @@
 	private void checkResponses() {
 		List<ControlResponse> receivedResponses = new ArrayList<>(this.responses);
 		this.responses.clear();
-		receivedResponses.forEach(this.checker::checkResponse);
+		receivedResponses.forEach((response) -> this.checker.checkResponse(response, this.nowMillis));
+		for (FakeControlInstance instance : this.instances) {
+			ControlReplica replica = instance.replica();
+			if (replica != null) {
+				this.checker.checkCurrency(instance, replica, this.nowMillis);
+			}
+		}
+	}
+
+	int checkedCurrencyCount() {
+		return this.checker.checkedCurrencyCount;
 	}
 
 	void repairAllFaults() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -89,8 +89,8 @@
 					Collections.shuffle(shuffledAddresses, random);
 					return shuffledAddresses.subList(0, Math.min(count, shuffledAddresses.size()));
 				});
-		this.view = new ClusterView(ServingState.STARTING, nowMillis(), List.of(), RuleFile.getDefaultInstance(),
-				false);
+		this.view = new ClusterView(ServingState.STARTING, nowMillis(), List.of(), RuleFile.getDefaultInstance(), false,
+				this.membership.rulesCurrentAtMillis());
 	}
 
 	private InstanceRecord selfRecord() {
@@ -204,7 +204,7 @@
 		}
 		this.view = new ClusterView(state, nowMillis,
 				instances.equals(previousInstances) ? previousInstances : instances, this.membership.appliedRules(),
-				this.membership.hasConfirmedRules());
+				this.membership.hasConfirmedRules(), this.membership.rulesCurrentAtMillis());
 		if (effects.resumedFromFreeze()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
 			this.transport.closeInboundConnections();
@@ -348,6 +348,24 @@
 		this.loop.execute(() -> process(() -> this.membership.confirmRules(rules)));
 	}
 
+	/**
+	 * Records that this control instance has applied every revision that the control
+	 * group had accepted at a time. To be called after {@link #offerRules} with them.
+	 * @param atMillis the monotonic time, in milliseconds
+	 */
+	public void recordRulesCurrent(long atMillis) {
+		this.loop.execute(() -> this.membership.recordRulesCurrent(atMillis));
+	}
+
+	/**
+	 * Returns the time since the applied rules were last known to be the newest accepted
+	 * ones.
+	 * @return the time, in milliseconds, very high if that is not known
+	 */
+	public long rulesAgeMillis() {
+		return nowMillis() - this.view.rulesCurrentAtMillis();
+	}
+
 	/**
 	 * Returns whether this instance must read the rules in force from the control group.
 	 * @return whether the applied rules are not confirmed, or may be outdated, unless
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
@@ -15,9 +15,11 @@
  * @param rules the rules that this instance applies
  * @param rulesConfirmed whether the rules were confirmed to be in force since this
  * process started or resumed from a freeze
+ * @param rulesCurrentAtMillis the latest monotonic time as of which the rules are known
+ * to be the newest accepted ones, in milliseconds, very low if it is not known
  */
 public record ClusterView(ServingState state, long createdAtMillis, List<InstanceView> instances, RuleFile rules,
-		boolean rulesConfirmed) {
+		boolean rulesConfirmed, long rulesCurrentAtMillis) {
 
 	/**
 	 * The age above which a view is outdated, in milliseconds.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -44,6 +44,8 @@
 
 	private static final int MAXIMUM_BATCH_SIZE = 1_024;
 
+	private static final long CURRENCY_INTERVAL_MILLIS = 100;
+
 	private final DaemonSettings settings;
 
 	private final PeerTransport transport;
@@ -66,6 +68,9 @@
 	// Accessed by the thread of this service only.
 	private Leadership loggedLeadership;
 
+	// Accessed by the thread of this service only.
+	private long publishedCurrentAtMillis = Long.MIN_VALUE / 2;
+
 	private volatile boolean stopRequested;
 
 	public ControlService(DaemonSettings settings, PeerTransport transport, ClusterService cluster, TimeSource time) {
@@ -149,9 +154,19 @@
 		this.replica.tick(nowMillis());
 		batch.forEach((event) -> event.accept(this.replica));
 		this.driver.flush(nowMillis());
+		publishRulesCurrency();
 		logLeadership();
 	}
 
+	// Committed rules were published before.
+	private void publishRulesCurrency() {
+		long currentAtMillis = this.replica.rulesCurrentAtMillis();
+		if (currentAtMillis - this.publishedCurrentAtMillis >= CURRENCY_INTERVAL_MILLIS) {
+			this.publishedCurrentAtMillis = currentAtMillis;
+			this.cluster.recordRulesCurrent(currentAtMillis);
+		}
+	}
+
 	private void logLeadership() {
 		Leadership currentLeadership = this.replica.leadership();
 		if (currentLeadership.equals(this.loggedLeadership)) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -102,6 +102,7 @@
 			.with("status", problem.status())
 			.with("title", problem.title())
 			.with("revision", this.context.routing().revision())
+			.with("rules-age-millis", this.cluster.rulesAgeMillis())
 			.with("retry-after-millis", problem.retryAfterMillis())
 			.write();
 		problem.write(this.context.dialect(), response, callback);
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -94,6 +94,8 @@
 
 	private final AppliedRules rules = new AppliedRules();
 
+	private final RulesCurrency rulesCurrency = new RulesCurrency();
+
 	private final ChangeQueue<UpstreamRecord> changedUpstreams = new ChangeQueue<>();
 
 	private final ChangeQueue<InstanceRecord> changedInstances = new ChangeQueue<>();
@@ -292,6 +294,7 @@
 	}
 
 	private void sendReports(long nowMillis) {
+		this.rulesCurrency.recordReport(this.heartbeat, nowMillis);
 		Set<String> targets = new LinkedHashSet<>(this.reports.nextTargets(nowMillis));
 		if (this.reports.isControlLost(nowMillis)) {
 			targets.addAll(this.selector.select(this.seeds, 1));
@@ -355,6 +358,7 @@
 		if (frozen) {
 			this.instances.markAllLost();
 			this.reports.resetAfterFreeze();
+			this.rulesCurrency.reset();
 			this.upstreams.renewAll(nowMillis);
 			this.rulesConfirmed = false;
 			this.resumedFromFreeze = true;
@@ -457,10 +461,7 @@
 				this.revisedGateways.add(NameHash.of(gossip.getSender()));
 				this.urgentRoundPending = true;
 			}
-			send(address,
-					Envelope.newBuilder()
-						.setGossip(this.responses.respond(gossip, this.self, reportedRevision(),
-								this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis(), nowMillis)));
+			respondToReport(gossip, nowMillis);
 			return;
 		}
 		// Digests differ while changes propagate.
@@ -473,6 +474,15 @@
 		}
 	}
 
+	private void respondToReport(Gossip report, long nowMillis) {
+		Gossip.Builder response = this.responses.respond(report, this.self, reportedRevision(),
+				this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis(), nowMillis);
+		if (this.rulesConfirmed && report.getHeartbeatsCount() > 0) {
+			this.rulesCurrency.describe(response, report.getHeartbeats(0), nowMillis);
+		}
+		send(report.getSenderAddress(), Envelope.newBuilder().setGossip(response));
+	}
+
 	// Tells an instance what is known of its former incarnation, which started while the
 	// wall clock was ahead: it must exceed that, or its heartbeats would be ignored.
 	private void sendFormerState(String address, InstanceTable.Entry former) {
@@ -502,6 +512,9 @@
 		}
 		InstanceTable.Entry sender = this.instances.find(response.getSender());
 		requestRulesIfBehind(sender, nowMillis);
+		if (sender != null && sender.ruleRevision <= this.rules.revision()) {
+			this.rulesCurrency.recordResponse(response);
+		}
 		if (response.getDigest() == this.upstreams.stateDigest()) {
 			this.upstreamsDifferSinceMillis = Long.MAX_VALUE;
 			return;
@@ -747,6 +760,24 @@
 		this.rulesConfirmed = true;
 	}
 
+	/**
+	 * Records that this control instance has applied every revision that the control
+	 * group had accepted at a time. To be called after {@link #offerRules} with them.
+	 * @param atMillis the monotonic time, in milliseconds
+	 */
+	public void recordRulesCurrent(long atMillis) {
+		this.rulesCurrency.recordCurrent(atMillis);
+	}
+
+	/**
+	 * Returns the latest time as of which the applied rules are known to be the newest
+	 * accepted ones.
+	 * @return the monotonic time, in milliseconds, very low if it is not known
+	 */
+	public long rulesCurrentAtMillis() {
+		return this.rulesCurrency.currentAtMillis();
+	}
+
 	/**
 	 * Sends the applied rules to a peer that has an older revision.
 	 * @param request the request
--- a/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
@@ -30,7 +30,7 @@
 		this.instances = instances;
 	}
 
-	Gossip respond(Gossip report, InstanceRecord self, long revision, long upstreamDigest, long liveSinceMillis,
+	Gossip.Builder respond(Gossip report, InstanceRecord self, long revision, long upstreamDigest, long liveSinceMillis,
 			long nowMillis) {
 		this.lastReportMillis.put(report.getSenderAddress(), nowMillis);
 		Gossip.Builder response = createMessage(self, revision, upstreamDigest, liveSinceMillis);
@@ -41,7 +41,7 @@
 				response.addAllRecords(this.instances.controlInstances());
 			}
 		}
-		return response.build();
+		return response;
 	}
 
 	private Gossip.Builder createMessage(InstanceRecord self, long revision, long upstreamDigest,
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/AppendRequest.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/AppendRequest.java
@@ -49,6 +49,7 @@
             org.radishthread.protocol.AppendRequest.class, org.radishthread.protocol.AppendRequest.Builder.class);
   }
 
+  private int bitField0_;
   public static final int PREVIOUS_INDEX_FIELD_NUMBER = 1;
   private long previousIndex_ = 0L;
   /**
@@ -134,6 +135,48 @@
     return round_;
   }
 
+  public static final int ACKNOWLEDGED_ROUND_FIELD_NUMBER = 6;
+  private long acknowledgedRound_ = 0L;
+  /**
+   * <pre>
+   * The latest round that the receiver has responded to.
+   * </pre>
+   *
+   * <code>uint64 acknowledged_round = 6;</code>
+   * @return The acknowledgedRound.
+   */
+  @java.lang.Override
+  public long getAcknowledgedRound() {
+    return acknowledgedRound_;
+  }
+
+  public static final int COMMIT_AGE_MILLIS_FIELD_NUMBER = 7;
+  private long commitAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+   * </pre>
+   *
+   * <code>optional uint64 commit_age_millis = 7;</code>
+   * @return Whether the commitAgeMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasCommitAgeMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+   * </pre>
+   *
+   * <code>optional uint64 commit_age_millis = 7;</code>
+   * @return The commitAgeMillis.
+   */
+  @java.lang.Override
+  public long getCommitAgeMillis() {
+    return commitAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -163,6 +206,12 @@
     if (round_ != 0L) {
       output.writeUInt64(5, round_);
     }
+    if (acknowledgedRound_ != 0L) {
+      output.writeUInt64(6, acknowledgedRound_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(7, commitAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -192,6 +241,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, round_);
     }
+    if (acknowledgedRound_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, acknowledgedRound_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, commitAgeMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -226,6 +283,13 @@
         != other.getCommitIndex()) return false;
     if (getRound()
         != other.getRound()) return false;
+    if (getAcknowledgedRound()
+        != other.getAcknowledgedRound()) return false;
+    if (hasCommitAgeMillis() != other.hasCommitAgeMillis()) return false;
+    if (hasCommitAgeMillis()) {
+      if (getCommitAgeMillis()
+          != other.getCommitAgeMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -253,6 +317,14 @@
     hash = (37 * hash) + ROUND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRound());
+    hash = (37 * hash) + ACKNOWLEDGED_ROUND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAcknowledgedRound());
+    if (hasCommitAgeMillis()) {
+      hash = (37 * hash) + COMMIT_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCommitAgeMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -395,6 +467,8 @@
       bitField0_ = (bitField0_ & ~0x00000004);
       commitIndex_ = 0L;
       round_ = 0L;
+      acknowledgedRound_ = 0L;
+      commitAgeMillis_ = 0L;
       return this;
     }
 
@@ -453,6 +527,15 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.round_ = round_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.acknowledgedRound_ = acknowledgedRound_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.commitAgeMillis_ = commitAgeMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -505,6 +588,12 @@
       if (other.getRound() != 0L) {
         setRound(other.getRound());
       }
+      if (other.getAcknowledgedRound() != 0L) {
+        setAcknowledgedRound(other.getAcknowledgedRound());
+      }
+      if (other.hasCommitAgeMillis()) {
+        setCommitAgeMillis(other.getCommitAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -562,6 +651,16 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              acknowledgedRound_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              commitAgeMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -941,6 +1040,106 @@
       return this;
     }
 
+    private long acknowledgedRound_ ;
+    /**
+     * <pre>
+     * The latest round that the receiver has responded to.
+     * </pre>
+     *
+     * <code>uint64 acknowledged_round = 6;</code>
+     * @return The acknowledgedRound.
+     */
+    @java.lang.Override
+    public long getAcknowledgedRound() {
+      return acknowledgedRound_;
+    }
+    /**
+     * <pre>
+     * The latest round that the receiver has responded to.
+     * </pre>
+     *
+     * <code>uint64 acknowledged_round = 6;</code>
+     * @param value The acknowledgedRound to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcknowledgedRound(long value) {
+
+      acknowledgedRound_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest round that the receiver has responded to.
+     * </pre>
+     *
+     * <code>uint64 acknowledged_round = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcknowledgedRound() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      acknowledgedRound_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long commitAgeMillis_ ;
+    /**
+     * <pre>
+     * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+     * </pre>
+     *
+     * <code>optional uint64 commit_age_millis = 7;</code>
+     * @return Whether the commitAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasCommitAgeMillis() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+     * </pre>
+     *
+     * <code>optional uint64 commit_age_millis = 7;</code>
+     * @return The commitAgeMillis.
+     */
+    @java.lang.Override
+    public long getCommitAgeMillis() {
+      return commitAgeMillis_;
+    }
+    /**
+     * <pre>
+     * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+     * </pre>
+     *
+     * <code>optional uint64 commit_age_millis = 7;</code>
+     * @param value The commitAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCommitAgeMillis(long value) {
+
+      commitAgeMillis_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+     * </pre>
+     *
+     * <code>optional uint64 commit_age_millis = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCommitAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      commitAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.AppendRequest)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/AppendRequestOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/AppendRequestOrBuilder.java
@@ -57,4 +57,33 @@
    * @return The round.
    */
   long getRound();
+
+  /**
+   * <pre>
+   * The latest round that the receiver has responded to.
+   * </pre>
+   *
+   * <code>uint64 acknowledged_round = 6;</code>
+   * @return The acknowledgedRound.
+   */
+  long getAcknowledgedRound();
+
+  /**
+   * <pre>
+   * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+   * </pre>
+   *
+   * <code>optional uint64 commit_age_millis = 7;</code>
+   * @return Whether the commitAgeMillis field is set.
+   */
+  boolean hasCommitAgeMillis();
+  /**
+   * <pre>
+   * Time since the leader last knew every committed entry for certain, in milliseconds; absent if it does not yet.
+   * </pre>
+   *
+   * <code>optional uint64 commit_age_millis = 7;</code>
+   * @return The commitAgeMillis.
+   */
+  long getCommitAgeMillis();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Gossip.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Gossip.java
@@ -56,6 +56,7 @@
             org.radishthread.protocol.Gossip.class, org.radishthread.protocol.Gossip.Builder.class);
   }
 
+  private int bitField0_;
   public static final int SENDER_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object sender_ = "";
@@ -374,6 +375,50 @@
   }
   private int liveMemoizedSerializedSize = -1;
 
+  public static final int REPORT_FIELD_NUMBER = 11;
+  private long report_ = 0L;
+  /**
+   * <pre>
+   * The heartbeat of the report that this message responds to, or 0 if it does not respond to one.
+   * </pre>
+   *
+   * <code>uint64 report = 11;</code>
+   * @return The report.
+   */
+  @java.lang.Override
+  public long getReport() {
+    return report_;
+  }
+
+  public static final int RULES_AGE_MILLIS_FIELD_NUMBER = 12;
+  private long rulesAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+   * not known.
+   * </pre>
+   *
+   * <code>optional uint64 rules_age_millis = 12;</code>
+   * @return Whether the rulesAgeMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasRulesAgeMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+   * not known.
+   * </pre>
+   *
+   * <code>optional uint64 rules_age_millis = 12;</code>
+   * @return The rulesAgeMillis.
+   */
+  @java.lang.Override
+  public long getRulesAgeMillis() {
+    return rulesAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -435,6 +480,12 @@
     for (int i = 0; i < live_.size(); i++) {
       output.writeFixed32NoTag(live_.getInt(i));
     }
+    if (report_ != 0L) {
+      output.writeUInt64(11, report_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(12, rulesAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -521,6 +572,14 @@
       }
       liveMemoizedSerializedSize = dataSize;
     }
+    if (report_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, report_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(12, rulesAgeMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -565,6 +624,13 @@
         != other.getLiveDigest()) return false;
     if (!getLiveList()
         .equals(other.getLiveList())) return false;
+    if (getReport()
+        != other.getReport()) return false;
+    if (hasRulesAgeMillis() != other.hasRulesAgeMillis()) return false;
+    if (hasRulesAgeMillis()) {
+      if (getRulesAgeMillis()
+          != other.getRulesAgeMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -610,6 +676,14 @@
       hash = (37 * hash) + LIVE_FIELD_NUMBER;
       hash = (53 * hash) + getLiveList().hashCode();
     }
+    hash = (37 * hash) + REPORT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReport());
+    if (hasRulesAgeMillis()) {
+      hash = (37 * hash) + RULES_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRulesAgeMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -763,6 +837,8 @@
       senderAddress_ = "";
       liveDigest_ = 0L;
       live_ = emptyIntList();
+      report_ = 0L;
+      rulesAgeMillis_ = 0L;
       return this;
     }
 
@@ -846,6 +922,15 @@
         live_.makeImmutable();
         result.live_ = live_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.report_ = report_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.rulesAgeMillis_ = rulesAgeMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -972,6 +1057,12 @@
         }
         onChanged();
       }
+      if (other.getReport() != 0L) {
+        setReport(other.getReport());
+      }
+      if (other.hasRulesAgeMillis()) {
+        setRulesAgeMillis(other.getRulesAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1108,6 +1199,16 @@
               input.popLimit(limit);
               break;
             } // case 82
+            case 88: {
+              report_ = input.readUInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              rulesAgeMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2189,6 +2290,110 @@
       return this;
     }
 
+    private long report_ ;
+    /**
+     * <pre>
+     * The heartbeat of the report that this message responds to, or 0 if it does not respond to one.
+     * </pre>
+     *
+     * <code>uint64 report = 11;</code>
+     * @return The report.
+     */
+    @java.lang.Override
+    public long getReport() {
+      return report_;
+    }
+    /**
+     * <pre>
+     * The heartbeat of the report that this message responds to, or 0 if it does not respond to one.
+     * </pre>
+     *
+     * <code>uint64 report = 11;</code>
+     * @param value The report to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReport(long value) {
+
+      report_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The heartbeat of the report that this message responds to, or 0 if it does not respond to one.
+     * </pre>
+     *
+     * <code>uint64 report = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReport() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      report_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long rulesAgeMillis_ ;
+    /**
+     * <pre>
+     * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+     * not known.
+     * </pre>
+     *
+     * <code>optional uint64 rules_age_millis = 12;</code>
+     * @return Whether the rulesAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasRulesAgeMillis() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <pre>
+     * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+     * not known.
+     * </pre>
+     *
+     * <code>optional uint64 rules_age_millis = 12;</code>
+     * @return The rulesAgeMillis.
+     */
+    @java.lang.Override
+    public long getRulesAgeMillis() {
+      return rulesAgeMillis_;
+    }
+    /**
+     * <pre>
+     * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+     * not known.
+     * </pre>
+     *
+     * <code>optional uint64 rules_age_millis = 12;</code>
+     * @param value The rulesAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRulesAgeMillis(long value) {
+
+      rulesAgeMillis_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+     * not known.
+     * </pre>
+     *
+     * <code>optional uint64 rules_age_millis = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRulesAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      rulesAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.Gossip)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/GossipOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/GossipOrBuilder.java
@@ -177,4 +177,35 @@
    * @return The live at the given index.
    */
   int getLive(int index);
+
+  /**
+   * <pre>
+   * The heartbeat of the report that this message responds to, or 0 if it does not respond to one.
+   * </pre>
+   *
+   * <code>uint64 report = 11;</code>
+   * @return The report.
+   */
+  long getReport();
+
+  /**
+   * <pre>
+   * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+   * not known.
+   * </pre>
+   *
+   * <code>optional uint64 rules_age_millis = 12;</code>
+   * @return Whether the rulesAgeMillis field is set.
+   */
+  boolean hasRulesAgeMillis();
+  /**
+   * <pre>
+   * Time since the rules of the sender were last known to be the newest accepted ones, in milliseconds; absent if that is
+   * not known.
+   * </pre>
+   *
+   * <code>optional uint64 rules_age_millis = 12;</code>
+   * @return The rulesAgeMillis.
+   */
+  long getRulesAgeMillis();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -390,172 +390,176 @@
       "seH\000B\006\n\004body\"F\n\013VoteRequest\022\020\n\010pre_vote\030" +
       "\001 \001(\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_term\030\003" +
       " \001(\004\"1\n\014VoteResponse\022\020\n\010pre_vote\030\001 \001(\010\022\017" +
-      "\n\007granted\030\002 \001(\010\"\214\001\n\rAppendRequest\022\026\n\016pre" +
+      "\n\007granted\030\002 \001(\010\"\336\001\n\rAppendRequest\022\026\n\016pre" +
       "vious_index\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004" +
       "\022\'\n\007entries\030\003 \003(\0132\026.radishthread.LogEntr" +
-      "y\022\024\n\014commit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\"?" +
-      "\n\016AppendResponse\022\017\n\007success\030\001 \001(\010\022\r\n\005ind" +
-      "ex\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017FoundingReque" +
-      "st\0222\n\rconfiguration\030\001 \001(\0132\033.radishthread" +
-      ".Configuration\"\022\n\020FoundingResponse\"B\n\021Re" +
-      "plicaDescriptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030" +
-      "\002 \001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Replacement\022\017\n" +
-      "\007removed\030\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radishth" +
-      "read.ReplicaDescriptor\"\243\001\n\rConfiguration" +
-      "\022/\n\006voters\030\001 \003(\0132\037.radishthread.ReplicaD" +
-      "escriptor\0221\n\010learners\030\002 \003(\0132\037.radishthre" +
-      "ad.ReplicaDescriptor\022.\n\013replacement\030\003 \001(" +
-      "\0132\031.radishthread.Replacement\"\253\001\n\010LogEntr" +
-      "y\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022propos" +
-      "ed_at_millis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.ra" +
-      "dishthread.CommandH\000\0224\n\rconfiguration\030\005 " +
-      "\001(\0132\033.radishthread.ConfigurationH\000B\006\n\004bo" +
-      "dy\";\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_f" +
-      "or\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nh" +
-      "ard_state\030\001 \001(\0132\027.radishthread.HardState" +
-      "\022\025\n\rtruncate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\013" +
-      "2\026.radishthread.LogEntry\"2\n\010LogBatch\022&\n\006" +
-      "frames\030\001 \003(\0132\026.radishthread.LogFrame\"b\n\t" +
-      "LogHeader\022(\n\010snapshot\030\001 \001(\0132\026.radishthre" +
-      "ad.Snapshot\022+\n\nhard_state\030\002 \001(\0132\027.radish" +
-      "thread.HardState\"\230\001\n\010Snapshot\022\r\n\005index\030\001" +
-      " \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(" +
-      "\0132\033.radishthread.Configuration\022,\n\005state\030" +
-      "\004 \001(\0132\035.radishthread.ControlSnapshot\022\r\n\005" +
-      "round\030\005 \001(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001(\006" +
-      "\022\020\n\010instance\030\002 \001(\t\"\325\001\n\007Command\0221\n\014submit" +
-      "_rules\030\001 \001(\0132\031.radishthread.SubmitRulesH" +
-      "\000\022+\n\005claim\030\002 \001(\0132\032.radishthread.ClaimReq" +
-      "uestH\000\0223\n\ncompletion\030\003 \001(\0132\035.radishthrea" +
-      "d.ClaimCompletionH\000\022-\n\007release\030\004 \001(\0132\032.r" +
-      "adishthread.ClaimReleaseH\000B\006\n\004body\"X\n\013Su" +
-      "bmitRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002" +
-      " \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010document\030\004" +
-      " \001(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013fin" +
-      "gerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt" +
-      "\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001 \001(\r" +
-      "\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\t" +
-      "body_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013\n\003ke" +
-      "y\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003 \001(\013" +
-      "2\034.radishthread.RecordedAnswer\",\n\014ClaimR" +
-      "elease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"\250\001\n" +
-      "\013RulesAnswer\022+\n\007verdict\030\001 \001(\0162\032.radishth" +
-      "read.RulesVerdict\022\020\n\010revision\030\002 \001(\004\022\024\n\014s" +
-      "ubmitted_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030" +
-      "\004 \001(\004\022\030\n\020current_revision\030\005 \001(\004\022\016\n\006diges" +
-      "t\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdict\030\001 \001(\0162" +
-      "\032.radishthread.ClaimVerdict\022\r\n\005owner\030\002 \001" +
-      "(\t\022,\n\006answer\030\003 \001(\0132\034.radishthread.Record" +
-      "edAnswer\"\300\001\n\017ControlSnapshot\022%\n\005rules\030\001 " +
-      "\001(\0132\026.radishthread.RuleFile\022*\n\007history\030\002" +
-      " \003(\0132\031.radishthread.RuleHistory\022)\n\006claim" +
-      "s\030\003 \003(\0132\031.radishthread.ClaimRecord\022\024\n\014cl" +
-      "ock_millis\030\004 \001(\004\022\031\n\021released_attempts\030\005 " +
-      "\003(\006\"a\n\013RuleHistory\022\020\n\010revision\030\001 \001(\004\022\016\n\006" +
-      "digest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022ac" +
-      "cepted_at_millis\030\004 \001(\004\"\230\001\n\013ClaimRecord\022\013" +
-      "\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owne" +
-      "r\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021claimed_at_m" +
-      "illis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.radishthre" +
-      "ad.RecordedAnswer\"\302\002\n\016ControlRequest\022\n\n\002" +
-      "id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radishthread" +
-      ".CommandH\000\022-\n\nread_rules\030\003 \001(\0132\027.radisht" +
-      "hread.ReadRulesH\000\022.\n\ninitialize\030\004 \001(\0132\030." +
-      "radishthread.InitializeH\000\022/\n\007replace\030\005 \001" +
-      "(\0132\034.radishthread.ReplaceReplicaH\000\022/\n\013re" +
-      "ad_status\030\006 \001(\0132\030.radishthread.ReadStatu" +
-      "sH\000\0221\n\014read_history\030\007 \001(\0132\031.radishthread" +
-      ".ReadHistoryH\000B\006\n\004body\"\013\n\tReadRules\"\014\n\nR" +
-      "eadStatus\"\034\n\013ReadHistory\022\r\n\005limit\030\001 \001(\r\"" +
-      "5\n\007History\022*\n\007entries\030\001 \003(\0132\031.radishthre" +
-      "ad.RuleHistory\"?\n\nInitialize\0221\n\010replicas" +
-      "\030\001 \003(\0132\037.radishthread.ReplicaDescriptor\"" +
-      "@\n\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037.radis" +
-      "hthread.ReplicaDescriptor\"3\n\tNotLeader\022\026" +
-      "\n\016leader_address\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\364" +
-      "\001\n\rControlStatus\0220\n\007replica\030\001 \001(\0132\037.radi" +
-      "shthread.ReplicaDescriptor\022\014\n\004role\030\002 \001(\t" +
-      "\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001(\004\022\026\n\016" +
-      "snapshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222\n\r" +
-      "configuration\030\007 \001(\0132\033.radishthread.Confi" +
-      "guration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_known\030" +
-      "\t \001(\010\"\200\003\n\017ControlResponse\022\n\n\002id\030\001 \001(\004\022-\n" +
-      "\nnot_leader\030\002 \001(\0132\027.radishthread.NotLead" +
-      "erH\000\022*\n\005rules\030\003 \001(\0132\031.radishthread.Rules" +
-      "AnswerH\000\022*\n\005claim\030\004 \001(\0132\031.radishthread.C" +
-      "laimAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026.radish" +
-      "thread.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022.radish" +
-      "thread.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.radisht" +
-      "hread.RefusedH\000\022-\n\006status\030\010 \001(\0132\033.radish" +
-      "thread.ControlStatusH\000\022(\n\007history\030\t \001(\0132" +
-      "\025.radishthread.HistoryH\000B\006\n\004body\"\006\n\004Done" +
-      "\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"?\n\010RuleFile\022" +
-      "\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010do" +
-      "cument\030\003 \001(\014\"%\n\013RuleRequest\022\026\n\016known_rev" +
-      "ision\030\001 \001(\004\"\326\001\n\016UpstreamRecord\022\014\n\004name\030\001" +
-      " \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014" +
-      "\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnati" +
-      "on\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(" +
-      "\0162\033.radishthread.UpstreamState\022\016\n\006holder" +
-      "\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\"\301\001\n\016Instanc" +
-      "eRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 " +
-      "\001(\t\022\036\n\026administration_address\030\003 \001(\t\022\014\n\004z" +
-      "one\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030\006 " +
-      "\001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007leaving\030\010 \001(" +
-      "\010\022\017\n\007gateway\030\t \001(\010J\004\010\n\020\013\"\375\001\n\006Gossip\022\016\n\006s" +
-      "ender\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartb" +
-      "eats\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstrea" +
-      "ms\030\005 \003(\0132\034.radishthread.UpstreamRecord\022-" +
-      "\n\007records\030\006 \003(\0132\034.radishthread.InstanceR" +
-      "ecord\022\016\n\006digest\030\007 \001(\006\022\026\n\016sender_address\030" +
-      "\010 \001(\t\022\023\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n \003(\007" +
-      "\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013incarnation" +
-      "\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017Synchroniza" +
-      "tion\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030\002 \003(\0132\025.ra" +
-      "dishthread.Version\022/\n\tupstreams\030\003 \003(\0132\034." +
-      "radishthread.UpstreamRecord\022-\n\007records\030\004" +
-      " \003(\0132\034.radishthread.InstanceRecord\022\016\n\006an" +
-      "swer\030\005 \001(\010\022\026\n\016sender_address\030\006 \001(\t\022\027\n\017kn" +
-      "own_instances\030\007 \003(\007\022\026\n\016instances_only\030\010 " +
-      "\001(\010\"C\n\014LeaseRenewal\022\014\n\004name\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"L\n\016Upst" +
-      "reamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upstream\030\002 \001(\013" +
-      "2\034.radishthread.UpstreamRecord\"#\n\025Upstre" +
-      "amNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\231\003\n\013SlotMess" +
-      "age\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003" +
-      "run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.radishthrea" +
-      "d.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025.radishthr" +
-      "ead.SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027.radishthr" +
-      "ead.SlotRetryH\000\022(\n\005hedge\030\007 \001(\0132\027.radisht" +
-      "hread.SlotHedgeH\000\022(\n\005close\030\010 \001(\0132\027.radis" +
-      "hthread.SlotCloseH\000\022*\n\006queued\030\t \001(\0132\030.ra" +
-      "dishthread.SlotQueuedH\000\022(\n\005grant\030\n \001(\0132\027" +
-      ".radishthread.SlotGrantH\000\022,\n\007refusal\030\013 \001" +
-      "(\0132\031.radishthread.SlotRefusalH\000B\006\n\004body\"" +
-      "\237\001\n\013SlotRequest\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_r" +
-      "epeat\030\002 \001(\010\022\030\n\020remaining_micros\030\003 \001(\004\022\020\n" +
-      "\010priority\030\004 \001(\r\022\030\n\020objective_micros\030\005 \001(" +
-      "\004\022\030\n\020maximum_attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(" +
-      "\t\"|\n\nLoadReport\022\017\n\007running\030\001 \001(\r\022\017\n\007wait" +
-      "ing\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_percent" +
-      "\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refused_milli" +
-      "s\030\006 \001(\004\"S\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006" +
-      "result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthrea" +
-      "d.LoadReport\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\013" +
-      "\n\tSlotClose\"\014\n\nSlotQueued\"\202\001\n\tSlotGrant\022" +
-      "\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004ki" +
-      "nd\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rwaited_mi" +
-      "cros\030\005 \001(\004\022\032\n\022hedge_after_micros\030\006 \001(\004\"9" +
-      "\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retry_a" +
-      "fter_millis\030\002 \001(\004*a\n\014RulesVerdict\022\035\n\031RUL" +
-      "ES_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014" +
-      "\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014" +
-      "ClaimVerdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIE" +
-      "D\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020" +
-      "\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUpstreamSta" +
-      "te\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t\n\005RE" +
-      "ADY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.rad" +
-      "ishthread.protocolP\001b\006proto3"
+      "y\022\024\n\014commit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\022\032" +
+      "\n\022acknowledged_round\030\006 \001(\004\022\036\n\021commit_age" +
+      "_millis\030\007 \001(\004H\000\210\001\001B\024\n\022_commit_age_millis" +
+      "\"?\n\016AppendResponse\022\017\n\007success\030\001 \001(\010\022\r\n\005i" +
+      "ndex\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017FoundingReq" +
+      "uest\0222\n\rconfiguration\030\001 \001(\0132\033.radishthre" +
+      "ad.Configuration\"\022\n\020FoundingResponse\"B\n\021" +
+      "ReplicaDescriptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instanc" +
+      "e\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Replacement\022" +
+      "\017\n\007removed\030\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radish" +
+      "thread.ReplicaDescriptor\"\243\001\n\rConfigurati" +
+      "on\022/\n\006voters\030\001 \003(\0132\037.radishthread.Replic" +
+      "aDescriptor\0221\n\010learners\030\002 \003(\0132\037.radishth" +
+      "read.ReplicaDescriptor\022.\n\013replacement\030\003 " +
+      "\001(\0132\031.radishthread.Replacement\"\253\001\n\010LogEn" +
+      "try\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022prop" +
+      "osed_at_millis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025." +
+      "radishthread.CommandH\000\0224\n\rconfiguration\030" +
+      "\005 \001(\0132\033.radishthread.ConfigurationH\000B\006\n\004" +
+      "body\";\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted" +
+      "_for\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n" +
+      "\nhard_state\030\001 \001(\0132\027.radishthread.HardSta" +
+      "te\022\025\n\rtruncate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003" +
+      "(\0132\026.radishthread.LogEntry\"2\n\010LogBatch\022&" +
+      "\n\006frames\030\001 \003(\0132\026.radishthread.LogFrame\"b" +
+      "\n\tLogHeader\022(\n\010snapshot\030\001 \001(\0132\026.radishth" +
+      "read.Snapshot\022+\n\nhard_state\030\002 \001(\0132\027.radi" +
+      "shthread.HardState\"\230\001\n\010Snapshot\022\r\n\005index" +
+      "\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfiguration\030\003 " +
+      "\001(\0132\033.radishthread.Configuration\022,\n\005stat" +
+      "e\030\004 \001(\0132\035.radishthread.ControlSnapshot\022\r" +
+      "\n\005round\030\005 \001(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001" +
+      "(\006\022\020\n\010instance\030\002 \001(\t\"\325\001\n\007Command\0221\n\014subm" +
+      "it_rules\030\001 \001(\0132\031.radishthread.SubmitRule" +
+      "sH\000\022+\n\005claim\030\002 \001(\0132\032.radishthread.ClaimR" +
+      "equestH\000\0223\n\ncompletion\030\003 \001(\0132\035.radishthr" +
+      "ead.ClaimCompletionH\000\022-\n\007release\030\004 \001(\0132\032" +
+      ".radishthread.ClaimReleaseH\000B\006\n\004body\"X\n\013" +
+      "SubmitRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007content" +
+      "\030\002 \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010document" +
+      "\030\004 \001(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013f" +
+      "ingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attem" +
+      "pt\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001 \001" +
+      "(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021" +
+      "\n\tbody_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013\n\003" +
+      "key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003 \001" +
+      "(\0132\034.radishthread.RecordedAnswer\",\n\014Clai" +
+      "mRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"\250" +
+      "\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001(\0162\032.radish" +
+      "thread.RulesVerdict\022\020\n\010revision\030\002 \001(\004\022\024\n" +
+      "\014submitted_by\030\003 \001(\t\022\032\n\022accepted_at_milli" +
+      "s\030\004 \001(\004\022\030\n\020current_revision\030\005 \001(\004\022\016\n\006dig" +
+      "est\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdict\030\001 \001(" +
+      "\0162\032.radishthread.ClaimVerdict\022\r\n\005owner\030\002" +
+      " \001(\t\022,\n\006answer\030\003 \001(\0132\034.radishthread.Reco" +
+      "rdedAnswer\"\300\001\n\017ControlSnapshot\022%\n\005rules\030" +
+      "\001 \001(\0132\026.radishthread.RuleFile\022*\n\007history" +
+      "\030\002 \003(\0132\031.radishthread.RuleHistory\022)\n\006cla" +
+      "ims\030\003 \003(\0132\031.radishthread.ClaimRecord\022\024\n\014" +
+      "clock_millis\030\004 \001(\004\022\031\n\021released_attempts\030" +
+      "\005 \003(\006\"a\n\013RuleHistory\022\020\n\010revision\030\001 \001(\004\022\016" +
+      "\n\006digest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022" +
+      "accepted_at_millis\030\004 \001(\004\"\230\001\n\013ClaimRecord" +
+      "\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005ow" +
+      "ner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021claimed_at" +
+      "_millis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.radishth" +
+      "read.RecordedAnswer\"\302\002\n\016ControlRequest\022\n" +
+      "\n\002id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radishthre" +
+      "ad.CommandH\000\022-\n\nread_rules\030\003 \001(\0132\027.radis" +
+      "hthread.ReadRulesH\000\022.\n\ninitialize\030\004 \001(\0132" +
+      "\030.radishthread.InitializeH\000\022/\n\007replace\030\005" +
+      " \001(\0132\034.radishthread.ReplaceReplicaH\000\022/\n\013" +
+      "read_status\030\006 \001(\0132\030.radishthread.ReadSta" +
+      "tusH\000\0221\n\014read_history\030\007 \001(\0132\031.radishthre" +
+      "ad.ReadHistoryH\000B\006\n\004body\"\013\n\tReadRules\"\014\n" +
+      "\nReadStatus\"\034\n\013ReadHistory\022\r\n\005limit\030\001 \001(" +
+      "\r\"5\n\007History\022*\n\007entries\030\001 \003(\0132\031.radishth" +
+      "read.RuleHistory\"?\n\nInitialize\0221\n\010replic" +
+      "as\030\001 \003(\0132\037.radishthread.ReplicaDescripto" +
+      "r\"@\n\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037.rad" +
+      "ishthread.ReplicaDescriptor\"3\n\tNotLeader" +
+      "\022\026\n\016leader_address\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t" +
+      "\"\364\001\n\rControlStatus\0220\n\007replica\030\001 \001(\0132\037.ra" +
+      "dishthread.ReplicaDescriptor\022\014\n\004role\030\002 \001" +
+      "(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001(\004\022\026" +
+      "\n\016snapshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222" +
+      "\n\rconfiguration\030\007 \001(\0132\033.radishthread.Con" +
+      "figuration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_know" +
+      "n\030\t \001(\010\"\200\003\n\017ControlResponse\022\n\n\002id\030\001 \001(\004\022" +
+      "-\n\nnot_leader\030\002 \001(\0132\027.radishthread.NotLe" +
+      "aderH\000\022*\n\005rules\030\003 \001(\0132\031.radishthread.Rul" +
+      "esAnswerH\000\022*\n\005claim\030\004 \001(\0132\031.radishthread" +
+      ".ClaimAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026.radi" +
+      "shthread.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022.radi" +
+      "shthread.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.radis" +
+      "hthread.RefusedH\000\022-\n\006status\030\010 \001(\0132\033.radi" +
+      "shthread.ControlStatusH\000\022(\n\007history\030\t \001(" +
+      "\0132\025.radishthread.HistoryH\000B\006\n\004body\"\006\n\004Do" +
+      "ne\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"?\n\010RuleFil" +
+      "e\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010" +
+      "document\030\003 \001(\014\"%\n\013RuleRequest\022\026\n\016known_r" +
+      "evision\030\001 \001(\004\"\326\001\n\016UpstreamRecord\022\014\n\004name" +
+      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
+      "\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarna" +
+      "tion\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030\010 " +
+      "\001(\0162\033.radishthread.UpstreamState\022\016\n\006hold" +
+      "er\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\"\301\001\n\016Insta" +
+      "nceRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030" +
+      "\002 \001(\t\022\036\n\026administration_address\030\003 \001(\t\022\014\n" +
+      "\004zone\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030" +
+      "\006 \001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007leaving\030\010 " +
+      "\001(\010\022\017\n\007gateway\030\t \001(\010J\004\010\n\020\013\"\301\002\n\006Gossip\022\016\n" +
+      "\006sender\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nhear" +
+      "tbeats\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstr" +
+      "eams\030\005 \003(\0132\034.radishthread.UpstreamRecord" +
+      "\022-\n\007records\030\006 \003(\0132\034.radishthread.Instanc" +
+      "eRecord\022\016\n\006digest\030\007 \001(\006\022\026\n\016sender_addres" +
+      "s\030\010 \001(\t\022\023\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n \003" +
+      "(\007\022\016\n\006report\030\013 \001(\004\022\035\n\020rules_age_millis\030\014" +
+      " \001(\004H\000\210\001\001B\023\n\021_rules_age_millis\">\n\007Versio" +
+      "n\022\014\n\004name\030\001 \001(\007\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010" +
+      "sequence\030\003 \001(\004\"\200\002\n\017Synchronization\022\016\n\006se" +
+      "nder\030\001 \001(\t\022$\n\005known\030\002 \003(\0132\025.radishthread" +
+      ".Version\022/\n\tupstreams\030\003 \003(\0132\034.radishthre" +
+      "ad.UpstreamRecord\022-\n\007records\030\004 \003(\0132\034.rad" +
+      "ishthread.InstanceRecord\022\016\n\006answer\030\005 \001(\010" +
+      "\022\026\n\016sender_address\030\006 \001(\t\022\027\n\017known_instan" +
+      "ces\030\007 \003(\007\022\026\n\016instances_only\030\010 \001(\010\"C\n\014Lea" +
+      "seRenewal\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\004\022\020\n\010sequence\030\003 \001(\004\"L\n\016UpstreamNotice" +
+      "\022\n\n\002id\030\001 \001(\004\022.\n\010upstream\030\002 \001(\0132\034.radisht" +
+      "hread.UpstreamRecord\"#\n\025UpstreamNoticeRe" +
+      "ceipt\022\n\n\002id\030\001 \001(\004\"\231\003\n\013SlotMessage\022\017\n\007ser" +
+      "vice\030\001 \001(\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022" +
+      ",\n\007request\030\004 \001(\0132\031.radishthread.SlotRequ" +
+      "estH\000\022$\n\003end\030\005 \001(\0132\025.radishthread.SlotEn" +
+      "dH\000\022(\n\005retry\030\006 \001(\0132\027.radishthread.SlotRe" +
+      "tryH\000\022(\n\005hedge\030\007 \001(\0132\027.radishthread.Slot" +
+      "HedgeH\000\022(\n\005close\030\010 \001(\0132\027.radishthread.Sl" +
+      "otCloseH\000\022*\n\006queued\030\t \001(\0132\030.radishthread" +
+      ".SlotQueuedH\000\022(\n\005grant\030\n \001(\0132\027.radishthr" +
+      "ead.SlotGrantH\000\022,\n\007refusal\030\013 \001(\0132\031.radis" +
+      "hthread.SlotRefusalH\000B\006\n\004body\"\237\001\n\013SlotRe" +
+      "quest\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(" +
+      "\010\022\030\n\020remaining_micros\030\003 \001(\004\022\020\n\010priority\030" +
+      "\004 \001(\r\022\030\n\020objective_micros\030\005 \001(\004\022\030\n\020maxim" +
+      "um_attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\"|\n\nLoadR" +
+      "eport\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022" +
+      "\r\n\005slots\030\003 \001(\r\022\024\n\014pace_percent\030\004 \001(\r\022\017\n\007" +
+      "leaving\030\005 \001(\010\022\026\n\016refused_millis\030\006 \001(\004\"S\n" +
+      "\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006result\030\002 \001" +
+      "(\t\022&\n\004load\030\003 \001(\0132\030.radishthread.LoadRepo" +
+      "rt\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\013\n\tSlotClos" +
+      "e\"\014\n\nSlotQueued\"\202\001\n\tSlotGrant\022\020\n\010upstrea" +
+      "m\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021" +
+      "\n\tin_flight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004" +
+      "\022\032\n\022hedge_after_micros\030\006 \001(\004\"9\n\013SlotRefu" +
+      "sal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retry_after_milli" +
+      "s\030\002 \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VERDICT" +
+      "_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT" +
+      "\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdi" +
+      "ct\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRA" +
+      "NTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMA" +
+      "TCH\020\004\022\010\n\004FULL\020\005*R\n\rUpstreamState\022\036\n\032UPST" +
+      "REAM_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010D" +
+      "RAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthread." +
+      "protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -608,7 +612,7 @@
     internal_static_radishthread_AppendRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_AppendRequest_descriptor,
-        new java.lang.String[] { "PreviousIndex", "PreviousTerm", "Entries", "CommitIndex", "Round", });
+        new java.lang.String[] { "PreviousIndex", "PreviousTerm", "Entries", "CommitIndex", "Round", "AcknowledgedRound", "CommitAgeMillis", });
     internal_static_radishthread_AppendResponse_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_radishthread_AppendResponse_fieldAccessorTable = new
@@ -854,7 +858,7 @@
     internal_static_radishthread_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Gossip_descriptor,
-        new java.lang.String[] { "Sender", "Instances", "Heartbeats", "Revisions", "Upstreams", "Records", "Digest", "SenderAddress", "LiveDigest", "Live", });
+        new java.lang.String[] { "Sender", "Instances", "Heartbeats", "Revisions", "Upstreams", "Records", "Digest", "SenderAddress", "LiveDigest", "Live", "Report", "RulesAgeMillis", });
     internal_static_radishthread_Version_descriptor =
       getDescriptor().getMessageType(49);
     internal_static_radishthread_Version_fieldAccessorTable = new
