Show that gateways trust control instances that are cut off from the majority (failing)

Cause under test: a control instance that is partitioned from the majority responds to reports with its older revision, and claims to reach a majority until the heartbeats of the others are 4 s old. A gateway whose two control instances are both partitioned applies an accepted revision too late and refuses its routes with 404.

--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -4,11 +4,14 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Predicate;
 
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.InstanceRecord;
@@ -58,6 +61,9 @@
 	// The time after which an unused connection is closed.
 	private static final long IDLE_TIMEOUT_MILLIS = 5_000;
 
+	// Two heartbeats of a leader.
+	private static final long AGREEMENT_AGE_MILLIS = 250;
+
 	private static final long UNUSED = Long.MAX_VALUE;
 
 	private final Map<String, Node> nodes = new LinkedHashMap<>();
@@ -69,6 +75,10 @@
 	// When each connection was last used, by the names of its sender and its recipient.
 	private final Map<String, Long> usedConnections = new HashMap<>();
 
+	// The names of the instances that are partitioned from all other control instances,
+	// but not from gateways.
+	private final Set<String> cutOffNames = new HashSet<>();
+
 	private final Random random;
 
 	private final int controlCount;
@@ -138,11 +148,15 @@
 		long endMillis = this.nowMillis + durationMillis;
 		while (this.nowMillis < endMillis) {
 			for (Node node : List.copyOf(this.nodes.values())) {
+				if (this.nowMillis < node.frozenUntilMillis) {
+					continue;
+				}
 				deliver(node);
 				if (this.nowMillis >= node.nextTickMillis && node.processorFreeMillis <= this.nowMillis) {
 					node.nextTickMillis = this.nowMillis + TICK_MILLIS;
 					node.membership.tick(this.nowMillis);
 					confirmRules(node);
+					recordRulesCurrent(node);
 					applyEffects(node, this.nowMillis);
 				}
 			}
@@ -157,6 +171,15 @@
 		}
 	}
 
+	// Acts as the control group, of which the instances that are not cut off have a
+	// leader.
+	private void recordRulesCurrent(Node node) {
+		boolean current = node.membership.appliedRules().getRevision() == this.acceptedRevision;
+		if (node.control && current && !this.cutOffNames.contains(node.name)) {
+			node.membership.recordRulesCurrent(this.nowMillis - AGREEMENT_AGE_MILLIS);
+		}
+	}
+
 	private void deliver(Node target) {
 		while (!target.inbox.isEmpty() && target.inbox.peek().millis() <= this.nowMillis
 				&& target.processorFreeMillis <= this.nowMillis) {
@@ -200,13 +223,23 @@
 			double sendMillis = node.useProcessor(atMillis);
 			double sentMillis = node.occupyLink(sendMillis, bytes);
 			Node target = this.nodes.get(message.address());
-			if (target != null && !isLost(node.name, message.address())) {
+			if (target != null && !isLost(node.name, message.address()) && !isPartitioned(node, target)) {
 				double receivedMillis = target.occupyLink(sentMillis + LATENCY_MILLIS, bytes);
 				target.inbox.add(new Delivery(receivedMillis, node.name, message.envelope()));
 			}
 		}
 	}
 
+	private boolean isPartitioned(Node first, Node second) {
+		return first.control && second.control
+				&& this.cutOffNames.contains(first.name) != this.cutOffNames.contains(second.name);
+	}
+
+	// Partitions control instances from the other control instances.
+	void cutOff(Set<String> controlNames) {
+		this.cutOffNames.addAll(controlNames);
+	}
+
 	private boolean isLost(String from, String to) {
 		String connection = from + '>' + to;
 		this.usedConnections.put(connection, this.nowMillis);
@@ -227,19 +260,47 @@
 
 	// Makes all open connections from and to an instance lose messages without notice.
 	void silenceConnections(String name) {
+		silenceConnections((connection) -> connection.startsWith(name + '>') || connection.endsWith('>' + name));
+	}
+
+	// Makes all open connections from an instance lose messages without notice.
+	void silenceOutboundConnections(String name) {
+		silenceConnections((connection) -> connection.startsWith(name + '>'));
+	}
+
+	// Makes all open connections to an instance lose messages without notice.
+	void silenceInboundConnections(String name) {
+		silenceConnections((connection) -> connection.endsWith('>' + name));
+	}
+
+	private void silenceConnections(Predicate<String> filter) {
 		this.usedConnections.values().removeIf((usedMillis) -> this.nowMillis - usedMillis > IDLE_TIMEOUT_MILLIS);
-		for (String connection : this.usedConnections.keySet()) {
-			if (connection.startsWith(name + '>') || connection.endsWith('>' + name)) {
-				this.silentConnections.put(connection, UNUSED);
-			}
+		this.usedConnections.keySet()
+			.stream()
+			.filter(filter)
+			.forEach((connection) -> this.silentConnections.put(connection, UNUSED));
+	}
+
+	// Suspends an instance. Messages to it wait until it resumes.
+	void freeze(String name, long durationMillis) {
+		this.nodes.get(name).frozenUntilMillis = this.nowMillis + durationMillis;
+	}
+
+	// Kills an instance and starts it again. A control instance still has the rules.
+	void restart(String name) {
+		Node former = this.nodes.get(name);
+		start(name, Integer.parseInt(name.substring(name.indexOf('-') + 1)), former.control);
+		if (former.control) {
+			membership(name).offerRules(former.membership.appliedRules());
 		}
 	}
 
 	// Submits rules as the leader of the control group would: they are offered to every
-	// control instance.
+	// control instance that it reaches.
 	void acceptRules(long revision) {
 		this.acceptedRevision = revision;
-		for (String name : names(true)) {
+		List<String> reachableNames = names(true).stream().filter((name) -> !this.cutOffNames.contains(name)).toList();
+		for (String name : reachableNames) {
 			this.nodes.get(name).membership.offerRules(rules(revision));
 			applyEffects(this.nodes.get(name), this.nowMillis);
 		}
@@ -323,6 +384,8 @@
 
 		private long nextTickMillis;
 
+		private long frozenUntilMillis;
+
 		private double processorFreeMillis;
 
 		private double linkFreeMillis;
