Let gateways leave control instances that do not know the newest rules

What callers saw: a request for a route of an acknowledged revision is refused with 404 more than two seconds later.

Cause: stale reads from a replica without a bound on its age. A control instance that is partitioned from the majority went on to respond with its older revision, and counted as reaching a majority until the heartbeats of the others were 4 s old, so a gateway whose two control instances were both partitioned stayed with them. The lists of live instances of such an instance shrink one by one and made its gateways isolated.

Change: a response whose rules are older than 750 ms, or of unknown age, makes the gateway report to other control instances, as one that is cut off from most others did. A gateway that agreed on a view does not adopt the list of an outdated instance.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/ControlSubscription.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ControlSubscription.java
@@ -13,8 +13,8 @@
 /**
  * Selects the control instances that a gateway reports to: one in its own availability
  * zone and one elsewhere, so that the loss of a zone does not take both. An instance that
- * does not respond in time, or that is cut off from most control instances, is avoided
- * for a while. Not thread-safe.
+ * does not respond in time, or that is cut off from most control instances or does not
+ * know the newest rules, is avoided for a while. Not thread-safe.
  */
 final class ControlSubscription {
 
@@ -101,14 +101,14 @@
 		}
 	}
 
-	void recordResponse(String address, boolean reachesMajority, long nowMillis) {
+	void recordResponse(String address, boolean current, long nowMillis) {
 		Contact contact = this.contacts.computeIfAbsent(address, (key) -> new Contact());
 		if (contact.reportedSinceMillis != NEVER
 				&& nowMillis - contact.reportedSinceMillis < RESPONSE_TIMEOUT_MILLIS / 2) {
 			this.timeoutDoublings = 0;
 		}
 		contact.reportedSinceMillis = NEVER;
-		contact.avoidedUntilMillis = reachesMajority ? NEVER : nowMillis + AVOIDANCE_MILLIS;
+		contact.avoidedUntilMillis = current ? NEVER : nowMillis + AVOIDANCE_MILLIS;
 		this.lastResponseMillis = nowMillis;
 	}
 
--- a/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
@@ -29,6 +29,10 @@
 	// Three missed reports to each of the control instances reported to.
 	private static final long OUTAGE_MILLIS = 1_500;
 
+	// The age of the rules of a control instance above which a gateway reports to another
+	// one. A follower of a leader hears from it several times in this time.
+	private static final long MAXIMUM_RULES_AGE_MILLIS = 750;
+
 	// Enough for a random graph that stays connected while a third of the gateways is
 	// lost.
 	private static final int NEIGHBOR_COUNT = 4;
@@ -93,12 +97,16 @@
 		}
 		boolean reachesMajority = 2 * response.getInstancesCount() > this.instances.controlInstances().size();
 		String address = response.getSenderAddress();
-		this.subscription.recordResponse(address, reachesMajority, nowMillis);
+		boolean outdated = isOutdated(response);
+		this.subscription.recordResponse(address, reachesMajority && !outdated, nowMillis);
 		boolean authoritative = this.subscription.isPrimary(address) || this.instances.controlInstances().isEmpty();
 		if (!authoritative || !reachesMajority) {
 			return false;
 		}
 		if (response.getLiveCount() > 0) {
+			if (outdated && this.viewAgreed) {
+				return false;
+			}
 			this.viewAgreed = false;
 			return !this.instances.updateLive(new HashSet<>(response.getLiveList()), nowMillis);
 		}
@@ -109,6 +117,14 @@
 		return false;
 	}
 
+	// The heartbeats of other control instances show only after their timeout that the
+	// sender is partitioned from them; the age of its rules shows it at once. Updates
+	// carry no age.
+	private static boolean isOutdated(Gossip response) {
+		return response.getReport() != 0
+				&& !(response.hasRulesAgeMillis() && response.getRulesAgeMillis() <= MAXIMUM_RULES_AGE_MILLIS);
+	}
+
 	/**
 	 * Returns whether no control instance has responded for so long that the gateways
 	 * exchange heartbeats with each other.
