--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -83,7 +83,8 @@
 			.setAddress(settings.peerAddress().toString())
 			.build();
 		Random random = new Random();
-		this.membership = new Membership(selfRecord(), MembershipSettings.defaults(settings.seeds()),
+		this.membership = new Membership(selfRecord(),
+				MembershipSettings.defaults(settings.seeds(), settings.limits().rulesApplyMillis()),
 				(addresses, count) -> {
 					List<String> shuffledAddresses = new ArrayList<>(addresses);
 					Collections.shuffle(shuffledAddresses, random);
@@ -357,6 +358,14 @@
 		this.loop.execute(() -> this.membership.recordRulesCurrent(atMillis));
 	}
 
+	/**
+	 * Returns whether a request that no applied rule matches may be refused for good.
+	 * @return whether every revision that must be in force by now is applied
+	 */
+	public boolean hasAllRulesInForce() {
+		return this.view.hasAllRulesInForce(nowMillis(), this.settings.limits().rulesApplyMillis());
+	}
+
 	/**
 	 * Returns the time since the applied rules were last known to be the newest accepted
 	 * ones.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
@@ -26,6 +26,17 @@
 	 */
 	public static final long MAXIMUM_AGE_MILLIS = 2_000;
 
+	/**
+	 * Returns whether this instance applies every revision that must be in force by now.
+	 * @param nowMillis the monotonic time, in milliseconds
+	 * @param rulesApplyMillis the time after their acceptance within which rules must be
+	 * in force, in milliseconds
+	 * @return whether the rules were current at most that long ago
+	 */
+	public boolean hasAllRulesInForce(long nowMillis, long rulesApplyMillis) {
+		return hasRules() && nowMillis - this.rulesCurrentAtMillis <= rulesApplyMillis;
+	}
+
 	/**
 	 * Returns whether this instance applies any rules.
 	 * @return whether the revision is greater than zero
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -71,8 +71,8 @@
 		}
 		Optional<RouteRule> route = this.context.routing()
 			.findRoute(host(request), request.getMethod(), request.getHttpURI().getPath());
-		if (route.isEmpty() && !this.context.routing().hasRules()) {
-			refuse(request, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "No rules are known yet.",
+		if (route.isEmpty() && !this.cluster.hasAllRulesInForce()) {
+			refuse(request, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "The newest rules may not be known yet.",
 					retryAfterMillis(request, STARTING_RETRY_AFTER_MILLIS)), response, countingCallback);
 			return true;
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -81,10 +81,6 @@
 		// Routers start when they are first used.
 	}
 
-	boolean hasRules() {
-		return revision() > 0;
-	}
-
 	// The revision of the rules in force, or zero if there are none.
 	long revision() {
 		return this.rules.revision();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -57,11 +57,13 @@
 	 * stop sending them, in milliseconds
 	 * @param rulePropagationTimeoutMillis how long a submission of rules waits for live
 	 * instances that have not applied them yet, in milliseconds
+	 * @param rulesApplyMillis the time after their acceptance within which rules must be
+	 * in force everywhere, in milliseconds
 	 * @param callerHeader the header in which the platform's load balancer identifies the
 	 * caller
 	 */
 	public record Limits(int requestBufferBytes, int responseBufferBytes, long shutdownTimeoutMillis,
-			long shutdownDelayMillis, long rulePropagationTimeoutMillis, String callerHeader) {
+			long shutdownDelayMillis, long rulePropagationTimeoutMillis, long rulesApplyMillis, String callerHeader) {
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -11,6 +11,7 @@
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.SettingsNode;
+import org.radishthread.membership.MembershipSettings;
 import org.radishthread.routing.RetryLimits;
 import org.radishthread.routing.RouterSettings;
 
@@ -223,9 +224,11 @@
 		long acknowledgementMillis = node.getLong("acknowledgement-millis", 0, 0, 3_600_000);
 		long rulePropagationTimeoutMillis = node.getLong("spread-millis",
 				(acknowledgementMillis > 0) ? Math.round(acknowledgementMillis * PROPAGATION_SHARE) : 3_000, 0, 60_000);
+		long rulesApplyMillis = node.getLong("apply-millis", MembershipSettings.DEFAULT_RULES_APPLY_MILLIS, 1,
+				3_600_000);
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
 		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, shutdownTimeoutMillis,
-				shutdownDelayMillis, rulePropagationTimeoutMillis, callerHeader);
+				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, callerHeader);
 	}
 
 }
--- /dev/null
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
@@ -0,0 +1,43 @@
+package org.radishthread.daemon.cluster;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import org.radishthread.membership.ServingState;
+import org.radishthread.protocol.RuleFile;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ClusterView}.
+ */
+class ClusterViewTests {
+
+	private static final long NOW_MILLIS = 60_000;
+
+	private static final long APPLY_MILLIS = 2_000;
+
+	private static ClusterView view(long revision, long rulesCurrentAtMillis) {
+		return new ClusterView(ServingState.READY, NOW_MILLIS, List.of(),
+				RuleFile.newBuilder().setRevision(revision).build(), true, rulesCurrentAtMillis);
+	}
+
+	// Guards against a 404 for a route of an acknowledged revision, from a gateway that
+	// has lost contact with control instances and is late.
+	@Test
+	void outdatedRulesAreNotAllThatAreInForce() {
+		assertThat(view(1, NOW_MILLIS - APPLY_MILLIS - 1).hasAllRulesInForce(NOW_MILLIS, APPLY_MILLIS)).isFalse();
+	}
+
+	@Test
+	void rulesThatWereCurrentWithinTheTimeToApplyAreAllThatAreInForce() {
+		assertThat(view(1, NOW_MILLIS - APPLY_MILLIS).hasAllRulesInForce(NOW_MILLIS, APPLY_MILLIS)).isTrue();
+	}
+
+	@Test
+	void instanceWithoutRulesDoesNotKnowThem() {
+		assertThat(view(0, NOW_MILLIS).hasAllRulesInForce(NOW_MILLIS, APPLY_MILLIS)).isFalse();
+	}
+
+}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -56,8 +56,6 @@
 
 	private static final long FREEZE_THRESHOLD_MILLIS = 2_000;
 
-	private static final long MAXIMUM_RULE_LAG_MILLIS = 3_000;
-
 	// Four heartbeats, and the rounds of gossip that relay them. An acknowledgement does
 	// not wait for instances that are silent for longer, because it must not come late.
 	private static final long RESPONSIVE_PERIOD_MILLIS = 2_500;
@@ -890,7 +888,9 @@
 		}
 		boolean frozen = this.lastClockReadingMillis != Long.MIN_VALUE
 				&& nowMillis - this.lastClockReadingMillis > FREEZE_THRESHOLD_MILLIS;
-		if (frozen || !hasMajority(nowMillis) || this.rules.isBehindLongerThan(MAXIMUM_RULE_LAG_MILLIS, nowMillis)) {
+		// The other half of the time passes until this instance learns of the revision.
+		long maximumLagMillis = this.settings.rulesApplyMillis() / 2;
+		if (frozen || !hasMajority(nowMillis) || this.rules.isBehindLongerThan(maximumLagMillis, nowMillis)) {
 			return ServingState.ISOLATED;
 		}
 		// An instance must not route requests before it knows which upstreams have left.
--- a/radishthread-membership/src/main/java/org/radishthread/membership/MembershipSettings.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/MembershipSettings.java
@@ -22,15 +22,23 @@
  * this instance counts as isolated, in milliseconds; it grows likewise
  * @param removalTimeoutMillis the time without a heartbeat after which the record of a
  * lost instance is removed, in milliseconds
+ * @param rulesApplyMillis the time after their acceptance within which rules must be in
+ * force everywhere, in milliseconds
  */
 public record MembershipSettings(List<String> seeds, long gossipIntervalMillis, int fanout, int urgentFanout,
 		long heartbeatBytesPerSecond, long controlHeartbeatBytesPerSecond, long failureTimeoutMillis,
-		long isolationTimeoutMillis, long removalTimeoutMillis) {
+		long isolationTimeoutMillis, long removalTimeoutMillis, long rulesApplyMillis) {
+
+	/**
+	 * The default of {@link #rulesApplyMillis()}, in milliseconds.
+	 */
+	public static final long DEFAULT_RULES_APPLY_MILLIS = 2_000;
 
 	public MembershipSettings {
 		Assert.isTrue(gossipIntervalMillis > 0, "Gossip interval " + gossipIntervalMillis + " ms must be positive.");
 		Assert.isTrue(failureTimeoutMillis > 2 * gossipIntervalMillis,
 				"Failure timeout " + failureTimeoutMillis + " ms must exceed two gossip intervals.");
+		Assert.isTrue(rulesApplyMillis > 0, "Time to apply rules of " + rulesApplyMillis + " ms must be positive.");
 	}
 
 	/**
@@ -40,7 +48,19 @@
 	 * @return the settings
 	 */
 	public static MembershipSettings defaults(List<String> seeds) {
-		return new MembershipSettings(seeds, 500, 2, 6, 1_200, 64_000, 4_000, 5_000, 600_000);
+		return defaults(seeds, DEFAULT_RULES_APPLY_MILLIS);
+	}
+
+	/**
+	 * Returns the settings for a cluster of some tens of instances.
+	 * @param seeds the peer addresses of the instances that are contacted to join the
+	 * cluster
+	 * @param rulesApplyMillis the time after their acceptance within which rules must be
+	 * in force everywhere, in milliseconds
+	 * @return the settings
+	 */
+	public static MembershipSettings defaults(List<String> seeds, long rulesApplyMillis) {
+		return new MembershipSettings(seeds, 500, 2, 6, 1_200, 64_000, 4_000, 5_000, 600_000, rulesApplyMillis);
 	}
 
 }
