Contact seeds that are unknown, so that no part of the cluster stays apart

What callers saw: an acknowledged revision reached some gateways late, and the acknowledgement did not wait for them.

Cause: a quorum of what an instance knows instead of what exists. A control instance whose first messages are lost knows only the gateways that report to it. All of them are live, so it counted a majority, sent nothing to the seeds any more, and served for as long as it ran; the other control instances had no record of it. Its gateways knew no other control instance. Rules and upstreams reached them through one replica only, and confirmations did not count them.

Change: rounds with heartbeats go also to each seed at whose address no instance is known, whatever the majority.

Evidence: found by RulesCurrencyProperties (faults that overlap around an acceptance): a gateway that knew one control instance kept its rules for 2.5 s after that one was partitioned, with only the majority check to tell it. FleetStartTests pass.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
@@ -238,6 +238,10 @@
 		}
 	}
 
+	boolean hasPeerAddress(String address) {
+		return this.entries.values().stream().anyMatch((entry) -> entry.instance.getPeerAddress().equals(address));
+	}
+
 	List<String> otherPeerAddresses() {
 		return peerAddresses((entry) -> true);
 	}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -392,7 +392,10 @@
 			candidates.addAll(this.seeds);
 		}
 		candidates.remove(this.self.getPeerAddress());
-		List<String> targets = this.selector.select(List.copyOf(candidates), fanout);
+		Set<String> targets = new LinkedHashSet<>(this.selector.select(List.copyOf(candidates), fanout));
+		if (withHeartbeats) {
+			targets.addAll(unknownSeeds());
+		}
 		if (targets.isEmpty()) {
 			return;
 		}
@@ -400,6 +403,14 @@
 		targets.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
 	}
 
+	// Instances that started together may know only each other. Their majority is one of
+	// the instances they know, so it does not show that they know all.
+	private List<String> unknownSeeds() {
+		return this.seeds.stream()
+			.filter((seed) -> !seed.equals(this.self.getPeerAddress()) && !this.instances.hasPeerAddress(seed))
+			.toList();
+	}
+
 	private Gossip createGossip(boolean withHeartbeats) {
 		Gossip.Builder gossip = Gossip.newBuilder()
 			.setSender(this.self.getName())
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -240,6 +240,10 @@
 		this.cutOffNames.addAll(controlNames);
 	}
 
+	boolean isPartitioned() {
+		return !this.cutOffNames.isEmpty();
+	}
+
 	private boolean isLost(String from, String to) {
 		String connection = from + '>' + to;
 		this.usedConnections.put(connection, this.nowMillis);
