--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -104,6 +104,12 @@
 		request.sendQueuedIfUndecided();
 	}
 
+	private static LoadReport toLoadReport(org.radishthread.protocol.LoadReport message) {
+		return new LoadReport(message.getRunning(), message.getWaiting(), message.getSlots(), message.getPacePercent(),
+				message.getLeaving(), message.getRefusedMillis(),
+				message.hasLimitPerSecond() ? message.getLimitPerSecond() : LoadReport.UNLIMITED);
+	}
+
 	private RoutingRequest toRoutingRequest(SlotRequest request, String origin) {
 		long nowNanos = this.time.monotonicNanos();
 		Urgency urgency = new Urgency(request.getPriority(), nowNanos + request.getObjectiveMicros() * NANOS_PER_MICRO);
@@ -218,9 +224,7 @@
 				inProgress = this.upstreamsInUse.remove(end.getUpstream());
 			}
 			if (inProgress) {
-				LoadReport loadReport = end.hasLoad() ? new LoadReport(end.getLoad().getRunning(),
-						end.getLoad().getWaiting(), end.getLoad().getSlots(), end.getLoad().getPacePercent(),
-						end.getLoad().getLeaving(), end.getLoad().getRefusedMillis()) : null;
+				LoadReport loadReport = end.hasLoad() ? toLoadReport(end.getLoad()) : null;
 				router.completeAttempt(this.routingRequest.id(), end.getUpstream(),
 						AttemptResult.valueOf(end.getResult()), loadReport);
 			}
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/LoadReport.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/LoadReport.java
@@ -48,6 +48,7 @@
             org.radishthread.protocol.LoadReport.class, org.radishthread.protocol.LoadReport.Builder.class);
   }
 
+  private int bitField0_;
   public static final int RUNNING_FIELD_NUMBER = 1;
   private int running_ = 0;
   /**
@@ -126,6 +127,33 @@
     return refusedMillis_;
   }
 
+  public static final int LIMIT_PER_SECOND_FIELD_NUMBER = 7;
+  private double limitPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 7;</code>
+   * @return Whether the limitPerSecond field is set.
+   */
+  @java.lang.Override
+  public boolean hasLimitPerSecond() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 7;</code>
+   * @return The limitPerSecond.
+   */
+  @java.lang.Override
+  public double getLimitPerSecond() {
+    return limitPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -158,6 +186,9 @@
     if (refusedMillis_ != 0L) {
       output.writeUInt64(6, refusedMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeDouble(7, limitPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -186,6 +217,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(6, refusedMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(7, limitPerSecond_);
+    }
     return size;
   }
   @java.lang.Override
@@ -222,6 +257,12 @@
         != other.getLeaving()) return false;
     if (getRefusedMillis()
         != other.getRefusedMillis()) return false;
+    if (hasLimitPerSecond() != other.hasLimitPerSecond()) return false;
+    if (hasLimitPerSecond()) {
+      if (java.lang.Double.doubleToLongBits(getLimitPerSecond())
+          != java.lang.Double.doubleToLongBits(
+              other.getLimitPerSecond())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -247,6 +288,11 @@
     hash = (37 * hash) + REFUSED_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRefusedMillis());
+    if (hasLimitPerSecond()) {
+      hash = (37 * hash) + LIMIT_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getLimitPerSecond()));
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -384,6 +430,7 @@
       pacePercent_ = 0;
       leaving_ = false;
       refusedMillis_ = 0L;
+      limitPerSecond_ = 0D;
       return this;
     }
 
@@ -435,6 +482,12 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.refusedMillis_ = refusedMillis_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.limitPerSecond_ = limitPerSecond_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -467,6 +520,9 @@
       if (other.getRefusedMillis() != 0L) {
         setRefusedMillis(other.getRefusedMillis());
       }
+      if (other.hasLimitPerSecond()) {
+        setLimitPerSecond(other.getLimitPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -521,6 +577,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 57: {
+              limitPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 57
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -766,6 +827,62 @@
       return this;
     }
 
+    private double limitPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 7;</code>
+     * @return Whether the limitPerSecond field is set.
+     */
+    @java.lang.Override
+    public boolean hasLimitPerSecond() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 7;</code>
+     * @return The limitPerSecond.
+     */
+    @java.lang.Override
+    public double getLimitPerSecond() {
+      return limitPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 7;</code>
+     * @param value The limitPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitPerSecond(double value) {
+
+      limitPerSecond_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      limitPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.LoadReport)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/LoadReportOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/LoadReportOrBuilder.java
@@ -57,4 +57,23 @@
    * @return The refusedMillis.
    */
   long getRefusedMillis();
+
+  /**
+   * <pre>
+   * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 7;</code>
+   * @return Whether the limitPerSecond field is set.
+   */
+  boolean hasLimitPerSecond();
+  /**
+   * <pre>
+   * Requests per second that the upstream accepts from all instances together; absent if it names no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 7;</code>
+   * @return The limitPerSecond.
+   */
+  double getLimitPerSecond();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -539,27 +539,28 @@
       "quest\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(" +
       "\010\022\030\n\020remaining_micros\030\003 \001(\004\022\020\n\010priority\030" +
       "\004 \001(\r\022\030\n\020objective_micros\030\005 \001(\004\022\030\n\020maxim" +
-      "um_attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\"|\n\nLoadR" +
-      "eport\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022" +
-      "\r\n\005slots\030\003 \001(\r\022\024\n\014pace_percent\030\004 \001(\r\022\017\n\007" +
-      "leaving\030\005 \001(\010\022\026\n\016refused_millis\030\006 \001(\004\"S\n" +
-      "\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006result\030\002 \001" +
-      "(\t\022&\n\004load\030\003 \001(\0132\030.radishthread.LoadRepo" +
-      "rt\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\013\n\tSlotClos" +
-      "e\"\014\n\nSlotQueued\"\202\001\n\tSlotGrant\022\020\n\010upstrea" +
-      "m\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021" +
-      "\n\tin_flight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004" +
-      "\022\032\n\022hedge_after_micros\030\006 \001(\004\"9\n\013SlotRefu" +
-      "sal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retry_after_milli" +
-      "s\030\002 \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VERDICT" +
-      "_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT" +
-      "\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdi" +
-      "ct\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRA" +
-      "NTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMA" +
-      "TCH\020\004\022\010\n\004FULL\020\005*R\n\rUpstreamState\022\036\n\032UPST" +
-      "REAM_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010D" +
-      "RAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthread." +
-      "protocolP\001b\006proto3"
+      "um_attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\"\260\001\n\nLoad" +
+      "Report\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r" +
+      "\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_percent\030\004 \001(\r\022\017\n" +
+      "\007leaving\030\005 \001(\010\022\026\n\016refused_millis\030\006 \001(\004\022\035" +
+      "\n\020limit_per_second\030\007 \001(\001H\000\210\001\001B\023\n\021_limit_" +
+      "per_second\"S\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022" +
+      "\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishth" +
+      "read.LoadReport\"\013\n\tSlotRetry\"\013\n\tSlotHedg" +
+      "e\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\202\001\n\tSlotGra" +
+      "nt\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n" +
+      "\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rwaited" +
+      "_micros\030\005 \001(\004\022\032\n\022hedge_after_micros\030\006 \001(" +
+      "\004\"9\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retr" +
+      "y_after_millis\030\002 \001(\004*a\n\014RulesVerdict\022\035\n\031" +
+      "RULES_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020" +
+      "\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*" +
+      "k\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UNSPECI" +
+      "FIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLET" +
+      "ED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUpstream" +
+      "State\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t\n" +
+      "\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org." +
+      "radishthread.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -906,7 +907,7 @@
     internal_static_radishthread_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LoadReport_descriptor,
-        new java.lang.String[] { "Running", "Waiting", "Slots", "PacePercent", "Leaving", "RefusedMillis", });
+        new java.lang.String[] { "Running", "Waiting", "Slots", "PacePercent", "Leaving", "RefusedMillis", "LimitPerSecond", });
     internal_static_radishthread_SlotEnd_descriptor =
       getDescriptor().getMessageType(57);
     internal_static_radishthread_SlotEnd_fieldAccessorTable = new
--- a/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
@@ -14,23 +14,29 @@
  * @param leaving whether the upstream announces that it leaves
  * @param refusedMillis the time for which the upstream refuses requests of the instance
  * that received the response, in milliseconds, or zero if it accepts them
+ * @param limitPerSecond the requests per second that the upstream accepts from all
+ * instances together, or {@link #UNLIMITED} if it names no limit
  */
 public record LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent, boolean leaving,
-		long refusedMillis) {
+		long refusedMillis, double limitPerSecond) {
+
+	/**
+	 * The limit of an upstream that names none.
+	 */
+	public static final double UNLIMITED = Double.POSITIVE_INFINITY;
 
 	/**
 	 * The report of an upstream that announces that it leaves.
 	 */
-	public static final LoadReport LEAVING = new LoadReport(0, 0, 0, 0, true, 0);
+	public static final LoadReport LEAVING = new LoadReport(0, 0, 0, 0, true, 0, UNLIMITED);
 
 	public LoadReport {
-		Assert.isTrue(
-				runningRequests >= 0 && waitingRequests >= 0 && slots >= 0 && pacePercent >= 0 && refusedMillis >= 0,
-				"Numbers of a load report must not be negative.");
+		Assert.isTrue(runningRequests >= 0 && waitingRequests >= 0 && slots >= 0 && pacePercent >= 0
+				&& refusedMillis >= 0 && limitPerSecond >= 0, "Numbers of a load report must not be negative.");
 	}
 
 	public LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent) {
-		this(runningRequests, waitingRequests, slots, pacePercent, false, 0);
+		this(runningRequests, waitingRequests, slots, pacePercent, false, 0, UNLIMITED);
 	}
 
 	/**
@@ -39,7 +45,25 @@
 	 * @return the report
 	 */
 	public static LoadReport refusedFor(long millis) {
-		return new LoadReport(0, 0, 0, 0, false, millis);
+		return new LoadReport(0, 0, 0, 0, false, millis, UNLIMITED);
+	}
+
+	/**
+	 * Returns a report of an upstream that names a limit.
+	 * @param requestsPerSecond the requests per second that it accepts from all instances
+	 * together
+	 * @return the report
+	 */
+	public static LoadReport limitedTo(double requestsPerSecond) {
+		return new LoadReport(0, 0, 0, 0, false, 0, requestsPerSecond);
+	}
+
+	/**
+	 * Returns whether the upstream names a limit.
+	 * @return whether there is a limit
+	 */
+	public boolean isLimited() {
+		return this.limitPerSecond != UNLIMITED;
 	}
 
 	boolean hasLoad() {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -194,19 +194,27 @@
 		if (state != null) {
 			SlotEnd.Builder slotEnd = slotEnd(upstream, result).toBuilder();
 			if (report != null) {
-				slotEnd.setLoad(org.radishthread.protocol.LoadReport.newBuilder()
-					.setRunning(report.runningRequests())
-					.setWaiting(report.waitingRequests())
-					.setSlots(report.slots())
-					.setPacePercent(report.pacePercent())
-					.setLeaving(report.leaving())
-					.setRefusedMillis(report.refusedMillis()));
+				slotEnd.setLoad(toMessage(report));
 			}
 			send(state, newMessage(state).setEnd(slotEnd));
 		}
 		return takeEffects();
 	}
 
+	private static org.radishthread.protocol.LoadReport toMessage(LoadReport report) {
+		org.radishthread.protocol.LoadReport.Builder message = org.radishthread.protocol.LoadReport.newBuilder()
+			.setRunning(report.runningRequests())
+			.setWaiting(report.waitingRequests())
+			.setSlots(report.slots())
+			.setPacePercent(report.pacePercent())
+			.setLeaving(report.leaving())
+			.setRefusedMillis(report.refusedMillis());
+		if (report.isLimited()) {
+			message.setLimitPerSecond(report.limitPerSecond());
+		}
+		return message.build();
+	}
+
 	/**
 	 * Requests another attempt after one that failed.
 	 * @param requestId the identifier of the request
