Keep the limits that upstreams name, over all instances

What callers saw: an upstream in need got several times the requests that it said it takes.

Cause: a limit over all instances without anyone who counts. The header was not read, and each gateway decided for itself.

Change: the home of the service counts, since it grants all slots: a token bucket for each limited upstream (UpstreamRateLimit). A grant tells whether it was counted; a gateway that knows the limit returns one that was not, with the limit, so a new home learns it with the first grant. Without the home an instance sends nothing to an upstream whose limit it knows. While all upstreams have limits, a request that none allows in time is refused at once, with the time when one does.

Ruled out: a share of the limit for each gateway. The number of gateways is not known to all of them at the same time, most of the share of an idle gateway is lost, and a limit below one a second cannot be shared.

Two homes that grant at the same time for longer than a second could together exceed the limit; not tested.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -130,7 +130,7 @@
 
 	@Override
 	public void onDispatch(RoutingEffect.Dispatch dispatch) {
-		LoadReport constraint = context().routing().findConstraint(dispatch.upstream().name());
+		LoadReport constraint = context().routing().findConstraint(dispatch);
 		if (constraint != null) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
 					AttemptCompletion.CANCELLED.result(), constraint);
@@ -176,10 +176,8 @@
 	@Override
 	protected void onAttemptCompleted(Attempt attempt, AttemptCompletion completion) {
 		LoadReport report = attempt.loadReport();
-		if (report != null) {
-			context().routing().recordReport(attempt.upstreamName(), report);
-		}
-		this.router.completeAttempt(requestNumber(), attempt.upstreamName(), completion.result(), attempt.loadReport());
+		context().routing().recordReport(attempt.upstreamName(), report, completion.result());
+		this.router.completeAttempt(requestNumber(), attempt.upstreamName(), completion.result(), report);
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -20,7 +20,9 @@
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
+import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
+import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.Upstream;
 import org.radishthread.routing.UpstreamConstraints;
 import org.radishthread.rules.RouteFinder;
@@ -116,16 +118,20 @@
 				this.settings, this.time, this.prober, this.eventLoop));
 	}
 
-	void recordReport(String upstream, LoadReport report) {
+	void recordReport(String upstream, @Nullable LoadReport report, AttemptResult result) {
 		synchronized (this.constraints) {
-			this.constraints.record(upstream, report, this.time.monotonicNanos());
+			if (report != null) {
+				this.constraints.record(upstream, report, this.time.monotonicNanos());
+			}
+			this.constraints.recordLimit(upstream, report, result, this.time.monotonicNanos());
 		}
 	}
 
-	// Returns why this instance may send no request to an upstream now, or null.
-	@Nullable LoadReport findConstraint(String upstream) {
+	// Returns why this instance may not send an attempt that was granted, or null.
+	@Nullable LoadReport findConstraint(RoutingEffect.Dispatch dispatch) {
 		synchronized (this.constraints) {
-			return this.constraints.find(upstream, this.time.monotonicNanos());
+			return this.constraints.find(dispatch.upstream().name(), dispatch.limitCounted(),
+					this.time.monotonicNanos());
 		}
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -205,7 +205,8 @@
 					.setKind(dispatch.kind().wireName())
 					.setInFlight(dispatch.inFlight())
 					.setWaitedMicros(dispatch.queueTimeNanos() / NANOS_PER_MICRO)
-					.setHedgeAfterMicros(dispatch.hedgeAfterNanos() / NANOS_PER_MICRO))
+					.setHedgeAfterMicros(dispatch.hedgeAfterNanos() / NANOS_PER_MICRO)
+					.setLimitCounted(dispatch.limitCounted()))
 				.build());
 		}
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -547,20 +547,21 @@
       "per_second\"S\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022" +
       "\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishth" +
       "read.LoadReport\"\013\n\tSlotRetry\"\013\n\tSlotHedg" +
-      "e\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\202\001\n\tSlotGra" +
+      "e\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\231\001\n\tSlotGra" +
       "nt\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n" +
       "\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rwaited" +
       "_micros\030\005 \001(\004\022\032\n\022hedge_after_micros\030\006 \001(" +
-      "\004\"9\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retr" +
-      "y_after_millis\030\002 \001(\004*a\n\014RulesVerdict\022\035\n\031" +
-      "RULES_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020" +
-      "\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*" +
-      "k\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UNSPECI" +
-      "FIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLET" +
-      "ED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUpstream" +
-      "State\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t\n" +
-      "\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org." +
-      "radishthread.protocolP\001b\006proto3"
+      "\004\022\025\n\rlimit_counted\030\007 \001(\010\"9\n\013SlotRefusal\022" +
+      "\016\n\006reason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 " +
+      "\001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VERDICT_UNS" +
+      "PECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t" +
+      "\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035" +
+      "\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED" +
+      "\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020" +
+      "\004\022\010\n\004FULL\020\005*R\n\rUpstreamState\022\036\n\032UPSTREAM" +
+      "_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAIN" +
+      "ING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthread.prot" +
+      "ocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -943,7 +944,7 @@
     internal_static_radishthread_SlotGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotGrant_descriptor,
-        new java.lang.String[] { "Upstream", "Address", "Kind", "InFlight", "WaitedMicros", "HedgeAfterMicros", });
+        new java.lang.String[] { "Upstream", "Address", "Kind", "InFlight", "WaitedMicros", "HedgeAfterMicros", "LimitCounted", });
     internal_static_radishthread_SlotRefusal_descriptor =
       getDescriptor().getMessageType(63);
     internal_static_radishthread_SlotRefusal_fieldAccessorTable = new
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrant.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrant.java
@@ -201,6 +201,21 @@
     return hedgeAfterMicros_;
   }
 
+  public static final int LIMIT_COUNTED_FIELD_NUMBER = 7;
+  private boolean limitCounted_ = false;
+  /**
+   * <pre>
+   * Whether the home counted the attempt against a limit that the upstream named.
+   * </pre>
+   *
+   * <code>bool limit_counted = 7;</code>
+   * @return The limitCounted.
+   */
+  @java.lang.Override
+  public boolean getLimitCounted() {
+    return limitCounted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -233,6 +248,9 @@
     if (hedgeAfterMicros_ != 0L) {
       output.writeUInt64(6, hedgeAfterMicros_);
     }
+    if (limitCounted_ != false) {
+      output.writeBool(7, limitCounted_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -258,6 +276,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(6, hedgeAfterMicros_);
     }
+    if (limitCounted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, limitCounted_);
+    }
     return size;
   }
   @java.lang.Override
@@ -294,6 +316,8 @@
         != other.getWaitedMicros()) return false;
     if (getHedgeAfterMicros()
         != other.getHedgeAfterMicros()) return false;
+    if (getLimitCounted()
+        != other.getLimitCounted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -319,6 +343,9 @@
     hash = (37 * hash) + HEDGE_AFTER_MICROS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getHedgeAfterMicros());
+    hash = (37 * hash) + LIMIT_COUNTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLimitCounted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -456,6 +483,7 @@
       inFlight_ = 0;
       waitedMicros_ = 0L;
       hedgeAfterMicros_ = 0L;
+      limitCounted_ = false;
       return this;
     }
 
@@ -507,6 +535,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.hedgeAfterMicros_ = hedgeAfterMicros_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.limitCounted_ = limitCounted_;
+      }
     }
 
     @java.lang.Override
@@ -545,6 +576,9 @@
       if (other.getHedgeAfterMicros() != 0L) {
         setHedgeAfterMicros(other.getHedgeAfterMicros());
       }
+      if (other.getLimitCounted() != false) {
+        setLimitCounted(other.getLimitCounted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -599,6 +633,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              limitCounted_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -928,6 +967,50 @@
       return this;
     }
 
+    private boolean limitCounted_ ;
+    /**
+     * <pre>
+     * Whether the home counted the attempt against a limit that the upstream named.
+     * </pre>
+     *
+     * <code>bool limit_counted = 7;</code>
+     * @return The limitCounted.
+     */
+    @java.lang.Override
+    public boolean getLimitCounted() {
+      return limitCounted_;
+    }
+    /**
+     * <pre>
+     * Whether the home counted the attempt against a limit that the upstream named.
+     * </pre>
+     *
+     * <code>bool limit_counted = 7;</code>
+     * @param value The limitCounted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitCounted(boolean value) {
+
+      limitCounted_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the home counted the attempt against a limit that the upstream named.
+     * </pre>
+     *
+     * <code>bool limit_counted = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitCounted() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      limitCounted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.SlotGrant)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrantOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrantOrBuilder.java
@@ -63,4 +63,14 @@
    * @return The hedgeAfterMicros.
    */
   long getHedgeAfterMicros();
+
+  /**
+   * <pre>
+   * Whether the home counted the attempt against a limit that the upstream named.
+   * </pre>
+   *
+   * <code>bool limit_counted = 7;</code>
+   * @return The limitCounted.
+   */
+  boolean getLimitCounted();
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -15,9 +15,11 @@
 	 * @param queueTimeNanos the duration for which the request was queued, in nanoseconds
 	 * @param hedgeAfterNanos the time without a response after which
 	 * {@link ServiceRouter#hedge} is to be called, in nanoseconds, or zero for never
+	 * @param limitCounted whether the attempt was counted against a limit that the
+	 * upstream named
 	 */
 	record Dispatch(long requestId, Upstream upstream, AttemptKind kind, int inFlight, long queueTimeNanos,
-			long hedgeAfterNanos) implements RoutingEffect {
+			long hedgeAfterNanos, boolean limitCounted) implements RoutingEffect {
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -207,18 +207,18 @@
 			this.arrivals.recordArrival(nowNanos);
 			this.receivingRequests = true;
 		}
-		Refusal refusal = findRefusal(request, nowNanos);
+		Refusal refusal = findRefusal(request, home, nowNanos);
 		if (refusal != null) {
 			return List.of(refusal);
 		}
 		this.queues.recordAdmission(request.caller());
-		this.requests.put(request.id(), new RequestState(request));
+		this.requests.put(request.id(), new RequestState(request, home));
 		enqueue(request, AttemptKind.FIRST, nowNanos);
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
 
-	private @Nullable Refusal findRefusal(RoutingRequest request, long nowNanos) {
+	private @Nullable Refusal findRefusal(RoutingRequest request, boolean home, long nowNanos) {
 		long usableSlots = usableSlots(nowNanos);
 		boolean refusedByAll = usableTrackers(nowNanos)
 			.allMatch((tracker) -> tracker.refuses(request.origin(), nowNanos));
@@ -230,9 +230,35 @@
 			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM,
 					this.admission.retryAfterMillis(request, Duration.ofNanos(refusedNanos).toMillis(), nowNanos));
 		}
+		boolean limitedByAll = usableTrackers(nowNanos).allMatch((tracker) -> tracker.rateLimit().isActive());
+		if (usableSlots > 0 && limitedByAll) {
+			Refusal refusal = findLimitRefusal(request, home, nowNanos);
+			if (refusal != null) {
+				return refusal;
+			}
+		}
 		return this.admission.findRefusal(request, this.rule, usableSlots, nowNanos);
 	}
 
+	// If all upstreams have limits, the time at which a request is allowed is known.
+	private @Nullable Refusal findLimitRefusal(RoutingRequest request, boolean home, long nowNanos) {
+		if (!home) {
+			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM, this.admission.retryAfterMillis(request,
+					AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos));
+		}
+		int requestsAhead = this.queues.sizeUpTo(this.admission.rank(request, nowNanos));
+		int requestsPerUpstream = 1 + requestsAhead / (int) usableTrackers(nowNanos).count();
+		long allowedAtNanos = usableTrackers(nowNanos)
+			.mapToLong((tracker) -> tracker.rateLimit().allowedAtNanos(requestsPerUpstream, nowNanos))
+			.min()
+			.orElse(nowNanos);
+		if (allowedAtNanos + this.admission.typicalServiceNanos() <= request.deadlineNanos()) {
+			return null;
+		}
+		return new Refusal(request.id(), RefusalReason.OVERLOAD, this.admission.retryAfterMillis(request,
+				Duration.ofNanos(allowedAtNanos - nowNanos).toMillis(), nowNanos));
+	}
+
 	private Stream<UpstreamTracker> usableTrackers(long nowNanos) {
 		return this.trackers.values()
 			.stream()
@@ -301,8 +327,7 @@
 		List<UpstreamTracker> candidates = new ArrayList<>();
 		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request, nowNanos);
 		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (eligible.test(tracker) && !tracker.refuses(state.request.origin(), nowNanos)
-					&& !state.triedUpstreams.contains(tracker.upstream().name())
+			if (eligible.test(tracker) && state.mayUse(tracker, nowNanos)
 					&& nowNanos + expectedDurationNanos(tracker, nowNanos) <= latestCompletionNanos) {
 				candidates.add(tracker);
 			}
@@ -341,7 +366,7 @@
 				&& this.throughput.meanServiceNanos() > 0;
 		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request, nowNanos) : 0;
 		this.effects.add(new Dispatch(state.request.id(), tracker.upstream(), kind, tracker.inFlight(), queueTimeNanos,
-				hedgeAfterNanos));
+				hedgeAfterNanos, tracker.rateLimit().isActive()));
 	}
 
 	// A hedge is sent early enough to meet the objective, but not before the attempt
@@ -386,6 +411,9 @@
 		if (report != null) {
 			tracker.recordReport(report, state.request.origin(), nowNanos);
 		}
+		if (result == AttemptResult.SUCCESS && (report == null || !report.isLimited())) {
+			tracker.rateLimit().clear();
+		}
 		tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
 		if (result.countsAgainstUpstream()) {
 			tracker.recordFailure(result, nowNanos, ejectionRule(nowNanos));
@@ -429,9 +457,7 @@
 			return List.of(new Refusal(requestId, RefusalReason.RETRY_BUDGET, this.admission
 				.retryAfterMillis(state.request, AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
 		}
-		boolean hasUntriedUpstream = usableTrackers(nowNanos)
-			.anyMatch((tracker) -> !tracker.refuses(state.request.origin(), nowNanos)
-					&& !state.triedUpstreams.contains(tracker.upstream().name()));
+		boolean hasUntriedUpstream = usableTrackers(nowNanos).anyMatch((tracker) -> state.mayUse(tracker, nowNanos));
 		if (!hasUntriedUpstream) {
 			return List.of(new Refusal(requestId, RefusalReason.NO_UPSTREAM, this.admission
 				.retryAfterMillis(state.request, AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos)));
@@ -455,8 +481,7 @@
 		return this.trackers.values()
 			.stream()
 			.filter((tracker) -> tracker.hasFreeSlot(nowNanos))
-			.filter((tracker) -> !tracker.refuses(state.request.origin(), nowNanos))
-			.filter((tracker) -> !state.triedUpstreams.contains(tracker.upstream().name()))
+			.filter((tracker) -> state.mayUse(tracker, nowNanos))
 			.min(Comparator.comparingDouble((tracker) -> expectedDurationNanos(tracker, nowNanos)));
 	}
 
@@ -645,14 +670,24 @@
 
 		private final RoutingRequest request;
 
+		// Whether this instance routes the request as the home of the service.
+		private final boolean home;
+
 		private final Set<String> triedUpstreams = new HashSet<>();
 
 		private final Map<String, AttemptStart> attemptsInFlight = new HashMap<>();
 
 		private boolean closed;
 
-		private RequestState(RoutingRequest request) {
+		private RequestState(RoutingRequest request, boolean home) {
 			this.request = request;
+			this.home = home;
+		}
+
+		// An upstream with a limit takes only requests that the home counts.
+		private boolean mayUse(UpstreamTracker tracker, long nowNanos) {
+			return !tracker.refuses(this.request.origin(), nowNanos) && (this.home || !tracker.rateLimit().isActive())
+					&& !this.triedUpstreams.contains(tracker.upstream().name());
 		}
 
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -9,17 +9,24 @@
 
 /**
  * Remembers which upstreams told this instance to send no requests: because they leave,
- * or for some time. The home of a service may not know it yet when it grants a slot, such
- * as after the home changed. Points in time are monotonic, in nanoseconds. Not safe for
- * concurrent use.
+ * for some time, or beyond a limit that all instances share. The home of a service may
+ * not know it yet when it grants a slot, such as after the home changed. Points in time
+ * are monotonic, in nanoseconds. Not safe for concurrent use.
  */
 public final class UpstreamConstraints {
 
+	// An upstream repeats its limit in each response, so one that was not repeated for
+	// long may have ended.
+	private static final long LIMIT_PERIOD_NANOS = 10_000_000_000L;
+
 	// This and the following map are keyed by the name of the upstream.
 	private final Map<String, Constraint> constraints = new HashMap<>();
 
 	private final Map<String, Long> incarnations = new HashMap<>();
 
+	// Keyed by the name of the upstream.
+	private final Map<String, NamedLimit> limits = new HashMap<>();
+
 	/**
 	 * Sets the announced upstreams. A new incarnation of an upstream is not bound by what
 	 * an earlier one reported.
@@ -27,11 +34,13 @@
 	 */
 	public void updateUpstreams(List<Upstream> upstreams) {
 		// The incarnation of a bound upstream is kept while it is not announced.
-		this.incarnations.keySet().retainAll(this.constraints.keySet());
+		this.incarnations.keySet()
+			.removeIf((name) -> !this.constraints.containsKey(name) && !this.limits.containsKey(name));
 		for (Upstream upstream : upstreams) {
 			Long formerIncarnation = this.incarnations.put(upstream.name(), upstream.incarnation());
 			if (formerIncarnation != null && upstream.incarnation() > formerIncarnation) {
 				this.constraints.remove(upstream.name());
+				this.limits.remove(upstream.name());
 			}
 		}
 	}
@@ -52,13 +61,39 @@
 				new Constraint(former.leaving() || report.leaving(), Math.max(former.refusedUntilNanos(), untilNanos)));
 	}
 
+	/**
+	 * Records the limit that an upstream named with a response, or that it named none.
+	 * @param upstream the name of the upstream
+	 * @param report the report in the response, or {@code null}
+	 * @param result the result of the attempt; without a response it tells nothing
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 */
+	public void recordLimit(String upstream, @Nullable LoadReport report, AttemptResult result, long nowNanos) {
+		if (report != null && report.isLimited()) {
+			this.limits.put(upstream, new NamedLimit(report.limitPerSecond(), nowNanos));
+		}
+		else if (result == AttemptResult.SUCCESS) {
+			this.limits.remove(upstream);
+		}
+	}
+
 	/**
 	 * Returns why no request may be sent to an upstream now.
 	 * @param upstream the name of the upstream
+	 * @param limitCounted whether the home counted the request against a limit
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 * @return the report to give to the home, or {@code null} if requests may be sent
 	 */
-	public @Nullable LoadReport find(String upstream, long nowNanos) {
+	public @Nullable LoadReport find(String upstream, boolean limitCounted, long nowNanos) {
+		LoadReport report = findConstraint(upstream, nowNanos);
+		NamedLimit limit = this.limits.get(upstream);
+		if (report != null || limitCounted || limit == null || nowNanos - limit.namedNanos() > LIMIT_PERIOD_NANOS) {
+			return report;
+		}
+		return LoadReport.limitedTo(limit.perSecond());
+	}
+
+	private @Nullable LoadReport findConstraint(String upstream, long nowNanos) {
 		Constraint constraint = this.constraints.get(upstream);
 		if (constraint == null) {
 			return null;
@@ -73,4 +108,7 @@
 	private record Constraint(boolean leaving, long refusedUntilNanos) {
 	}
 
+	private record NamedLimit(double perSecond, long namedNanos) {
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -76,6 +76,8 @@
 
 	private long leavingUntilNanos = NEVER;
 
+	private final UpstreamRateLimit rateLimit = new UpstreamRateLimit();
+
 	// Keyed by the origin of the requests that the upstream refuses.
 	private final Map<String, Long> refusedUntilNanos = new HashMap<>();
 
@@ -98,6 +100,7 @@
 			this.awaitsConnectionProbe = false;
 			this.leavingUntilNanos = NEVER;
 			this.refusedUntilNanos.clear();
+			this.rateLimit.clear();
 		}
 		this.upstream = announcedUpstream;
 		this.removed = false;
@@ -171,7 +174,7 @@
 	}
 
 	boolean hasFreeSlot(long nowNanos) {
-		if (!acceptsRequests() || isEjected(nowNanos)) {
+		if (!acceptsRequests() || isEjected(nowNanos) || !this.rateLimit.allows(nowNanos)) {
 			return false;
 		}
 		return this.inFlight < (isOnTrial() ? 1 : usableSlots(nowNanos));
@@ -188,7 +191,8 @@
 	// Allows some requests beyond the slots to wait at the upstream, so that a
 	// slot is not idle while a response and the next request are transferred.
 	boolean mayPipeline(long nowNanos, double queuedPerSlot, double defaultServiceNanos) {
-		if (!acceptsRequests() || isEjected(nowNanos) || isOnTrial() || usableSlots(nowNanos) < this.upstream.slots()) {
+		if (!acceptsRequests() || isEjected(nowNanos) || isOnTrial() || usableSlots(nowNanos) < this.upstream.slots()
+				|| !this.rateLimit.allows(nowNanos)) {
 			return false;
 		}
 		return this.inFlight < this.upstream.slots() + pipelineLimit(queuedPerSlot, defaultServiceNanos);
@@ -231,6 +235,9 @@
 		if (report.refusedMillis() > 0) {
 			this.refusedUntilNanos.put(origin, nowNanos + Duration.ofMillis(report.refusedMillis()).toNanos());
 		}
+		if (report.isLimited()) {
+			this.rateLimit.set(report.limitPerSecond(), nowNanos);
+		}
 		if (report.hasLoad()) {
 			this.lastReportNanos = nowNanos;
 			this.pace.recordReport(report.pacePercent(), nowNanos);
@@ -268,8 +275,13 @@
 		return nowNanos - this.lastDispatchNanos > STRAGGLER_TRIAL_INTERVAL_NANOS;
 	}
 
+	UpstreamRateLimit rateLimit() {
+		return this.rateLimit;
+	}
+
 	void recordDispatch(long nowNanos) {
 		this.inFlight++;
+		this.rateLimit.recordDispatch(nowNanos);
 		this.lastDispatchNanos = nowNanos;
 	}
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
@@ -79,6 +79,34 @@
 			assertThat(admit(OTHER_GATEWAY, 100)).singleElement().isInstanceOf(RoutingEffect.Refusal.class);
 		}
 
+		@Test
+		void limitEndsWithAResponseThatNamesNone() {
+			completeFirst(GATEWAY, LoadReport.limitedTo(0.2));
+			assertThat(admit(GATEWAY, 5_000)).singleElement().isInstanceOf(RoutingEffect.Dispatch.class);
+			long requestId = this.lastRequestId;
+			assertThat(admit(GATEWAY, 5_000)).isEmpty();
+			assertThat(
+					this.router.completeAttempt(requestId, "one", AttemptResult.SUCCESS, null, 5_000 * NANOS_PER_MILLI))
+				.singleElement()
+				.isInstanceOf(RoutingEffect.Dispatch.class);
+		}
+
+		@Test
+		void requestWithoutHomeIsNotSentToLimitedUpstream() {
+			completeFirst(GATEWAY, LoadReport.limitedTo(100));
+			RoutingRequest request = new RoutingRequest(++this.lastRequestId, "caller", true, 10_000 * NANOS_PER_MILLI);
+			assertThat(this.router.admit(request, false, 1_000 * NANOS_PER_MILLI)).singleElement()
+				.isInstanceOf(RoutingEffect.Refusal.class);
+		}
+
+		@Test
+		void requestThatNoLimitAllowsInTimeIsRefusedAtOnce() {
+			completeFirst(GATEWAY, LoadReport.limitedTo(0.1));
+			RoutingRequest request = new RoutingRequest(++this.lastRequestId, "caller", true, 900 * NANOS_PER_MILLI);
+			assertThat(this.router.admit(request, 100 * NANOS_PER_MILLI)).singleElement()
+				.isInstanceOf(RoutingEffect.Refusal.class);
+		}
+
 		@Test
 		void newIncarnationOfLeavingUpstreamIsUsed() {
 			completeFirst(GATEWAY, LoadReport.LEAVING);
@@ -100,11 +128,11 @@
 		@Test
 		void leavingUpstreamIsAvoidedUntilANewIncarnationIsAnnounced() {
 			this.constraints.record("one", LoadReport.LEAVING, 0);
-			assertThat(this.constraints.find("one", 3_600_000 * NANOS_PER_MILLI)).isEqualTo(LoadReport.LEAVING);
+			assertThat(this.constraints.find("one", false, 3_600_000 * NANOS_PER_MILLI)).isEqualTo(LoadReport.LEAVING);
 			this.constraints.updateUpstreams(List.of(upstream("one", 1)));
-			assertThat(this.constraints.find("one", 0)).isEqualTo(LoadReport.LEAVING);
+			assertThat(this.constraints.find("one", false, 0)).isEqualTo(LoadReport.LEAVING);
 			this.constraints.updateUpstreams(List.of(upstream("one", 2)));
-			assertThat(this.constraints.find("one", 0)).isNull();
+			assertThat(this.constraints.find("one", false, 0)).isNull();
 		}
 
 		@Test
@@ -112,21 +140,39 @@
 			this.constraints.record("one", LoadReport.LEAVING, 0);
 			this.constraints.updateUpstreams(List.of());
 			this.constraints.updateUpstreams(List.of(upstream("one", 1)));
-			assertThat(this.constraints.find("one", 0)).isEqualTo(LoadReport.LEAVING);
+			assertThat(this.constraints.find("one", false, 0)).isEqualTo(LoadReport.LEAVING);
 		}
 
 		@Test
 		void refusalEndsAfterItsTime() {
 			this.constraints.record("one", LoadReport.refusedFor(500), 0);
-			assertThat(this.constraints.find("one", 100 * NANOS_PER_MILLI)).isEqualTo(LoadReport.refusedFor(400));
-			assertThat(this.constraints.find("one", 500 * NANOS_PER_MILLI)).isNull();
+			assertThat(this.constraints.find("one", false, 100 * NANOS_PER_MILLI))
+				.isEqualTo(LoadReport.refusedFor(400));
+			assertThat(this.constraints.find("one", false, 500 * NANOS_PER_MILLI)).isNull();
+		}
+
+		@Test
+		void grantThatTheHomeDidNotCountIsReturnedWithTheLimit() {
+			this.constraints.recordLimit("one", LoadReport.limitedTo(2.3), AttemptResult.SUCCESS, 0);
+			assertThat(this.constraints.find("one", false, 0)).isEqualTo(LoadReport.limitedTo(2.3));
+			assertThat(this.constraints.find("one", true, 0)).isNull();
+		}
+
+		@Test
+		void limitEndsWithAResponseThatNamesNoneOrWithoutAny() {
+			this.constraints.recordLimit("one", LoadReport.limitedTo(2.3), AttemptResult.SUCCESS, 0);
+			this.constraints.recordLimit("one", null, AttemptResult.CANCELLED, 0);
+			assertThat(this.constraints.find("one", false, 0)).isNotNull();
+			assertThat(this.constraints.find("one", false, 11_000 * NANOS_PER_MILLI)).isNull();
+			this.constraints.recordLimit("one", null, AttemptResult.SUCCESS, 0);
+			assertThat(this.constraints.find("one", false, 0)).isNull();
 		}
 
 		@Test
 		void laterAnswerDoesNotShortenARefusal() {
 			this.constraints.record("one", LoadReport.refusedFor(500), 0);
 			this.constraints.record("one", LoadReport.refusedFor(100), 0);
-			assertThat(this.constraints.find("one", 400 * NANOS_PER_MILLI)).isNotNull();
+			assertThat(this.constraints.find("one", false, 400 * NANOS_PER_MILLI)).isNotNull();
 		}
 
 	}
