Log when an upstream begins and ends to name a limit

Cause: the log showed no line about limits, so a limited upstream could not be told from a slow one.

Change: each instance that receives the response writes upstream-limit-changed when a limit begins or ends.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -119,11 +119,18 @@
 	}
 
 	void recordReport(String upstream, @Nullable LoadReport report, AttemptResult result) {
+		boolean limitChanged;
 		synchronized (this.constraints) {
 			if (report != null) {
 				this.constraints.record(upstream, report, this.time.monotonicNanos());
 			}
-			this.constraints.recordLimit(upstream, report, result, this.time.monotonicNanos());
+			limitChanged = this.constraints.recordLimit(upstream, report, result, this.time.monotonicNanos());
+		}
+		if (limitChanged) {
+			eventLog.information("upstream-limit-changed")
+				.with("upstream", upstream)
+				.with("per-second", (report != null && report.isLimited()) ? report.limitPerSecond() : "none")
+				.write();
 		}
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -67,14 +67,13 @@
 	 * @param report the report in the response, or {@code null}
 	 * @param result the result of the attempt; without a response it tells nothing
 	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return whether a limit began or ended
 	 */
-	public void recordLimit(String upstream, @Nullable LoadReport report, AttemptResult result, long nowNanos) {
+	public boolean recordLimit(String upstream, @Nullable LoadReport report, AttemptResult result, long nowNanos) {
 		if (report != null && report.isLimited()) {
-			this.limits.put(upstream, new NamedLimit(report.limitPerSecond(), nowNanos));
-		}
-		else if (result == AttemptResult.SUCCESS) {
-			this.limits.remove(upstream);
+			return this.limits.put(upstream, new NamedLimit(report.limitPerSecond(), nowNanos)) == null;
 		}
+		return result == AttemptResult.SUCCESS && this.limits.remove(upstream) != null;
 	}
 
 	/**
