Derive the greatest age of control instances' rules from the time to apply rules

Cause: the age above which a gateway leaves a control instance was a constant, while the time within which rules must be in force is a setting of the deployment.

Change: half of apply-millis; the other half remains for the next report and the fetch. ControlPartitionProperties, RulesCurrencyProperties and SilentConnectionProperties pass.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
@@ -29,10 +29,6 @@
 	// Three missed reports to each of the control instances reported to.
 	private static final long OUTAGE_MILLIS = 1_500;
 
-	// The age of the rules of a control instance above which a gateway reports to another
-	// one. A follower of a leader hears from it several times in this time.
-	private static final long MAXIMUM_RULES_AGE_MILLIS = 750;
-
 	// Enough for a random graph that stays connected while a third of the gateways is
 	// lost.
 	private static final int NEIGHBOR_COUNT = 4;
@@ -41,6 +37,10 @@
 
 	private final InstanceTable instances;
 
+	// The age of the rules of a control instance above which a gateway reports to another
+	// one.
+	private final long maximumRulesAgeMillis;
+
 	private final Backoff interval = new Backoff(MINIMUM_REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS);
 
 	private long startMillis = Long.MIN_VALUE;
@@ -48,9 +48,10 @@
 	// Whether the last response listed the instances that this gateway counts as live.
 	private boolean viewAgreed;
 
-	GatewayReports(InstanceRecord self, InstanceTable instances) {
+	GatewayReports(InstanceRecord self, InstanceTable instances, long rulesApplyMillis) {
 		this.subscription = new ControlSubscription(self.getName(), self.getZone());
 		this.instances = instances;
+		this.maximumRulesAgeMillis = rulesApplyMillis / 2;
 	}
 
 	// Returns the addresses to report to now, or an empty list if no control instance is
@@ -120,9 +121,9 @@
 	// The heartbeats of other control instances show only after their timeout that the
 	// sender is partitioned from them; the age of its rules shows it at once. Updates
 	// carry no age.
-	private static boolean isOutdated(Gossip response) {
+	private boolean isOutdated(Gossip response) {
 		return response.getReport() != 0
-				&& !(response.hasRulesAgeMillis() && response.getRulesAgeMillis() <= MAXIMUM_RULES_AGE_MILLIS);
+				&& !(response.hasRulesAgeMillis() && response.getRulesAgeMillis() <= this.maximumRulesAgeMillis);
 	}
 
 	/**
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -155,7 +155,7 @@
 		this.instances = new InstanceTable(self.getName());
 		this.upstreams = new UpstreamRegistry(self.getName());
 		this.instances.merge(self, 0);
-		this.reports = new GatewayReports(self, this.instances);
+		this.reports = new GatewayReports(self, this.instances, settings.rulesApplyMillis());
 		this.responses = new ReportResponses(this.instances);
 		this.changedInstances.add(self.getName(), self, this.seeds.size());
 	}
