Let a gateway keep the limit of an upstream until a response ends it

Cause: a gateway forgot a limit that was not repeated for 10 s. At a limit near zero there is hardly a response in that time, so after a change of the home the new one granted slots that no gateway returned. UpstreamRateLimitProperties found it once the upstream was given up to 40 slots and 500 ms a request, and requests always asked the home (limit 0, three changes of the home: more than 5 requests in 4 s).

After a gateway has returned an uncounted grant with the limit, it accepts uncounted ones for a second, so that outdated knowledge ends with the next response.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -124,7 +124,7 @@
 			if (report != null) {
 				this.constraints.record(upstream, report, this.time.monotonicNanos());
 			}
-			limitChanged = this.constraints.recordLimit(upstream, report, result, this.time.monotonicNanos());
+			limitChanged = this.constraints.recordLimit(upstream, report, result);
 		}
 		if (limitChanged) {
 			eventLog.information("upstream-limit-changed")
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -15,9 +15,11 @@
  */
 public final class UpstreamConstraints {
 
-	// An upstream repeats its limit in each response, so one that was not repeated for
-	// long may have ended.
-	private static final long LIMIT_PERIOD_NANOS = 10_000_000_000L;
+	// A grant that is still not counted after the home was told the limit shows that the
+	// home knows of its end.
+	private static final long LIMIT_TOLD_PERIOD_NANOS = 1_000_000_000L;
+
+	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	// This and the following map are keyed by the name of the upstream.
 	private final Map<String, Constraint> constraints = new HashMap<>();
@@ -66,18 +68,21 @@
 	 * @param upstream the name of the upstream
 	 * @param report the report in the response, or {@code null}
 	 * @param result the result of the attempt; without a response it tells nothing
-	 * @param nowNanos the monotonic time, in nanoseconds
 	 * @return whether a limit began or ended
 	 */
-	public boolean recordLimit(String upstream, @Nullable LoadReport report, AttemptResult result, long nowNanos) {
+	public boolean recordLimit(String upstream, @Nullable LoadReport report, AttemptResult result) {
 		if (report != null && report.isLimited()) {
-			return this.limits.put(upstream, new NamedLimit(report.limitPerSecond(), nowNanos)) == null;
+			NamedLimit former = this.limits.get(upstream);
+			this.limits.put(upstream,
+					new NamedLimit(report.limitPerSecond(), (former != null) ? former.toldNanos() : NEVER));
+			return former == null;
 		}
 		return result == AttemptResult.SUCCESS && this.limits.remove(upstream) != null;
 	}
 
 	/**
-	 * Returns why no request may be sent to an upstream now.
+	 * Returns why no request may be sent to an upstream now. A limit is returned at
+	 * intervals only, because the home then keeps it.
 	 * @param upstream the name of the upstream
 	 * @param limitCounted whether the home counted the request against a limit
 	 * @param nowNanos the monotonic time, in nanoseconds
@@ -86,9 +91,10 @@
 	public @Nullable LoadReport find(String upstream, boolean limitCounted, long nowNanos) {
 		LoadReport report = findConstraint(upstream, nowNanos);
 		NamedLimit limit = this.limits.get(upstream);
-		if (report != null || limitCounted || limit == null || nowNanos - limit.namedNanos() > LIMIT_PERIOD_NANOS) {
+		if (report != null || limitCounted || limit == null || nowNanos - limit.toldNanos() < LIMIT_TOLD_PERIOD_NANOS) {
 			return report;
 		}
+		this.limits.put(upstream, new NamedLimit(limit.perSecond(), nowNanos));
 		return LoadReport.limitedTo(limit.perSecond());
 	}
 
@@ -107,7 +113,7 @@
 	private record Constraint(boolean leaving, long refusedUntilNanos) {
 	}
 
-	private record NamedLimit(double perSecond, long namedNanos) {
+	private record NamedLimit(double perSecond, long toldNanos) {
 	}
 
 }
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
@@ -153,19 +153,20 @@
 
 		@Test
 		void grantThatTheHomeDidNotCountIsReturnedWithTheLimit() {
-			this.constraints.recordLimit("one", LoadReport.limitedTo(2.3), AttemptResult.SUCCESS, 0);
-			assertThat(this.constraints.find("one", false, 0)).isEqualTo(LoadReport.limitedTo(2.3));
+			this.constraints.recordLimit("one", LoadReport.limitedTo(2.3), AttemptResult.SUCCESS);
 			assertThat(this.constraints.find("one", true, 0)).isNull();
+			assertThat(this.constraints.find("one", false, 0)).isEqualTo(LoadReport.limitedTo(2.3));
+			assertThat(this.constraints.find("one", false, 500 * NANOS_PER_MILLI)).isNull();
+			assertThat(this.constraints.find("one", false, 1_000 * NANOS_PER_MILLI)).isNotNull();
 		}
 
 		@Test
 		void limitEndsWithAResponseThatNamesNoneOrWithoutAny() {
-			this.constraints.recordLimit("one", LoadReport.limitedTo(2.3), AttemptResult.SUCCESS, 0);
-			this.constraints.recordLimit("one", null, AttemptResult.CANCELLED, 0);
-			assertThat(this.constraints.find("one", false, 0)).isNotNull();
-			assertThat(this.constraints.find("one", false, 11_000 * NANOS_PER_MILLI)).isNull();
-			this.constraints.recordLimit("one", null, AttemptResult.SUCCESS, 0);
-			assertThat(this.constraints.find("one", false, 0)).isNull();
+			this.constraints.recordLimit("one", LoadReport.limitedTo(2.3), AttemptResult.SUCCESS);
+			this.constraints.recordLimit("one", null, AttemptResult.CANCELLED);
+			assertThat(this.constraints.find("one", false, 60_000 * NANOS_PER_MILLI)).isNotNull();
+			this.constraints.recordLimit("one", null, AttemptResult.SUCCESS);
+			assertThat(this.constraints.find("one", false, 120_000 * NANOS_PER_MILLI)).isNull();
 		}
 
 		@Test
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamRateLimitProperties.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamRateLimitProperties.java
@@ -25,8 +25,6 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
-	private static final long SERVICE_MILLIS = 20;
-
 	private static final long TIMEOUT_MILLIS = 800;
 
 	private static final long DURATION_MILLIS = 14_000;
@@ -41,9 +39,11 @@
 
 	@Property(tries = 40)
 	void instancesTogetherKeepTheLimit(@ForAll @DoubleRange(min = 0, max = 30) double limitPerSecond,
-			@ForAll @IntRange(min = 2, max = 20) int gatewayCount, @ForAll @IntRange(min = 0, max = 3) int moves,
-			@ForAll long seed) {
-		Fleet fleet = new Fleet(gatewayCount, limitPerSecond, moves, new Random(seed));
+			@ForAll @IntRange(min = 2, max = 20) int gatewayCount, @ForAll @IntRange(min = 3, max = 40) int slots,
+			@ForAll @IntRange(min = 5, max = 500) int serviceMillis, @ForAll @IntRange(min = 0, max = 3) int moves,
+			@ForAll boolean withoutHomeAtTimes, @ForAll long seed) {
+		Fleet fleet = new Fleet(gatewayCount, slots, serviceMillis, limitPerSecond, moves, new Random(seed));
+		fleet.withoutHomeAtTimes = withoutHomeAtTimes;
 		while (fleet.nowMillis < DURATION_MILLIS) {
 			fleet.step();
 		}
@@ -75,6 +75,8 @@
 
 		private final Queue<Attempt> attempts = new ArrayDeque<>();
 
+		private final int serviceMillis;
+
 		private final double limitPerSecond;
 
 		private final List<Long> moveMillis = new ArrayList<>();
@@ -83,6 +85,8 @@
 
 		private final int[] sentByMillis = new int[(int) DURATION_MILLIS];
 
+		private boolean withoutHomeAtTimes;
+
 		private int home;
 
 		private long lastRequestId;
@@ -93,14 +97,15 @@
 
 		private int servedCount;
 
-		private Fleet(int gatewayCount, double limitPerSecond, int moves, Random random) {
+		private Fleet(int gatewayCount, int slots, int serviceMillis, double limitPerSecond, int moves, Random random) {
+			this.serviceMillis = serviceMillis;
 			this.limitPerSecond = limitPerSecond;
 			this.random = random;
 			this.toldMillis = new long[gatewayCount];
 			for (int i = 0; i < gatewayCount; i++) {
 				ServiceRouter router = new ServiceRouter(ServiceRule.defaults("rotaboard"), "bastrop", 4, 0);
-				router.updateUpstreams(List.of(new Upstream(LIMITED, "127.0.0.1:1", "bastrop", 3, 1, true),
-						new Upstream("other", "127.0.0.1:2", "bastrop", 3, 1, true)), 0);
+				router.updateUpstreams(List.of(new Upstream(LIMITED, "127.0.0.1:1", "bastrop", slots, 1, true),
+						new Upstream("other", "127.0.0.1:2", "bastrop", slots, 1, true)), 0);
 				this.routers.add(router);
 				this.constraints.add(new UpstreamConstraints());
 				this.toldMillis[i] = Long.MAX_VALUE / 2;
@@ -132,7 +137,7 @@
 
 		private void admit() {
 			int gateway = this.random.nextInt(this.routers.size());
-			boolean withHome = this.random.nextInt(10) > 0;
+			boolean withHome = !this.withoutHomeAtTimes || this.random.nextInt(10) > 0;
 			ServiceRouter router = this.routers.get(withHome ? this.home : gateway);
 			long id = ++this.lastRequestId;
 			this.assignments.put(id, new Assignment(gateway, router));
@@ -162,7 +167,7 @@
 				execute(assignment.router().retry(dispatch.requestId(), nowNanos()));
 				return;
 			}
-			this.attempts.add(new Attempt(dispatch.requestId(), upstream, this.nowMillis + SERVICE_MILLIS));
+			this.attempts.add(new Attempt(dispatch.requestId(), upstream, this.nowMillis + this.serviceMillis));
 			if (upstream.equals(LIMITED) && this.toldMillis[assignment.gateway()] + TOLD_MILLIS <= this.nowMillis) {
 				this.sentByMillis[(int) this.nowMillis]++;
 			}
@@ -177,8 +182,7 @@
 				this.toldMillis[assignment.gateway()] = Math.min(this.toldMillis[assignment.gateway()], this.nowMillis);
 			}
 			this.servedCount++;
-			this.constraints.get(assignment.gateway())
-				.recordLimit(attempt.upstream(), report, AttemptResult.SUCCESS, nowNanos());
+			this.constraints.get(assignment.gateway()).recordLimit(attempt.upstream(), report, AttemptResult.SUCCESS);
 			execute(assignment.router()
 				.completeAttempt(attempt.requestId(), attempt.upstream(), AttemptResult.SUCCESS, report, nowNanos()));
 			assignment.router().close(attempt.requestId());
