--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -44,6 +44,7 @@
 
 	private static final int MAXIMUM_BATCH_SIZE = 1_024;
 
+	// Gateways report less often.
 	private static final long CURRENCY_INTERVAL_MILLIS = 100;
 
 	private final DaemonSettings settings;
@@ -158,7 +159,7 @@
 		logLeadership();
 	}
 
-	// Committed rules were published before.
+	// To be called after committed rules were published.
 	private void publishRulesCurrency() {
 		long currentAtMillis = this.replica.rulesCurrentAtMillis();
 		if (currentAtMillis - this.publishedCurrentAtMillis >= CURRENCY_INTERVAL_MILLIS) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -69,9 +69,11 @@
 					response, countingCallback);
 			return true;
 		}
+		// Determined before the route, because rules may be applied in between.
+		boolean hasAllRulesInForce = this.cluster.hasAllRulesInForce();
 		Optional<RouteRule> route = this.context.routing()
 			.findRoute(host(request), request.getMethod(), request.getHttpURI().getPath());
-		if (route.isEmpty() && !this.cluster.hasAllRulesInForce()) {
+		if (route.isEmpty() && !hasAllRulesInForce) {
 			refuse(request, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "The newest rules may not be known yet.",
 					retryAfterMillis(request, STARTING_RETRY_AFTER_MILLIS)), response, countingCallback);
 			return true;
