Accept bounds of the platform that are not integers

What callers saw: nothing was served. Every instance ended at its start, again and again.

Cause: settings of a narrower type than what the platform states. Its bounds are integers or fractions; retries.slack, retries.window-seconds, limits.grace-seconds, limits.acknowledgement-millis and limits.apply-millis were read as integers, and limits.processor-share as at most one core.

Change: these settings are numbers; durations are rounded to milliseconds.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -36,6 +36,8 @@
 	// The time that a process needs to stop once no request is open, in milliseconds.
 	private static final long STOP_MILLIS = 700;
 
+	private static final long MILLIS_PER_SECOND = 1_000;
+
 	// The share of the time for an acknowledgement in which live instances are waited
 	// for. The rest is left to agreement, also after the loss of its leader.
 	private static final double PROPAGATION_SHARE = 0.15;
@@ -193,15 +195,15 @@
 	private static RetryLimits readRetryLimits(SettingsNode node) {
 		RetryLimits defaults = RetryLimits.DEFAULTS;
 		RetryLimits limits = new RetryLimits(node.getFraction("ratio", defaults.ratio()),
-				(int) node.getLong("slack", defaults.slack(), 0, 1_000_000),
-				(int) node.getLong("window-seconds", defaults.windowSeconds(), 1, 3_600));
+				node.getNumber("slack", defaults.slack(), 0, 1_000_000),
+				node.getNumber("window-seconds", defaults.windowSeconds(), 1, 3_600));
 		node.rejectUnknownKeys();
 		return limits;
 	}
 
 	// Probes may use a share of the link and of the processor.
 	private static double readPaceProbesPerSecond(SettingsNode node) {
-		double processorShare = node.getFraction("processor-share", 1);
+		double processorShare = node.getNumber("processor-share", 1);
 		double linkMegabitsPerSecond = node.getNumber("link-megabits", UNLIMITED_LINK_MEGABITS);
 		double byLink = linkMegabitsPerSecond * BYTES_PER_MEGABIT * PROBES_LINK_SHARE / BYTES_PER_PROBE;
 		double byProcessor = processorShare * RouterSettings.DEFAULT_PACE_PROBES_PER_SECOND;
@@ -210,8 +212,8 @@
 
 	// The platform kills a process some time after it asked it to stop.
 	private static long readShutdownTimeoutMillis(SettingsNode node, long shutdownDelayMillis) {
-		long graceSeconds = node.getLong("grace-seconds", 0, 0, 86_400);
-		long remainingMillis = graceSeconds * 1_000 - shutdownDelayMillis - STOP_MILLIS;
+		double graceSeconds = node.getNumber("grace-seconds", 0, 0, 86_400);
+		long remainingMillis = Math.round(graceSeconds * MILLIS_PER_SECOND) - shutdownDelayMillis - STOP_MILLIS;
 		return (graceSeconds == 0) ? 0 : Math.max(1, remainingMillis);
 	}
 
@@ -221,11 +223,11 @@
 		long shutdownDelayMillis = node.getLong("notice-millis", 3_000, 0, 60_000);
 		long shutdownTimeoutMillis = node.getLong("shutdown-millis",
 				readShutdownTimeoutMillis(node, shutdownDelayMillis), 0, 86_400_000);
-		long acknowledgementMillis = node.getLong("acknowledgement-millis", 0, 0, 3_600_000);
+		double acknowledgementMillis = node.getNumber("acknowledgement-millis", 0, 0, 3_600_000);
 		long rulePropagationTimeoutMillis = node.getLong("spread-millis",
 				(acknowledgementMillis > 0) ? Math.round(acknowledgementMillis * PROPAGATION_SHARE) : 3_000, 0, 60_000);
-		long rulesApplyMillis = node.getLong("apply-millis", MembershipSettings.DEFAULT_RULES_APPLY_MILLIS, 1,
-				3_600_000);
+		long rulesApplyMillis = Math
+			.round(node.getNumber("apply-millis", MembershipSettings.DEFAULT_RULES_APPLY_MILLIS, 1, 3_600_000));
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
 		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, shutdownTimeoutMillis,
 				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, callerHeader);
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
@@ -216,6 +216,19 @@
 				"A positive number is expected.");
 	}
 
+	/**
+	 * Returns a number within a range.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @param minimum the lowest valid value
+	 * @param maximum the highest valid value
+	 * @return the value, or the default after a finding
+	 */
+	public double getNumber(String key, double defaultValue, long minimum, long maximum) {
+		return readNumber(key, defaultValue, Double::valueOf, (value) -> value >= minimum && value <= maximum,
+				"A number from " + minimum + " to " + maximum + " is expected.");
+	}
+
 	private <T extends Number> T readNumber(String key, T defaultValue, Function<String, T> parser, Predicate<T> valid,
 			String expectation) {
 		Node node = readNode(key);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryLimits.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryLimits.java
@@ -1,7 +1,5 @@
 package org.radishthread.routing;
 
-import java.time.Duration;
-
 import org.radishthread.kernel.Assert;
 
 /**
@@ -12,7 +10,9 @@
  * @param slack the retries and hedges allowed in a window in addition
  * @param windowSeconds the length of a window, in seconds
  */
-public record RetryLimits(double ratio, int slack, int windowSeconds) {
+public record RetryLimits(double ratio, double slack, double windowSeconds) {
+
+	private static final double NANOS_PER_SECOND = 1_000_000_000;
 
 	/**
 	 * The limits of a deployment whose settings state none.
@@ -26,7 +26,7 @@
 	}
 
 	long windowNanos() {
-		return Duration.ofSeconds(this.windowSeconds).toNanos();
+		return Math.round(this.windowSeconds * NANOS_PER_SECOND);
 	}
 
 }
