--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/CommitCurrency.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/CommitFreshness.java
@@ -14,7 +14,7 @@
  * times of the own clock are compared, so delayed messages make the knowledge older,
  * never newer. Not thread-safe; times are monotonic, in milliseconds.
  */
-final class CommitCurrency {
+final class CommitFreshness {
 
 	static final long UNKNOWN = Long.MIN_VALUE / 2;
 
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
@@ -72,7 +72,7 @@
 
 	private long lastLeaderContactMillis = NEVER;
 
-	private final CommitCurrency commitCurrency = new CommitCurrency();
+	private final CommitFreshness commitFreshness = new CommitFreshness();
 
 	private boolean electionAttempted;
 
@@ -129,7 +129,7 @@
 	// Returns the latest time as of which every entry that the group had committed is
 	// committed here, or a very low value.
 	long currentAtMillis() {
-		return this.commitCurrency.currentAtMillis();
+		return this.commitFreshness.currentAtMillis();
 	}
 
 	ReplicaLog log() {
@@ -317,7 +317,7 @@
 			this.votedFor = NO_ID;
 			persistHardState();
 		}
-		this.commitCurrency.startTerm();
+		this.commitFreshness.startTerm();
 		this.role = ReplicaRole.FOLLOWER;
 		this.leaderId = newLeaderId;
 		scheduleElection(nowMillis);
@@ -459,7 +459,7 @@
 		this.role = ReplicaRole.LEADER;
 		this.leaderId = this.id;
 		this.followers.clear();
-		this.commitCurrency.startTerm();
+		this.commitFreshness.startTerm();
 		this.termStartIndex = this.log.lastIndex() + 1;
 		updateFollowers(nowMillis);
 		appendEntry(LogEntry.newBuilder());
@@ -544,14 +544,14 @@
 	private void recordQuorum(long acknowledgedRound) {
 		if (isReadyLeader()
 				&& hasQuorum((id) -> id == this.id || this.followers.hasAcknowledged(id, acknowledgedRound))) {
-			this.commitCurrency.recordQuorum(acknowledgedRound);
+			this.commitFreshness.recordQuorum(acknowledgedRound);
 		}
 	}
 
 	private void broadcast(long nowMillis) {
 		this.broadcastPending = false;
 		this.followers.nextRound();
-		this.commitCurrency.recordRound(this.followers.round(), nowMillis);
+		this.commitFreshness.recordRound(this.followers.round(), nowMillis);
 		this.nextHeartbeatMillis = nowMillis + this.settings.heartbeatIntervalMillis();
 		this.followers.forEach((id, progress) -> sendEntries(id, progress, nowMillis));
 		if (this.followers.isEmpty()) {
@@ -575,7 +575,7 @@
 			.setRound(this.followers.round())
 			.setAcknowledgedRound(progress.acknowledgedRound());
 		if (isReadyLeader()) {
-			this.commitCurrency.ageMillis(nowMillis).ifPresent(request::setCommitAgeMillis);
+			this.commitFreshness.ageMillis(nowMillis).ifPresent(request::setCommitAgeMillis);
 		}
 		this.effects.immediateMessages.add(newMessage(receiverId).setAppendRequest(request).build());
 		progress.recordSent(previousIndex + entries.size());
@@ -662,7 +662,7 @@
 			becomeFollower(message.getTerm(), message.getFrom(), nowMillis);
 		}
 		if (this.leaderId != message.getFrom()) {
-			this.commitCurrency.startTerm();
+			this.commitFreshness.startTerm();
 		}
 		this.leaderId = message.getFrom();
 		this.lastLeaderContactMillis = nowMillis;
@@ -672,7 +672,7 @@
 		}
 		else {
 			receiveAppend(message);
-			this.commitCurrency.recordRound(message.getAppendRequest().getRound(), nowMillis);
+			this.commitFreshness.recordRound(message.getAppendRequest().getRound(), nowMillis);
 		}
 	}
 
@@ -691,7 +691,7 @@
 		long matchedIndex = request.getPreviousIndex() + request.getEntriesCount();
 		commitUpTo(Math.min(request.getCommitIndex(), matchedIndex));
 		if (this.commitIndex == request.getCommitIndex()) {
-			this.commitCurrency.recordRequest(request);
+			this.commitFreshness.recordRequest(request);
 		}
 		respondToAppend(message.getFrom(), true, matchedIndex, request.getRound());
 	}
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementChecker.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementChecker.java
@@ -58,7 +58,7 @@
 
 	int confirmedReadCount;
 
-	int checkedCurrencyCount;
+	int checkedFreshnessCount;
 
 	void recordRequest(ControlRequest request) {
 		this.requests.put(request.getId(), request);
@@ -133,11 +133,11 @@
 	// Checks that an instance has applied every revision that was accepted before the
 	// time
 	// as of which it claims to know all.
-	void checkCurrency(FakeControlInstance instance, ControlReplica replica, long nowMillis) {
-		assertThat(replica.rulesCurrentAtMillis()).as("currency of %s", instance).isLessThanOrEqualTo(nowMillis);
+	void checkFreshness(FakeControlInstance instance, ControlReplica replica, long nowMillis) {
+		assertThat(replica.rulesCurrentAtMillis()).as("freshness of %s", instance).isLessThanOrEqualTo(nowMillis);
 		Map.Entry<Long, Long> accepted = this.acceptedRevisionByMillis.lowerEntry(replica.rulesCurrentAtMillis());
 		if (accepted != null) {
-			this.checkedCurrencyCount++;
+			this.checkedFreshnessCount++;
 			assertThat(this.appliedRevisionByInstance.getOrDefault(instance, 0L)).as("applied revision of %s", instance)
 				.isGreaterThanOrEqualTo(accepted.getValue());
 		}
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
@@ -45,7 +45,7 @@
 		cluster.repairAllFaults();
 		assertThat(cluster.acceptsRules()).as("a repaired group accepts rules%n%s", cluster.describe()).isTrue();
 		assertThat(cluster.canClaimReleasedKeys()).as("a key whose request did not run can be claimed").isTrue();
-		assertThat(cluster.checkedCurrencyCount()).as("checks of the currency of rules").isPositive();
+		assertThat(cluster.checkedFreshnessCount()).as("checks of the freshness of rules").isPositive();
 		assertThat(cluster.allInstancesApplyAcceptedRules())
 			.as("accepted rules are in force at all instances%n%s", cluster.describe())
 			.isTrue();
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
@@ -309,13 +309,13 @@
 		for (FakeControlInstance instance : this.instances) {
 			ControlReplica replica = instance.replica();
 			if (replica != null) {
-				this.checker.checkCurrency(instance, replica, this.nowMillis);
+				this.checker.checkFreshness(instance, replica, this.nowMillis);
 			}
 		}
 	}
 
-	int checkedCurrencyCount() {
-		return this.checker.checkedCurrencyCount;
+	int checkedFreshnessCount() {
+		return this.checker.checkedFreshnessCount;
 	}
 
 	void repairAllFaults() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -45,7 +45,7 @@
 	private static final int MAXIMUM_BATCH_SIZE = 1_024;
 
 	// Gateways report less often.
-	private static final long CURRENCY_INTERVAL_MILLIS = 100;
+	private static final long FRESHNESS_INTERVAL_MILLIS = 100;
 
 	private final DaemonSettings settings;
 
@@ -155,14 +155,14 @@
 		this.replica.tick(nowMillis());
 		batch.forEach((event) -> event.accept(this.replica));
 		this.driver.flush(nowMillis());
-		publishRulesCurrency();
+		publishRulesFreshness();
 		logLeadership();
 	}
 
 	// To be called after committed rules were published.
-	private void publishRulesCurrency() {
+	private void publishRulesFreshness() {
 		long currentAtMillis = this.replica.rulesCurrentAtMillis();
-		if (currentAtMillis - this.publishedCurrentAtMillis >= CURRENCY_INTERVAL_MILLIS) {
+		if (currentAtMillis - this.publishedCurrentAtMillis >= FRESHNESS_INTERVAL_MILLIS) {
 			this.publishedCurrentAtMillis = currentAtMillis;
 			this.cluster.recordRulesCurrent(currentAtMillis);
 		}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -92,7 +92,7 @@
 
 	private final AppliedRules rules = new AppliedRules();
 
-	private final RulesCurrency rulesCurrency = new RulesCurrency();
+	private final RulesFreshness rulesFreshness = new RulesFreshness();
 
 	private final ChangeQueue<UpstreamRecord> changedUpstreams = new ChangeQueue<>();
 
@@ -292,7 +292,7 @@
 	}
 
 	private void sendReports(long nowMillis) {
-		this.rulesCurrency.recordReport(this.heartbeat, nowMillis);
+		this.rulesFreshness.recordReport(this.heartbeat, nowMillis);
 		Set<String> targets = new LinkedHashSet<>(this.reports.nextTargets(nowMillis));
 		if (this.reports.isControlLost(nowMillis)) {
 			targets.addAll(this.selector.select(this.seeds, 1));
@@ -356,7 +356,7 @@
 		if (frozen) {
 			this.instances.markAllLost();
 			this.reports.resetAfterFreeze();
-			this.rulesCurrency.reset();
+			this.rulesFreshness.reset();
 			this.upstreams.renewAll(nowMillis);
 			this.rulesConfirmed = false;
 			this.resumedFromFreeze = true;
@@ -487,7 +487,7 @@
 		Gossip.Builder response = this.responses.respond(report, this.self, reportedRevision(),
 				this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis(), nowMillis);
 		if (this.rulesConfirmed && report.getHeartbeatsCount() > 0) {
-			this.rulesCurrency.describe(response, report.getHeartbeats(0), nowMillis);
+			this.rulesFreshness.describe(response, report.getHeartbeats(0), nowMillis);
 		}
 		send(report.getSenderAddress(), Envelope.newBuilder().setGossip(response));
 	}
@@ -522,7 +522,7 @@
 		InstanceTable.Entry sender = this.instances.find(response.getSender());
 		requestRulesIfBehind(sender, nowMillis);
 		if (sender != null && sender.ruleRevision <= this.rules.revision()) {
-			this.rulesCurrency.recordResponse(response);
+			this.rulesFreshness.recordResponse(response);
 		}
 		if (response.getDigest() == this.upstreams.stateDigest()) {
 			this.upstreamsDifferSinceMillis = Long.MAX_VALUE;
@@ -775,7 +775,7 @@
 	 * @param atMillis the monotonic time, in milliseconds
 	 */
 	public void recordRulesCurrent(long atMillis) {
-		this.rulesCurrency.recordCurrent(atMillis);
+		this.rulesFreshness.recordCurrent(atMillis);
 	}
 
 	/**
@@ -784,7 +784,7 @@
 	 * @return the monotonic time, in milliseconds, very low if it is not known
 	 */
 	public long rulesCurrentAtMillis() {
-		return this.rulesCurrency.currentAtMillis();
+		return this.rulesFreshness.currentAtMillis();
 	}
 
 	/**
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RulesCurrency.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RulesFreshness.java
@@ -12,7 +12,7 @@
  * it sent the report, so that messages may be delayed without making the knowledge seem
  * newer than it is. Not thread-safe; times are monotonic, in milliseconds.
  */
-final class RulesCurrency {
+final class RulesFreshness {
 
 	/**
 	 * The time as of which the rules are known to be current if that is not known.
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RulesCurrencyProperties.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessProperties.java
@@ -14,7 +14,7 @@
 /**
  * Property tests for gateways under faults that overlap around the acceptance of rules.
  */
-class RulesCurrencyProperties {
+class RulesFreshnessProperties {
 
 	// The platform expects accepted rules to be in force everywhere after this time.
 	private static final long APPLY_MILLIS = 2_000;
@@ -54,7 +54,7 @@
 				}
 			}
 			fleet.run(1);
-			checkCurrency(fleet, acceptedAtMillis);
+			checkFreshness(fleet, acceptedAtMillis);
 		}
 		for (String name : fleet.names(false)) {
 			boolean ready = fleet.membership(name).servingState(fleet.nowMillis) == ServingState.READY;
@@ -62,7 +62,7 @@
 		}
 	}
 
-	private static void checkCurrency(SimulatedFleet fleet, long acceptedAtMillis) {
+	private static void checkFreshness(SimulatedFleet fleet, long acceptedAtMillis) {
 		for (String name : fleet.names(false)) {
 			Membership gateway = fleet.membership(name);
 			if (gateway.rulesCurrentAtMillis() > acceptedAtMillis) {
