--- a/radishthread-routing/src/test/java/org/radishthread/routing/RetryBudgetProperties.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/RetryBudgetProperties.java
@@ -28,7 +28,20 @@
 			@ForAll @IntRange(min = 4 * INSTANCE_COUNT, max = 800) int slack,
 			@ForAll @IntRange(min = 3, max = 40) int windowSeconds,
 			@ForAll @IntRange(min = 0, max = 4) int requestsPerStep, @ForAll long seed) {
-		RetryLimits limits = new RetryLimits(ratio, slack, windowSeconds);
+		checkRetries(new RetryLimits(ratio, slack, windowSeconds), requestsPerStep, seed);
+	}
+
+	// Guards against instances that route without the home and that each may retry once,
+	// although the slack is smaller than their number.
+	@Property(tries = 200)
+	void retriesStayWithinASlackBelowTheNumberOfInstances(@ForAll @DoubleRange(min = 0.05, max = 0.8) double ratio,
+			@ForAll @DoubleRange(min = 0, max = INSTANCE_COUNT) double slack,
+			@ForAll @IntRange(min = 3, max = 40) int windowSeconds,
+			@ForAll @IntRange(min = 0, max = 4) int requestsPerStep, @ForAll long seed) {
+		checkRetries(new RetryLimits(ratio, slack, windowSeconds), requestsPerStep, seed);
+	}
+
+	private static void checkRetries(RetryLimits limits, int requestsPerStep, long seed) {
 		Random random = new Random(seed);
 		List<RetryBudget> budgets = new ArrayList<>();
 		for (int i = 0; i < INSTANCE_COUNT; i++) {
