Use one class for the age of knowledge in agreement and membership

Cause: CommitFreshness and RulesFreshness each kept the times of sent messages and the latest confirmed one, with the same rules.

Change: Freshness in the kernel does it for both. RulesFreshness translates messages of gossip; CommitFreshness is gone, the replica uses Freshness directly. Tests keep their assertions.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
@@ -6,6 +6,7 @@
 import java.util.function.LongPredicate;
 
 import org.radishthread.kernel.Assert;
+import org.radishthread.kernel.Freshness;
 import org.radishthread.protocol.AgreementMessage;
 import org.radishthread.protocol.AppendRequest;
 import org.radishthread.protocol.AppendResponse;
@@ -72,7 +73,11 @@
 
 	private long lastLeaderContactMillis = NEVER;
 
-	private final CommitFreshness commitFreshness = new CommitFreshness();
+	// As of when this replica knows every entry that the group has committed. A quorum
+	// confirms the rounds of a leader, as for a read index (Raft, section 8). A later
+	// request of the leader confirms the responses of a follower, which have the numbers
+	// of their rounds.
+	private final Freshness commitFreshness = new Freshness();
 
 	private boolean electionAttempted;
 
@@ -317,7 +322,7 @@
 			this.votedFor = NO_ID;
 			persistHardState();
 		}
-		this.commitFreshness.startTerm();
+		this.commitFreshness.forgetSent();
 		this.role = ReplicaRole.FOLLOWER;
 		this.leaderId = newLeaderId;
 		scheduleElection(nowMillis);
@@ -459,7 +464,7 @@
 		this.role = ReplicaRole.LEADER;
 		this.leaderId = this.id;
 		this.followers.clear();
-		this.commitFreshness.startTerm();
+		this.commitFreshness.forgetSent();
 		this.termStartIndex = this.log.lastIndex() + 1;
 		updateFollowers(nowMillis);
 		appendEntry(LogEntry.newBuilder());
@@ -544,14 +549,14 @@
 	private void recordQuorum(long acknowledgedRound) {
 		if (isReadyLeader()
 				&& hasQuorum((id) -> id == this.id || this.followers.hasAcknowledged(id, acknowledgedRound))) {
-			this.commitFreshness.recordQuorum(acknowledgedRound);
+			this.commitFreshness.recordConfirmation(acknowledgedRound, 0);
 		}
 	}
 
 	private void broadcast(long nowMillis) {
 		this.broadcastPending = false;
 		this.followers.nextRound();
-		this.commitFreshness.recordRound(this.followers.round(), nowMillis);
+		this.commitFreshness.recordSent(this.followers.round(), nowMillis);
 		this.nextHeartbeatMillis = nowMillis + this.settings.heartbeatIntervalMillis();
 		this.followers.forEach((id, progress) -> sendEntries(id, progress, nowMillis));
 		if (this.followers.isEmpty()) {
@@ -662,7 +667,7 @@
 			becomeFollower(message.getTerm(), message.getFrom(), nowMillis);
 		}
 		if (this.leaderId != message.getFrom()) {
-			this.commitFreshness.startTerm();
+			this.commitFreshness.forgetSent();
 		}
 		this.leaderId = message.getFrom();
 		this.lastLeaderContactMillis = nowMillis;
@@ -672,7 +677,7 @@
 		}
 		else {
 			receiveAppend(message);
-			this.commitFreshness.recordRound(message.getAppendRequest().getRound(), nowMillis);
+			this.commitFreshness.recordSent(message.getAppendRequest().getRound(), nowMillis);
 		}
 	}
 
@@ -690,8 +695,8 @@
 		appendMissingEntries(request.getEntriesList());
 		long matchedIndex = request.getPreviousIndex() + request.getEntriesCount();
 		commitUpTo(Math.min(request.getCommitIndex(), matchedIndex));
-		if (this.commitIndex == request.getCommitIndex()) {
-			this.commitFreshness.recordRequest(request);
+		if (this.commitIndex == request.getCommitIndex() && request.hasCommitAgeMillis()) {
+			this.commitFreshness.recordConfirmation(request.getAcknowledgedRound(), request.getCommitAgeMillis());
 		}
 		respondToAppend(message.getFrom(), true, matchedIndex, request.getRound());
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -20,6 +20,7 @@
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
+import org.radishthread.kernel.Freshness;
 import org.radishthread.kernel.Service;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.protocol.AgreementMessage;
@@ -70,7 +71,7 @@
 	private Leadership loggedLeadership;
 
 	// Accessed by the thread of this service only.
-	private long publishedCurrentAtMillis = Long.MIN_VALUE / 2;
+	private long publishedCurrentAtMillis = Freshness.UNKNOWN;
 
 	private volatile boolean stopRequested;
 
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/package-info.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/package-info.java
@@ -1,6 +1,6 @@
 /**
  * Foundations of the daemon: lifecycle of services, settings, findings, event log, event
- * loop and clock.
+ * loop, clock and age of knowledge.
  */
 @NullMarked
 package org.radishthread.kernel;
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessTests.java
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.radishthread.kernel.Freshness;
 import org.radishthread.protocol.Gossip;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -49,7 +50,7 @@
 		void controlInstanceThatKnowsNothingGivesNoAge() {
 			RulesFreshnessTests.this.gateway.recordReport(7, START_MILLIS);
 			RulesFreshnessTests.this.gateway.recordResponse(respond(7, START_MILLIS));
-			assertThat(RulesFreshnessTests.this.gateway.currentAtMillis()).isEqualTo(RulesFreshness.UNKNOWN);
+			assertThat(RulesFreshnessTests.this.gateway.currentAtMillis()).isEqualTo(Freshness.UNKNOWN);
 		}
 
 		@Test
@@ -57,7 +58,7 @@
 			RulesFreshnessTests.this.control.recordCurrent(START_MILLIS);
 			RulesFreshnessTests.this.gateway.recordReport(7, START_MILLIS);
 			RulesFreshnessTests.this.gateway.recordResponse(respond(0, START_MILLIS));
-			assertThat(RulesFreshnessTests.this.gateway.currentAtMillis()).isEqualTo(RulesFreshness.UNKNOWN);
+			assertThat(RulesFreshnessTests.this.gateway.currentAtMillis()).isEqualTo(Freshness.UNKNOWN);
 		}
 
 	}
@@ -71,7 +72,7 @@
 			RulesFreshnessTests.this.gateway.recordReport(7, START_MILLIS);
 			RulesFreshnessTests.this.gateway.reset();
 			RulesFreshnessTests.this.gateway.recordResponse(respond(7, START_MILLIS));
-			assertThat(RulesFreshnessTests.this.gateway.currentAtMillis()).isEqualTo(RulesFreshness.UNKNOWN);
+			assertThat(RulesFreshnessTests.this.gateway.currentAtMillis()).isEqualTo(Freshness.UNKNOWN);
 		}
 
 	}
