--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -194,7 +194,7 @@
 
 	private static RetryLimits readRetryLimits(SettingsNode node) {
 		RetryLimits defaults = RetryLimits.DEFAULTS;
-		RetryLimits limits = new RetryLimits(node.getFraction("ratio", defaults.ratio()),
+		RetryLimits limits = new RetryLimits(node.getNumber("ratio", defaults.ratio(), 0, 1),
 				node.getNumber("slack", defaults.slack(), 0, 1_000_000),
 				node.getNumber("window-seconds", defaults.windowSeconds(), 1, 3_600));
 		node.rejectUnknownKeys();
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
@@ -194,17 +194,6 @@
 				"An integer from " + minimum + " to " + maximum + " is expected.");
 	}
 
-	/**
-	 * Returns a number from zero to one.
-	 * @param key the key
-	 * @param defaultValue the value if the key is absent
-	 * @return the value, or the default after a finding
-	 */
-	public double getFraction(String key, double defaultValue) {
-		return readNumber(key, defaultValue, Double::valueOf, (value) -> value >= 0 && value <= 1,
-				"A number from 0 to 1 is expected.");
-	}
-
 	/**
 	 * Returns a positive number.
 	 * @param key the key
