Inject faults into half of the instances in one place

RulesFreshnessProperties repeated the selection for each fault. Draws and order stay the same. Also joins two comment lines that the formatter had broken.

--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementChecker.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementChecker.java
@@ -131,8 +131,7 @@
 	}
 
 	// Checks that an instance has applied every revision that was accepted before the
-	// time
-	// as of which it claims to know all.
+	// time as of which it claims to know all.
 	void checkFreshness(FakeControlInstance instance, ControlReplica replica, long nowMillis) {
 		assertThat(replica.rulesCurrentAtMillis()).as("freshness of %s", instance).isLessThanOrEqualTo(nowMillis);
 		Map.Entry<Long, Long> accepted = this.acceptedRevisionByMillis.lowerEntry(replica.rulesCurrentAtMillis());
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
@@ -19,8 +19,8 @@
  * {@link AgreementChecker}: messages are dropped, delayed, reordered and duplicated,
  * links are cut in one or both directions, and instances crash before or after a write,
  * freeze, lose their disk and are replaced, while operators submit rules concurrently and
- * requests are claimed. At each step, no instance takes its rules for newer than they
- * are.
+ * requests are claimed. At no step does an instance take its rules for newer than they
+ * are known to be.
  */
 class AgreementProperties {
 
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessProperties.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessProperties.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -77,8 +78,8 @@
 
 			@Override
 			long inject(SimulatedFleet fleet, Random random) {
-				fleet.names(false).stream().filter((name) -> random.nextBoolean()).forEach(fleet::silenceConnections);
-				fleet.names(true).stream().filter((name) -> random.nextBoolean()).forEach(fleet::silenceConnections);
+				forHalf(fleet.names(false), random, fleet::silenceConnections);
+				forHalf(fleet.names(true), random, fleet::silenceConnections);
 				return 0;
 			}
 
@@ -88,10 +89,7 @@
 
 			@Override
 			long inject(SimulatedFleet fleet, Random random) {
-				fleet.names(false)
-					.stream()
-					.filter((name) -> random.nextBoolean())
-					.forEach(fleet::silenceOutboundConnections);
+				forHalf(fleet.names(false), random, fleet::silenceOutboundConnections);
 				return 0;
 			}
 
@@ -101,10 +99,7 @@
 
 			@Override
 			long inject(SimulatedFleet fleet, Random random) {
-				fleet.names(false)
-					.stream()
-					.filter((name) -> random.nextBoolean())
-					.forEach(fleet::silenceInboundConnections);
+				forHalf(fleet.names(false), random, fleet::silenceInboundConnections);
 				return 0;
 			}
 
@@ -132,7 +127,7 @@
 
 			@Override
 			long inject(SimulatedFleet fleet, Random random) {
-				fleet.names(true).stream().filter((name) -> random.nextBoolean()).forEach(fleet::restart);
+				forHalf(fleet.names(true), random, fleet::restart);
 				return START_SPREAD_MILLIS;
 			}
 
@@ -159,6 +154,10 @@
 		// Returns how long the fault lasts, in milliseconds.
 		abstract long inject(SimulatedFleet fleet, Random random);
 
+		private static void forHalf(List<String> names, Random random, Consumer<String> action) {
+			names.stream().filter((name) -> random.nextBoolean()).forEach(action);
+		}
+
 		private static long freeze(SimulatedFleet fleet, List<String> names, Random random) {
 			int durationMillis = random.nextInt(MAXIMUM_FREEZE_MILLIS);
 			fleet.freeze(names.get(random.nextInt(names.size())), durationMillis);
