--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -0,0 +1,72 @@
+package org.radishthread.routing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The state of an open request in the {@link ServiceRouter}: the upstreams it was sent to
+ * and its attempts in flight. Points in time are monotonic, in nanoseconds. Not safe for
+ * concurrent use.
+ */
+final class RequestState {
+
+	private final RoutingRequest request;
+
+	// Whether this instance routes the request as the home of the service.
+	private final boolean home;
+
+	private final Set<String> triedUpstreams = new HashSet<>();
+
+	// Keyed by the name of the upstream.
+	private final Map<String, AttemptStart> attemptsInFlight = new HashMap<>();
+
+	private boolean closed;
+
+	RequestState(RoutingRequest request, boolean home) {
+		this.request = request;
+		this.home = home;
+	}
+
+	RoutingRequest request() {
+		return this.request;
+	}
+
+	boolean isRoutedByHome() {
+		return this.home;
+	}
+
+	Set<String> triedUpstreams() {
+		return this.triedUpstreams;
+	}
+
+	Map<String, AttemptStart> attemptsInFlight() {
+		return this.attemptsInFlight;
+	}
+
+	boolean isClosed() {
+		return this.closed;
+	}
+
+	void markClosed() {
+		this.closed = true;
+	}
+
+	// An upstream with a limit takes only requests that the home counts.
+	boolean mayUse(UpstreamTracker tracker, long nowNanos) {
+		return !tracker.refuses(this.request.origin(), nowNanos) && (this.home || !tracker.rateLimit().isActive())
+				&& !this.triedUpstreams.contains(tracker.upstream().name());
+	}
+
+	/**
+	 * The start of an attempt.
+	 *
+	 * @param startNanos the time of the dispatch
+	 * @param inFlight the number of attempts in flight at the upstream, with this one
+	 * @param paceFactor the pace of the upstream
+	 */
+	record AttemptStart(long startNanos, int inFlight, double paceFactor) {
+	}
+
+}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -17,6 +17,7 @@
 
 import org.radishthread.kernel.Assert;
 import org.radishthread.routing.CallerQueues.QueuedRequest;
+import org.radishthread.routing.RequestState.AttemptStart;
 import org.radishthread.routing.RoutingEffect.ConnectionProbe;
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.PaceProbe;
@@ -325,7 +326,7 @@
 
 	private Optional<UpstreamTracker> choose(RequestState state, long nowNanos, Predicate<UpstreamTracker> eligible) {
 		List<UpstreamTracker> candidates = new ArrayList<>();
-		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request, nowNanos);
+		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request(), nowNanos);
 		for (UpstreamTracker tracker : this.trackers.values()) {
 			if (eligible.test(tracker) && state.mayUse(tracker, nowNanos)
 					&& nowNanos + expectedDurationNanos(tracker, nowNanos) <= latestCompletionNanos) {
@@ -336,9 +337,9 @@
 			return Optional.empty();
 		}
 		SelectionContext context = new SelectionContext(
-				state.request.zone().isEmpty() ? this.settings.zone() : state.request.zone(), medianLatencyNanos(),
+				state.request().zone().isEmpty() ? this.settings.zone() : state.request().zone(), medianLatencyNanos(),
 				this.throughput.expectedWaitNanos(this.queues.size()), this.throughput.meanServiceNanos(),
-				this.contention, state.request.mayRepeat(), nowNanos);
+				this.contention, state.request().mayRepeat(), nowNanos);
 		return this.policy.choose(candidates, context);
 	}
 
@@ -359,14 +360,15 @@
 	private void dispatch(RequestState state, UpstreamTracker tracker, AttemptKind kind, long queueTimeNanos,
 			long nowNanos) {
 		tracker.recordDispatch(nowNanos);
-		state.triedUpstreams.add(tracker.upstream().name());
-		state.attemptsInFlight.put(tracker.upstream().name(),
-				new AttemptStart(nowNanos, tracker.inFlight(), tracker.paceFactor(nowNanos)));
-		boolean mayHedge = state.request.mayRepeat() && kind != AttemptKind.HEDGE
+		state.triedUpstreams().add(tracker.upstream().name());
+		state.attemptsInFlight()
+			.put(tracker.upstream().name(),
+					new AttemptStart(nowNanos, tracker.inFlight(), tracker.paceFactor(nowNanos)));
+		boolean mayHedge = state.request().mayRepeat() && kind != AttemptKind.HEDGE
 				&& this.throughput.meanServiceNanos() > 0;
-		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request, nowNanos) : 0;
-		this.effects.add(new Dispatch(state.request.id(), tracker.upstream(), kind, tracker.inFlight(), queueTimeNanos,
-				hedgeAfterNanos, tracker.rateLimit().isActive()));
+		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request(), nowNanos) : 0;
+		this.effects.add(new Dispatch(state.request().id(), tracker.upstream(), kind, tracker.inFlight(),
+				queueTimeNanos, hedgeAfterNanos, tracker.rateLimit().isActive()));
 	}
 
 	// A hedge is sent early enough to meet the objective, but not before the attempt
@@ -404,12 +406,12 @@
 	public List<RoutingEffect> completeAttempt(long requestId, String upstream, AttemptResult result,
 			@Nullable LoadReport report, long nowNanos) {
 		RequestState state = requireState(requestId);
-		AttemptStart attemptStart = state.attemptsInFlight.remove(upstream);
+		AttemptStart attemptStart = state.attemptsInFlight().remove(upstream);
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		Assert.state(attemptStart != null && tracker != null, "Attempt at '" + upstream + "' must be in flight.");
 		long latencyNanos = nowNanos - attemptStart.startNanos();
 		if (report != null) {
-			tracker.recordReport(report, state.request.origin(), nowNanos);
+			tracker.recordReport(report, state.request().origin(), nowNanos);
 		}
 		if (result == AttemptResult.SUCCESS && (report == null || !report.isLimited())) {
 			tracker.rateLimit().clear();
@@ -449,20 +451,20 @@
 	 */
 	public List<RoutingEffect> retry(long requestId, long nowNanos) {
 		RequestState state = this.requests.get(requestId);
-		if (state == null || state.closed) {
+		if (state == null || state.isClosed()) {
 			return List.of();
 		}
-		if (state.triedUpstreams.size() >= state.request.maximumAttempts() || nowNanos >= state.request.deadlineNanos()
-				|| !this.retryBudget.tryAcquire(nowNanos)) {
+		if (state.triedUpstreams().size() >= state.request().maximumAttempts()
+				|| nowNanos >= state.request().deadlineNanos() || !this.retryBudget.tryAcquire(nowNanos)) {
 			return List.of(new Refusal(requestId, RefusalReason.RETRY_BUDGET, this.admission
-				.retryAfterMillis(state.request, AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
+				.retryAfterMillis(state.request(), AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
 		}
 		boolean hasUntriedUpstream = usableTrackers(nowNanos).anyMatch((tracker) -> state.mayUse(tracker, nowNanos));
 		if (!hasUntriedUpstream) {
 			return List.of(new Refusal(requestId, RefusalReason.NO_UPSTREAM, this.admission
-				.retryAfterMillis(state.request, AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos)));
+				.retryAfterMillis(state.request(), AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos)));
 		}
-		enqueue(state.request, AttemptKind.RETRY, nowNanos);
+		enqueue(state.request(), AttemptKind.RETRY, nowNanos);
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
@@ -470,7 +472,8 @@
 	// In parallel to an attempt that seems stuck, even a straggler or a contended
 	// slot may be used.
 	private Optional<UpstreamTracker> chooseForStuckAttempt(RequestState state, long nowNanos) {
-		long latestStartNanos = state.attemptsInFlight.values()
+		long latestStartNanos = state.attemptsInFlight()
+			.values()
 			.stream()
 			.mapToLong(AttemptStart::startNanos)
 			.max()
@@ -494,8 +497,8 @@
 	 */
 	public List<RoutingEffect> hedge(long requestId, long nowNanos) {
 		RequestState state = this.requests.get(requestId);
-		if (state == null || state.closed || state.attemptsInFlight.isEmpty()
-				|| state.triedUpstreams.size() >= Math.min(2, state.request.maximumAttempts())
+		if (state == null || state.isClosed() || state.attemptsInFlight().isEmpty()
+				|| state.triedUpstreams().size() >= Math.min(2, state.request().maximumAttempts())
 				|| this.queues.size() > 0) {
 			return List.of();
 		}
@@ -516,18 +519,18 @@
 	 */
 	public void close(long requestId) {
 		RequestState state = this.requests.get(requestId);
-		if (state == null || state.closed) {
+		if (state == null || state.isClosed()) {
 			return;
 		}
-		state.closed = true;
-		this.queues.remove(state.request);
-		this.queues.recordClose(state.request.caller());
+		state.markClosed();
+		this.queues.remove(state.request());
+		this.queues.recordClose(state.request().caller());
 		removeIfCompleted(state);
 	}
 
 	private void removeIfCompleted(RequestState state) {
-		if (state.closed && state.attemptsInFlight.isEmpty()) {
-			this.requests.remove(state.request.id());
+		if (state.isClosed() && state.attemptsInFlight().isEmpty()) {
+			this.requests.remove(state.request().id());
 		}
 	}
 
@@ -663,33 +666,4 @@
 		return (tracker != null) ? tracker.inFlight() : 0;
 	}
 
-	private record AttemptStart(long startNanos, int inFlight, double paceFactor) {
-	}
-
-	private static final class RequestState {
-
-		private final RoutingRequest request;
-
-		// Whether this instance routes the request as the home of the service.
-		private final boolean home;
-
-		private final Set<String> triedUpstreams = new HashSet<>();
-
-		private final Map<String, AttemptStart> attemptsInFlight = new HashMap<>();
-
-		private boolean closed;
-
-		private RequestState(RoutingRequest request, boolean home) {
-			this.request = request;
-			this.home = home;
-		}
-
-		// An upstream with a limit takes only requests that the home counts.
-		private boolean mayUse(UpstreamTracker tracker, long nowNanos) {
-			return !tracker.refuses(this.request.origin(), nowNanos) && (this.home || !tracker.rateLimit().isActive())
-					&& !this.triedUpstreams.contains(tracker.upstream().name());
-		}
-
-	}
-
 }
