--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -69,6 +69,8 @@
 
 	private volatile byte @Nullable [] body;
 
+	private volatile @Nullable String digest;
+
 	private @Nullable Attempt selectedAttempt;
 
 	private volatile @Nullable BufferedResponse bufferedServerError;
@@ -195,6 +197,30 @@
 		return (callerHeader != null) ? callerHeader : Request.getRemoteAddr(this.request);
 	}
 
+	/**
+	 * Returns what equal requests have in common, see {@link RequestDigest}. Called once
+	 * the body is buffered.
+	 * @return the digest
+	 */
+	protected final String digest() {
+		String computedDigest = this.digest;
+		if (computedDigest == null) {
+			computedDigest = computeDigest();
+			this.digest = computedDigest;
+		}
+		return computedDigest;
+	}
+
+	private String computeDigest() {
+		String host = this.request.getHttpURI().getHost();
+		String knownHost = (host != null) ? host : "";
+		String path = this.request.getHttpURI().getPathQuery();
+		return isBodyStreamed()
+				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, caller(),
+						this.request.getLength())
+				: RequestDigest.of(this.request.getMethod(), knownHost, path, caller(), this.body);
+	}
+
 	private long timeoutMillis() {
 		Duration totalTimeout = this.route.limits().totalTimeout();
 		long routeTimeoutMillis = ((totalTimeout != null) ? totalTimeout : this.route.timeout()).toMillis();
@@ -289,6 +315,7 @@
 			.with("service", this.route.service())
 			.with("upstream", upstream)
 			.with("kind", kind)
+			.with("digest", digest())
 			.with("revision", this.rulesRevision)
 			.with("remaining-millis", remainingMillis())
 			.write();
@@ -426,6 +453,8 @@
 			.with("request", loggedRequestId())
 			.with("upstream", attempt.upstreamName())
 			.with("outcome", failure)
+			.with("connection-lost", attempt.isConnectionLost())
+			.with("digest", digest())
 			.with("cause", cause.getMessage())
 			.write();
 		if (!recordFailure(failure)) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -1,6 +1,7 @@
 package org.radishthread.daemon.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -49,6 +50,8 @@
 
 	private volatile boolean streaming;
 
+	private volatile boolean connectionLost;
+
 	private volatile @Nullable LoadReport loadReport;
 
 	private boolean completionReported;
@@ -81,6 +84,13 @@
 		return this.responseBegun;
 	}
 
+	// Whether the connection ended after the request was sent, at least in part, and
+	// before
+	// the response was complete.
+	boolean isConnectionLost() {
+		return this.connectionLost;
+	}
+
 	@Nullable LoadReport loadReport() {
 		return this.loadReport;
 	}
@@ -160,6 +170,7 @@
 			}
 			this.completionReported = true;
 		}
+		this.connectionLost = this.requestBegun && result.getFailure() instanceof IOException;
 		if (this.streaming) {
 			this.listener.onStreamCompleted(this, result.isSucceeded());
 		}
