--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -424,7 +424,8 @@
 
 	@Override
 	public final void onStreamCompleted(Attempt attempt, boolean complete) {
-		completeAttempt(attempt, complete ? AttemptCompletion.COMPLETE_RESPONSE : AttemptCompletion.FAILED);
+		completeAttempt(attempt, complete ? AttemptCompletion.COMPLETE_RESPONSE
+				: AttemptCompletion.of(AttemptFailure.NO_COMPLETE_RESPONSE, attempt.isConnectionLost()));
 		if (!tryComplete()) {
 			return;
 		}
@@ -441,7 +442,8 @@
 	@Override
 	public final void onFailure(Attempt attempt, AttemptFailure failure, Throwable cause) {
 		boolean obsolete = isObsolete(attempt);
-		completeAttempt(attempt, obsolete ? AttemptCompletion.CANCELLED : AttemptCompletion.of(failure));
+		completeAttempt(attempt,
+				obsolete ? AttemptCompletion.CANCELLED : AttemptCompletion.of(failure, attempt.isConnectionLost()));
 		if (!attempt.isOnNewConnection() && !attempt.hasResponseBegun()) {
 			this.context.clients().closeIdleConnections(attempt.upstreamAddress());
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptCompletion.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptCompletion.java
@@ -27,6 +27,12 @@
 	 */
 	FAILED(AttemptResult.FAILURE),
 
+	/**
+	 * The connection ended after the request was sent, at least in part, and before the
+	 * response was complete.
+	 */
+	CONNECTION_LOST(AttemptResult.CONNECTION_LOST),
+
 	/**
 	 * Nothing of the request was sent, usually because no connection could be opened.
 	 */
@@ -61,11 +67,11 @@
 				: COMPLETE_RESPONSE;
 	}
 
-	static AttemptCompletion of(AttemptFailure failure) {
+	static AttemptCompletion of(AttemptFailure failure, boolean connectionLost) {
 		return switch (failure) {
 			case NOT_SENT -> UNREACHABLE;
 			case REPORTED_NOT_RUN -> SHED;
-			case NO_COMPLETE_RESPONSE -> FAILED;
+			case NO_COMPLETE_RESPONSE -> connectionLost ? CONNECTION_LOST : FAILED;
 		};
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -71,8 +71,8 @@
 	private RoutingRequest routingRequest() {
 		RouteLimits limits = route().limits();
 		return new RoutingRequest(requestNumber(), caller(), route().mode().mayRepeat(), deadlineNanos(), "",
-				new Urgency(limits.priority(), startedNanos() + limits.objective().toNanos()),
-				limits.maximumAttempts());
+				new Urgency(limits.priority(), startedNanos() + limits.objective().toNanos()), limits.maximumAttempts(),
+				"", digest());
 	}
 
 	private byte[] fingerprint() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -115,7 +115,7 @@
 		Urgency urgency = new Urgency(request.getPriority(), nowNanos + request.getObjectiveMicros() * NANOS_PER_MICRO);
 		return new RoutingRequest(this.lastRequestId.incrementAndGet(), request.getCaller(), request.getMayRepeat(),
 				nowNanos + request.getRemainingMicros() * NANOS_PER_MICRO, request.getZone(), urgency,
-				request.getMaximumAttempts(), origin);
+				request.getMaximumAttempts(), origin, request.getDigest());
 	}
 
 	private void close(RequestKey key, RemoteRequest request) {
@@ -227,7 +227,7 @@
 			if (inProgress) {
 				LoadReport loadReport = end.hasLoad() ? toLoadReport(end.getLoad()) : null;
 				router.completeAttempt(this.routingRequest.id(), end.getUpstream(),
-						AttemptResult.valueOf(end.getResult()), loadReport);
+						AttemptResult.fromWireName(end.getResult(), end.getConnectionLost()), loadReport);
 			}
 		}
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
@@ -72,6 +72,7 @@
     SLOT(12),
     UPSTREAM_NOTICE(13),
     UPSTREAM_NOTICE_RECEIPT(14),
+    CRASH_NOTICE(15),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -103,6 +104,7 @@
         case 12: return SLOT;
         case 13: return UPSTREAM_NOTICE;
         case 14: return UPSTREAM_NOTICE_RECEIPT;
+        case 15: return CRASH_NOTICE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -552,6 +554,37 @@
     return org.radishthread.protocol.UpstreamNoticeReceipt.getDefaultInstance();
   }
 
+  public static final int CRASH_NOTICE_FIELD_NUMBER = 15;
+  /**
+   * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+   * @return Whether the crashNotice field is set.
+   */
+  @java.lang.Override
+  public boolean hasCrashNotice() {
+    return bodyCase_ == 15;
+  }
+  /**
+   * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+   * @return The crashNotice.
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.CrashNotice getCrashNotice() {
+    if (bodyCase_ == 15) {
+       return (org.radishthread.protocol.CrashNotice) body_;
+    }
+    return org.radishthread.protocol.CrashNotice.getDefaultInstance();
+  }
+  /**
+   * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.CrashNoticeOrBuilder getCrashNoticeOrBuilder() {
+    if (bodyCase_ == 15) {
+       return (org.radishthread.protocol.CrashNotice) body_;
+    }
+    return org.radishthread.protocol.CrashNotice.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -608,6 +641,9 @@
     if (bodyCase_ == 14) {
       output.writeMessage(14, (org.radishthread.protocol.UpstreamNoticeReceipt) body_);
     }
+    if (bodyCase_ == 15) {
+      output.writeMessage(15, (org.radishthread.protocol.CrashNotice) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -668,6 +704,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, (org.radishthread.protocol.UpstreamNoticeReceipt) body_);
     }
+    if (bodyCase_ == 15) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, (org.radishthread.protocol.CrashNotice) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -750,6 +790,10 @@
         if (!getUpstreamNoticeReceipt()
             .equals(other.getUpstreamNoticeReceipt())) return false;
         break;
+      case 15:
+        if (!getCrashNotice()
+            .equals(other.getCrashNotice())) return false;
+        break;
       case 0:
       default:
     }
@@ -821,6 +865,10 @@
         hash = (37 * hash) + UPSTREAM_NOTICE_RECEIPT_FIELD_NUMBER;
         hash = (53 * hash) + getUpstreamNoticeReceipt().hashCode();
         break;
+      case 15:
+        hash = (37 * hash) + CRASH_NOTICE_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashNotice().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1001,6 +1049,9 @@
       if (upstreamNoticeReceiptBuilder_ != null) {
         upstreamNoticeReceiptBuilder_.clear();
       }
+      if (crashNoticeBuilder_ != null) {
+        crashNoticeBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1098,6 +1149,10 @@
           upstreamNoticeReceiptBuilder_ != null) {
         result.body_ = upstreamNoticeReceiptBuilder_.build();
       }
+      if (bodyCase_ == 15 &&
+          crashNoticeBuilder_ != null) {
+        result.body_ = crashNoticeBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1169,6 +1224,10 @@
           mergeUpstreamNoticeReceipt(other.getUpstreamNoticeReceipt());
           break;
         }
+        case CRASH_NOTICE: {
+          mergeCrashNotice(other.getCrashNotice());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1295,6 +1354,13 @@
               bodyCase_ = 14;
               break;
             } // case 114
+            case 122: {
+              input.readMessage(
+                  internalGetCrashNoticeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 15;
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3287,6 +3353,146 @@
       return upstreamNoticeReceiptBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.CrashNotice, org.radishthread.protocol.CrashNotice.Builder, org.radishthread.protocol.CrashNoticeOrBuilder> crashNoticeBuilder_;
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     * @return Whether the crashNotice field is set.
+     */
+    @java.lang.Override
+    public boolean hasCrashNotice() {
+      return bodyCase_ == 15;
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     * @return The crashNotice.
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.CrashNotice getCrashNotice() {
+      if (crashNoticeBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          return (org.radishthread.protocol.CrashNotice) body_;
+        }
+        return org.radishthread.protocol.CrashNotice.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 15) {
+          return crashNoticeBuilder_.getMessage();
+        }
+        return org.radishthread.protocol.CrashNotice.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     */
+    public Builder setCrashNotice(org.radishthread.protocol.CrashNotice value) {
+      if (crashNoticeBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        crashNoticeBuilder_.setMessage(value);
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     */
+    public Builder setCrashNotice(
+        org.radishthread.protocol.CrashNotice.Builder builderForValue) {
+      if (crashNoticeBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        crashNoticeBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     */
+    public Builder mergeCrashNotice(org.radishthread.protocol.CrashNotice value) {
+      if (crashNoticeBuilder_ == null) {
+        if (bodyCase_ == 15 &&
+            body_ != org.radishthread.protocol.CrashNotice.getDefaultInstance()) {
+          body_ = org.radishthread.protocol.CrashNotice.newBuilder((org.radishthread.protocol.CrashNotice) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 15) {
+          crashNoticeBuilder_.mergeFrom(value);
+        } else {
+          crashNoticeBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     */
+    public Builder clearCrashNotice() {
+      if (crashNoticeBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        crashNoticeBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     */
+    public org.radishthread.protocol.CrashNotice.Builder getCrashNoticeBuilder() {
+      return internalGetCrashNoticeFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.CrashNoticeOrBuilder getCrashNoticeOrBuilder() {
+      if ((bodyCase_ == 15) && (crashNoticeBuilder_ != null)) {
+        return crashNoticeBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 15) {
+          return (org.radishthread.protocol.CrashNotice) body_;
+        }
+        return org.radishthread.protocol.CrashNotice.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.CrashNotice, org.radishthread.protocol.CrashNotice.Builder, org.radishthread.protocol.CrashNoticeOrBuilder> 
+        internalGetCrashNoticeFieldBuilder() {
+      if (crashNoticeBuilder_ == null) {
+        if (!(bodyCase_ == 15)) {
+          body_ = org.radishthread.protocol.CrashNotice.getDefaultInstance();
+        }
+        crashNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.radishthread.protocol.CrashNotice, org.radishthread.protocol.CrashNotice.Builder, org.radishthread.protocol.CrashNoticeOrBuilder>(
+                (org.radishthread.protocol.CrashNotice) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 15;
+      onChanged();
+      return crashNoticeBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.Envelope)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
@@ -220,5 +220,20 @@
    */
   org.radishthread.protocol.UpstreamNoticeReceiptOrBuilder getUpstreamNoticeReceiptOrBuilder();
 
+  /**
+   * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+   * @return Whether the crashNotice field is set.
+   */
+  boolean hasCrashNotice();
+  /**
+   * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+   * @return The crashNotice.
+   */
+  org.radishthread.protocol.CrashNotice getCrashNotice();
+  /**
+   * <code>.radishthread.CrashNotice crash_notice = 15;</code>
+   */
+  org.radishthread.protocol.CrashNoticeOrBuilder getCrashNoticeOrBuilder();
+
   org.radishthread.protocol.Envelope.BodyCase getBodyCase();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEnd.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEnd.java
@@ -155,6 +155,21 @@
     return load_ == null ? org.radishthread.protocol.LoadReport.getDefaultInstance() : load_;
   }
 
+  public static final int CONNECTION_LOST_FIELD_NUMBER = 4;
+  private boolean connectionLost_ = false;
+  /**
+   * <pre>
+   * Whether the connection ended after the request was sent and before the response was complete.
+   * </pre>
+   *
+   * <code>bool connection_lost = 4;</code>
+   * @return The connectionLost.
+   */
+  @java.lang.Override
+  public boolean getConnectionLost() {
+    return connectionLost_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -178,6 +193,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(3, getLoad());
     }
+    if (connectionLost_ != false) {
+      output.writeBool(4, connectionLost_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -192,6 +210,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, getLoad());
     }
+    if (connectionLost_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, connectionLost_);
+    }
     return size;
   }
   @java.lang.Override
@@ -225,6 +247,8 @@
       if (!getLoad()
           .equals(other.getLoad())) return false;
     }
+    if (getConnectionLost()
+        != other.getConnectionLost()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -244,6 +268,9 @@
       hash = (37 * hash) + LOAD_FIELD_NUMBER;
       hash = (53 * hash) + getLoad().hashCode();
     }
+    hash = (37 * hash) + CONNECTION_LOST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConnectionLost());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -388,6 +415,7 @@
         loadBuilder_.dispose();
         loadBuilder_ = null;
       }
+      connectionLost_ = false;
       return this;
     }
 
@@ -434,6 +462,9 @@
             : loadBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.connectionLost_ = connectionLost_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -462,6 +493,9 @@
       if (other.hasLoad()) {
         mergeLoad(other.getLoad());
       }
+      if (other.getConnectionLost() != false) {
+        setConnectionLost(other.getConnectionLost());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -503,6 +537,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              connectionLost_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -783,6 +822,50 @@
       return loadBuilder_;
     }
 
+    private boolean connectionLost_ ;
+    /**
+     * <pre>
+     * Whether the connection ended after the request was sent and before the response was complete.
+     * </pre>
+     *
+     * <code>bool connection_lost = 4;</code>
+     * @return The connectionLost.
+     */
+    @java.lang.Override
+    public boolean getConnectionLost() {
+      return connectionLost_;
+    }
+    /**
+     * <pre>
+     * Whether the connection ended after the request was sent and before the response was complete.
+     * </pre>
+     *
+     * <code>bool connection_lost = 4;</code>
+     * @param value The connectionLost to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConnectionLost(boolean value) {
+
+      connectionLost_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the connection ended after the request was sent and before the response was complete.
+     * </pre>
+     *
+     * <code>bool connection_lost = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConnectionLost() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      connectionLost_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.SlotEnd)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEndOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEndOrBuilder.java
@@ -48,4 +48,14 @@
    * <code>.radishthread.LoadReport load = 3;</code>
    */
   org.radishthread.protocol.LoadReportOrBuilder getLoadOrBuilder();
+
+  /**
+   * <pre>
+   * Whether the connection ended after the request was sent and before the response was complete.
+   * </pre>
+   *
+   * <code>bool connection_lost = 4;</code>
+   * @return The connectionLost.
+   */
+  boolean getConnectionLost();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotRequest.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotRequest.java
@@ -30,6 +30,7 @@
   private SlotRequest() {
     caller_ = "";
     zone_ = "";
+    digest_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -183,6 +184,53 @@
     }
   }
 
+  public static final int DIGEST_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object digest_ = "";
+  /**
+   * <pre>
+   * What equal requests have in common, in hexadecimal digits; empty if unknown.
+   * </pre>
+   *
+   * <code>string digest = 8;</code>
+   * @return The digest.
+   */
+  @java.lang.Override
+  public java.lang.String getDigest() {
+    java.lang.Object ref = digest_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      digest_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * What equal requests have in common, in hexadecimal digits; empty if unknown.
+   * </pre>
+   *
+   * <code>string digest = 8;</code>
+   * @return The bytes for digest.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDigestBytes() {
+    java.lang.Object ref = digest_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      digest_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -218,6 +266,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 7, zone_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, digest_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -248,6 +299,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(7, zone_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, digest_);
+    }
     return size;
   }
   @java.lang.Override
@@ -286,6 +340,8 @@
         != other.getMaximumAttempts()) return false;
     if (!getZone()
         .equals(other.getZone())) return false;
+    if (!getDigest()
+        .equals(other.getDigest())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -314,6 +370,8 @@
     hash = (53 * hash) + getMaximumAttempts();
     hash = (37 * hash) + ZONE_FIELD_NUMBER;
     hash = (53 * hash) + getZone().hashCode();
+    hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getDigest().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -452,6 +510,7 @@
       objectiveMicros_ = 0L;
       maximumAttempts_ = 0;
       zone_ = "";
+      digest_ = "";
       return this;
     }
 
@@ -506,6 +565,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.zone_ = zone_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.digest_ = digest_;
+      }
     }
 
     @java.lang.Override
@@ -545,6 +607,11 @@
         bitField0_ |= 0x00000040;
         onChanged();
       }
+      if (!other.getDigest().isEmpty()) {
+        digest_ = other.digest_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -604,6 +671,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              digest_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -925,6 +997,98 @@
       return this;
     }
 
+    private java.lang.Object digest_ = "";
+    /**
+     * <pre>
+     * What equal requests have in common, in hexadecimal digits; empty if unknown.
+     * </pre>
+     *
+     * <code>string digest = 8;</code>
+     * @return The digest.
+     */
+    public java.lang.String getDigest() {
+      java.lang.Object ref = digest_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        digest_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * What equal requests have in common, in hexadecimal digits; empty if unknown.
+     * </pre>
+     *
+     * <code>string digest = 8;</code>
+     * @return The bytes for digest.
+     */
+    public com.google.protobuf.ByteString
+        getDigestBytes() {
+      java.lang.Object ref = digest_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        digest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * What equal requests have in common, in hexadecimal digits; empty if unknown.
+     * </pre>
+     *
+     * <code>string digest = 8;</code>
+     * @param value The digest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigest(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      digest_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What equal requests have in common, in hexadecimal digits; empty if unknown.
+     * </pre>
+     *
+     * <code>string digest = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigest() {
+      digest_ = getDefaultInstance().getDigest();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What equal requests have in common, in hexadecimal digits; empty if unknown.
+     * </pre>
+     *
+     * <code>string digest = 8;</code>
+     * @param value The bytes for digest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigestBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      digest_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.SlotRequest)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotRequestOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotRequestOrBuilder.java
@@ -63,4 +63,24 @@
    */
   com.google.protobuf.ByteString
       getZoneBytes();
+
+  /**
+   * <pre>
+   * What equal requests have in common, in hexadecimal digits; empty if unknown.
+   * </pre>
+   *
+   * <code>string digest = 8;</code>
+   * @return The digest.
+   */
+  java.lang.String getDigest();
+  /**
+   * <pre>
+   * What equal requests have in common, in hexadecimal digits; empty if unknown.
+   * </pre>
+   *
+   * <code>string digest = 8;</code>
+   * @return The bytes for digest.
+   */
+  com.google.protobuf.ByteString
+      getDigestBytes();
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
@@ -4,7 +4,7 @@
 
 /**
  * The result of an attempt at an upstream. Instances send it to the home of a service
- * under the name of the constant.
+ * under its wire name.
  */
 public enum AttemptResult {
 
@@ -18,6 +18,12 @@
 	 */
 	FAILURE(true),
 
+	/**
+	 * The connection ended after the request was sent and before the response was
+	 * complete. The upstream may have crashed.
+	 */
+	CONNECTION_LOST(true),
+
 	/**
 	 * No connection to the upstream could be opened.
 	 */
@@ -48,6 +54,27 @@
 		return this.countsAgainstUpstream;
 	}
 
+	/**
+	 * Returns the name that is sent to the home. A lost connection is a failure there,
+	 * with a mark of its own, because earlier versions do not know the constant.
+	 * @return the name of the constant
+	 */
+	public String wireName() {
+		return (this == CONNECTION_LOST) ? FAILURE.name() : name();
+	}
+
+	/**
+	 * Returns the result with this wire name.
+	 * @param wireName the name, as returned by {@link #wireName()}
+	 * @param connectionLost whether the connection was lost
+	 * @return the result
+	 * @throws IllegalArgumentException if no result has this name
+	 */
+	public static AttemptResult fromWireName(String wireName, boolean connectionLost) {
+		AttemptResult result = valueOf(wireName);
+		return (result == FAILURE && connectionLost) ? CONNECTION_LOST : result;
+	}
+
 	/**
 	 * Returns the name for log lines.
 	 * @return the name in lower case
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
@@ -15,9 +15,10 @@
  * @param maximumAttempts the maximum number of upstreams to which it may be sent
  * @param origin the peer address of the instance that received the request, or empty for
  * this instance
+ * @param digest what equal requests have in common, or empty if unknown
  */
 public record RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone,
-		Urgency urgency, int maximumAttempts, String origin) {
+		Urgency urgency, int maximumAttempts, String origin, String digest) {
 
 	private static final int DEFAULT_MAXIMUM_ATTEMPTS = 3;
 
@@ -30,4 +31,9 @@
 		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, "");
 	}
 
+	public RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone, Urgency urgency,
+			int maximumAttempts, String origin) {
+		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, origin, "");
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -92,7 +92,8 @@
 					.setPriority(urgency.priority())
 					.setObjectiveMicros(Math.max(0, urgency.objectiveAtNanos() - nowNanos) / NANOS_PER_MICRO)
 					.setMaximumAttempts(state.request.maximumAttempts())
-					.setZone(this.zone)));
+					.setZone(this.zone)
+					.setDigest(state.request.digest())));
 	}
 
 	private SlotMessage.Builder newMessage(RequestState state) {
@@ -144,7 +145,11 @@
 	}
 
 	private static SlotEnd slotEnd(String upstream, AttemptResult result) {
-		return SlotEnd.newBuilder().setUpstream(upstream).setResult(result.name()).build();
+		return SlotEnd.newBuilder()
+			.setUpstream(upstream)
+			.setResult(result.wireName())
+			.setConnectionLost(result == AttemptResult.CONNECTION_LOST)
+			.build();
 	}
 
 	private void receiveGrant(RequestState state, SlotGrant grant) {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
@@ -20,9 +20,16 @@
 	}
 
 	@Test
-	void attemptResultsKeepTheirNames() {
-		assertThat(Arrays.stream(AttemptResult.values()).map(AttemptResult::name)).containsExactly("SUCCESS", "FAILURE",
-				"UNREACHABLE", "SHED", "CANCELLED");
+	void attemptResultsKeepTheirWireNames() {
+		assertThat(Arrays.stream(AttemptResult.values()).map(AttemptResult::wireName)).containsExactly("SUCCESS",
+				"FAILURE", "FAILURE", "UNREACHABLE", "SHED", "CANCELLED");
+	}
+
+	@Test
+	void attemptResultsAreFoundByTheirWireNames() {
+		assertThat(AttemptResult.values()).allSatisfy((result) -> assertThat(
+				AttemptResult.fromWireName(result.wireName(), result == AttemptResult.CONNECTION_LOST))
+			.isEqualTo(result));
 	}
 
 	@Test
