--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -21,6 +21,7 @@
 import org.radishthread.daemon.extension.ExtensionContext;
 import org.radishthread.daemon.extension.ExtensionLoader;
 import org.radishthread.daemon.gateway.ClaimService;
+import org.radishthread.daemon.gateway.CrashExchange;
 import org.radishthread.daemon.gateway.DefaultHttpDialect;
 import org.radishthread.daemon.gateway.GatewayContext;
 import org.radishthread.daemon.gateway.GatewayServer;
@@ -97,11 +98,18 @@
 		return extension.map(DaemonExtension::dialect).orElseGet(DefaultHttpDialect::new);
 	}
 
+	@Provides
+	@Singleton
+	static CrashExchange crashExchange(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
+			TimeSource time) {
+		return new CrashExchange(settings, transport, cluster, time);
+	}
+
 	@Provides
 	@Singleton
 	static RoutingService routingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
-			TimeSource time, MeterRegistry meters) {
-		return new RoutingService(settings, clients, dialect, time, meters);
+			CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
+		return new RoutingService(settings, clients, dialect, crashExchange, time, meters);
 	}
 
 	@Provides
@@ -137,8 +145,8 @@
 	@Singleton
 	static Kernel kernel(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
 			ControlClient controlClient, RuleOperations ruleOperations, UpstreamClients clients, RoutingService routing,
-			SlotService slots, GatewayContext gatewayContext, Optional<DaemonExtension> extension, TimeSource time,
-			PrometheusMeterRegistry meters) {
+			SlotService slots, CrashExchange crashExchange, GatewayContext gatewayContext,
+			Optional<DaemonExtension> extension, TimeSource time, PrometheusMeterRegistry meters) {
 		Kernel kernel = new Kernel();
 		kernel.register(transport);
 		cluster.addListener(routing);
@@ -171,6 +179,7 @@
 			kernel.register(clients);
 			kernel.register(routing);
 			kernel.register(slots);
+			kernel.register(crashExchange);
 			kernel.register(new GatewayServer(settings, gatewayContext, cluster));
 		}
 		return kernel;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -35,6 +35,8 @@
 
 	private final ServiceRouter router;
 
+	private final CrashExchange crashExchange;
+
 	private final TimeSource time;
 
 	private final UpstreamProber prober;
@@ -45,10 +47,12 @@
 
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
-	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, TimeSource time, UpstreamProber prober,
-			EventLoop eventLoop) {
+	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, CrashExchange crashExchange, TimeSource time,
+			UpstreamProber prober, EventLoop eventLoop) {
 		this.service = rule.service();
-		this.router = new ServiceRouter(rule, settings.routerSettings(), time.monotonicNanos());
+		this.router = new ServiceRouter(rule, settings.routerSettings(), crashExchange.history(),
+				time.monotonicNanos());
+		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = prober;
 		this.eventLoop = eventLoop;
@@ -83,6 +87,12 @@
 		else if (effect instanceof RoutingEffect.ConnectionProbe probe) {
 			probeReachability(probe.upstream());
 		}
+		else if (effect instanceof RoutingEffect.CrashFound found) {
+			this.crashExchange.publish(found);
+		}
+		else if (effect instanceof RoutingEffect.CrashesCleared cleared) {
+			this.crashExchange.publish(cleared);
+		}
 		else if (effect instanceof RoutingEffect.PaceProbe probe) {
 			this.prober.probePace(probe.upstream(), probe.path())
 				.thenAccept((report) -> process(
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -65,7 +65,13 @@
 	}
 
 	private void admit() {
-		this.router.admit(routingRequest(), this);
+		RoutingRequest routingRequest = routingRequest();
+		RoutingEffect.Refusal quarantine = context().routing().findQuarantine(routingRequest);
+		if (quarantine != null) {
+			onRefusal(quarantine);
+			return;
+		}
+		this.router.admit(routingRequest, this);
 	}
 
 	private RoutingRequest routingRequest() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -23,6 +23,7 @@
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
+import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Upstream;
 import org.radishthread.routing.UpstreamConstraints;
 import org.radishthread.rules.RouteFinder;
@@ -48,6 +49,8 @@
 
 	private final DaemonSettings settings;
 
+	private final CrashExchange crashExchange;
+
 	private final TimeSource time;
 
 	private final UpstreamProber prober;
@@ -66,9 +69,10 @@
 
 	private volatile RouteFinder routes = RuleSet.EMPTY.toRouteFinder();
 
-	public RoutingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect, TimeSource time,
-			MeterRegistry meters) {
+	public RoutingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
+			CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
+		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
 	}
@@ -115,7 +119,14 @@
 
 	LocalRequestRouter router(String service) {
 		return this.routers.computeIfAbsent(service, (name) -> new LocalRequestRouter(this.rules.serviceRule(name),
-				this.settings, this.time, this.prober, this.eventLoop));
+				this.settings, this.crashExchange, this.time, this.prober, this.eventLoop));
+	}
+
+	// Returns the refusal of a request that is quarantined, or null.
+	RoutingEffect.@Nullable Refusal findQuarantine(RoutingRequest request) {
+		long quarantineNanos = this.crashExchange.history()
+			.quarantineNanos(request.digest(), this.time.monotonicNanos());
+		return (quarantineNanos > 0) ? RoutingEffect.Refusal.quarantined(request, quarantineNanos) : null;
 	}
 
 	void recordReport(String upstream, @Nullable LoadReport report, AttemptResult result) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -59,11 +59,14 @@
 	 * instances that have not applied them yet, in milliseconds
 	 * @param rulesApplyMillis the time after their acceptance within which rules must be
 	 * in force everywhere, in milliseconds
+	 * @param rememberedCrashes the maximum number of requests that are remembered because
+	 * upstreams crashed while they ran them
 	 * @param callerHeader the header in which the platform's load balancer identifies the
 	 * caller
 	 */
 	public record Limits(int requestBufferBytes, int responseBufferBytes, long shutdownTimeoutMillis,
-			long shutdownDelayMillis, long rulePropagationTimeoutMillis, long rulesApplyMillis, String callerHeader) {
+			long shutdownDelayMillis, long rulePropagationTimeoutMillis, long rulesApplyMillis, int rememberedCrashes,
+			String callerHeader) {
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -12,6 +12,7 @@
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.SettingsNode;
 import org.radishthread.membership.MembershipSettings;
+import org.radishthread.routing.CrashHistory;
 import org.radishthread.routing.RetryLimits;
 import org.radishthread.routing.RouterSettings;
 
@@ -228,9 +229,11 @@
 				(acknowledgementMillis > 0) ? Math.round(acknowledgementMillis * PROPAGATION_SHARE) : 3_000, 0, 60_000);
 		long rulesApplyMillis = Math
 			.round(node.getNumber("apply-millis", MembershipSettings.DEFAULT_RULES_APPLY_MILLIS, 1, 3_600_000));
+		int rememberedCrashes = (int) node.getLong("remembered-crashes", CrashHistory.DEFAULT_MAXIMUM_ENTRIES, 1,
+				1_000_000);
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
 		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, shutdownTimeoutMillis,
-				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, callerHeader);
+				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, rememberedCrashes, callerHeader);
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
@@ -36,6 +36,12 @@
 	 */
 	RETRY_BUDGET(503),
 
+	/**
+	 * Upstreams crashed while they ran equal requests. The request is refused for some
+	 * time, or until an equal one that runs alone has completed.
+	 */
+	QUARANTINED(503),
+
 	/**
 	 * The instance that received the slot request does not act as home of the service.
 	 */
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The state of an open request in the {@link ServiceRouter}: the upstreams it was sent to
  * and its attempts in flight. Points in time are monotonic, in nanoseconds. Not safe for
@@ -22,6 +24,9 @@
 	// Keyed by the name of the upstream.
 	private final Map<String, AttemptStart> attemptsInFlight = new HashMap<>();
 
+	// The upstream that is kept free of other requests for an attempt of this one.
+	private @Nullable UpstreamTracker exclusiveUpstream;
+
 	private boolean closed;
 
 	RequestState(RoutingRequest request, boolean home) {
@@ -45,6 +50,14 @@
 		return this.attemptsInFlight;
 	}
 
+	@Nullable UpstreamTracker exclusiveUpstream() {
+		return this.exclusiveUpstream;
+	}
+
+	void setExclusiveUpstream(@Nullable UpstreamTracker tracker) {
+		this.exclusiveUpstream = tracker;
+	}
+
 	boolean isClosed() {
 		return this.closed;
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -1,5 +1,7 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
+
 /**
  * An action that a {@link ServiceRouter} has decided on and that its user carries out.
  */
@@ -31,6 +33,18 @@
 	 * milliseconds
 	 */
 	record Refusal(long requestId, RefusalReason reason, long retryAfterMillis) implements RoutingEffect {
+
+		/**
+		 * Refuses a request because upstreams crashed while they ran equal ones.
+		 * @param request the request
+		 * @param quarantineNanos the time after which it may be sent, in nanoseconds
+		 * @return the refusal
+		 */
+		public static Refusal quarantined(RoutingRequest request, long quarantineNanos) {
+			return new Refusal(request.id(), RefusalReason.QUARANTINED,
+					Math.max(1, Duration.ofNanos(quarantineNanos).toMillis()));
+		}
+
 	}
 
 	/**
@@ -44,12 +58,30 @@
 	}
 
 	/**
-	 * Probes an ejected upstream by opening a connection to it. The result is passed to
-	 * {@link ServiceRouter#recordConnectionProbe}.
+	 * Probes an upstream that is ejected or may have crashed by opening a connection to
+	 * it. The result is passed to {@link ServiceRouter#recordConnectionProbe}.
 	 *
 	 * @param upstream the upstream
 	 */
 	record ConnectionProbe(Upstream upstream) implements RoutingEffect {
 	}
 
+	/**
+	 * Tells the other gateways that an upstream crashed while it ran a request.
+	 *
+	 * @param crash the crash
+	 */
+	record CrashFound(CrashRecord crash) implements RoutingEffect {
+	}
+
+	/**
+	 * Tells the other gateways that a request under which upstreams had crashed was
+	 * completed.
+	 *
+	 * @param digest what equal requests have in common
+	 * @param completedAtNanos the monotonic time of the completion, in nanoseconds
+	 */
+	record CrashesCleared(String digest, long completedAtNanos) implements RoutingEffect {
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -19,6 +19,8 @@
 import org.radishthread.routing.CallerQueues.QueuedRequest;
 import org.radishthread.routing.RequestState.AttemptStart;
 import org.radishthread.routing.RoutingEffect.ConnectionProbe;
+import org.radishthread.routing.RoutingEffect.CrashFound;
+import org.radishthread.routing.RoutingEffect.CrashesCleared;
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.PaceProbe;
 import org.radishthread.routing.RoutingEffect.Refusal;
@@ -66,6 +68,9 @@
 
 	private static final double NANOS_PER_SECOND = 1_000_000_000;
 
+	// About the time in which an equal request that runs alone has completed.
+	private static final long TRIAL_RETRY_AFTER_NANOS = 500_000_000;
+
 	// The limit is above one, because a probe costs only a few thousandths of
 	// what a late response costs.
 	private static final double PACE_PROBES_PER_REQUEST = 8;
@@ -96,6 +101,12 @@
 
 	private final ArrivalEstimate arrivals = new ArrivalEstimate();
 
+	private final CrashHistory crashHistory;
+
+	private final CrashChecks crashChecks = new CrashChecks();
+
+	private final TrialQueue trials = new TrialQueue();
+
 	private boolean receivingRequests;
 
 	private List<RoutingEffect> effects = new ArrayList<>();
@@ -111,27 +122,35 @@
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
 	public ServiceRouter(ServiceRule rule, String zone, int maximumInstances, long nowNanos) {
-		this(rule, RouterSettings.defaults(zone, maximumInstances), nowNanos);
+		this(rule, zone, new EarliestCompletionPolicy(), maximumInstances, nowNanos);
 	}
 
 	/**
 	 * Creates a router.
 	 * @param rule the limits of the service
 	 * @param settings the settings of the instance
+	 * @param crashHistory the history of crashes, which the routers of the instance share
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
-	public ServiceRouter(ServiceRule rule, RouterSettings settings, long nowNanos) {
-		this(rule, settings, new EarliestCompletionPolicy(), nowNanos);
+	public ServiceRouter(ServiceRule rule, RouterSettings settings, CrashHistory crashHistory, long nowNanos) {
+		this(rule, settings, new EarliestCompletionPolicy(), crashHistory, nowNanos);
+	}
+
+	ServiceRouter(ServiceRule rule, RouterSettings settings, long nowNanos) {
+		this(rule, settings, new CrashHistory(CrashHistory.DEFAULT_MAXIMUM_ENTRIES), nowNanos);
 	}
 
 	ServiceRouter(ServiceRule rule, String zone, SelectionPolicy policy, int maximumInstances, long nowNanos) {
-		this(rule, RouterSettings.defaults(zone, maximumInstances), policy, nowNanos);
+		this(rule, RouterSettings.defaults(zone, maximumInstances), policy,
+				new CrashHistory(CrashHistory.DEFAULT_MAXIMUM_ENTRIES), nowNanos);
 	}
 
-	private ServiceRouter(ServiceRule rule, RouterSettings settings, SelectionPolicy policy, long nowNanos) {
+	private ServiceRouter(ServiceRule rule, RouterSettings settings, SelectionPolicy policy, CrashHistory crashHistory,
+			long nowNanos) {
 		this.rule = rule;
 		this.settings = settings;
 		this.policy = policy;
+		this.crashHistory = crashHistory;
 		this.retryBudget = new RetryBudget(settings.retryLimits());
 		this.paceProbeBudget = new PaceProbeBudget(settings.paceProbesPerSecond());
 		this.probeBudget = new ProbeBudget(rule.probesPerSecond(), settings.maximumInstances(), nowNanos);
@@ -165,7 +184,9 @@
 			long slowStartBeginNanos = this.awaitsFirstUpstreams ? Long.MIN_VALUE / 2 : nowNanos;
 			this.trackers.computeIfAbsent(upstream.name(), (name) -> new UpstreamTracker(upstream, slowStartBeginNanos))
 				.update(upstream, nowNanos);
+			this.crashChecks.recordIncarnation(upstream, nowNanos);
 		}
+		reportCrashes(nowNanos);
 		this.awaitsFirstUpstreams = this.awaitsFirstUpstreams && upstreams.isEmpty();
 		this.trackers.forEach((name, tracker) -> {
 			if (!announcedNames.contains(name)) {
@@ -208,7 +229,8 @@
 			this.arrivals.recordArrival(nowNanos);
 			this.receivingRequests = true;
 		}
-		Refusal refusal = findRefusal(request, home, nowNanos);
+		Refusal refusal = findQuarantineRefusal(request, nowNanos);
+		refusal = (refusal != null) ? refusal : findRefusal(request, home, nowNanos);
 		if (refusal != null) {
 			return List.of(refusal);
 		}
@@ -219,6 +241,11 @@
 		return takeEffects();
 	}
 
+	private @Nullable Refusal findQuarantineRefusal(RoutingRequest request, long nowNanos) {
+		long quarantineNanos = this.crashHistory.quarantineNanos(request.digest(), nowNanos);
+		return (quarantineNanos > 0) ? Refusal.quarantined(request, quarantineNanos) : null;
+	}
+
 	private @Nullable Refusal findRefusal(RoutingRequest request, boolean home, long nowNanos) {
 		long usableSlots = usableSlots(nowNanos);
 		boolean refusedByAll = usableTrackers(nowNanos)
@@ -272,21 +299,97 @@
 
 	private void enqueue(RoutingRequest request, AttemptKind kind, long nowNanos) {
 		long expiryNanos = Math.min(request.deadlineNanos(), nowNanos + this.rule.queueTimeout().toNanos());
-		this.queues.add(new QueuedRequest(request, kind, this.admission.rank(request, nowNanos), nowNanos, expiryNanos),
-				kind != AttemptKind.FIRST);
+		QueuedRequest queued = new QueuedRequest(request, kind, this.admission.rank(request, nowNanos), nowNanos,
+				expiryNanos);
+		if (isSuspected(request)) {
+			enqueueForTrial(queued);
+		}
+		else if (crashesUnder(request) == 0 || !this.trials.tryAdd(queued)) {
+			this.queues.add(queued, kind != AttemptKind.FIRST);
+		}
+	}
+
+	// An upstream that may have crashed counts as crashed until that is known.
+	private int crashesUnder(RoutingRequest request) {
+		return request.digest().isEmpty() ? 0 : this.crashHistory.crashCount(request.digest())
+				+ (this.crashChecks.isPending(request.digest()) ? 1 : 0);
+	}
+
+	private boolean isSuspected(RoutingRequest request) {
+		return crashesUnder(request) >= CrashHistory.SUSPICION_CRASHES;
+	}
+
+	// Without the home, several instances would run equal requests at the same time.
+	private void enqueueForTrial(QueuedRequest queued) {
+		boolean home = requireState(queued.request().id()).isRoutedByHome();
+		if (!home || !this.trials.tryAdd(queued)) {
+			this.effects.add(Refusal.quarantined(queued.request(), TRIAL_RETRY_AFTER_NANOS));
+		}
 	}
 
 	// If the next request waits for an upstream that can meet its objective,
 	// requests that miss theirs in any case may use the other upstreams.
 	private void dispatchQueued(long nowNanos) {
+		this.trials.waiting().forEach((queued) -> dispatchTrial(queued, nowNanos));
 		dispatchFromRank(Integer.MIN_VALUE, nowNanos);
 		dispatchFromRank(AdmissionControl.LATE_RANK_OFFSET, nowNanos);
 	}
 
+	// A suspected request waits until an upstream is idle; one is kept free for it. A
+	// request that is not suspected yet runs alone only if an upstream is idle.
+	private void dispatchTrial(QueuedRequest queued, long nowNanos) {
+		RequestState state = requireState(queued.request().id());
+		Refusal refusal = findQuarantineRefusal(queued.request(), nowNanos);
+		if (refusal != null) {
+			this.trials.remove(queued.request());
+			this.effects.add(refusal);
+			return;
+		}
+		Optional<UpstreamTracker> idleUpstream = findIdleUpstream(state, nowNanos);
+		if (idleUpstream.isPresent()) {
+			this.trials.recordStart(queued);
+			idleUpstream.get().setReserved(true);
+			state.setExclusiveUpstream(idleUpstream.get());
+			dispatch(state, idleUpstream.get(), queued.kind(), nowNanos - queued.enqueuedNanos(), nowNanos);
+		}
+		else if (!isSuspected(queued.request())) {
+			this.trials.remove(queued.request());
+			this.queues.add(queued, queued.kind() != AttemptKind.FIRST);
+		}
+		else {
+			reserveUpstream(state, nowNanos);
+		}
+	}
+
+	private Optional<UpstreamTracker> findIdleUpstream(RequestState state, long nowNanos) {
+		UpstreamTracker reservedUpstream = this.trials.reservedUpstream();
+		if (reservedUpstream != null && reservedUpstream.isIdle(nowNanos) && state.mayUse(reservedUpstream, nowNanos)) {
+			return Optional.of(reservedUpstream);
+		}
+		return choose(state, nowNanos, (tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved());
+	}
+
+	private void reserveUpstream(RequestState state, long nowNanos) {
+		UpstreamTracker reservedUpstream = this.trials.reservedUpstream();
+		if (reservedUpstream != null && reservedUpstream.acceptsRequests() && !reservedUpstream.isEjected(nowNanos)) {
+			return;
+		}
+		this.trials.releaseReservation();
+		usableTrackers(nowNanos).filter((tracker) -> !tracker.isReserved() && state.mayUse(tracker, nowNanos))
+			.min(Comparator.comparingInt(UpstreamTracker::inFlight))
+			.ifPresent(this.trials::reserve);
+	}
+
 	private void dispatchFromRank(int minimumRank, long nowNanos) {
 		QueuedRequest queued = this.queues.peek(minimumRank);
 		while (queued != null) {
 			RequestState state = requireState(queued.request().id());
+			if (isSuspected(queued.request())) {
+				this.queues.removeFirst(queued);
+				enqueueForTrial(queued);
+				queued = this.queues.peek(minimumRank);
+				continue;
+			}
 			Optional<UpstreamTracker> chosenUpstream = chooseFreeSlot(state, nowNanos)
 				.or(() -> choosePipelined(state, nowNanos));
 			if (chosenUpstream.isEmpty()) {
@@ -410,6 +513,16 @@
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		Assert.state(attemptStart != null && tracker != null, "Attempt at '" + upstream + "' must be in flight.");
 		long latencyNanos = nowNanos - attemptStart.startNanos();
+		endTrial(state, tracker);
+		String digest = state.request().digest();
+		if (result == AttemptResult.CONNECTION_LOST && this.crashChecks.recordLoss(tracker.upstream(), digest,
+				attemptStart.startNanos(), tracker.inFlight(), nowNanos)) {
+			this.effects.add(new ConnectionProbe(tracker.upstream()));
+		}
+		else if (result == AttemptResult.SUCCESS && this.crashHistory.clear(digest, nowNanos)) {
+			this.effects.add(new CrashesCleared(digest, nowNanos));
+		}
+		reportCrashes(nowNanos);
 		if (report != null) {
 			tracker.recordReport(report, state.request().origin(), nowNanos);
 		}
@@ -431,6 +544,22 @@
 		return takeEffects();
 	}
 
+	private void endTrial(RequestState state, UpstreamTracker tracker) {
+		if (state.exclusiveUpstream() == tracker) {
+			state.setExclusiveUpstream(null);
+			tracker.setReserved(false);
+			this.trials.complete(state.request());
+		}
+	}
+
+	private void reportCrashes(long nowNanos) {
+		for (CrashRecord crash : this.crashChecks.takeCrashes(nowNanos)) {
+			if (this.crashHistory.record(crash, nowNanos)) {
+				this.effects.add(new CrashFound(crash));
+			}
+		}
+	}
+
 	// When many upstreams fail a part of their requests, the others could
 	// not carry the whole load, so the failing ones stay in use and requests
 	// are retried instead.
@@ -454,6 +583,10 @@
 		if (state == null || state.isClosed()) {
 			return List.of();
 		}
+		Refusal quarantineRefusal = findQuarantineRefusal(state.request(), nowNanos);
+		if (quarantineRefusal != null) {
+			return List.of(quarantineRefusal);
+		}
 		if (state.triedUpstreams().size() >= state.request().maximumAttempts()
 				|| nowNanos >= state.request().deadlineNanos() || !this.retryBudget.tryAcquire(nowNanos)) {
 			return List.of(new Refusal(requestId, RefusalReason.RETRY_BUDGET, this.admission
@@ -499,7 +632,7 @@
 		RequestState state = this.requests.get(requestId);
 		if (state == null || state.isClosed() || state.attemptsInFlight().isEmpty()
 				|| state.triedUpstreams().size() >= Math.min(2, state.request().maximumAttempts())
-				|| this.queues.size() > 0) {
+				|| this.queues.size() > 0 || crashesUnder(state.request()) > 0) {
 			return List.of();
 		}
 		Optional<UpstreamTracker> chosenUpstream = choose(state, nowNanos,
@@ -524,6 +657,7 @@
 		}
 		state.markClosed();
 		this.queues.remove(state.request());
+		this.trials.remove(state.request());
 		this.queues.recordClose(state.request().caller());
 		removeIfCompleted(state);
 	}
@@ -561,6 +695,12 @@
 						queued.expiryNanos()), false);
 			}
 		}
+		for (QueuedRequest queued : this.trials.waiting()) {
+			if (queued.expiryNanos() <= nowNanos) {
+				this.trials.remove(queued.request());
+				this.effects.add(Refusal.quarantined(queued.request(), TRIAL_RETRY_AFTER_NANOS));
+			}
+		}
 		sendConnectionProbes(nowNanos);
 		sendPaceProbes(nowNanos);
 		dispatchQueued(nowNanos);
@@ -622,9 +762,14 @@
 	 */
 	public List<RoutingEffect> recordConnectionProbe(String upstream, boolean reachable, long nowNanos) {
 		UpstreamTracker tracker = this.trackers.get(upstream);
-		if (tracker != null) {
+		boolean crashed = this.crashChecks.recordProbe(upstream, reachable);
+		if (tracker != null && tracker.awaitsConnectionProbe()) {
 			tracker.recordConnectionProbe(reachable, nowNanos);
 		}
+		else if (tracker != null && crashed) {
+			tracker.recordFailure(AttemptResult.UNREACHABLE, nowNanos, ejectionRule(nowNanos));
+		}
+		reportCrashes(nowNanos);
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
@@ -636,7 +781,7 @@
 	 */
 	public boolean needsTick() {
 		boolean paceProbing = this.receivingRequests && this.rule.paceProbeRule() != null;
-		return paceProbing || this.queues.size() > 0
+		return paceProbing || this.queues.size() > 0 || !this.trials.isEmpty()
 				|| this.trackers.values().stream().anyMatch(UpstreamTracker::awaitsConnectionProbe);
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -68,6 +68,9 @@
 
 	private boolean removed;
 
+	// Whether the upstream is kept free for a request that runs alone.
+	private boolean reserved;
+
 	private long lastReportNanos = Long.MIN_VALUE / 2;
 
 	private long lastPaceProbeNanos = Long.MIN_VALUE / 2;
@@ -174,12 +177,29 @@
 	}
 
 	boolean hasFreeSlot(long nowNanos) {
-		if (!acceptsRequests() || isEjected(nowNanos) || !this.rateLimit.allows(nowNanos)) {
+		if (this.reserved || !isAvailable(nowNanos)) {
 			return false;
 		}
 		return this.inFlight < (isOnTrial() ? 1 : usableSlots(nowNanos));
 	}
 
+	private boolean isAvailable(long nowNanos) {
+		return acceptsRequests() && !isEjected(nowNanos) && this.rateLimit.allows(nowNanos);
+	}
+
+	boolean isReserved() {
+		return this.reserved;
+	}
+
+	void setReserved(boolean reserved) {
+		this.reserved = reserved;
+	}
+
+	// Whether a request can run alone here, also if the upstream is reserved for it.
+	boolean isIdle(long nowNanos) {
+		return this.inFlight == 0 && isAvailable(nowNanos);
+	}
+
 	boolean isUncontended() {
 		return this.inFlight < ContentionEstimate.uncontendedSlots(this.upstream.slots());
 	}
@@ -191,8 +211,7 @@
 	// Allows some requests beyond the slots to wait at the upstream, so that a
 	// slot is not idle while a response and the next request are transferred.
 	boolean mayPipeline(long nowNanos, double queuedPerSlot, double defaultServiceNanos) {
-		if (!acceptsRequests() || isEjected(nowNanos) || isOnTrial() || usableSlots(nowNanos) < this.upstream.slots()
-				|| !this.rateLimit.allows(nowNanos)) {
+		if (this.reserved || !isAvailable(nowNanos) || isOnTrial() || usableSlots(nowNanos) < this.upstream.slots()) {
 			return false;
 		}
 		return this.inFlight < this.upstream.slots() + pipelineLimit(queuedPerSlot, defaultServiceNanos);
--- a/radishthread-routing/src/test/java/org/radishthread/routing/CrashSimulation.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/CrashSimulation.java
@@ -9,8 +9,13 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 
+import org.radishthread.routing.CrashDissemination.Message;
+import org.radishthread.routing.CrashDissemination.Peer;
 import org.radishthread.routing.RoutingEffect.ConnectionProbe;
+import org.radishthread.routing.RoutingEffect.CrashFound;
+import org.radishthread.routing.RoutingEffect.CrashesCleared;
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.Refusal;
 import org.radishthread.rules.ServiceRule;
@@ -50,9 +55,11 @@
 	// suspects.
 	final Set<String> servedDigests = new HashSet<>();
 
+	final Set<String> sentDigests = new HashSet<>();
+
 	final Map<String, RefusalReason> lastRefusals = new HashMap<>();
 
-	final List<ServiceRouter> routers = new ArrayList<>();
+	private final List<Gateway> gateways = new ArrayList<>();
 
 	private final Random random;
 
@@ -63,27 +70,28 @@
 
 	private final Map<Long, RoutingRequest> openRequests = new HashMap<>();
 
-	private final int upstreamCount;
-
 	private long lastSequence;
 
 	private long lastRequestId;
 
 	private int home;
 
+	// The share of the messages among gateways that is lost.
+	double messageLoss;
+
 	long nowMillis;
 
 	CrashSimulation(int gatewayCount, int upstreamCount, long seed) {
 		this.random = new Random(seed);
-		this.upstreamCount = upstreamCount;
 		for (int i = 0; i < gatewayCount; i++) {
-			this.routers.add(new ServiceRouter(ServiceRule.defaults("rotaboard"), "bastrop", gatewayCount, 0));
+			this.gateways.add(new Gateway("gateway-" + i, 0));
 		}
 		for (int i = 0; i < upstreamCount; i++) {
 			start(i, 0);
 		}
 		announce();
 		schedule(TICK_MILLIS, this::tick);
+		schedule(CrashDissemination.TICK_INTERVAL_MILLIS, this::tickDissemination);
 	}
 
 	private void schedule(long delayMillis, Runnable action) {
@@ -104,7 +112,22 @@
 	}
 
 	void moveHome() {
-		this.home = (this.home + 1) % this.routers.size();
+		this.home = (this.home + 1) % this.gateways.size();
+	}
+
+	// The home loses its memory and its open requests, and is the home again.
+	void restartHome() {
+		Gateway former = this.gateways.get(this.home);
+		former.stopped = true;
+		this.gateways.set(this.home, new Gateway(former.address, former.incarnation + 1));
+		announce();
+	}
+
+	int quarantinedRequestsAtHome(String digestPrefix) {
+		CrashHistory history = this.gateways.get(this.home).history;
+		return (int) this.sentDigests.stream()
+			.filter((digest) -> digest.startsWith(digestPrefix) && history.quarantineNanos(digest, nowNanos()) > 0)
+			.count();
 	}
 
 	private long nowNanos() {
@@ -124,29 +147,59 @@
 			.map((upstream) -> new Upstream(upstream.name, "127.0.0.1:" + (1 + upstream.place),
 					"zone-" + upstream.place % 4, SLOTS, 1, true))
 			.toList();
-		for (int i = 0; i < this.routers.size(); i++) {
-			execute(i, this.routers.get(i).updateUpstreams(announced, nowNanos()));
-		}
+		this.gateways.forEach((gateway) -> execute(gateway, gateway.router.updateUpstreams(announced, nowNanos())));
 	}
 
 	private void tick() {
-		for (int i = 0; i < this.routers.size(); i++) {
-			if (this.routers.get(i).needsTick()) {
-				execute(i, this.routers.get(i).tick(nowNanos()));
+		for (Gateway gateway : this.gateways) {
+			if (gateway.router.needsTick()) {
+				execute(gateway, gateway.router.tick(nowNanos()));
 			}
 		}
 		schedule(TICK_MILLIS, this::tick);
 	}
 
-	// Sends a request through the home. A caller whose request was refused or failed
+	private void tickDissemination() {
+		this.gateways.forEach((gateway) -> deliver(gateway.dissemination.tick(peers(gateway), nowNanos())));
+		schedule(CrashDissemination.TICK_INTERVAL_MILLIS, this::tickDissemination);
+	}
+
+	private Set<Peer> peers(Gateway gateway) {
+		return this.gateways.stream()
+			.filter((other) -> other != gateway)
+			.map((other) -> new Peer(other.address, other.incarnation))
+			.collect(Collectors.toSet());
+	}
+
+	private void deliver(List<Message> messages) {
+		for (Message message : messages) {
+			if (this.random.nextDouble() >= this.messageLoss) {
+				schedule(2 * NETWORK_MILLIS,
+						() -> this.gateways.stream()
+							.filter((gateway) -> gateway.address.equals(message.address()))
+							.forEach((gateway) -> gateway.dissemination.receive(message.notice(), nowNanos())));
+			}
+		}
+	}
+
+	// Sends a request to some gateway, which asks the home. A caller whose request was
+	// refused or failed
 	// sends it once more.
 	void send(String digest, boolean repeats) {
 		long id = ++this.lastRequestId;
 		RoutingRequest request = new RoutingRequest(id, "caller-" + id % 20, true,
 				nowNanos() + TIMEOUT_MILLIS * NANOS_PER_MILLI, "", Urgency.NORMAL, MAXIMUM_ATTEMPTS, "", digest);
 		this.openRequests.put(id, request);
-		int router = this.home;
-		execute(router, this.routers.get(router).admit(request, nowNanos()));
+		this.sentDigests.add(digest);
+		Gateway receiver = this.gateways.get(this.random.nextInt(this.gateways.size()));
+		long quarantineNanos = receiver.history.quarantineNanos(digest, nowNanos());
+		if (quarantineNanos > 0) {
+			refuse(receiver, Refusal.quarantined(request, quarantineNanos));
+		}
+		else {
+			Gateway gateway = this.gateways.get(this.home);
+			execute(gateway, gateway.router.admit(request, nowNanos()));
+		}
 		if (repeats) {
 			schedule(TIMEOUT_MILLIS / 3, () -> {
 				if (!this.servedDigests.contains(digest)) {
@@ -156,38 +209,48 @@
 		}
 	}
 
-	private void execute(int router, List<RoutingEffect> effects) {
+	private void execute(Gateway gateway, List<RoutingEffect> effects) {
+		if (gateway.stopped) {
+			return;
+		}
 		for (RoutingEffect effect : effects) {
 			if (effect instanceof Dispatch dispatch) {
-				schedule(NETWORK_MILLIS, () -> arrive(router, dispatch));
+				schedule(NETWORK_MILLIS, () -> arrive(gateway, dispatch));
 			}
 			else if (effect instanceof Refusal refusal) {
-				refuse(router, refusal);
+				refuse(gateway, refusal);
+			}
+			else if (effect instanceof CrashFound found) {
+				deliver(gateway.dissemination.publishCrash(found.crash(), peers(gateway), nowNanos()));
+			}
+			else if (effect instanceof CrashesCleared cleared) {
+				deliver(gateway.dissemination.publishClearance(cleared.digest(), cleared.completedAtNanos(),
+						peers(gateway), nowNanos()));
 			}
 			else if (effect instanceof ConnectionProbe probe) {
 				schedule(2 * NETWORK_MILLIS, () -> {
 					boolean reachable = !this.upstreams.get(probe.upstream().name()).down;
-					execute(router, this.routers.get(router)
-						.recordConnectionProbe(probe.upstream().name(), reachable, nowNanos()));
+					execute(gateway,
+							gateway.router.recordConnectionProbe(probe.upstream().name(), reachable, nowNanos()));
 				});
 			}
 		}
 	}
 
-	private void refuse(int router, Refusal refusal) {
+	private void refuse(Gateway gateway, Refusal refusal) {
 		RoutingRequest request = this.openRequests.remove(refusal.requestId());
 		this.lastRefusals.put(request.digest(), refusal.reason());
-		this.routers.get(router).close(refusal.requestId());
+		gateway.router.close(refusal.requestId());
 	}
 
-	private void arrive(int router, Dispatch dispatch) {
+	private void arrive(Gateway gateway, Dispatch dispatch) {
 		SimulatedUpstream upstream = this.upstreams.get(dispatch.upstream().name());
 		RoutingRequest request = this.openRequests.get(dispatch.requestId());
 		if (upstream.down) {
-			schedule(NETWORK_MILLIS, () -> fail(router, dispatch, AttemptResult.UNREACHABLE));
+			schedule(NETWORK_MILLIS, () -> fail(gateway, dispatch, AttemptResult.UNREACHABLE));
 			return;
 		}
-		RunningAttempt attempt = new RunningAttempt(router, dispatch);
+		RunningAttempt attempt = new RunningAttempt(gateway, dispatch);
 		upstream.running.add(attempt);
 		if (request != null && request.digest().equals(CRASHING_DIGEST)) {
 			this.crashingArrivalMillis.add(this.nowMillis);
@@ -196,27 +259,26 @@
 		}
 		schedule(SERVICE_MILLIS, () -> {
 			if (upstream.running.remove(attempt)) {
-				schedule(NETWORK_MILLIS, () -> succeed(router, dispatch));
+				schedule(NETWORK_MILLIS, () -> succeed(gateway, dispatch));
 			}
 		});
 	}
 
-	private void succeed(int router, Dispatch dispatch) {
+	private void succeed(Gateway gateway, Dispatch dispatch) {
 		RoutingRequest request = this.openRequests.remove(dispatch.requestId());
 		if (request != null) {
 			this.servedDigests.add(request.digest());
 			this.lastRefusals.remove(request.digest());
 		}
-		execute(router, this.routers.get(router)
-			.completeAttempt(dispatch.requestId(), dispatch.upstream().name(), AttemptResult.SUCCESS, nowNanos()));
-		this.routers.get(router).close(dispatch.requestId());
+		execute(gateway, gateway.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(),
+				AttemptResult.SUCCESS, nowNanos()));
+		gateway.router.close(dispatch.requestId());
 	}
 
-	private void fail(int router, Dispatch dispatch, AttemptResult result) {
-		ServiceRouter serviceRouter = this.routers.get(router);
-		execute(router,
-				serviceRouter.completeAttempt(dispatch.requestId(), dispatch.upstream().name(), result, nowNanos()));
-		execute(router, serviceRouter.retry(dispatch.requestId(), nowNanos()));
+	private void fail(Gateway gateway, Dispatch dispatch, AttemptResult result) {
+		execute(gateway,
+				gateway.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(), result, nowNanos()));
+		execute(gateway, gateway.router.retry(dispatch.requestId(), nowNanos()));
 	}
 
 	void crashPlaces(int firstPlace, int count) {
@@ -235,7 +297,7 @@
 		this.crashMillis.add(this.nowMillis);
 		for (RunningAttempt attempt : upstream.running) {
 			schedule(NETWORK_MILLIS + this.random.nextInt(3),
-					() -> fail(attempt.router(), attempt.dispatch(), AttemptResult.CONNECTION_LOST));
+					() -> fail(attempt.gateway(), attempt.dispatch(), AttemptResult.CONNECTION_LOST));
 		}
 		upstream.running.clear();
 		schedule(DOWN_MILLIS, () -> {
@@ -245,14 +307,32 @@
 		});
 	}
 
-	int upstreamCount() {
-		return this.upstreamCount;
+	private record Event(long atMillis, long sequence, Runnable action) {
 	}
 
-	private record Event(long atMillis, long sequence, Runnable action) {
+	private record RunningAttempt(Gateway gateway, Dispatch dispatch) {
 	}
 
-	private record RunningAttempt(int router, Dispatch dispatch) {
+	private static final class Gateway {
+
+		private final String address;
+
+		private final long incarnation;
+
+		private final CrashHistory history = new CrashHistory(CrashHistory.DEFAULT_MAXIMUM_ENTRIES);
+
+		private final CrashDissemination dissemination = new CrashDissemination(this.history);
+
+		private final ServiceRouter router = new ServiceRouter(ServiceRule.defaults("rotaboard"),
+				RouterSettings.defaults("bastrop", 16), this.history, 0);
+
+		private boolean stopped;
+
+		private Gateway(String address, long incarnation) {
+			this.address = address;
+			this.incarnation = incarnation;
+		}
+
 	}
 
 	private static final class SimulatedUpstream {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/CrashingRequestTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/CrashingRequestTests.java
@@ -1,5 +1,7 @@
 package org.radishthread.routing;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -84,4 +86,80 @@
 
 	}
 
+	@Nested
+	class Homes {
+
+		@Test
+		void crashingRequestIsStoppedWhileTheHomeMoves() {
+			for (long seed = 0; seed < 20; seed++) {
+				CrashSimulation simulation = newSimulation(6, seed);
+				simulation.messageLoss = 0.3;
+				sendOthers(simulation, 0, END_MILLIS);
+				sendCrashing(simulation, 1_000, 150 + 37 * seed);
+				for (long millis = 1_100; millis < END_MILLIS; millis += 400 + 90 * seed) {
+					simulation.at(millis, simulation::moveHome);
+				}
+				simulation.runUntil(END_MILLIS);
+				assertLaterArrivalsAreAllowed(simulation);
+			}
+		}
+
+		@Test
+		void crashingRequestIsStoppedWhenTheHomeLosesItsMemory() {
+			for (long seed = 0; seed < 20; seed++) {
+				CrashSimulation simulation = newSimulation(6, seed);
+				sendOthers(simulation, 0, END_MILLIS);
+				sendCrashing(simulation, 1_000, 300 + 41 * seed);
+				for (long millis = 3_000 + 100 * seed; millis < END_MILLIS; millis += 5_000) {
+					simulation.at(millis, simulation::restartHome);
+				}
+				simulation.runUntil(END_MILLIS);
+				assertLaterArrivalsAreAllowed(simulation);
+			}
+		}
+
+	}
+
+	@Nested
+	class OtherRequests {
+
+		// Other requests are lost with the crashing one, and come back.
+		@Test
+		void othersAreServedWhileOneRequestCrashesUpstreams() {
+			for (long seed = 0; seed < 10; seed++) {
+				CrashSimulation simulation = newSimulation(3, seed);
+				sendOthers(simulation, 0, END_MILLIS - 2_000);
+				sendCrashing(simulation, 1_000, 200 + 50 * seed);
+				simulation.runUntil(END_MILLIS);
+				assertThat(simulation.servedDigests.size() / (double) simulation.sentDigests.size()).as("seed %d", seed)
+					.isGreaterThan(0.98);
+				assertThat(simulation.quarantinedRequestsAtHome("other")).as("seed %d", seed).isZero();
+			}
+		}
+
+		// Half of the upstreams crash at once, twice.
+		@Test
+		void requestsThatRanBesideEachOtherAreServedAfterCrashes() {
+			for (long seed = 0; seed < 10; seed++) {
+				CrashSimulation simulation = newSimulation(3, seed);
+				sendOthers(simulation, 0, 8_000);
+				simulation.at(2_000 + seed, () -> simulation.crashPlaces(0, 5));
+				simulation.at(2_300 + 3 * seed, () -> simulation.crashPlaces(5, 3));
+				simulation.runUntil(9_000);
+				List<String> unserved = simulation.sentDigests.stream()
+					.filter((digest) -> !simulation.servedDigests.contains(digest))
+					.toList();
+				long millis = 9_000;
+				for (String digest : unserved) {
+					simulation.at(millis, () -> simulation.send(digest, true));
+					millis += 5;
+				}
+				simulation.runUntil(millis + 2_000);
+				assertThat(simulation.quarantinedRequestsAtHome("other")).as("seed %d", seed).isZero();
+				assertThat(simulation.servedDigests).as("seed %d", seed).containsAll(unserved);
+			}
+		}
+
+	}
+
 }
--- a/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
@@ -35,7 +35,7 @@
 	@Test
 	void refusalReasonsKeepTheirWireNames() {
 		assertThat(Arrays.stream(RefusalReason.values()).map(RefusalReason::wireName)).containsExactly("no-upstream",
-				"overload", "caller-limit", "queue-timeout", "retry-budget", "not-home");
+				"overload", "caller-limit", "queue-timeout", "retry-budget", "quarantined", "not-home");
 	}
 
 	@Test
