--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -87,6 +87,14 @@
 		else if (effect instanceof RoutingEffect.ConnectionProbe probe) {
 			probeReachability(probe.upstream());
 		}
+		else if (effect instanceof RoutingEffect.UpstreamEjected ejected) {
+			eventLog.information("upstream-ejected")
+				.with("service", this.service)
+				.with("upstream", ejected.upstream())
+				.with("result", ejected.result().logName())
+				.with("origin", ejected.origin().isEmpty() ? "this instance" : ejected.origin())
+				.write();
+		}
 		else if (effect instanceof RoutingEffect.CrashFound found) {
 			this.crashExchange.publish(found);
 		}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -66,6 +66,17 @@
 	record ConnectionProbe(Upstream upstream) implements RoutingEffect {
 	}
 
+	/**
+	 * Reports that an upstream is ejected.
+	 *
+	 * @param upstream the name of the upstream
+	 * @param result the result of the attempt or probe that led to it
+	 * @param origin the peer address of the instance that made the attempt, or empty for
+	 * this instance
+	 */
+	record UpstreamEjected(String upstream, AttemptResult result, String origin) implements RoutingEffect {
+	}
+
 	/**
 	 * Tells the other gateways that an upstream crashed while it ran a request.
 	 *
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -24,6 +24,7 @@
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.PaceProbe;
 import org.radishthread.routing.RoutingEffect.Refusal;
+import org.radishthread.routing.RoutingEffect.UpstreamEjected;
 import org.radishthread.routing.UpstreamTracker.EjectionRule;
 import org.radishthread.rules.PaceProbeRule;
 import org.radishthread.rules.ServiceRule;
@@ -531,7 +532,7 @@
 		}
 		tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
 		if (result.countsAgainstUpstream()) {
-			tracker.recordFailure(result, nowNanos, ejectionRule(nowNanos));
+			recordFailure(tracker, result, state.request().origin(), nowNanos);
 		}
 		if (result == AttemptResult.SUCCESS) {
 			this.contention.recordAttempt(attemptStart.inFlight(), tracker.upstream().slots(),
@@ -544,6 +545,14 @@
 		return takeEffects();
 	}
 
+	private void recordFailure(UpstreamTracker tracker, AttemptResult result, String origin, long nowNanos) {
+		boolean ejectedBefore = tracker.isEjected(nowNanos);
+		tracker.recordFailure(result, nowNanos, ejectionRule(nowNanos));
+		if (!ejectedBefore && tracker.isEjected(nowNanos)) {
+			this.effects.add(new UpstreamEjected(tracker.upstream().name(), result, origin));
+		}
+	}
+
 	private void endTrial(RequestState state, UpstreamTracker tracker) {
 		if (state.exclusiveUpstream() == tracker) {
 			state.setExclusiveUpstream(null);
@@ -767,7 +776,7 @@
 			tracker.recordConnectionProbe(reachable, nowNanos);
 		}
 		else if (tracker != null && crashed) {
-			tracker.recordFailure(AttemptResult.UNREACHABLE, nowNanos, ejectionRule(nowNanos));
+			recordFailure(tracker, AttemptResult.UNREACHABLE, "", nowNanos);
 		}
 		reportCrashes(nowNanos);
 		dispatchQueued(nowNanos);
