--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -10,6 +10,7 @@
 
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.ContentSourceRequestContent;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
@@ -215,10 +216,10 @@
 		String host = this.request.getHttpURI().getHost();
 		String knownHost = (host != null) ? host : "";
 		String path = this.request.getHttpURI().getPathQuery();
+		HttpFields headers = this.request.getHeaders();
 		return isBodyStreamed()
-				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, caller(),
-						this.request.getLength())
-				: RequestDigest.of(this.request.getMethod(), knownHost, path, caller(), this.body);
+				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, headers, this.request.getLength())
+				: RequestDigest.of(this.request.getMethod(), knownHost, path, headers, this.body);
 	}
 
 	private long timeoutMillis() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RequestDigest.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RequestDigest.java
@@ -2,14 +2,19 @@
 
 import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.List;
 
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.kernel.Sha256;
 
 /**
- * Computes what equal requests have in common: the same method, host, path, caller and
- * body have the same digest, at every instance and in every repetition.
+ * Computes what equal requests have in common, as far as an upstream can tell: the same
+ * method, host, path, credentials and body have the same digest, at every instance and in
+ * every repetition. The address of the caller is not sent to upstreams and does not
+ * count.
  */
 final class RequestDigest {
 
@@ -18,6 +23,8 @@
 	// No part contains it, so parts cannot be shifted into each other.
 	private static final char SEPARATOR = '\n';
 
+	private static final List<HttpHeader> CREDENTIALS = List.of(HttpHeader.AUTHORIZATION, HttpHeader.COOKIE);
+
 	private RequestDigest() {
 	}
 
@@ -26,12 +33,12 @@
 	 * @param method the HTTP method
 	 * @param host the host, without a port
 	 * @param pathAndQuery the path and the query as sent
-	 * @param caller the name of the caller
+	 * @param headers the headers, of which the credentials count
 	 * @param body the complete body, or {@code null} for none
 	 * @return the digest, in hexadecimal digits
 	 */
-	static String of(String method, String host, String pathAndQuery, String caller, byte @Nullable [] body) {
-		return compute("body", method, host, pathAndQuery, caller, (body != null) ? body : new byte[0]);
+	static String of(String method, String host, String pathAndQuery, HttpFields headers, byte @Nullable [] body) {
+		return compute("body", method, host, pathAndQuery, headers, (body != null) ? body : new byte[0]);
 	}
 
 	/**
@@ -40,19 +47,24 @@
 	 * @param method the HTTP method
 	 * @param host the host, without a port
 	 * @param pathAndQuery the path and the query as sent
-	 * @param caller the name of the caller
+	 * @param headers the headers, of which the credentials count
 	 * @param length the length of the body in bytes, or -1 if unknown
 	 * @return the digest, in hexadecimal digits
 	 */
-	static String ofStreamed(String method, String host, String pathAndQuery, String caller, long length) {
-		return compute("length-" + length, method, host, pathAndQuery, caller, new byte[0]);
+	static String ofStreamed(String method, String host, String pathAndQuery, HttpFields headers, long length) {
+		return compute("length-" + length, method, host, pathAndQuery, headers, new byte[0]);
 	}
 
-	private static String compute(String form, String method, String host, String pathAndQuery, String caller,
+	private static String compute(String form, String method, String host, String pathAndQuery, HttpFields headers,
 			byte[] body) {
-		String head = form + SEPARATOR + method + SEPARATOR + host + SEPARATOR + pathAndQuery + SEPARATOR + caller
-				+ SEPARATOR;
-		return HexFormat.of().formatHex(Arrays.copyOf(Sha256.of(head, body), DIGEST_BYTES));
+		StringBuilder head = new StringBuilder();
+		for (String part : List.of(form, method, host, pathAndQuery)) {
+			head.append(part).append(SEPARATOR);
+		}
+		for (HttpHeader credential : CREDENTIALS) {
+			head.append(headers.getValuesList(credential)).append(SEPARATOR);
+		}
+		return HexFormat.of().formatHex(Arrays.copyOf(Sha256.of(head.toString(), body), DIGEST_BYTES));
 	}
 
 }
