--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -32,6 +32,7 @@
 import org.radishthread.daemon.gateway.UpstreamClients;
 import org.radishthread.daemon.http.HttpServer;
 import org.radishthread.daemon.peer.PeerTransport;
+import org.radishthread.daemon.peer.RelayHandshake;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.Kernel;
 import org.radishthread.kernel.NetworkAddress;
@@ -88,8 +89,8 @@
 
 	@Provides
 	@Singleton
-	static UpstreamClients upstreamClients() {
-		return new UpstreamClients();
+	static UpstreamClients upstreamClients(DaemonSettings settings) {
+		return new UpstreamClients(new RelayHandshake(settings));
 	}
 
 	@Provides
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -300,11 +300,15 @@
 	 * @param address the address of the upstream
 	 * @param kind the wire name of the {@link org.radishthread.routing.AttemptKind}
 	 * @param useNewConnection whether to open a connection for the attempt
+	 * @param relay the peer address of the instance that relays the attempt, or
+	 * {@code null} for none
 	 * @return whether it was sent; if not, the request is already completed
 	 */
-	protected final boolean sendAttempt(String upstream, NetworkAddress address, String kind,
-			boolean useNewConnection) {
-		org.eclipse.jetty.client.Request attemptRequest = this.context.clients().request(address, useNewConnection);
+	protected final boolean sendAttempt(String upstream, NetworkAddress address, String kind, boolean useNewConnection,
+			@Nullable String relay) {
+		org.eclipse.jetty.client.Request attemptRequest = (relay != null)
+				? this.context.clients().relayedRequest(address, useNewConnection, relay)
+				: this.context.clients().request(address, useNewConnection);
 		HttpDialect dialect = this.context.dialect();
 		String requestId = dialect.requestId(this.request.getHeaders(),
 				this.context.settings().instance() + '-' + this.requestNumber + '-' + kind);
@@ -316,6 +320,7 @@
 			.with("service", this.route.service())
 			.with("upstream", upstream)
 			.with("kind", kind)
+			.with("relay", (relay != null) ? relay : "none")
 			.with("digest", digest())
 			.with("revision", this.rulesRevision)
 			.with("remaining-millis", remainingMillis())
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -87,6 +87,13 @@
 		else if (effect instanceof RoutingEffect.ConnectionProbe probe) {
 			probeReachability(probe.upstream());
 		}
+		else if (effect instanceof RoutingEffect.PartitionChanged change) {
+			eventLog.information("partition-changed")
+				.with("service", this.service)
+				.with("origin", change.origin().isEmpty() ? "this instance" : change.origin())
+				.with("partitioned", change.partitioned())
+				.write();
+		}
 		else if (effect instanceof RoutingEffect.UpstreamEjected ejected) {
 			eventLog.information("upstream-ejected")
 				.with("service", this.service)
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -147,7 +147,8 @@
 		}
 		boolean useNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST;
 		NetworkAddress address = NetworkAddress.parse(dispatch.upstream().address());
-		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection)) {
+		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection,
+				dispatch.relay())) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
 					AttemptCompletion.CANCELLED.result(), null);
 			return;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -46,6 +46,9 @@
 	// routers use both as ids.
 	private final AtomicLong lastRequestId = new AtomicLong(Long.MAX_VALUE / 2);
 
+	// The peer address of this instance.
+	private final String homeAddress;
+
 	private final RoutingService routing;
 
 	private final ClusterService cluster;
@@ -56,8 +59,9 @@
 
 	private final Map<RequestKey, RemoteRequest> remoteRequests = new ConcurrentHashMap<>();
 
-	SlotGranter(RoutingService routing, ClusterService cluster, TimeSource time,
+	SlotGranter(String homeAddress, RoutingService routing, ClusterService cluster, TimeSource time,
 			BiConsumer<String, SlotMessage> messageSender) {
+		this.homeAddress = homeAddress;
 		this.routing = routing;
 		this.cluster = cluster;
 		this.time = time;
@@ -206,10 +210,20 @@
 					.setInFlight(dispatch.inFlight())
 					.setWaitedMicros(dispatch.queueTimeNanos() / NANOS_PER_MICRO)
 					.setHedgeAfterMicros(dispatch.hedgeAfterNanos() / NANOS_PER_MICRO)
-					.setLimitCounted(dispatch.limitCounted()))
+					.setLimitCounted(dispatch.limitCounted())
+					.setRelay(relayAddress(dispatch)))
 				.build());
 		}
 
+		// Empty without a relay; the router leaves the address of the home out.
+		private String relayAddress(RoutingEffect.Dispatch dispatch) {
+			String relay = dispatch.relay();
+			if (relay == null) {
+				return "";
+			}
+			return relay.isEmpty() ? SlotGranter.this.homeAddress : relay;
+		}
+
 		@Override
 		public void onRefusal(RoutingEffect.Refusal refusal) {
 			send(message()
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -68,7 +68,7 @@
 		this.routing = routing;
 		this.homes = new HomeDirectory(cluster, time);
 		this.requester = new SlotRequester(ThreadLocalRandom.current().nextLong(), settings.zone());
-		this.granter = new SlotGranter(routing, cluster, time, this::send);
+		this.granter = new SlotGranter(settings.peerAddress().toString(), routing, cluster, time, this::send);
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -1,5 +1,9 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
 import org.eclipse.jetty.client.ConnectionPool;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
@@ -8,6 +12,7 @@
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
+import org.radishthread.daemon.peer.RelayHandshake;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.Service;
 
@@ -33,10 +38,18 @@
 
 	private static final int MAXIMUM_THREADS = 16;
 
+	private final RelayHandshake relayHandshake;
+
+	private final Set<String> knownRelays = ConcurrentHashMap.newKeySet();
+
 	private final HttpClient pooledClient = new HttpClient(transport());
 
 	private final HttpClient singleUseClient = new HttpClient(transport());
 
+	public UpstreamClients(RelayHandshake relayHandshake) {
+		this.relayHandshake = relayHandshake;
+	}
+
 	@Override
 	public String name() {
 		return NAME;
@@ -91,6 +104,16 @@
 		return client.newRequest(address.host(), address.port());
 	}
 
+	// Connects through another instance, named by its peer address.
+	Request relayedRequest(NetworkAddress address, boolean useNewConnection, String relay) {
+		if (this.knownRelays.add(relay)) {
+			for (HttpClient client : List.of(this.pooledClient, this.singleUseClient)) {
+				client.getProxyConfiguration().addProxy(new RelayProxy(relay, this.relayHandshake));
+			}
+		}
+		return request(address, useNewConnection).tag(relay);
+	}
+
 	// Called when an attempt on a pooled connection completed without any response: idle
 	// connections of the same age are likely to be lost too.
 	void closeIdleConnections(NetworkAddress address) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/InboundPeerHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/InboundPeerHandler.java
@@ -44,6 +44,9 @@
 		else if (envelope.hasPing()) {
 			context.writeAndFlush(Envelope.newBuilder().setPong(Pong.getDefaultInstance()).build());
 		}
+		else if (envelope.hasRelayRequest()) {
+			RelayedConnection.open(context.channel(), envelope.getRelayRequest().getAddress());
+		}
 		else {
 			this.messageHandler.receive(sender.getInstance(), sender.getAddress(), envelope);
 		}
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
@@ -73,6 +73,8 @@
     UPSTREAM_NOTICE(13),
     UPSTREAM_NOTICE_RECEIPT(14),
     CRASH_NOTICE(15),
+    RELAY_REQUEST(16),
+    RELAY_RESPONSE(17),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -105,6 +107,8 @@
         case 13: return UPSTREAM_NOTICE;
         case 14: return UPSTREAM_NOTICE_RECEIPT;
         case 15: return CRASH_NOTICE;
+        case 16: return RELAY_REQUEST;
+        case 17: return RELAY_RESPONSE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -585,6 +589,68 @@
     return org.radishthread.protocol.CrashNotice.getDefaultInstance();
   }
 
+  public static final int RELAY_REQUEST_FIELD_NUMBER = 16;
+  /**
+   * <code>.radishthread.RelayRequest relay_request = 16;</code>
+   * @return Whether the relayRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasRelayRequest() {
+    return bodyCase_ == 16;
+  }
+  /**
+   * <code>.radishthread.RelayRequest relay_request = 16;</code>
+   * @return The relayRequest.
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.RelayRequest getRelayRequest() {
+    if (bodyCase_ == 16) {
+       return (org.radishthread.protocol.RelayRequest) body_;
+    }
+    return org.radishthread.protocol.RelayRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.radishthread.RelayRequest relay_request = 16;</code>
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.RelayRequestOrBuilder getRelayRequestOrBuilder() {
+    if (bodyCase_ == 16) {
+       return (org.radishthread.protocol.RelayRequest) body_;
+    }
+    return org.radishthread.protocol.RelayRequest.getDefaultInstance();
+  }
+
+  public static final int RELAY_RESPONSE_FIELD_NUMBER = 17;
+  /**
+   * <code>.radishthread.RelayResponse relay_response = 17;</code>
+   * @return Whether the relayResponse field is set.
+   */
+  @java.lang.Override
+  public boolean hasRelayResponse() {
+    return bodyCase_ == 17;
+  }
+  /**
+   * <code>.radishthread.RelayResponse relay_response = 17;</code>
+   * @return The relayResponse.
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.RelayResponse getRelayResponse() {
+    if (bodyCase_ == 17) {
+       return (org.radishthread.protocol.RelayResponse) body_;
+    }
+    return org.radishthread.protocol.RelayResponse.getDefaultInstance();
+  }
+  /**
+   * <code>.radishthread.RelayResponse relay_response = 17;</code>
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.RelayResponseOrBuilder getRelayResponseOrBuilder() {
+    if (bodyCase_ == 17) {
+       return (org.radishthread.protocol.RelayResponse) body_;
+    }
+    return org.radishthread.protocol.RelayResponse.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -644,6 +710,12 @@
     if (bodyCase_ == 15) {
       output.writeMessage(15, (org.radishthread.protocol.CrashNotice) body_);
     }
+    if (bodyCase_ == 16) {
+      output.writeMessage(16, (org.radishthread.protocol.RelayRequest) body_);
+    }
+    if (bodyCase_ == 17) {
+      output.writeMessage(17, (org.radishthread.protocol.RelayResponse) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -708,6 +780,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(15, (org.radishthread.protocol.CrashNotice) body_);
     }
+    if (bodyCase_ == 16) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, (org.radishthread.protocol.RelayRequest) body_);
+    }
+    if (bodyCase_ == 17) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, (org.radishthread.protocol.RelayResponse) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -794,6 +874,14 @@
         if (!getCrashNotice()
             .equals(other.getCrashNotice())) return false;
         break;
+      case 16:
+        if (!getRelayRequest()
+            .equals(other.getRelayRequest())) return false;
+        break;
+      case 17:
+        if (!getRelayResponse()
+            .equals(other.getRelayResponse())) return false;
+        break;
       case 0:
       default:
     }
@@ -869,6 +957,14 @@
         hash = (37 * hash) + CRASH_NOTICE_FIELD_NUMBER;
         hash = (53 * hash) + getCrashNotice().hashCode();
         break;
+      case 16:
+        hash = (37 * hash) + RELAY_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getRelayRequest().hashCode();
+        break;
+      case 17:
+        hash = (37 * hash) + RELAY_RESPONSE_FIELD_NUMBER;
+        hash = (53 * hash) + getRelayResponse().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1052,6 +1148,12 @@
       if (crashNoticeBuilder_ != null) {
         crashNoticeBuilder_.clear();
       }
+      if (relayRequestBuilder_ != null) {
+        relayRequestBuilder_.clear();
+      }
+      if (relayResponseBuilder_ != null) {
+        relayResponseBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1153,6 +1255,14 @@
           crashNoticeBuilder_ != null) {
         result.body_ = crashNoticeBuilder_.build();
       }
+      if (bodyCase_ == 16 &&
+          relayRequestBuilder_ != null) {
+        result.body_ = relayRequestBuilder_.build();
+      }
+      if (bodyCase_ == 17 &&
+          relayResponseBuilder_ != null) {
+        result.body_ = relayResponseBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1228,6 +1338,14 @@
           mergeCrashNotice(other.getCrashNotice());
           break;
         }
+        case RELAY_REQUEST: {
+          mergeRelayRequest(other.getRelayRequest());
+          break;
+        }
+        case RELAY_RESPONSE: {
+          mergeRelayResponse(other.getRelayResponse());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1361,6 +1479,20 @@
               bodyCase_ = 15;
               break;
             } // case 122
+            case 130: {
+              input.readMessage(
+                  internalGetRelayRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 16;
+              break;
+            } // case 130
+            case 138: {
+              input.readMessage(
+                  internalGetRelayResponseFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 17;
+              break;
+            } // case 138
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3493,6 +3625,286 @@
       return crashNoticeBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.RelayRequest, org.radishthread.protocol.RelayRequest.Builder, org.radishthread.protocol.RelayRequestOrBuilder> relayRequestBuilder_;
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     * @return Whether the relayRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasRelayRequest() {
+      return bodyCase_ == 16;
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     * @return The relayRequest.
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.RelayRequest getRelayRequest() {
+      if (relayRequestBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          return (org.radishthread.protocol.RelayRequest) body_;
+        }
+        return org.radishthread.protocol.RelayRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 16) {
+          return relayRequestBuilder_.getMessage();
+        }
+        return org.radishthread.protocol.RelayRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     */
+    public Builder setRelayRequest(org.radishthread.protocol.RelayRequest value) {
+      if (relayRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        relayRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     */
+    public Builder setRelayRequest(
+        org.radishthread.protocol.RelayRequest.Builder builderForValue) {
+      if (relayRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        relayRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     */
+    public Builder mergeRelayRequest(org.radishthread.protocol.RelayRequest value) {
+      if (relayRequestBuilder_ == null) {
+        if (bodyCase_ == 16 &&
+            body_ != org.radishthread.protocol.RelayRequest.getDefaultInstance()) {
+          body_ = org.radishthread.protocol.RelayRequest.newBuilder((org.radishthread.protocol.RelayRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 16) {
+          relayRequestBuilder_.mergeFrom(value);
+        } else {
+          relayRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     */
+    public Builder clearRelayRequest() {
+      if (relayRequestBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        relayRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     */
+    public org.radishthread.protocol.RelayRequest.Builder getRelayRequestBuilder() {
+      return internalGetRelayRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.RelayRequestOrBuilder getRelayRequestOrBuilder() {
+      if ((bodyCase_ == 16) && (relayRequestBuilder_ != null)) {
+        return relayRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 16) {
+          return (org.radishthread.protocol.RelayRequest) body_;
+        }
+        return org.radishthread.protocol.RelayRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.RelayRequest relay_request = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.RelayRequest, org.radishthread.protocol.RelayRequest.Builder, org.radishthread.protocol.RelayRequestOrBuilder> 
+        internalGetRelayRequestFieldBuilder() {
+      if (relayRequestBuilder_ == null) {
+        if (!(bodyCase_ == 16)) {
+          body_ = org.radishthread.protocol.RelayRequest.getDefaultInstance();
+        }
+        relayRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.radishthread.protocol.RelayRequest, org.radishthread.protocol.RelayRequest.Builder, org.radishthread.protocol.RelayRequestOrBuilder>(
+                (org.radishthread.protocol.RelayRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 16;
+      onChanged();
+      return relayRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.RelayResponse, org.radishthread.protocol.RelayResponse.Builder, org.radishthread.protocol.RelayResponseOrBuilder> relayResponseBuilder_;
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     * @return Whether the relayResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasRelayResponse() {
+      return bodyCase_ == 17;
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     * @return The relayResponse.
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.RelayResponse getRelayResponse() {
+      if (relayResponseBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          return (org.radishthread.protocol.RelayResponse) body_;
+        }
+        return org.radishthread.protocol.RelayResponse.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 17) {
+          return relayResponseBuilder_.getMessage();
+        }
+        return org.radishthread.protocol.RelayResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     */
+    public Builder setRelayResponse(org.radishthread.protocol.RelayResponse value) {
+      if (relayResponseBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        relayResponseBuilder_.setMessage(value);
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     */
+    public Builder setRelayResponse(
+        org.radishthread.protocol.RelayResponse.Builder builderForValue) {
+      if (relayResponseBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        relayResponseBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     */
+    public Builder mergeRelayResponse(org.radishthread.protocol.RelayResponse value) {
+      if (relayResponseBuilder_ == null) {
+        if (bodyCase_ == 17 &&
+            body_ != org.radishthread.protocol.RelayResponse.getDefaultInstance()) {
+          body_ = org.radishthread.protocol.RelayResponse.newBuilder((org.radishthread.protocol.RelayResponse) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 17) {
+          relayResponseBuilder_.mergeFrom(value);
+        } else {
+          relayResponseBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     */
+    public Builder clearRelayResponse() {
+      if (relayResponseBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        relayResponseBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     */
+    public org.radishthread.protocol.RelayResponse.Builder getRelayResponseBuilder() {
+      return internalGetRelayResponseFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.RelayResponseOrBuilder getRelayResponseOrBuilder() {
+      if ((bodyCase_ == 17) && (relayResponseBuilder_ != null)) {
+        return relayResponseBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 17) {
+          return (org.radishthread.protocol.RelayResponse) body_;
+        }
+        return org.radishthread.protocol.RelayResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.RelayResponse relay_response = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.RelayResponse, org.radishthread.protocol.RelayResponse.Builder, org.radishthread.protocol.RelayResponseOrBuilder> 
+        internalGetRelayResponseFieldBuilder() {
+      if (relayResponseBuilder_ == null) {
+        if (!(bodyCase_ == 17)) {
+          body_ = org.radishthread.protocol.RelayResponse.getDefaultInstance();
+        }
+        relayResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.radishthread.protocol.RelayResponse, org.radishthread.protocol.RelayResponse.Builder, org.radishthread.protocol.RelayResponseOrBuilder>(
+                (org.radishthread.protocol.RelayResponse) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 17;
+      onChanged();
+      return relayResponseBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.Envelope)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
@@ -235,5 +235,35 @@
    */
   org.radishthread.protocol.CrashNoticeOrBuilder getCrashNoticeOrBuilder();
 
+  /**
+   * <code>.radishthread.RelayRequest relay_request = 16;</code>
+   * @return Whether the relayRequest field is set.
+   */
+  boolean hasRelayRequest();
+  /**
+   * <code>.radishthread.RelayRequest relay_request = 16;</code>
+   * @return The relayRequest.
+   */
+  org.radishthread.protocol.RelayRequest getRelayRequest();
+  /**
+   * <code>.radishthread.RelayRequest relay_request = 16;</code>
+   */
+  org.radishthread.protocol.RelayRequestOrBuilder getRelayRequestOrBuilder();
+
+  /**
+   * <code>.radishthread.RelayResponse relay_response = 17;</code>
+   * @return Whether the relayResponse field is set.
+   */
+  boolean hasRelayResponse();
+  /**
+   * <code>.radishthread.RelayResponse relay_response = 17;</code>
+   * @return The relayResponse.
+   */
+  org.radishthread.protocol.RelayResponse getRelayResponse();
+  /**
+   * <code>.radishthread.RelayResponse relay_response = 17;</code>
+   */
+  org.radishthread.protocol.RelayResponseOrBuilder getRelayResponseOrBuilder();
+
   org.radishthread.protocol.Envelope.BodyCase getBodyCase();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -36,6 +36,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_radishthread_Hello_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_RelayRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_RelayRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_RelayResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_RelayResponse_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_radishthread_Ping_descriptor;
   static final 
@@ -370,7 +380,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\022radishthread.proto\022\014radishthread\"\377\005\n\010E" +
+      "\n\022radishthread.proto\022\014radishthread\"\353\006\n\010E" +
       "nvelope\022$\n\005hello\030\001 \001(\0132\023.radishthread.He" +
       "lloH\000\022\"\n\004ping\030\002 \001(\0132\022.radishthread.PingH" +
       "\000\022\"\n\004pong\030\003 \001(\0132\022.radishthread.PongH\000\0223\n" +
@@ -389,193 +399,200 @@
       "\0132\034.radishthread.UpstreamNoticeH\000\022F\n\027ups" +
       "tream_notice_receipt\030\016 \001(\0132#.radishthrea" +
       "d.UpstreamNoticeReceiptH\000\0221\n\014crash_notic" +
-      "e\030\017 \001(\0132\031.radishthread.CrashNoticeH\000B\006\n\004" +
-      "body\"9\n\005Hello\022\020\n\010instance\030\001 \001(\t\022\017\n\007addre" +
-      "ss\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\"\006\n\004Ping\"\006\n\004Pong\"" +
-      "\315\003\n\020AgreementMessage\022\r\n\005group\030\001 \001(\006\022\014\n\004f" +
-      "rom\030\002 \001(\006\022\n\n\002to\030\003 \001(\006\022\014\n\004term\030\004 \001(\004\0221\n\014v" +
-      "ote_request\030\005 \001(\0132\031.radishthread.VoteReq" +
-      "uestH\000\0223\n\rvote_response\030\006 \001(\0132\032.radishth" +
-      "read.VoteResponseH\000\0225\n\016append_request\030\007 " +
-      "\001(\0132\033.radishthread.AppendRequestH\000\0227\n\017ap" +
-      "pend_response\030\010 \001(\0132\034.radishthread.Appen" +
-      "dResponseH\000\022*\n\010snapshot\030\t \001(\0132\026.radishth" +
-      "read.SnapshotH\000\0229\n\020founding_request\030\n \001(" +
-      "\0132\035.radishthread.FoundingRequestH\000\022;\n\021fo" +
-      "unding_response\030\013 \001(\0132\036.radishthread.Fou" +
-      "ndingResponseH\000B\006\n\004body\"F\n\013VoteRequest\022\020" +
-      "\n\010pre_vote\030\001 \001(\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\t" +
-      "last_term\030\003 \001(\004\"1\n\014VoteResponse\022\020\n\010pre_v" +
-      "ote\030\001 \001(\010\022\017\n\007granted\030\002 \001(\010\"\336\001\n\rAppendReq" +
-      "uest\022\026\n\016previous_index\030\001 \001(\004\022\025\n\rprevious" +
-      "_term\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026.radishthr" +
-      "ead.LogEntry\022\024\n\014commit_index\030\004 \001(\004\022\r\n\005ro" +
-      "und\030\005 \001(\004\022\032\n\022acknowledged_round\030\006 \001(\004\022\036\n" +
-      "\021commit_age_millis\030\007 \001(\004H\000\210\001\001B\024\n\022_commit" +
-      "_age_millis\"?\n\016AppendResponse\022\017\n\007success" +
-      "\030\001 \001(\010\022\r\n\005index\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017" +
-      "FoundingRequest\0222\n\rconfiguration\030\001 \001(\0132\033" +
-      ".radishthread.Configuration\"\022\n\020FoundingR" +
-      "esponse\"B\n\021ReplicaDescriptor\022\n\n\002id\030\001 \001(\006" +
-      "\022\020\n\010instance\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013R" +
-      "eplacement\022\017\n\007removed\030\001 \001(\006\022.\n\005added\030\002 \001" +
-      "(\0132\037.radishthread.ReplicaDescriptor\"\243\001\n\r" +
-      "Configuration\022/\n\006voters\030\001 \003(\0132\037.radishth" +
-      "read.ReplicaDescriptor\0221\n\010learners\030\002 \003(\013" +
-      "2\037.radishthread.ReplicaDescriptor\022.\n\013rep" +
-      "lacement\030\003 \001(\0132\031.radishthread.Replacemen" +
-      "t\"\253\001\n\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 " +
-      "\001(\004\022\032\n\022proposed_at_millis\030\003 \001(\004\022(\n\007comma" +
-      "nd\030\004 \001(\0132\025.radishthread.CommandH\000\0224\n\rcon" +
-      "figuration\030\005 \001(\0132\033.radishthread.Configur" +
-      "ationH\000B\006\n\004body\";\n\tHardState\022\014\n\004term\030\001 \001" +
-      "(\004\022\021\n\tvoted_for\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010" +
-      "LogFrame\022+\n\nhard_state\030\001 \001(\0132\027.radishthr" +
-      "ead.HardState\022\025\n\rtruncate_from\030\002 \001(\004\022\'\n\007" +
-      "entries\030\003 \003(\0132\026.radishthread.LogEntry\"2\n" +
-      "\010LogBatch\022&\n\006frames\030\001 \003(\0132\026.radishthread" +
-      ".LogFrame\"b\n\tLogHeader\022(\n\010snapshot\030\001 \001(\013" +
-      "2\026.radishthread.Snapshot\022+\n\nhard_state\030\002" +
-      " \001(\0132\027.radishthread.HardState\"\230\001\n\010Snapsh" +
-      "ot\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfi" +
-      "guration\030\003 \001(\0132\033.radishthread.Configurat" +
-      "ion\022,\n\005state\030\004 \001(\0132\035.radishthread.Contro" +
-      "lSnapshot\022\r\n\005round\030\005 \001(\004\"-\n\010Identity\022\017\n\007" +
-      "replica\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\"\325\001\n\007Comm" +
-      "and\0221\n\014submit_rules\030\001 \001(\0132\031.radishthread" +
-      ".SubmitRulesH\000\022+\n\005claim\030\002 \001(\0132\032.radishth" +
-      "read.ClaimRequestH\000\0223\n\ncompletion\030\003 \001(\0132" +
-      "\035.radishthread.ClaimCompletionH\000\022-\n\007rele" +
-      "ase\030\004 \001(\0132\032.radishthread.ClaimReleaseH\000B" +
-      "\006\n\004body\"X\n\013SubmitRules\022\020\n\010revision\030\001 \001(\004" +
-      "\022\017\n\007content\030\002 \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022" +
-      "\020\n\010document\030\004 \001(\014\"P\n\014ClaimRequest\022\013\n\003key" +
-      "\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001" +
-      "(\t\022\017\n\007attempt\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n" +
-      "\006status\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004b" +
-      "ody\030\003 \001(\014\022\021\n\tbody_kept\030\004 \001(\010\"]\n\017ClaimCom" +
-      "pletion\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n" +
-      "\006answer\030\003 \001(\0132\034.radishthread.RecordedAns" +
-      "wer\",\n\014ClaimRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007atte" +
-      "mpt\030\002 \001(\006\"\250\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001" +
-      "(\0162\032.radishthread.RulesVerdict\022\020\n\010revisi" +
-      "on\030\002 \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accept" +
-      "ed_at_millis\030\004 \001(\004\022\030\n\020current_revision\030\005" +
-      " \001(\004\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007v" +
-      "erdict\030\001 \001(\0162\032.radishthread.ClaimVerdict" +
-      "\022\r\n\005owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\0132\034.radish" +
-      "thread.RecordedAnswer\"\300\001\n\017ControlSnapsho" +
-      "t\022%\n\005rules\030\001 \001(\0132\026.radishthread.RuleFile" +
-      "\022*\n\007history\030\002 \003(\0132\031.radishthread.RuleHis" +
-      "tory\022)\n\006claims\030\003 \003(\0132\031.radishthread.Clai" +
-      "mRecord\022\024\n\014clock_millis\030\004 \001(\004\022\031\n\021release" +
-      "d_attempts\030\005 \003(\006\"a\n\013RuleHistory\022\020\n\010revis" +
-      "ion\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\024\n\014submitted_b" +
-      "y\030\003 \001(\t\022\032\n\022accepted_at_millis\030\004 \001(\004\"\230\001\n\013" +
-      "ClaimRecord\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030" +
-      "\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n" +
-      "\021claimed_at_millis\030\005 \001(\004\022,\n\006answer\030\006 \001(\013" +
-      "2\034.radishthread.RecordedAnswer\"\302\002\n\016Contr" +
-      "olRequest\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025" +
-      ".radishthread.CommandH\000\022-\n\nread_rules\030\003 " +
-      "\001(\0132\027.radishthread.ReadRulesH\000\022.\n\ninitia" +
-      "lize\030\004 \001(\0132\030.radishthread.InitializeH\000\022/" +
-      "\n\007replace\030\005 \001(\0132\034.radishthread.ReplaceRe" +
-      "plicaH\000\022/\n\013read_status\030\006 \001(\0132\030.radishthr" +
-      "ead.ReadStatusH\000\0221\n\014read_history\030\007 \001(\0132\031" +
-      ".radishthread.ReadHistoryH\000B\006\n\004body\"\013\n\tR" +
-      "eadRules\"\014\n\nReadStatus\"\034\n\013ReadHistory\022\r\n" +
-      "\005limit\030\001 \001(\r\"5\n\007History\022*\n\007entries\030\001 \003(\013" +
-      "2\031.radishthread.RuleHistory\"?\n\nInitializ" +
-      "e\0221\n\010replicas\030\001 \003(\0132\037.radishthread.Repli" +
-      "caDescriptor\"@\n\016ReplaceReplica\022.\n\005added\030" +
-      "\001 \001(\0132\037.radishthread.ReplicaDescriptor\"3" +
-      "\n\tNotLeader\022\026\n\016leader_address\030\001 \001(\t\022\016\n\006r" +
-      "eason\030\002 \001(\t\"\364\001\n\rControlStatus\0220\n\007replica" +
-      "\030\001 \001(\0132\037.radishthread.ReplicaDescriptor\022" +
-      "\014\n\004role\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_in" +
-      "dex\030\004 \001(\004\022\026\n\016snapshot_index\030\005 \001(\004\022\016\n\006cla" +
-      "ims\030\006 \001(\004\0222\n\rconfiguration\030\007 \001(\0132\033.radis" +
-      "hthread.Configuration\022\r\n\005group\030\010 \001(\006\022\024\n\014" +
-      "leader_known\030\t \001(\010\"\200\003\n\017ControlResponse\022\n" +
-      "\n\002id\030\001 \001(\004\022-\n\nnot_leader\030\002 \001(\0132\027.radisht" +
-      "hread.NotLeaderH\000\022*\n\005rules\030\003 \001(\0132\031.radis" +
-      "hthread.RulesAnswerH\000\022*\n\005claim\030\004 \001(\0132\031.r" +
-      "adishthread.ClaimAnswerH\000\022+\n\trule_file\030\005" +
-      " \001(\0132\026.radishthread.RuleFileH\000\022\"\n\004done\030\006" +
-      " \001(\0132\022.radishthread.DoneH\000\022(\n\007refused\030\007 " +
-      "\001(\0132\025.radishthread.RefusedH\000\022-\n\006status\030\010" +
-      " \001(\0132\033.radishthread.ControlStatusH\000\022(\n\007h" +
-      "istory\030\t \001(\0132\025.radishthread.HistoryH\000B\006\n" +
-      "\004body\"\006\n\004Done\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t" +
-      "\"?\n\010RuleFile\022\020\n\010revision\030\001 \001(\004\022\017\n\007conten" +
-      "t\030\002 \001(\t\022\020\n\010document\030\003 \001(\014\"%\n\013RuleRequest" +
-      "\022\026\n\016known_revision\030\001 \001(\004\"\326\001\n\016UpstreamRec" +
-      "ord\022\014\n\004name\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007ad" +
-      "dress\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r" +
-      "\022\023\n\013incarnation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022" +
-      "*\n\005state\030\010 \001(\0162\033.radishthread.UpstreamSt" +
-      "ate\022\016\n\006holder\030\t \001(\t\022\024\n\014lease_millis\030\n \001(" +
-      "\r\"\301\001\n\016InstanceRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014pe" +
-      "er_address\030\002 \001(\t\022\036\n\026administration_addre" +
-      "ss\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022" +
-      "\017\n\007replica\030\006 \001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n" +
-      "\007leaving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010J\004\010\n\020\013\"\301\002" +
-      "\n\006Gossip\022\016\n\006sender\030\001 \001(\t\022\021\n\tinstances\030\002 " +
-      "\003(\007\022\022\n\nheartbeats\030\003 \003(\004\022\021\n\trevisions\030\004 \003" +
-      "(\004\022/\n\tupstreams\030\005 \003(\0132\034.radishthread.Ups" +
-      "treamRecord\022-\n\007records\030\006 \003(\0132\034.radishthr" +
-      "ead.InstanceRecord\022\016\n\006digest\030\007 \001(\006\022\026\n\016se" +
-      "nder_address\030\010 \001(\t\022\023\n\013live_digest\030\t \001(\006\022" +
-      "\014\n\004live\030\n \003(\007\022\016\n\006report\030\013 \001(\004\022\035\n\020rules_a" +
-      "ge_millis\030\014 \001(\004H\000\210\001\001B\023\n\021_rules_age_milli" +
-      "s\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013incarnatio" +
-      "n\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017Synchroniz" +
-      "ation\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030\002 \003(\0132\025.r" +
-      "adishthread.Version\022/\n\tupstreams\030\003 \003(\0132\034" +
-      ".radishthread.UpstreamRecord\022-\n\007records\030" +
-      "\004 \003(\0132\034.radishthread.InstanceRecord\022\016\n\006a" +
-      "nswer\030\005 \001(\010\022\026\n\016sender_address\030\006 \001(\t\022\027\n\017k" +
-      "nown_instances\030\007 \003(\007\022\026\n\016instances_only\030\010" +
-      " \001(\010\"C\n\014LeaseRenewal\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
-      "carnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"L\n\016Ups" +
-      "treamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upstream\030\002 \001(" +
-      "\0132\034.radishthread.UpstreamRecord\"#\n\025Upstr" +
-      "eamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\231\003\n\013SlotMes" +
-      "sage\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket\030\002 \001(\004\022\013\n" +
-      "\003run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.radishthre" +
-      "ad.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025.radishth" +
-      "read.SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027.radishth" +
-      "read.SlotRetryH\000\022(\n\005hedge\030\007 \001(\0132\027.radish" +
-      "thread.SlotHedgeH\000\022(\n\005close\030\010 \001(\0132\027.radi" +
-      "shthread.SlotCloseH\000\022*\n\006queued\030\t \001(\0132\030.r" +
-      "adishthread.SlotQueuedH\000\022(\n\005grant\030\n \001(\0132" +
-      "\027.radishthread.SlotGrantH\000\022,\n\007refusal\030\013 " +
-      "\001(\0132\031.radishthread.SlotRefusalH\000B\006\n\004body" +
-      "\"\257\001\n\013SlotRequest\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_" +
-      "repeat\030\002 \001(\010\022\030\n\020remaining_micros\030\003 \001(\004\022\020" +
-      "\n\010priority\030\004 \001(\r\022\030\n\020objective_micros\030\005 \001" +
-      "(\004\022\030\n\020maximum_attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001" +
-      "(\t\022\016\n\006digest\030\010 \001(\t\"\260\001\n\nLoadReport\022\017\n\007run" +
-      "ning\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001" +
-      "(\r\022\024\n\014pace_percent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(" +
-      "\010\022\026\n\016refused_millis\030\006 \001(\004\022\035\n\020limit_per_s" +
-      "econd\030\007 \001(\001H\000\210\001\001B\023\n\021_limit_per_second\"l\n" +
-      "\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006result\030\002 \001" +
-      "(\t\022&\n\004load\030\003 \001(\0132\030.radishthread.LoadRepo" +
-      "rt\022\027\n\017connection_lost\030\004 \001(\010\"k\n\013CrashNoti" +
-      "ce\022*\n\007crashes\030\001 \003(\0132\031.radishthread.Crash" +
-      "Record\0220\n\nclearances\030\002 \003(\0132\034.radishthrea" +
-      "d.CrashClearance\"g\n\013CrashRecord\022\016\n\006diges" +
-      "t\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation" +
-      "\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(" +
-      "\004\"4\n\016CrashClearance\022\016\n\006digest\030\001 \001(\t\022\022\n\na" +
-      "ge_millis\030\002 \001(\004\"\013\n\tSlotRetry\"\013\n\tSlotHedg" +
-      "e\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\231\001\n\tSlotGra" +
-      "nt\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n" +
-      "\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rwaited" +
-      "_micros\030\005 \001(\004\022\032\n\022hedge_after_micros\030\006 \001(" +
-      "\004\022\025\n\rlimit_counted\030\007 \001(\010\"9\n\013SlotRefusal\022" +
+      "e\030\017 \001(\0132\031.radishthread.CrashNoticeH\000\0223\n\r" +
+      "relay_request\030\020 \001(\0132\032.radishthread.Relay" +
+      "RequestH\000\0225\n\016relay_response\030\021 \001(\0132\033.radi" +
+      "shthread.RelayResponseH\000B\006\n\004body\"9\n\005Hell" +
+      "o\022\020\n\010instance\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\r\n\005" +
+      "token\030\003 \001(\t\"\037\n\014RelayRequest\022\017\n\007address\030\001" +
+      " \001(\t\"z\n\rRelayResponse\0222\n\006result\030\001 \001(\0162\"." +
+      "radishthread.RelayResponse.Result\"5\n\006Res" +
+      "ult\022\013\n\007UNKNOWN\020\000\022\r\n\tCONNECTED\020\001\022\017\n\013UNREA" +
+      "CHABLE\020\002\"\006\n\004Ping\"\006\n\004Pong\"\315\003\n\020AgreementMe" +
+      "ssage\022\r\n\005group\030\001 \001(\006\022\014\n\004from\030\002 \001(\006\022\n\n\002to" +
+      "\030\003 \001(\006\022\014\n\004term\030\004 \001(\004\0221\n\014vote_request\030\005 \001" +
+      "(\0132\031.radishthread.VoteRequestH\000\0223\n\rvote_" +
+      "response\030\006 \001(\0132\032.radishthread.VoteRespon" +
+      "seH\000\0225\n\016append_request\030\007 \001(\0132\033.radishthr" +
+      "ead.AppendRequestH\000\0227\n\017append_response\030\010" +
+      " \001(\0132\034.radishthread.AppendResponseH\000\022*\n\010" +
+      "snapshot\030\t \001(\0132\026.radishthread.SnapshotH\000" +
+      "\0229\n\020founding_request\030\n \001(\0132\035.radishthrea" +
+      "d.FoundingRequestH\000\022;\n\021founding_response" +
+      "\030\013 \001(\0132\036.radishthread.FoundingResponseH\000" +
+      "B\006\n\004body\"F\n\013VoteRequest\022\020\n\010pre_vote\030\001 \001(" +
+      "\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_term\030\003 \001(\004" +
+      "\"1\n\014VoteResponse\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007gr" +
+      "anted\030\002 \001(\010\"\336\001\n\rAppendRequest\022\026\n\016previou" +
+      "s_index\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022\'\n\007" +
+      "entries\030\003 \003(\0132\026.radishthread.LogEntry\022\024\n" +
+      "\014commit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\022\032\n\022ac" +
+      "knowledged_round\030\006 \001(\004\022\036\n\021commit_age_mil" +
+      "lis\030\007 \001(\004H\000\210\001\001B\024\n\022_commit_age_millis\"?\n\016" +
+      "AppendResponse\022\017\n\007success\030\001 \001(\010\022\r\n\005index" +
+      "\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017FoundingRequest" +
+      "\0222\n\rconfiguration\030\001 \001(\0132\033.radishthread.C" +
+      "onfiguration\"\022\n\020FoundingResponse\"B\n\021Repl" +
+      "icaDescriptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030\002 " +
+      "\001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Replacement\022\017\n\007r" +
+      "emoved\030\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radishthre" +
+      "ad.ReplicaDescriptor\"\243\001\n\rConfiguration\022/" +
+      "\n\006voters\030\001 \003(\0132\037.radishthread.ReplicaDes" +
+      "criptor\0221\n\010learners\030\002 \003(\0132\037.radishthread" +
+      ".ReplicaDescriptor\022.\n\013replacement\030\003 \001(\0132" +
+      "\031.radishthread.Replacement\"\253\001\n\010LogEntry\022" +
+      "\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022proposed" +
+      "_at_millis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.radi" +
+      "shthread.CommandH\000\0224\n\rconfiguration\030\005 \001(" +
+      "\0132\033.radishthread.ConfigurationH\000B\006\n\004body" +
+      "\";\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_for" +
+      "\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nhar" +
+      "d_state\030\001 \001(\0132\027.radishthread.HardState\022\025" +
+      "\n\rtruncate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026" +
+      ".radishthread.LogEntry\"2\n\010LogBatch\022&\n\006fr" +
+      "ames\030\001 \003(\0132\026.radishthread.LogFrame\"b\n\tLo" +
+      "gHeader\022(\n\010snapshot\030\001 \001(\0132\026.radishthread" +
+      ".Snapshot\022+\n\nhard_state\030\002 \001(\0132\027.radishth" +
+      "read.HardState\"\230\001\n\010Snapshot\022\r\n\005index\030\001 \001" +
+      "(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(\0132" +
+      "\033.radishthread.Configuration\022,\n\005state\030\004 " +
+      "\001(\0132\035.radishthread.ControlSnapshot\022\r\n\005ro" +
+      "und\030\005 \001(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001(\006\022\020" +
+      "\n\010instance\030\002 \001(\t\"\325\001\n\007Command\0221\n\014submit_r" +
+      "ules\030\001 \001(\0132\031.radishthread.SubmitRulesH\000\022" +
+      "+\n\005claim\030\002 \001(\0132\032.radishthread.ClaimReque" +
+      "stH\000\0223\n\ncompletion\030\003 \001(\0132\035.radishthread." +
+      "ClaimCompletionH\000\022-\n\007release\030\004 \001(\0132\032.rad" +
+      "ishthread.ClaimReleaseH\000B\006\n\004body\"X\n\013Subm" +
+      "itRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001" +
+      "(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010document\030\004 \001" +
+      "(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013finge" +
+      "rprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004" +
+      " \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001 \001(\r\022\024" +
+      "\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\tbo" +
+      "dy_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013\n\003key\030" +
+      "\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003 \001(\0132\034" +
+      ".radishthread.RecordedAnswer\",\n\014ClaimRel" +
+      "ease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"\250\001\n\013R" +
+      "ulesAnswer\022+\n\007verdict\030\001 \001(\0162\032.radishthre" +
+      "ad.RulesVerdict\022\020\n\010revision\030\002 \001(\004\022\024\n\014sub" +
+      "mitted_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030\004 " +
+      "\001(\004\022\030\n\020current_revision\030\005 \001(\004\022\016\n\006digest\030" +
+      "\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdict\030\001 \001(\0162\032." +
+      "radishthread.ClaimVerdict\022\r\n\005owner\030\002 \001(\t" +
+      "\022,\n\006answer\030\003 \001(\0132\034.radishthread.Recorded" +
+      "Answer\"\300\001\n\017ControlSnapshot\022%\n\005rules\030\001 \001(" +
+      "\0132\026.radishthread.RuleFile\022*\n\007history\030\002 \003" +
+      "(\0132\031.radishthread.RuleHistory\022)\n\006claims\030" +
+      "\003 \003(\0132\031.radishthread.ClaimRecord\022\024\n\014cloc" +
+      "k_millis\030\004 \001(\004\022\031\n\021released_attempts\030\005 \003(" +
+      "\006\"a\n\013RuleHistory\022\020\n\010revision\030\001 \001(\004\022\016\n\006di" +
+      "gest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022acce" +
+      "pted_at_millis\030\004 \001(\004\"\230\001\n\013ClaimRecord\022\013\n\003" +
+      "key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030" +
+      "\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021claimed_at_mil" +
+      "lis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.radishthread" +
+      ".RecordedAnswer\"\302\002\n\016ControlRequest\022\n\n\002id" +
+      "\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radishthread.C" +
+      "ommandH\000\022-\n\nread_rules\030\003 \001(\0132\027.radishthr" +
+      "ead.ReadRulesH\000\022.\n\ninitialize\030\004 \001(\0132\030.ra" +
+      "dishthread.InitializeH\000\022/\n\007replace\030\005 \001(\013" +
+      "2\034.radishthread.ReplaceReplicaH\000\022/\n\013read" +
+      "_status\030\006 \001(\0132\030.radishthread.ReadStatusH" +
+      "\000\0221\n\014read_history\030\007 \001(\0132\031.radishthread.R" +
+      "eadHistoryH\000B\006\n\004body\"\013\n\tReadRules\"\014\n\nRea" +
+      "dStatus\"\034\n\013ReadHistory\022\r\n\005limit\030\001 \001(\r\"5\n" +
+      "\007History\022*\n\007entries\030\001 \003(\0132\031.radishthread" +
+      ".RuleHistory\"?\n\nInitialize\0221\n\010replicas\030\001" +
+      " \003(\0132\037.radishthread.ReplicaDescriptor\"@\n" +
+      "\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037.radisht" +
+      "hread.ReplicaDescriptor\"3\n\tNotLeader\022\026\n\016" +
+      "leader_address\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\364\001\n" +
+      "\rControlStatus\0220\n\007replica\030\001 \001(\0132\037.radish" +
+      "thread.ReplicaDescriptor\022\014\n\004role\030\002 \001(\t\022\014" +
+      "\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001(\004\022\026\n\016sn" +
+      "apshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222\n\rco" +
+      "nfiguration\030\007 \001(\0132\033.radishthread.Configu" +
+      "ration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_known\030\t " +
+      "\001(\010\"\200\003\n\017ControlResponse\022\n\n\002id\030\001 \001(\004\022-\n\nn" +
+      "ot_leader\030\002 \001(\0132\027.radishthread.NotLeader" +
+      "H\000\022*\n\005rules\030\003 \001(\0132\031.radishthread.RulesAn" +
+      "swerH\000\022*\n\005claim\030\004 \001(\0132\031.radishthread.Cla" +
+      "imAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026.radishth" +
+      "read.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022.radishth" +
+      "read.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.radishthr" +
+      "ead.RefusedH\000\022-\n\006status\030\010 \001(\0132\033.radishth" +
+      "read.ControlStatusH\000\022(\n\007history\030\t \001(\0132\025." +
+      "radishthread.HistoryH\000B\006\n\004body\"\006\n\004Done\"\031" +
+      "\n\007Refused\022\016\n\006reason\030\001 \001(\t\"?\n\010RuleFile\022\020\n" +
+      "\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010docu" +
+      "ment\030\003 \001(\014\"%\n\013RuleRequest\022\026\n\016known_revis" +
+      "ion\030\001 \001(\004\"\326\001\n\016UpstreamRecord\022\014\n\004name\030\001 \001" +
+      "(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004" +
+      "zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnation" +
+      "\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(\0162" +
+      "\033.radishthread.UpstreamState\022\016\n\006holder\030\t" +
+      " \001(\t\022\024\n\014lease_millis\030\n \001(\r\"\301\001\n\016InstanceR" +
+      "ecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(" +
+      "\t\022\036\n\026administration_address\030\003 \001(\t\022\014\n\004zon" +
+      "e\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030\006 \001(" +
+      "\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022" +
+      "\017\n\007gateway\030\t \001(\010J\004\010\n\020\013\"\301\002\n\006Gossip\022\016\n\006sen" +
+      "der\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartbea" +
+      "ts\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstreams" +
+      "\030\005 \003(\0132\034.radishthread.UpstreamRecord\022-\n\007" +
+      "records\030\006 \003(\0132\034.radishthread.InstanceRec" +
+      "ord\022\016\n\006digest\030\007 \001(\006\022\026\n\016sender_address\030\010 " +
+      "\001(\t\022\023\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n \003(\007\022\016" +
+      "\n\006report\030\013 \001(\004\022\035\n\020rules_age_millis\030\014 \001(\004" +
+      "H\000\210\001\001B\023\n\021_rules_age_millis\">\n\007Version\022\014\n" +
+      "\004name\030\001 \001(\007\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequ" +
+      "ence\030\003 \001(\004\"\200\002\n\017Synchronization\022\016\n\006sender" +
+      "\030\001 \001(\t\022$\n\005known\030\002 \003(\0132\025.radishthread.Ver" +
+      "sion\022/\n\tupstreams\030\003 \003(\0132\034.radishthread.U" +
+      "pstreamRecord\022-\n\007records\030\004 \003(\0132\034.radisht" +
+      "hread.InstanceRecord\022\016\n\006answer\030\005 \001(\010\022\026\n\016" +
+      "sender_address\030\006 \001(\t\022\027\n\017known_instances\030" +
+      "\007 \003(\007\022\026\n\016instances_only\030\010 \001(\010\"C\n\014LeaseRe" +
+      "newal\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
+      "\022\020\n\010sequence\030\003 \001(\004\"L\n\016UpstreamNotice\022\n\n\002" +
+      "id\030\001 \001(\004\022.\n\010upstream\030\002 \001(\0132\034.radishthrea" +
+      "d.UpstreamRecord\"#\n\025UpstreamNoticeReceip" +
+      "t\022\n\n\002id\030\001 \001(\004\"\231\003\n\013SlotMessage\022\017\n\007service" +
+      "\030\001 \001(\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007r" +
+      "equest\030\004 \001(\0132\031.radishthread.SlotRequestH" +
+      "\000\022$\n\003end\030\005 \001(\0132\025.radishthread.SlotEndH\000\022" +
+      "(\n\005retry\030\006 \001(\0132\027.radishthread.SlotRetryH" +
+      "\000\022(\n\005hedge\030\007 \001(\0132\027.radishthread.SlotHedg" +
+      "eH\000\022(\n\005close\030\010 \001(\0132\027.radishthread.SlotCl" +
+      "oseH\000\022*\n\006queued\030\t \001(\0132\030.radishthread.Slo" +
+      "tQueuedH\000\022(\n\005grant\030\n \001(\0132\027.radishthread." +
+      "SlotGrantH\000\022,\n\007refusal\030\013 \001(\0132\031.radishthr" +
+      "ead.SlotRefusalH\000B\006\n\004body\"\257\001\n\013SlotReques" +
+      "t\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n" +
+      "\020remaining_micros\030\003 \001(\004\022\020\n\010priority\030\004 \001(" +
+      "\r\022\030\n\020objective_micros\030\005 \001(\004\022\030\n\020maximum_a" +
+      "ttempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 " +
+      "\001(\t\"\260\001\n\nLoadReport\022\017\n\007running\030\001 \001(\r\022\017\n\007w" +
+      "aiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_perc" +
+      "ent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refused_mi" +
+      "llis\030\006 \001(\004\022\035\n\020limit_per_second\030\007 \001(\001H\000\210\001" +
+      "\001B\023\n\021_limit_per_second\"l\n\007SlotEnd\022\020\n\010ups" +
+      "tream\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(" +
+      "\0132\030.radishthread.LoadReport\022\027\n\017connectio" +
+      "n_lost\030\004 \001(\010\"k\n\013CrashNotice\022*\n\007crashes\030\001" +
+      " \003(\0132\031.radishthread.CrashRecord\0220\n\nclear" +
+      "ances\030\002 \003(\0132\034.radishthread.CrashClearanc" +
+      "e\"g\n\013CrashRecord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upst" +
+      "ream\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\r\n\005alone" +
+      "\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\"4\n\016CrashClear" +
+      "ance\022\016\n\006digest\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004" +
+      "\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\013\n\tSlotClose\"" +
+      "\014\n\nSlotQueued\"\250\001\n\tSlotGrant\022\020\n\010upstream\030" +
+      "\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\t" +
+      "in_flight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032" +
+      "\n\022hedge_after_micros\030\006 \001(\004\022\025\n\rlimit_coun" +
+      "ted\030\007 \001(\010\022\r\n\005relay\030\010 \001(\t\"9\n\013SlotRefusal\022" +
       "\016\n\006reason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 " +
       "\001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VERDICT_UNS" +
       "PECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t" +
@@ -596,399 +613,411 @@
     internal_static_radishthread_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "RelayRequest", "RelayResponse", "Body", });
     internal_static_radishthread_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_radishthread_Hello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Hello_descriptor,
         new java.lang.String[] { "Instance", "Address", "Token", });
-    internal_static_radishthread_Ping_descriptor =
+    internal_static_radishthread_RelayRequest_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_radishthread_RelayRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_RelayRequest_descriptor,
+        new java.lang.String[] { "Address", });
+    internal_static_radishthread_RelayResponse_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_radishthread_RelayResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_RelayResponse_descriptor,
+        new java.lang.String[] { "Result", });
+    internal_static_radishthread_Ping_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_radishthread_Ping_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Ping_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_Pong_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_radishthread_Pong_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Pong_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_AgreementMessage_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_radishthread_AgreementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_AgreementMessage_descriptor,
         new java.lang.String[] { "Group", "From", "To", "Term", "VoteRequest", "VoteResponse", "AppendRequest", "AppendResponse", "Snapshot", "FoundingRequest", "FoundingResponse", "Body", });
     internal_static_radishthread_VoteRequest_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_radishthread_VoteRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_VoteRequest_descriptor,
         new java.lang.String[] { "PreVote", "LastIndex", "LastTerm", });
     internal_static_radishthread_VoteResponse_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_radishthread_VoteResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_VoteResponse_descriptor,
         new java.lang.String[] { "PreVote", "Granted", });
     internal_static_radishthread_AppendRequest_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_radishthread_AppendRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_AppendRequest_descriptor,
         new java.lang.String[] { "PreviousIndex", "PreviousTerm", "Entries", "CommitIndex", "Round", "AcknowledgedRound", "CommitAgeMillis", });
     internal_static_radishthread_AppendResponse_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_radishthread_AppendResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_AppendResponse_descriptor,
         new java.lang.String[] { "Success", "Index", "Round", });
     internal_static_radishthread_FoundingRequest_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_radishthread_FoundingRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_FoundingRequest_descriptor,
         new java.lang.String[] { "Configuration", });
     internal_static_radishthread_FoundingResponse_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_radishthread_FoundingResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_FoundingResponse_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_ReplicaDescriptor_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_radishthread_ReplicaDescriptor_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ReplicaDescriptor_descriptor,
         new java.lang.String[] { "Id", "Instance", "Address", });
     internal_static_radishthread_Replacement_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_radishthread_Replacement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Replacement_descriptor,
         new java.lang.String[] { "Removed", "Added", });
     internal_static_radishthread_Configuration_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_radishthread_Configuration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Configuration_descriptor,
         new java.lang.String[] { "Voters", "Learners", "Replacement", });
     internal_static_radishthread_LogEntry_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_radishthread_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LogEntry_descriptor,
         new java.lang.String[] { "Index", "Term", "ProposedAtMillis", "Command", "Configuration", "Body", });
     internal_static_radishthread_HardState_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_radishthread_HardState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_HardState_descriptor,
         new java.lang.String[] { "Term", "VotedFor", "Group", });
     internal_static_radishthread_LogFrame_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_radishthread_LogFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LogFrame_descriptor,
         new java.lang.String[] { "HardState", "TruncateFrom", "Entries", });
     internal_static_radishthread_LogBatch_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_radishthread_LogBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LogBatch_descriptor,
         new java.lang.String[] { "Frames", });
     internal_static_radishthread_LogHeader_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_radishthread_LogHeader_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LogHeader_descriptor,
         new java.lang.String[] { "Snapshot", "HardState", });
     internal_static_radishthread_Snapshot_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_radishthread_Snapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Snapshot_descriptor,
         new java.lang.String[] { "Index", "Term", "Configuration", "State", "Round", });
     internal_static_radishthread_Identity_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_radishthread_Identity_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Identity_descriptor,
         new java.lang.String[] { "Replica", "Instance", });
     internal_static_radishthread_Command_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_radishthread_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Command_descriptor,
         new java.lang.String[] { "SubmitRules", "Claim", "Completion", "Release", "Body", });
     internal_static_radishthread_SubmitRules_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_radishthread_SubmitRules_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SubmitRules_descriptor,
         new java.lang.String[] { "Revision", "Content", "SubmittedBy", "Document", });
     internal_static_radishthread_ClaimRequest_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_radishthread_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ClaimRequest_descriptor,
         new java.lang.String[] { "Key", "Fingerprint", "Owner", "Attempt", });
     internal_static_radishthread_RecordedAnswer_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_radishthread_RecordedAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RecordedAnswer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", "BodyKept", });
     internal_static_radishthread_ClaimCompletion_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_radishthread_ClaimCompletion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ClaimCompletion_descriptor,
         new java.lang.String[] { "Key", "Attempt", "Answer", });
     internal_static_radishthread_ClaimRelease_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_radishthread_ClaimRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ClaimRelease_descriptor,
         new java.lang.String[] { "Key", "Attempt", });
     internal_static_radishthread_RulesAnswer_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_radishthread_RulesAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RulesAnswer_descriptor,
         new java.lang.String[] { "Verdict", "Revision", "SubmittedBy", "AcceptedAtMillis", "CurrentRevision", "Digest", });
     internal_static_radishthread_ClaimAnswer_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_radishthread_ClaimAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ClaimAnswer_descriptor,
         new java.lang.String[] { "Verdict", "Owner", "Answer", });
     internal_static_radishthread_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_radishthread_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ControlSnapshot_descriptor,
         new java.lang.String[] { "Rules", "History", "Claims", "ClockMillis", "ReleasedAttempts", });
     internal_static_radishthread_RuleHistory_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_radishthread_RuleHistory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RuleHistory_descriptor,
         new java.lang.String[] { "Revision", "Digest", "SubmittedBy", "AcceptedAtMillis", });
     internal_static_radishthread_ClaimRecord_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(33);
     internal_static_radishthread_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ClaimRecord_descriptor,
         new java.lang.String[] { "Key", "Fingerprint", "Owner", "Attempt", "ClaimedAtMillis", "Answer", });
     internal_static_radishthread_ControlRequest_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(34);
     internal_static_radishthread_ControlRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ControlRequest_descriptor,
         new java.lang.String[] { "Id", "Command", "ReadRules", "Initialize", "Replace", "ReadStatus", "ReadHistory", "Body", });
     internal_static_radishthread_ReadRules_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(35);
     internal_static_radishthread_ReadRules_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ReadRules_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_ReadStatus_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(36);
     internal_static_radishthread_ReadStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ReadStatus_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_ReadHistory_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(37);
     internal_static_radishthread_ReadHistory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ReadHistory_descriptor,
         new java.lang.String[] { "Limit", });
     internal_static_radishthread_History_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(38);
     internal_static_radishthread_History_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_History_descriptor,
         new java.lang.String[] { "Entries", });
     internal_static_radishthread_Initialize_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(39);
     internal_static_radishthread_Initialize_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Initialize_descriptor,
         new java.lang.String[] { "Replicas", });
     internal_static_radishthread_ReplaceReplica_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(40);
     internal_static_radishthread_ReplaceReplica_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ReplaceReplica_descriptor,
         new java.lang.String[] { "Added", });
     internal_static_radishthread_NotLeader_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(41);
     internal_static_radishthread_NotLeader_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_NotLeader_descriptor,
         new java.lang.String[] { "LeaderAddress", "Reason", });
     internal_static_radishthread_ControlStatus_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(42);
     internal_static_radishthread_ControlStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ControlStatus_descriptor,
         new java.lang.String[] { "Replica", "Role", "Term", "CommitIndex", "SnapshotIndex", "Claims", "Configuration", "Group", "LeaderKnown", });
     internal_static_radishthread_ControlResponse_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(43);
     internal_static_radishthread_ControlResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ControlResponse_descriptor,
         new java.lang.String[] { "Id", "NotLeader", "Rules", "Claim", "RuleFile", "Done", "Refused", "Status", "History", "Body", });
     internal_static_radishthread_Done_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(44);
     internal_static_radishthread_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Done_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_Refused_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(45);
     internal_static_radishthread_Refused_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Refused_descriptor,
         new java.lang.String[] { "Reason", });
     internal_static_radishthread_RuleFile_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(46);
     internal_static_radishthread_RuleFile_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RuleFile_descriptor,
         new java.lang.String[] { "Revision", "Content", "Document", });
     internal_static_radishthread_RuleRequest_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(47);
     internal_static_radishthread_RuleRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RuleRequest_descriptor,
         new java.lang.String[] { "KnownRevision", });
     internal_static_radishthread_UpstreamRecord_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(48);
     internal_static_radishthread_UpstreamRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_UpstreamRecord_descriptor,
         new java.lang.String[] { "Name", "Service", "Address", "Zone", "Slots", "Incarnation", "Sequence", "State", "Holder", "LeaseMillis", });
     internal_static_radishthread_InstanceRecord_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(49);
     internal_static_radishthread_InstanceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_InstanceRecord_descriptor,
         new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", });
     internal_static_radishthread_Gossip_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(50);
     internal_static_radishthread_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Gossip_descriptor,
         new java.lang.String[] { "Sender", "Instances", "Heartbeats", "Revisions", "Upstreams", "Records", "Digest", "SenderAddress", "LiveDigest", "Live", "Report", "RulesAgeMillis", });
     internal_static_radishthread_Version_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(51);
     internal_static_radishthread_Version_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Version_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Sequence", });
     internal_static_radishthread_Synchronization_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(52);
     internal_static_radishthread_Synchronization_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Synchronization_descriptor,
         new java.lang.String[] { "Sender", "Known", "Upstreams", "Records", "Answer", "SenderAddress", "KnownInstances", "InstancesOnly", });
     internal_static_radishthread_LeaseRenewal_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(53);
     internal_static_radishthread_LeaseRenewal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LeaseRenewal_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Sequence", });
     internal_static_radishthread_UpstreamNotice_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(54);
     internal_static_radishthread_UpstreamNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_UpstreamNotice_descriptor,
         new java.lang.String[] { "Id", "Upstream", });
     internal_static_radishthread_UpstreamNoticeReceipt_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(55);
     internal_static_radishthread_UpstreamNoticeReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_UpstreamNoticeReceipt_descriptor,
         new java.lang.String[] { "Id", });
     internal_static_radishthread_SlotMessage_descriptor =
-      getDescriptor().getMessageType(54);
+      getDescriptor().getMessageType(56);
     internal_static_radishthread_SlotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotMessage_descriptor,
         new java.lang.String[] { "Service", "Ticket", "Run", "Request", "End", "Retry", "Hedge", "Close", "Queued", "Grant", "Refusal", "Body", });
     internal_static_radishthread_SlotRequest_descriptor =
-      getDescriptor().getMessageType(55);
+      getDescriptor().getMessageType(57);
     internal_static_radishthread_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRequest_descriptor,
         new java.lang.String[] { "Caller", "MayRepeat", "RemainingMicros", "Priority", "ObjectiveMicros", "MaximumAttempts", "Zone", "Digest", });
     internal_static_radishthread_LoadReport_descriptor =
-      getDescriptor().getMessageType(56);
+      getDescriptor().getMessageType(58);
     internal_static_radishthread_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LoadReport_descriptor,
         new java.lang.String[] { "Running", "Waiting", "Slots", "PacePercent", "Leaving", "RefusedMillis", "LimitPerSecond", });
     internal_static_radishthread_SlotEnd_descriptor =
-      getDescriptor().getMessageType(57);
+      getDescriptor().getMessageType(59);
     internal_static_radishthread_SlotEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotEnd_descriptor,
         new java.lang.String[] { "Upstream", "Result", "Load", "ConnectionLost", });
     internal_static_radishthread_CrashNotice_descriptor =
-      getDescriptor().getMessageType(58);
+      getDescriptor().getMessageType(60);
     internal_static_radishthread_CrashNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_CrashNotice_descriptor,
         new java.lang.String[] { "Crashes", "Clearances", });
     internal_static_radishthread_CrashRecord_descriptor =
-      getDescriptor().getMessageType(59);
+      getDescriptor().getMessageType(61);
     internal_static_radishthread_CrashRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_CrashRecord_descriptor,
         new java.lang.String[] { "Digest", "Upstream", "Incarnation", "Alone", "AgeMillis", });
     internal_static_radishthread_CrashClearance_descriptor =
-      getDescriptor().getMessageType(60);
+      getDescriptor().getMessageType(62);
     internal_static_radishthread_CrashClearance_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_CrashClearance_descriptor,
         new java.lang.String[] { "Digest", "AgeMillis", });
     internal_static_radishthread_SlotRetry_descriptor =
-      getDescriptor().getMessageType(61);
+      getDescriptor().getMessageType(63);
     internal_static_radishthread_SlotRetry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRetry_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotHedge_descriptor =
-      getDescriptor().getMessageType(62);
+      getDescriptor().getMessageType(64);
     internal_static_radishthread_SlotHedge_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotHedge_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotClose_descriptor =
-      getDescriptor().getMessageType(63);
+      getDescriptor().getMessageType(65);
     internal_static_radishthread_SlotClose_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotClose_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotQueued_descriptor =
-      getDescriptor().getMessageType(64);
+      getDescriptor().getMessageType(66);
     internal_static_radishthread_SlotQueued_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotQueued_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotGrant_descriptor =
-      getDescriptor().getMessageType(65);
+      getDescriptor().getMessageType(67);
     internal_static_radishthread_SlotGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotGrant_descriptor,
-        new java.lang.String[] { "Upstream", "Address", "Kind", "InFlight", "WaitedMicros", "HedgeAfterMicros", "LimitCounted", });
+        new java.lang.String[] { "Upstream", "Address", "Kind", "InFlight", "WaitedMicros", "HedgeAfterMicros", "LimitCounted", "Relay", });
     internal_static_radishthread_SlotRefusal_descriptor =
-      getDescriptor().getMessageType(66);
+      getDescriptor().getMessageType(68);
     internal_static_radishthread_SlotRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRefusal_descriptor,
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrant.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrant.java
@@ -31,6 +31,7 @@
     upstream_ = "";
     address_ = "";
     kind_ = "";
+    relay_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -216,6 +217,53 @@
     return limitCounted_;
   }
 
+  public static final int RELAY_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object relay_ = "";
+  /**
+   * <pre>
+   * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+   * </pre>
+   *
+   * <code>string relay = 8;</code>
+   * @return The relay.
+   */
+  @java.lang.Override
+  public java.lang.String getRelay() {
+    java.lang.Object ref = relay_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      relay_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+   * </pre>
+   *
+   * <code>string relay = 8;</code>
+   * @return The bytes for relay.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRelayBytes() {
+    java.lang.Object ref = relay_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      relay_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -251,6 +299,9 @@
     if (limitCounted_ != false) {
       output.writeBool(7, limitCounted_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(relay_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, relay_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -280,6 +331,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, limitCounted_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(relay_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, relay_);
+    }
     return size;
   }
   @java.lang.Override
@@ -318,6 +372,8 @@
         != other.getHedgeAfterMicros()) return false;
     if (getLimitCounted()
         != other.getLimitCounted()) return false;
+    if (!getRelay()
+        .equals(other.getRelay())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -346,6 +402,8 @@
     hash = (37 * hash) + LIMIT_COUNTED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLimitCounted());
+    hash = (37 * hash) + RELAY_FIELD_NUMBER;
+    hash = (53 * hash) + getRelay().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -484,6 +542,7 @@
       waitedMicros_ = 0L;
       hedgeAfterMicros_ = 0L;
       limitCounted_ = false;
+      relay_ = "";
       return this;
     }
 
@@ -538,6 +597,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.limitCounted_ = limitCounted_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.relay_ = relay_;
+      }
     }
 
     @java.lang.Override
@@ -579,6 +641,11 @@
       if (other.getLimitCounted() != false) {
         setLimitCounted(other.getLimitCounted());
       }
+      if (!other.getRelay().isEmpty()) {
+        relay_ = other.relay_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -638,6 +705,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              relay_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1011,6 +1083,98 @@
       return this;
     }
 
+    private java.lang.Object relay_ = "";
+    /**
+     * <pre>
+     * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+     * </pre>
+     *
+     * <code>string relay = 8;</code>
+     * @return The relay.
+     */
+    public java.lang.String getRelay() {
+      java.lang.Object ref = relay_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        relay_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+     * </pre>
+     *
+     * <code>string relay = 8;</code>
+     * @return The bytes for relay.
+     */
+    public com.google.protobuf.ByteString
+        getRelayBytes() {
+      java.lang.Object ref = relay_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        relay_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+     * </pre>
+     *
+     * <code>string relay = 8;</code>
+     * @param value The relay to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRelay(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      relay_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+     * </pre>
+     *
+     * <code>string relay = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRelay() {
+      relay_ = getDefaultInstance().getRelay();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+     * </pre>
+     *
+     * <code>string relay = 8;</code>
+     * @param value The bytes for relay to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRelayBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      relay_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.SlotGrant)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrantOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrantOrBuilder.java
@@ -73,4 +73,24 @@
    * @return The limitCounted.
    */
   boolean getLimitCounted();
+
+  /**
+   * <pre>
+   * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+   * </pre>
+   *
+   * <code>string relay = 8;</code>
+   * @return The relay.
+   */
+  java.lang.String getRelay();
+  /**
+   * <pre>
+   * Peer address of the instance through which the attempt is to be made; empty if it is to be made directly.
+   * </pre>
+   *
+   * <code>string relay = 8;</code>
+   * @return The bytes for relay.
+   */
+  com.google.protobuf.ByteString
+      getRelayBytes();
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CrashChecks.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CrashChecks.java
@@ -67,13 +67,16 @@
 	 * suspected one, the latter has crashed.
 	 * @param upstream the upstream
 	 * @param nowNanos the current time
+	 * @return whether a suspected upstream has been started again
 	 */
-	void recordIncarnation(Upstream upstream, long nowNanos) {
+	boolean recordIncarnation(Upstream upstream, long nowNanos) {
 		Check check = this.checks.get(upstream.name());
-		if (check != null && upstream.incarnation() > check.incarnation
-				&& nowNanos - check.beganNanos < ATTRIBUTION_NANOS) {
+		boolean startedAgain = check != null && upstream.incarnation() > check.incarnation
+				&& nowNanos - check.beganNanos < ATTRIBUTION_NANOS;
+		if (startedAgain) {
 			check.crashed = true;
 		}
+		return startedAgain;
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -27,6 +27,9 @@
 	// The upstream that is kept free of other requests for an attempt of this one.
 	private @Nullable UpstreamTracker exclusiveUpstream;
 
+	// Whether an attempt may have arrived at an upstream.
+	private boolean arrived;
+
 	private boolean closed;
 
 	RequestState(RoutingRequest request, boolean home) {
@@ -58,6 +61,14 @@
 		this.exclusiveUpstream = tracker;
 	}
 
+	boolean hasArrived() {
+		return this.arrived;
+	}
+
+	void markArrived() {
+		this.arrived = true;
+	}
+
 	boolean isClosed() {
 		return this.closed;
 	}
@@ -78,8 +89,9 @@
 	 * @param startNanos the time of the dispatch
 	 * @param inFlight the number of attempts in flight at the upstream, with this one
 	 * @param paceFactor the pace of the upstream
+	 * @param relay the instance that relays the attempt, or {@code null} for none
 	 */
-	record AttemptStart(long startNanos, int inFlight, double paceFactor) {
+	record AttemptStart(long startNanos, int inFlight, double paceFactor, @Nullable String relay) {
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * An action that a {@link ServiceRouter} has decided on and that its user carries out.
  */
@@ -19,9 +21,11 @@
 	 * {@link ServiceRouter#hedge} is to be called, in nanoseconds, or zero for never
 	 * @param limitCounted whether the attempt was counted against a limit that the
 	 * upstream named
+	 * @param relay the peer address of the instance that relays the attempt, empty for
+	 * the home, or {@code null} if the attempt is made directly
 	 */
 	record Dispatch(long requestId, Upstream upstream, AttemptKind kind, int inFlight, long queueTimeNanos,
-			long hedgeAfterNanos, boolean limitCounted) implements RoutingEffect {
+			long hedgeAfterNanos, boolean limitCounted, @Nullable String relay) implements RoutingEffect {
 	}
 
 	/**
@@ -58,14 +62,24 @@
 	}
 
 	/**
-	 * Probes an upstream that is ejected or may have crashed by opening a connection to
-	 * it. The result is passed to {@link ServiceRouter#recordConnectionProbe}.
+	 * Probes an upstream that is ejected, may have crashed or could not be reached from
+	 * another instance, by opening a connection to it. The result is passed to
+	 * {@link ServiceRouter#recordConnectionProbe}.
 	 *
 	 * @param upstream the upstream
 	 */
 	record ConnectionProbe(Upstream upstream) implements RoutingEffect {
 	}
 
+	/**
+	 * Reports that an instance reaches no upstream of the service, or reaches one again.
+	 *
+	 * @param origin the peer address of the instance, or empty for this instance
+	 * @param partitioned whether it reaches none
+	 */
+	record PartitionChanged(String origin, boolean partitioned) implements RoutingEffect {
+	}
+
 	/**
 	 * Reports that an upstream is ejected.
 	 *
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -23,6 +23,7 @@
 import org.radishthread.routing.RoutingEffect.CrashesCleared;
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.PaceProbe;
+import org.radishthread.routing.RoutingEffect.PartitionChanged;
 import org.radishthread.routing.RoutingEffect.Refusal;
 import org.radishthread.routing.RoutingEffect.UpstreamEjected;
 import org.radishthread.routing.UpstreamTracker.EjectionRule;
@@ -69,6 +70,8 @@
 
 	private static final double NANOS_PER_SECOND = 1_000_000_000;
 
+	private static final long SECOND_OPINION_INTERVAL_NANOS = 500_000_000;
+
 	// About the time in which an equal request that runs alone has completed.
 	private static final long TRIAL_RETRY_AFTER_NANOS = 500_000_000;
 
@@ -108,6 +111,14 @@
 
 	private final TrialQueue trials = new TrialQueue();
 
+	private final UpstreamPaths paths = new UpstreamPaths();
+
+	// The upstreams whose ejection is founded on failures to connect, by name.
+	private final Set<String> unreachableUpstreams = new HashSet<>();
+
+	// The times of the probes that followed a failure at another instance, by upstream.
+	private final Map<String, Long> secondOpinionNanos = new HashMap<>();
+
 	private boolean receivingRequests;
 
 	private List<RoutingEffect> effects = new ArrayList<>();
@@ -185,7 +196,9 @@
 			long slowStartBeginNanos = this.awaitsFirstUpstreams ? Long.MIN_VALUE / 2 : nowNanos;
 			this.trackers.computeIfAbsent(upstream.name(), (name) -> new UpstreamTracker(upstream, slowStartBeginNanos))
 				.update(upstream, nowNanos);
-			this.crashChecks.recordIncarnation(upstream, nowNanos);
+			if (this.crashChecks.recordIncarnation(upstream, nowNanos)) {
+				this.paths.forgetUpstream(upstream.name());
+			}
 		}
 		reportCrashes(nowNanos);
 		this.awaitsFirstUpstreams = this.awaitsFirstUpstreams && upstreams.isEmpty();
@@ -194,11 +207,22 @@
 				tracker.markRemoved();
 			}
 		});
-		this.trackers.values().removeIf(UpstreamTracker::isDiscardable);
+		removeDiscardable();
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
 
+	private void removeDiscardable() {
+		this.trackers.values().removeIf((tracker) -> {
+			if (tracker.isDiscardable()) {
+				this.paths.forgetUpstream(tracker.upstream().name());
+				this.unreachableUpstreams.remove(tracker.upstream().name());
+				this.secondOpinionNanos.remove(tracker.upstream().name());
+			}
+			return tracker.isDiscardable();
+		});
+	}
+
 	private List<RoutingEffect> takeEffects() {
 		List<RoutingEffect> pendingEffects = this.effects;
 		this.effects = new ArrayList<>();
@@ -230,6 +254,8 @@
 			this.arrivals.recordArrival(nowNanos);
 			this.receivingRequests = true;
 		}
+		this.paths.recordRequest(request.origin(), nowNanos);
+		this.paths.recordRequest(UpstreamPaths.HOME, nowNanos);
 		Refusal refusal = findQuarantineRefusal(request, nowNanos);
 		refusal = (refusal != null) ? refusal : findRefusal(request, home, nowNanos);
 		if (refusal != null) {
@@ -259,6 +285,11 @@
 			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM,
 					this.admission.retryAfterMillis(request, Duration.ofNanos(refusedNanos).toMillis(), nowNanos));
 		}
+		boolean unreachable = usableTrackers(nowNanos).noneMatch((tracker) -> canReach(request, tracker, nowNanos));
+		if (usableSlots > 0 && unreachable) {
+			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM, this.admission.retryAfterMillis(request,
+					AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos));
+		}
 		boolean limitedByAll = usableTrackers(nowNanos).allMatch((tracker) -> tracker.rateLimit().isActive());
 		if (usableSlots > 0 && limitedByAll) {
 			Refusal refusal = findLimitRefusal(request, home, nowNanos);
@@ -288,6 +319,13 @@
 				Duration.ofNanos(allowedAtNanos - nowNanos).toMillis(), nowNanos));
 	}
 
+	// Whether the instance that received the request, or another one, can send it there.
+	private boolean canReach(RoutingRequest request, UpstreamTracker tracker, long nowNanos) {
+		String upstream = tracker.upstream().name();
+		return this.paths.isUsable(request.origin(), upstream, nowNanos)
+				|| this.paths.findRelay(request.origin(), upstream, nowNanos) != null;
+	}
+
 	private Stream<UpstreamTracker> usableTrackers(long nowNanos) {
 		return this.trackers.values()
 			.stream()
@@ -364,7 +402,8 @@
 
 	private Optional<UpstreamTracker> findIdleUpstream(RequestState state, long nowNanos) {
 		UpstreamTracker reservedUpstream = this.trials.reservedUpstream();
-		if (reservedUpstream != null && reservedUpstream.isIdle(nowNanos) && state.mayUse(reservedUpstream, nowNanos)) {
+		if (reservedUpstream != null && reservedUpstream.isIdle(nowNanos) && state.mayUse(reservedUpstream, nowNanos)
+				&& canReach(state.request(), reservedUpstream, nowNanos)) {
 			return Optional.of(reservedUpstream);
 		}
 		return choose(state, nowNanos, (tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved());
@@ -377,6 +416,7 @@
 		}
 		this.trials.releaseReservation();
 		usableTrackers(nowNanos).filter((tracker) -> !tracker.isReserved() && state.mayUse(tracker, nowNanos))
+			.filter((tracker) -> canReach(state.request(), tracker, nowNanos))
 			.min(Comparator.comparingInt(UpstreamTracker::inFlight))
 			.ifPresent(this.trials::reserve);
 	}
@@ -433,6 +473,7 @@
 		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request(), nowNanos);
 		for (UpstreamTracker tracker : this.trackers.values()) {
 			if (eligible.test(tracker) && state.mayUse(tracker, nowNanos)
+					&& canReach(state.request(), tracker, nowNanos)
 					&& nowNanos + expectedDurationNanos(tracker, nowNanos) <= latestCompletionNanos) {
 				candidates.add(tracker);
 			}
@@ -464,15 +505,28 @@
 	private void dispatch(RequestState state, UpstreamTracker tracker, AttemptKind kind, long queueTimeNanos,
 			long nowNanos) {
 		tracker.recordDispatch(nowNanos);
+		String relay = startOnPath(state.request().origin(), tracker.upstream().name(), nowNanos);
 		state.triedUpstreams().add(tracker.upstream().name());
 		state.attemptsInFlight()
 			.put(tracker.upstream().name(),
-					new AttemptStart(nowNanos, tracker.inFlight(), tracker.paceFactor(nowNanos)));
+					new AttemptStart(nowNanos, tracker.inFlight(), tracker.paceFactor(nowNanos), relay));
 		boolean mayHedge = state.request().mayRepeat() && kind != AttemptKind.HEDGE
 				&& this.throughput.meanServiceNanos() > 0;
 		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request(), nowNanos) : 0;
 		this.effects.add(new Dispatch(state.request().id(), tracker.upstream(), kind, tracker.inFlight(),
-				queueTimeNanos, hedgeAfterNanos, tracker.rateLimit().isActive()));
+				queueTimeNanos, hedgeAfterNanos, tracker.rateLimit().isActive(), relay));
+	}
+
+	private @Nullable String startOnPath(String origin, String upstream, long nowNanos) {
+		if (this.paths.isUsable(origin, upstream, nowNanos)) {
+			this.paths.recordAttempt(origin, upstream, nowNanos);
+			return null;
+		}
+		String relay = this.paths.findRelay(origin, upstream, nowNanos);
+		if (relay != null) {
+			this.paths.recordRelayStart(relay, nowNanos);
+		}
+		return relay;
 	}
 
 	// A hedge is sent early enough to meet the objective, but not before the attempt
@@ -531,20 +585,83 @@
 			tracker.rateLimit().clear();
 		}
 		tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
-		if (result.countsAgainstUpstream()) {
-			recordFailure(tracker, result, state.request().origin(), nowNanos);
+		if (result != AttemptResult.UNREACHABLE) {
+			state.markArrived();
 		}
+		recordOnPath(state.request().origin(), attemptStart.relay(), tracker, result, nowNanos);
 		if (result == AttemptResult.SUCCESS) {
 			this.contention.recordAttempt(attemptStart.inFlight(), tracker.upstream().slots(),
 					latencyNanos / attemptStart.paceFactor());
 			this.throughput.recordCompletion(latencyNanos, nowNanos);
 		}
-		this.trackers.values().removeIf(UpstreamTracker::isDiscardable);
+		removeDiscardable();
 		removeIfCompleted(state);
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
 
+	private void recordOnPath(String origin, @Nullable String relay, UpstreamTracker tracker, AttemptResult result,
+			long nowNanos) {
+		String sender = (relay != null) ? relay : origin;
+		if (relay != null) {
+			this.paths.recordRelayEnd(relay);
+		}
+		if (result == AttemptResult.SUCCESS || result == AttemptResult.SHED) {
+			recordReached(sender, tracker.upstream().name(), nowNanos);
+		}
+		else if (result == AttemptResult.UNREACHABLE) {
+			recordUnreachable(sender, tracker, nowNanos);
+		}
+		else if (result.countsAgainstUpstream() && !this.paths.isPartitioned(sender, nowNanos)) {
+			recordFailure(tracker, result, sender, nowNanos);
+		}
+	}
+
+	private void recordReached(String sender, String upstream, long nowNanos) {
+		if (this.paths.recordSuccess(sender, upstream)) {
+			this.effects.add(new PartitionChanged(sender, false));
+		}
+		if (this.unreachableUpstreams.contains(upstream)) {
+			endEjectionIfUnfounded(upstream, nowNanos);
+		}
+	}
+
+	// A failure to connect counts against the upstream if other instances agree. The
+	// home gives a second opinion, unless it is partitioned itself.
+	private void recordUnreachable(String sender, UpstreamTracker tracker, long nowNanos) {
+		String upstream = tracker.upstream().name();
+		if (this.paths.recordFailure(sender, upstream, this.trackers.size(), nowNanos)) {
+			this.effects.add(new PartitionChanged(sender, true));
+			// Instances that turn out to be partitioned may have ejected upstreams.
+			List.copyOf(this.unreachableUpstreams).forEach((other) -> endEjectionIfUnfounded(other, nowNanos));
+		}
+		if (this.paths.isUnreachableForAll(upstream, nowNanos)) {
+			this.unreachableUpstreams.add(upstream);
+			recordFailure(tracker, AttemptResult.UNREACHABLE, sender, nowNanos);
+		}
+		else if (!sender.equals(UpstreamPaths.HOME) && !this.paths.isPartitioned(sender, nowNanos)
+				&& !this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos) && mayAskSecondOpinion(upstream, nowNanos)) {
+			this.effects.add(new ConnectionProbe(tracker.upstream()));
+		}
+	}
+
+	private boolean mayAskSecondOpinion(String upstream, long nowNanos) {
+		Long askedNanos = this.secondOpinionNanos.get(upstream);
+		if (askedNanos != null && nowNanos - askedNanos < SECOND_OPINION_INTERVAL_NANOS) {
+			return false;
+		}
+		this.secondOpinionNanos.put(upstream, nowNanos);
+		return true;
+	}
+
+	private void endEjectionIfUnfounded(String upstream, long nowNanos) {
+		UpstreamTracker tracker = this.trackers.get(upstream);
+		if (tracker != null && !this.paths.isUnreachableForAll(upstream, nowNanos)) {
+			tracker.endEjection();
+			this.unreachableUpstreams.remove(upstream);
+		}
+	}
+
 	private void recordFailure(UpstreamTracker tracker, AttemptResult result, String origin, long nowNanos) {
 		boolean ejectedBefore = tracker.isEjected(nowNanos);
 		tracker.recordFailure(result, nowNanos, ejectionRule(nowNanos));
@@ -597,11 +714,13 @@
 			return List.of(quarantineRefusal);
 		}
 		if (state.triedUpstreams().size() >= state.request().maximumAttempts()
-				|| nowNanos >= state.request().deadlineNanos() || !this.retryBudget.tryAcquire(nowNanos)) {
+				|| nowNanos >= state.request().deadlineNanos()
+				|| (state.hasArrived() && !this.retryBudget.tryAcquire(nowNanos))) {
 			return List.of(new Refusal(requestId, RefusalReason.RETRY_BUDGET, this.admission
 				.retryAfterMillis(state.request(), AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
 		}
-		boolean hasUntriedUpstream = usableTrackers(nowNanos).anyMatch((tracker) -> state.mayUse(tracker, nowNanos));
+		boolean hasUntriedUpstream = usableTrackers(nowNanos)
+			.anyMatch((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos));
 		if (!hasUntriedUpstream) {
 			return List.of(new Refusal(requestId, RefusalReason.NO_UPSTREAM, this.admission
 				.retryAfterMillis(state.request(), AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos)));
@@ -626,7 +745,7 @@
 		return this.trackers.values()
 			.stream()
 			.filter((tracker) -> tracker.hasFreeSlot(nowNanos))
-			.filter((tracker) -> state.mayUse(tracker, nowNanos))
+			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
 			.min(Comparator.comparingDouble((tracker) -> expectedDurationNanos(tracker, nowNanos)));
 	}
 
@@ -747,6 +866,7 @@
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		if (tracker != null) {
 			tracker.recordPaceProbe(report, nowNanos);
+			recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
 		dispatchQueued(nowNanos);
 		return takeEffects();
@@ -754,7 +874,12 @@
 
 	private void sendConnectionProbes(long nowNanos) {
 		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (tracker.isConnectionProbeDue(nowNanos) && this.probeBudget.tryAcquire(nowNanos)) {
+			if (tracker.isConnectionProbeDue(nowNanos) && this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos)) {
+				// The probe would fail on the path; a request of another instance tries
+				// the upstream instead.
+				tracker.recordConnectionProbe(true, nowNanos);
+			}
+			else if (tracker.isConnectionProbeDue(nowNanos) && this.probeBudget.tryAcquire(nowNanos)) {
 				tracker.recordConnectionProbeSent(nowNanos);
 				this.effects.add(new ConnectionProbe(tracker.upstream()));
 			}
@@ -771,12 +896,20 @@
 	 */
 	public List<RoutingEffect> recordConnectionProbe(String upstream, boolean reachable, long nowNanos) {
 		UpstreamTracker tracker = this.trackers.get(upstream);
-		boolean crashed = this.crashChecks.recordProbe(upstream, reachable);
+		boolean conclusive = reachable || !this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos);
+		boolean crashed = conclusive && this.crashChecks.recordProbe(upstream, reachable);
+		if (reachable) {
+			recordReached(UpstreamPaths.HOME, upstream, nowNanos);
+		}
 		if (tracker != null && tracker.awaitsConnectionProbe()) {
 			tracker.recordConnectionProbe(reachable, nowNanos);
 		}
 		else if (tracker != null && crashed) {
-			recordFailure(tracker, AttemptResult.UNREACHABLE, "", nowNanos);
+			this.paths.recordFailure(UpstreamPaths.HOME, upstream, this.trackers.size(), nowNanos);
+			recordFailure(tracker, AttemptResult.UNREACHABLE, UpstreamPaths.HOME, nowNanos);
+		}
+		else if (tracker != null && !reachable) {
+			recordUnreachable(UpstreamPaths.HOME, tracker, nowNanos);
 		}
 		reportCrashes(nowNanos);
 		dispatchQueued(nowNanos);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -160,9 +160,10 @@
 		state.awaitsDecision = false;
 		Upstream upstream = new Upstream(grant.getUpstream(), grant.getAddress(), "", 1, 0, true);
 		AttemptKind kind = AttemptKind.valueOf(grant.getKind().toUpperCase(Locale.ROOT));
-		this.effects.add(new SlotEffect.Decision(new RoutingEffect.Dispatch(state.request.id(), upstream, kind,
-				grant.getInFlight(), grant.getWaitedMicros() * NANOS_PER_MICRO,
-				grant.getHedgeAfterMicros() * NANOS_PER_MICRO, grant.getLimitCounted())));
+		this.effects.add(new SlotEffect.Decision(
+				new RoutingEffect.Dispatch(state.request.id(), upstream, kind, grant.getInFlight(),
+						grant.getWaitedMicros() * NANOS_PER_MICRO, grant.getHedgeAfterMicros() * NANOS_PER_MICRO,
+						grant.getLimitCounted(), grant.getRelay().isEmpty() ? null : grant.getRelay())));
 	}
 
 	private void receiveRefusal(RequestState state, SlotRefusal refusal) {
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
@@ -0,0 +1,226 @@
+package org.radishthread.routing;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Knows from which instances the upstreams of a service can be reached. A failure to
+ * connect belongs to the path between one instance, the origin of the attempt, and one
+ * upstream; an upstream is unreachable only if several instances agree. An instance that
+ * reaches no upstream is partitioned: its failures say nothing about upstreams, and its
+ * requests are relayed by other instances. Points in time are monotonic, in nanoseconds.
+ * Not safe for concurrent use.
+ */
+final class UpstreamPaths {
+
+	/**
+	 * The origin of the attempts and probes of this instance, the home.
+	 */
+	static final String HOME = "";
+
+	// An instance without requests for this time has no part in agreements.
+	private static final long ACTIVE_PERIOD_NANOS = 5_000_000_000L;
+
+	private static final long BASE_BLOCK_NANOS = 1_000_000_000L;
+
+	private static final int MAXIMUM_BLOCK_DOUBLINGS = 2;
+
+	// The number of upstreams that an instance must fail to reach, with no success in
+	// between, to count as partitioned.
+	private static final int PARTITION_FAILURES = 3;
+
+	private static final int AGREEING_ORIGINS = 2;
+
+	// Keyed by the peer address of the instance.
+	private final Map<String, Origin> origins = new LinkedHashMap<>();
+
+	void recordRequest(String origin, long nowNanos) {
+		this.origins.values().removeIf((state) -> !state.isActive(nowNanos) && state.relayedAttempts == 0);
+		origin(origin).lastRequestNanos = nowNanos;
+	}
+
+	private Origin origin(String name) {
+		return this.origins.computeIfAbsent(name, (key) -> new Origin());
+	}
+
+	/**
+	 * Records that an instance could not connect to an upstream.
+	 * @param origin the instance
+	 * @param upstream the name of the upstream
+	 * @param upstreamCount the number of upstreams of the service
+	 * @param nowNanos the current time
+	 * @return whether the instance counts as partitioned from now on
+	 */
+	boolean recordFailure(String origin, String upstream, int upstreamCount, long nowNanos) {
+		Origin state = origin(origin);
+		state.blocks.computeIfAbsent(upstream, (name) -> new Block()).extend(nowNanos);
+		state.failedSinceSuccess.add(upstream);
+		if (state.partition != null) {
+			state.partition.extend(nowNanos);
+			return false;
+		}
+		if (state.failedSinceSuccess.size() < Math.min(PARTITION_FAILURES, upstreamCount)) {
+			return false;
+		}
+		state.partition = new Block();
+		state.partition.extend(nowNanos);
+		return true;
+	}
+
+	/**
+	 * Records that an instance reached an upstream, which ends its partition.
+	 * @param origin the instance
+	 * @param upstream the name of the upstream
+	 * @return whether the instance counted as partitioned before
+	 */
+	boolean recordSuccess(String origin, String upstream) {
+		Origin state = this.origins.get(origin);
+		if (state == null) {
+			return false;
+		}
+		boolean partitioned = state.partition != null;
+		state.failedSinceSuccess.clear();
+		state.partition = null;
+		if (partitioned) {
+			state.blocks.clear();
+		}
+		else {
+			state.blocks.remove(upstream);
+		}
+		return partitioned;
+	}
+
+	// If no instance reaches an upstream, the upstreams are lost, not the paths.
+	boolean isPartitioned(String origin, long nowNanos) {
+		Origin state = this.origins.get(origin);
+		return state != null && state.partition != null
+				&& this.origins.values()
+					.stream()
+					.anyMatch((other) -> other.partition == null && other.isActive(nowNanos));
+	}
+
+	// Whether an attempt may be made on the path; after a failure one attempt at a time,
+	// at growing intervals.
+	boolean isUsable(String origin, String upstream, long nowNanos) {
+		Origin state = this.origins.get(origin);
+		if (state == null) {
+			return true;
+		}
+		Block block = (state.partition != null) ? state.partition : state.blocks.get(upstream);
+		return block == null || !block.isActive(nowNanos);
+	}
+
+	// Blocks the path while the attempt that tries it is in flight.
+	void recordAttempt(String origin, String upstream, long nowNanos) {
+		Origin state = origin(origin);
+		Block block = (state.partition != null) ? state.partition : state.blocks.get(upstream);
+		if (block != null) {
+			block.untilNanos = nowNanos + BASE_BLOCK_NANOS;
+		}
+	}
+
+	/**
+	 * Returns whether an upstream is unreachable for all: for several instances that are
+	 * not partitioned, or for every instance that has requests.
+	 * @param upstream the name of the upstream
+	 * @param nowNanos the current time
+	 * @return whether the instances agree
+	 */
+	boolean isUnreachableForAll(String upstream, long nowNanos) {
+		int failing = 0;
+		int failingOthers = 0;
+		int active = 0;
+		for (Origin state : this.origins.values()) {
+			boolean fails = state.blocks.containsKey(upstream);
+			active += (state.isActive(nowNanos) || fails) ? 1 : 0;
+			failing += fails ? 1 : 0;
+			failingOthers += (fails && state.partition == null) ? 1 : 0;
+		}
+		return failingOthers >= AGREEING_ORIGINS || (failing > 0 && failing == active);
+	}
+
+	/**
+	 * Finds an instance that can relay an attempt. Attempts are spread evenly over the
+	 * instances.
+	 * @param origin the instance that received the request
+	 * @param upstream the name of the upstream
+	 * @param nowNanos the current time
+	 * @return the peer address of the instance, or {@code null} if there is none
+	 */
+	@Nullable String findRelay(String origin, String upstream, long nowNanos) {
+		return this.origins.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals(origin) && entry.getValue().canRelay(upstream, nowNanos))
+			.min(Comparator.comparingInt((Map.Entry<String, Origin> entry) -> entry.getValue().relayedAttempts)
+				.thenComparingLong((entry) -> entry.getValue().lastRelayNanos))
+			.map(Map.Entry::getKey)
+			.orElse(null);
+	}
+
+	void recordRelayStart(String relay, long nowNanos) {
+		Origin state = origin(relay);
+		state.relayedAttempts++;
+		state.lastRelayNanos = nowNanos;
+	}
+
+	void recordRelayEnd(String relay) {
+		origin(relay).relayedAttempts--;
+	}
+
+	void forgetUpstream(String upstream) {
+		this.origins.values().forEach((state) -> {
+			state.blocks.remove(upstream);
+			state.failedSinceSuccess.remove(upstream);
+		});
+	}
+
+	private static final class Origin {
+
+		private long lastRequestNanos = Long.MIN_VALUE / 2;
+
+		private long lastRelayNanos = Long.MIN_VALUE / 2;
+
+		private int relayedAttempts;
+
+		// Keyed by the name of the upstream.
+		private final Map<String, Block> blocks = new HashMap<>();
+
+		private final Set<String> failedSinceSuccess = new HashSet<>();
+
+		// Present while the instance is partitioned.
+		private @Nullable Block partition;
+
+		private boolean isActive(long nowNanos) {
+			return nowNanos - this.lastRequestNanos < ACTIVE_PERIOD_NANOS;
+		}
+
+		private boolean canRelay(String upstream, long nowNanos) {
+			return isActive(nowNanos) && this.partition == null && !this.blocks.containsKey(upstream);
+		}
+
+	}
+
+	private static final class Block {
+
+		private int failures;
+
+		private long untilNanos = Long.MIN_VALUE / 2;
+
+		private boolean isActive(long nowNanos) {
+			return nowNanos < this.untilNanos;
+		}
+
+		private void extend(long nowNanos) {
+			this.untilNanos = nowNanos + (BASE_BLOCK_NANOS << Math.min(this.failures, MAXIMUM_BLOCK_DOUBLINGS));
+			this.failures++;
+		}
+
+	}
+
+}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -161,6 +161,13 @@
 		this.ejectedUntilNanos = nowNanos + BASE_EJECTION_NANOS;
 	}
 
+	// Ends an ejection that was founded on failures of paths.
+	void endEjection() {
+		this.ejections = 0;
+		this.ejectedUntilNanos = NEVER;
+		this.awaitsConnectionProbe = false;
+	}
+
 	void recordConnectionProbe(boolean reachable, long nowNanos) {
 		if (reachable) {
 			this.awaitsConnectionProbe = false;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionSimulation.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionSimulation.java
@@ -56,6 +56,8 @@
 
 	private final Map<String, Tally> tallies = new HashMap<>();
 
+	private int relayedAttempts;
+
 	private long lastSequence;
 
 	private long lastRequestId;
@@ -121,6 +123,10 @@
 		this.tallies.clear();
 	}
 
+	int relayedAttempts() {
+		return this.relayedAttempts;
+	}
+
 	double servedShare(boolean partitioned) {
 		int requests = 0;
 		int served = 0;
@@ -183,7 +189,8 @@
 
 	private void arrive(Dispatch dispatch) {
 		RoutingRequest request = this.openRequests.get(dispatch.requestId());
-		String gateway = request.origin();
+		String gateway = (dispatch.relay() != null) ? dispatch.relay() : request.origin();
+		this.relayedAttempts += (dispatch.relay() != null) ? 1 : 0;
 		if (isReachable(gateway, dispatch.upstream().name())) {
 			schedule(SERVICE_MILLIS + NETWORK_MILLIS, () -> complete(dispatch, request));
 			return;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -57,4 +58,54 @@
 
 	}
 
+	@Nested
+	class PartitionedGateways {
+
+		// The platform expects them to serve two thirds of what the others do.
+		@ParameterizedTest
+		@CsvSource({ "1, false, false", "3, false, false", "8, false, false", "13, false, false", "3, false, true",
+				"8, false, true", "1, true, false", "3, true, false", "8, true, false", "13, true, false",
+				"3, true, true", "8, true, true" })
+		void callersOfPartitionedGatewaysAreServedByRelays(int count, boolean home, boolean hanging) {
+			PartitionSimulation simulation = partition(count, home, hanging);
+			assertThat(simulation.servedShare(true)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
+		}
+
+		@Test
+		void gatewaysConnectThemselvesAgainAfterThePartition() {
+			PartitionSimulation simulation = new PartitionSimulation(GATEWAY_COUNT, UPSTREAM_COUNT, false, 9);
+			Set<String> partitioned = new HashSet<>(simulation.gateways().subList(0, 8));
+			simulation.sendRequests(0, 20_000, REQUEST_INTERVAL_MILLIS);
+			simulation.at(PARTITION_MILLIS, () -> simulation.partition(partitioned));
+			simulation.at(8_000, () -> simulation.partition(Set.of()));
+			simulation.runUntil(15_000);
+			int relayedAttempts = simulation.relayedAttempts();
+			simulation.runUntil(21_000);
+			assertThat(simulation.relayedAttempts()).isEqualTo(relayedAttempts);
+			assertThat(relayedAttempts).isPositive();
+		}
+
+	}
+
+	@Nested
+	class LostUpstreams {
+
+		// Upstreams that no gateway reaches are ejected, not taken for lost paths.
+		@ParameterizedTest
+		@CsvSource({ "1", "3", "5" })
+		void othersAreServedWhileUpstreamsAreLost(int count) {
+			PartitionSimulation simulation = new PartitionSimulation(GATEWAY_COUNT, UPSTREAM_COUNT, false, count);
+			Set<String> lost = new HashSet<>();
+			for (int i = 0; i < count; i++) {
+				lost.add("upstream-" + i);
+			}
+			simulation.sendRequests(0, END_MILLIS, REQUEST_INTERVAL_MILLIS);
+			simulation.at(PARTITION_MILLIS, () -> simulation.loseUpstreams(lost));
+			simulation.at(PARTITION_MILLIS + STABLE_MILLIS, simulation::resetTallies);
+			simulation.runUntil(END_MILLIS + 1_000);
+			assertThat(simulation.servedShare(false)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
+		}
+
+	}
+
 }
