--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -19,8 +19,6 @@
 import org.radishthread.routing.CallerQueues.QueuedRequest;
 import org.radishthread.routing.RequestState.AttemptStart;
 import org.radishthread.routing.RoutingEffect.ConnectionProbe;
-import org.radishthread.routing.RoutingEffect.CrashFound;
-import org.radishthread.routing.RoutingEffect.CrashesCleared;
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.PaceProbe;
 import org.radishthread.routing.RoutingEffect.PartitionChanged;
@@ -105,9 +103,7 @@
 
 	private final ArrivalEstimate arrivals = new ArrivalEstimate();
 
-	private final CrashHistory crashHistory;
-
-	private final CrashChecks crashChecks = new CrashChecks();
+	private final CrashMonitor crashes;
 
 	private final TrialQueue trials = new TrialQueue();
 
@@ -162,7 +158,7 @@
 		this.rule = rule;
 		this.settings = settings;
 		this.policy = policy;
-		this.crashHistory = crashHistory;
+		this.crashes = new CrashMonitor(crashHistory);
 		this.retryBudget = new RetryBudget(settings.retryLimits());
 		this.paceProbeBudget = new PaceProbeBudget(settings.paceProbesPerSecond());
 		this.probeBudget = new ProbeBudget(rule.probesPerSecond(), settings.maximumInstances(), nowNanos);
@@ -196,11 +192,11 @@
 			long slowStartBeginNanos = this.awaitsFirstUpstreams ? Long.MIN_VALUE / 2 : nowNanos;
 			this.trackers.computeIfAbsent(upstream.name(), (name) -> new UpstreamTracker(upstream, slowStartBeginNanos))
 				.update(upstream, nowNanos);
-			if (this.crashChecks.recordIncarnation(upstream, nowNanos)) {
+			if (this.crashes.recordIncarnation(upstream, nowNanos)) {
 				this.paths.forgetUpstream(upstream.name());
 			}
 		}
-		reportCrashes(nowNanos);
+		this.effects.addAll(this.crashes.takeNews(nowNanos));
 		this.awaitsFirstUpstreams = this.awaitsFirstUpstreams && upstreams.isEmpty();
 		this.trackers.forEach((name, tracker) -> {
 			if (!announcedNames.contains(name)) {
@@ -256,7 +252,7 @@
 		}
 		this.paths.recordRequest(request.origin(), nowNanos);
 		this.paths.recordRequest(UpstreamPaths.HOME, nowNanos);
-		Refusal refusal = findQuarantineRefusal(request, nowNanos);
+		Refusal refusal = this.crashes.findQuarantine(request, nowNanos);
 		refusal = (refusal != null) ? refusal : findRefusal(request, home, nowNanos);
 		if (refusal != null) {
 			return List.of(refusal);
@@ -268,11 +264,6 @@
 		return takeEffects();
 	}
 
-	private @Nullable Refusal findQuarantineRefusal(RoutingRequest request, long nowNanos) {
-		long quarantineNanos = this.crashHistory.quarantineNanos(request.digest(), nowNanos);
-		return (quarantineNanos > 0) ? Refusal.quarantined(request, quarantineNanos) : null;
-	}
-
 	private @Nullable Refusal findRefusal(RoutingRequest request, boolean home, long nowNanos) {
 		long usableSlots = usableSlots(nowNanos);
 		boolean refusedByAll = usableTrackers(nowNanos)
@@ -340,24 +331,14 @@
 		long expiryNanos = Math.min(request.deadlineNanos(), nowNanos + this.rule.queueTimeout().toNanos());
 		QueuedRequest queued = new QueuedRequest(request, kind, this.admission.rank(request, nowNanos), nowNanos,
 				expiryNanos);
-		if (isSuspected(request)) {
+		if (this.crashes.isSuspected(request)) {
 			enqueueForTrial(queued);
 		}
-		else if (crashesUnder(request) == 0 || !this.trials.tryAdd(queued)) {
+		else if (this.crashes.crashesUnder(request) == 0 || !this.trials.tryAdd(queued)) {
 			this.queues.add(queued, kind != AttemptKind.FIRST);
 		}
 	}
 
-	// An upstream that may have crashed counts as crashed until that is known.
-	private int crashesUnder(RoutingRequest request) {
-		return request.digest().isEmpty() ? 0 : this.crashHistory.crashCount(request.digest())
-				+ (this.crashChecks.isPending(request.digest()) ? 1 : 0);
-	}
-
-	private boolean isSuspected(RoutingRequest request) {
-		return crashesUnder(request) >= CrashHistory.SUSPICION_CRASHES;
-	}
-
 	// Without the home, several instances would run equal requests at the same time.
 	private void enqueueForTrial(QueuedRequest queued) {
 		boolean home = requireState(queued.request().id()).isRoutedByHome();
@@ -378,7 +359,7 @@
 	// request that is not suspected yet runs alone only if an upstream is idle.
 	private void dispatchTrial(QueuedRequest queued, long nowNanos) {
 		RequestState state = requireState(queued.request().id());
-		Refusal refusal = findQuarantineRefusal(queued.request(), nowNanos);
+		Refusal refusal = this.crashes.findQuarantine(queued.request(), nowNanos);
 		if (refusal != null) {
 			this.trials.remove(queued.request());
 			this.effects.add(refusal);
@@ -391,7 +372,7 @@
 			state.setExclusiveUpstream(idleUpstream.get());
 			dispatch(state, idleUpstream.get(), queued.kind(), nowNanos - queued.enqueuedNanos(), nowNanos);
 		}
-		else if (!isSuspected(queued.request())) {
+		else if (!this.crashes.isSuspected(queued.request())) {
 			this.trials.remove(queued.request());
 			this.queues.add(queued, queued.kind() != AttemptKind.FIRST);
 		}
@@ -425,7 +406,7 @@
 		QueuedRequest queued = this.queues.peek(minimumRank);
 		while (queued != null) {
 			RequestState state = requireState(queued.request().id());
-			if (isSuspected(queued.request())) {
+			if (this.crashes.isSuspected(queued.request())) {
 				this.queues.removeFirst(queued);
 				enqueueForTrial(queued);
 				queued = this.queues.peek(minimumRank);
@@ -569,15 +550,8 @@
 		Assert.state(attemptStart != null && tracker != null, "Attempt at '" + upstream + "' must be in flight.");
 		long latencyNanos = nowNanos - attemptStart.startNanos();
 		endTrial(state, tracker);
-		String digest = state.request().digest();
-		if (result == AttemptResult.CONNECTION_LOST && this.crashChecks.recordLoss(tracker.upstream(), digest,
-				attemptStart.startNanos(), tracker.inFlight(), nowNanos)) {
-			this.effects.add(new ConnectionProbe(tracker.upstream()));
-		}
-		else if (result == AttemptResult.SUCCESS && this.crashHistory.clear(digest, nowNanos)) {
-			this.effects.add(new CrashesCleared(digest, nowNanos));
-		}
-		reportCrashes(nowNanos);
+		this.effects.addAll(
+				this.crashes.recordCompletion(state.request(), tracker, result, attemptStart.startNanos(), nowNanos));
 		if (report != null) {
 			tracker.recordReport(report, state.request().origin(), nowNanos);
 		}
@@ -678,14 +652,6 @@
 		}
 	}
 
-	private void reportCrashes(long nowNanos) {
-		for (CrashRecord crash : this.crashChecks.takeCrashes(nowNanos)) {
-			if (this.crashHistory.record(crash, nowNanos)) {
-				this.effects.add(new CrashFound(crash));
-			}
-		}
-	}
-
 	// When many upstreams fail a part of their requests, the others could
 	// not carry the whole load, so the failing ones stay in use and requests
 	// are retried instead.
@@ -709,7 +675,7 @@
 		if (state == null || state.isClosed()) {
 			return List.of();
 		}
-		Refusal quarantineRefusal = findQuarantineRefusal(state.request(), nowNanos);
+		Refusal quarantineRefusal = this.crashes.findQuarantine(state.request(), nowNanos);
 		if (quarantineRefusal != null) {
 			return List.of(quarantineRefusal);
 		}
@@ -760,7 +726,7 @@
 		RequestState state = this.requests.get(requestId);
 		if (state == null || state.isClosed() || state.attemptsInFlight().isEmpty()
 				|| state.triedUpstreams().size() >= Math.min(2, state.request().maximumAttempts())
-				|| this.queues.size() > 0 || crashesUnder(state.request()) > 0) {
+				|| this.queues.size() > 0 || this.crashes.crashesUnder(state.request()) > 0) {
 			return List.of();
 		}
 		Optional<UpstreamTracker> chosenUpstream = choose(state, nowNanos,
@@ -897,7 +863,7 @@
 	public List<RoutingEffect> recordConnectionProbe(String upstream, boolean reachable, long nowNanos) {
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		boolean conclusive = reachable || !this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos);
-		boolean crashed = conclusive && this.crashChecks.recordProbe(upstream, reachable);
+		boolean crashed = conclusive && this.crashes.recordProbe(upstream, reachable);
 		if (reachable) {
 			recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
@@ -911,7 +877,7 @@
 		else if (tracker != null && !reachable) {
 			recordUnreachable(UpstreamPaths.HOME, tracker, nowNanos);
 		}
-		reportCrashes(nowNanos);
+		this.effects.addAll(this.crashes.takeNews(nowNanos));
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
