--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CrashExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CrashExchange.java
@@ -1,5 +1,6 @@
 package org.radishthread.daemon.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
@@ -83,7 +84,7 @@
 			.with("digest", found.crash().digest())
 			.with("alone", found.crash().alone())
 			.with("crashes", this.history.crashCount(found.crash().digest()))
-			.with("quarantine-nanos", this.history.quarantineNanos(found.crash().digest(), this.time.monotonicNanos()))
+			.with("quarantine-millis", quarantineMillis(found.crash().digest()))
 			.write();
 		process((nowNanos) -> this.dissemination.publishCrash(found.crash(), otherGateways(), nowNanos));
 	}
@@ -94,6 +95,10 @@
 				otherGateways(), nowNanos));
 	}
 
+	private long quarantineMillis(String digest) {
+		return Duration.ofNanos(this.history.quarantineNanos(digest, this.time.monotonicNanos())).toMillis();
+	}
+
 	private void process(Function<Long, List<Message>> event) {
 		List<Message> messages;
 		synchronized (this.dissemination) {
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
@@ -14,6 +14,7 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.Request;
 import org.junit.jupiter.api.AfterEach;
@@ -129,7 +130,7 @@
 	@Test
 	void largeBodiesPassInBothDirections() throws Exception {
 		try (ServerSocket upstream = startUpstream(BODY_BYTES, body(), false)) {
-			org.eclipse.jetty.client.CompletableResponseListener listener = new org.eclipse.jetty.client.CompletableResponseListener(
+			CompletableResponseListener listener = new CompletableResponseListener(
 					request(upstream.getLocalPort()).method("POST").body(new BytesRequestContent(body())),
 					2 * BODY_BYTES);
 			ContentResponse response = listener.send().get();
--- a/radishthread-routing/src/test/java/org/radishthread/routing/CrashSimulation.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/CrashSimulation.java
@@ -57,8 +57,6 @@
 
 	final Set<String> sentDigests = new HashSet<>();
 
-	final Map<String, RefusalReason> lastRefusals = new HashMap<>();
-
 	private final List<Gateway> gateways = new ArrayList<>();
 
 	private final Random random;
@@ -238,8 +236,7 @@
 	}
 
 	private void refuse(Gateway gateway, Refusal refusal) {
-		RoutingRequest request = this.openRequests.remove(refusal.requestId());
-		this.lastRefusals.put(request.digest(), refusal.reason());
+		this.openRequests.remove(refusal.requestId());
 		gateway.router.close(refusal.requestId());
 	}
 
@@ -268,7 +265,6 @@
 		RoutingRequest request = this.openRequests.remove(dispatch.requestId());
 		if (request != null) {
 			this.servedDigests.add(request.digest());
-			this.lastRefusals.remove(request.digest());
 		}
 		execute(gateway, gateway.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(),
 				AttemptResult.SUCCESS, nowNanos()));
