--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -486,7 +486,7 @@
 	private void dispatch(RequestState state, UpstreamTracker tracker, AttemptKind kind, long queueTimeNanos,
 			long nowNanos) {
 		tracker.recordDispatch(nowNanos);
-		String relay = startOnPath(state.request().origin(), tracker.upstream().name(), nowNanos);
+		String relay = startOnPath(state, tracker.upstream().name(), nowNanos);
 		state.triedUpstreams().add(tracker.upstream().name());
 		state.attemptsInFlight()
 			.put(tracker.upstream().name(),
@@ -498,15 +498,19 @@
 				queueTimeNanos, hedgeAfterNanos, tracker.rateLimit().isActive(), relay));
 	}
 
-	private @Nullable String startOnPath(String origin, String upstream, long nowNanos) {
-		if (this.paths.isUsable(origin, upstream, nowNanos)) {
-			this.paths.recordAttempt(origin, upstream, nowNanos);
-			return null;
-		}
-		String relay = this.paths.findRelay(origin, upstream, nowNanos);
+	// After an attempt that could not connect, another instance is preferred also where
+	// the path is not known to be lost: successes on kept connections may hide that.
+	private @Nullable String startOnPath(RequestState state, String upstream, long nowNanos) {
+		String origin = state.request().origin();
+		boolean usable = this.paths.isUsable(origin, upstream, nowNanos);
+		boolean couldNotConnect = !state.hasArrived() && !state.triedUpstreams().isEmpty();
+		String relay = (usable && !couldNotConnect) ? null : this.paths.findRelay(origin, upstream, nowNanos);
 		if (relay != null) {
 			this.paths.recordRelayStart(relay, nowNanos);
 		}
+		else if (usable) {
+			this.paths.recordAttempt(origin, upstream, nowNanos);
+		}
 		return relay;
 	}
 
@@ -592,7 +596,7 @@
 	}
 
 	private void recordReached(String sender, String upstream, long nowNanos) {
-		if (this.paths.recordSuccess(sender, upstream)) {
+		if (this.paths.recordSuccess(sender, upstream, nowNanos)) {
 			this.effects.add(new PartitionChanged(sender, false));
 		}
 		if (this.unreachableUpstreams.contains(upstream)) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
@@ -40,6 +40,9 @@
 	// Keyed by the peer address of the instance.
 	private final Map<String, Origin> origins = new LinkedHashMap<>();
 
+	// The last time at which any instance reached the upstream, by its name.
+	private final Map<String, Long> lastReachedNanos = new HashMap<>();
+
 	void recordRequest(String origin, long nowNanos) {
 		this.origins.values().removeIf((state) -> !state.isActive(nowNanos) && state.relayedAttempts == 0);
 		origin(origin).lastRequestNanos = nowNanos;
@@ -77,9 +80,11 @@
 	 * Records that an instance reached an upstream, which ends its partition.
 	 * @param origin the instance
 	 * @param upstream the name of the upstream
+	 * @param nowNanos the current time
 	 * @return whether the instance counted as partitioned before
 	 */
-	boolean recordSuccess(String origin, String upstream) {
+	boolean recordSuccess(String origin, String upstream, long nowNanos) {
+		this.lastReachedNanos.put(upstream, nowNanos);
 		Origin state = this.origins.get(origin);
 		if (state == null) {
 			return false;
@@ -127,7 +132,8 @@
 
 	/**
 	 * Returns whether an upstream is unreachable for all: for several instances that are
-	 * not partitioned, or for every instance that has requests.
+	 * not partitioned, or for every instance that has requests. A success of any instance
+	 * contradicts the failures before it.
 	 * @param upstream the name of the upstream
 	 * @param nowNanos the current time
 	 * @return whether the instances agree
@@ -136,8 +142,10 @@
 		int failing = 0;
 		int failingOthers = 0;
 		int active = 0;
+		long reachedNanos = this.lastReachedNanos.getOrDefault(upstream, Long.MIN_VALUE);
 		for (Origin state : this.origins.values()) {
-			boolean fails = state.blocks.containsKey(upstream);
+			Block block = state.blocks.get(upstream);
+			boolean fails = block != null && block.failedNanos > reachedNanos;
 			active += (state.isActive(nowNanos) || fails) ? 1 : 0;
 			failing += fails ? 1 : 0;
 			failingOthers += (fails && state.partition == null) ? 1 : 0;
@@ -174,6 +182,7 @@
 	}
 
 	void forgetUpstream(String upstream) {
+		this.lastReachedNanos.remove(upstream);
 		this.origins.values().forEach((state) -> {
 			state.blocks.remove(upstream);
 			state.failedSinceSuccess.remove(upstream);
@@ -210,6 +219,8 @@
 
 		private int failures;
 
+		private long failedNanos = Long.MIN_VALUE;
+
 		private long untilNanos = Long.MIN_VALUE / 2;
 
 		private boolean isActive(long nowNanos) {
@@ -217,6 +228,7 @@
 		}
 
 		private void extend(long nowNanos) {
+			this.failedNanos = nowNanos;
 			this.untilNanos = nowNanos + (BASE_BLOCK_NANOS << Math.min(this.failures, MAXIMUM_BLOCK_DOUBLINGS));
 			this.failures++;
 		}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionSimulation.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionSimulation.java
@@ -54,6 +54,9 @@
 
 	private final boolean hanging;
 
+	// Whether first attempts of repeatable requests use connections that live on.
+	boolean keptConnectionsLiveOn;
+
 	private final Map<String, Tally> tallies = new HashMap<>();
 
 	private int relayedAttempts;
@@ -154,7 +157,7 @@
 	private void send() {
 		long id = ++this.lastRequestId;
 		String gateway = this.gateways.get(this.random.nextInt(this.gateways.size()));
-		RoutingRequest request = new RoutingRequest(id, "caller-" + id % 50, true,
+		RoutingRequest request = new RoutingRequest(id, "caller-" + id % 50, id % 2 == 0,
 				nowNanos() + TIMEOUT_MILLIS * NANOS_PER_MILLI, "", Urgency.NORMAL, 2, gateway);
 		this.openRequests.put(id, request);
 		Tally tally = this.tallies.computeIfAbsent(gateway, (name) -> new Tally());
@@ -191,7 +194,9 @@
 		RoutingRequest request = this.openRequests.get(dispatch.requestId());
 		String gateway = (dispatch.relay() != null) ? dispatch.relay() : request.origin();
 		this.relayedAttempts += (dispatch.relay() != null) ? 1 : 0;
-		if (isReachable(gateway, dispatch.upstream().name())) {
+		boolean onKeptConnection = this.keptConnectionsLiveOn && request.mayRepeat()
+				&& dispatch.kind() == AttemptKind.FIRST;
+		if (onKeptConnection || isReachable(gateway, dispatch.upstream().name())) {
 			schedule(SERVICE_MILLIS + NETWORK_MILLIS, () -> complete(dispatch, request));
 			return;
 		}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
@@ -71,6 +71,21 @@
 			assertThat(simulation.servedShare(true)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
 		}
 
+		@ParameterizedTest
+		@CsvSource({ "3, false", "8, false", "8, true" })
+		void callersAreServedWhileKeptConnectionsLiveOn(int count, boolean home) {
+			PartitionSimulation simulation = new PartitionSimulation(GATEWAY_COUNT, UPSTREAM_COUNT, false, count);
+			simulation.keptConnectionsLiveOn = true;
+			List<String> gateways = simulation.gateways();
+			Set<String> partitioned = new HashSet<>(home ? gateways.subList(0, count) : gateways.subList(1, 1 + count));
+			simulation.sendRequests(0, END_MILLIS, REQUEST_INTERVAL_MILLIS);
+			simulation.at(PARTITION_MILLIS, () -> simulation.partition(partitioned));
+			simulation.at(PARTITION_MILLIS + STABLE_MILLIS, simulation::resetTallies);
+			simulation.runUntil(END_MILLIS + 1_000);
+			assertThat(simulation.servedShare(true)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
+			assertThat(simulation.servedShare(false)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
+		}
+
 		@Test
 		void gatewaysConnectThemselvesAgainAfterThePartition() {
 			PartitionSimulation simulation = new PartitionSimulation(GATEWAY_COUNT, UPSTREAM_COUNT, false, 9);
