--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -84,9 +84,8 @@
 		return this.responseBegun;
 	}
 
-	// Whether the connection ended after the request was sent, at least in part, and
-	// before
-	// the response was complete.
+	// Whether the connection ended after a part of the request was sent and before the
+	// response was complete.
 	boolean isConnectionLost() {
 		return this.connectionLost;
 	}
