--- a/radishthread-routing/src/test/java/org/radishthread/routing/CrashSimulation.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/CrashSimulation.java
@@ -51,8 +51,7 @@
 	// The times at which the crashing request began to run.
 	final List<Long> crashingArrivalMillis = new ArrayList<>();
 
-	// The requests by digest that were completed, and those that were refused as
-	// suspects.
+	// The digests of the requests that were completed.
 	final Set<String> servedDigests = new HashSet<>();
 
 	final Set<String> sentDigests = new HashSet<>();
