--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
@@ -34,7 +34,10 @@
 	private static final double REQUIRED_SHARE = 0.98;
 
 	private static PartitionSimulation partition(int count, boolean home, boolean hanging) {
-		PartitionSimulation simulation = new PartitionSimulation(GATEWAY_COUNT, UPSTREAM_COUNT, hanging, count);
+		return partition(new PartitionSimulation(GATEWAY_COUNT, UPSTREAM_COUNT, hanging, count), count, home);
+	}
+
+	private static PartitionSimulation partition(PartitionSimulation simulation, int count, boolean home) {
 		List<String> gateways = simulation.gateways();
 		Set<String> partitioned = new HashSet<>(home ? gateways.subList(0, count) : gateways.subList(1, 1 + count));
 		simulation.sendRequests(0, END_MILLIS, REQUEST_INTERVAL_MILLIS);
@@ -76,12 +79,7 @@
 		void callersAreServedWhileKeptConnectionsLiveOn(int count, boolean home) {
 			PartitionSimulation simulation = new PartitionSimulation(GATEWAY_COUNT, UPSTREAM_COUNT, false, count);
 			simulation.keptConnectionsLiveOn = true;
-			List<String> gateways = simulation.gateways();
-			Set<String> partitioned = new HashSet<>(home ? gateways.subList(0, count) : gateways.subList(1, 1 + count));
-			simulation.sendRequests(0, END_MILLIS, REQUEST_INTERVAL_MILLIS);
-			simulation.at(PARTITION_MILLIS, () -> simulation.partition(partitioned));
-			simulation.at(PARTITION_MILLIS + STABLE_MILLIS, simulation::resetTallies);
-			simulation.runUntil(END_MILLIS + 1_000);
+			partition(simulation, count, home);
 			assertThat(simulation.servedShare(true)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
 			assertThat(simulation.servedShare(false)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
 		}
