Part selection, probes and failure attribution out of ServiceRouter

ServiceRouter had grown to 926 lines and decided which upstream is used, when probes are due and whose fault a failed attempt is, beside the order of the steps. These are classes of their own now: UpstreamSelection, ProbeSchedule and FailureAttribution; the router has 687 lines. They share the table of upstreams with the router. Behaviour is unchanged: the tests and properties of the module pass as before (the known failure of PartitionedGatewayTests fails as before).

--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -10,22 +10,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
-import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.kernel.Assert;
 import org.radishthread.routing.CallerQueues.QueuedRequest;
 import org.radishthread.routing.RequestState.AttemptStart;
-import org.radishthread.routing.RoutingEffect.ConnectionProbe;
 import org.radishthread.routing.RoutingEffect.Dispatch;
-import org.radishthread.routing.RoutingEffect.PaceProbe;
-import org.radishthread.routing.RoutingEffect.PartitionChanged;
 import org.radishthread.routing.RoutingEffect.Refusal;
-import org.radishthread.routing.RoutingEffect.UpstreamEjected;
-import org.radishthread.routing.UpstreamTracker.EjectionRule;
-import org.radishthread.rules.PaceProbeRule;
 import org.radishthread.rules.ServiceRule;
 
 /**
@@ -48,43 +40,21 @@
 	// typical duration of an attempt.
 	private static final double MAXIMUM_HEDGE_DELAY_FACTOR = 3;
 
-	// An attempt that takes longer than this multiple of the typical duration
-	// counts as stuck.
-	private static final double STUCK_ATTEMPT_FACTOR = 5;
-
 	// The time allowed for a hedge, relative to the typical duration
 	// of an attempt.
 	private static final double HEDGE_DURATION_FACTOR = 1.3;
 
-	// A failing upstream is ejected only if at most this share of the upstreams that
-	// accept requests is ejected then, or if it is the only one.
-	private static final double MAXIMUM_EJECTED_SHARE = 0.5;
-
 	// The earliest time of a hedge after the start of the slow attempt, relative to the
 	// typical duration of an attempt.
 	private static final double MINIMUM_HEDGE_DELAY_FACTOR = 1.15;
 
 	private static final long MINIMUM_HEDGE_DELAY_NANOS = 2_000_000;
 
-	private static final double NANOS_PER_SECOND = 1_000_000_000;
-
-	private static final long SECOND_OPINION_INTERVAL_NANOS = 500_000_000;
-
 	// About the time in which an equal request that runs alone has completed.
 	private static final long TRIAL_RETRY_AFTER_NANOS = 500_000_000;
 
-	// The limit is above one, because a probe costs only a few thousandths of
-	// what a late response costs.
-	private static final double PACE_PROBES_PER_REQUEST = 8;
-
-	private final RouterSettings settings;
-
-	private final SelectionPolicy policy;
-
 	private ServiceRule rule;
 
-	private ProbeBudget probeBudget;
-
 	private final Map<String, UpstreamTracker> trackers = new LinkedHashMap<>();
 
 	private final Map<Long, RequestState> requests = new HashMap<>();
@@ -93,15 +63,15 @@
 
 	private final RetryBudget retryBudget;
 
-	private final PaceProbeBudget paceProbeBudget;
-
 	private final ThroughputEstimate throughput = new ThroughputEstimate();
 
 	private final ContentionEstimate contention = new ContentionEstimate();
 
 	private final AdmissionControl admission = new AdmissionControl(this.queues, this.throughput, this.contention);
 
-	private final ArrivalEstimate arrivals = new ArrivalEstimate();
+	private final UpstreamSelection selection;
+
+	private final ProbeSchedule probes;
 
 	private final CrashMonitor crashes;
 
@@ -109,13 +79,8 @@
 
 	private final UpstreamPaths paths = new UpstreamPaths();
 
-	// The upstreams whose ejection is founded on failures to connect, by name.
-	private final Set<String> unreachableUpstreams = new HashSet<>();
-
-	// The times of the probes that followed a failure at another instance, by upstream.
-	private final Map<String, Long> secondOpinionNanos = new HashMap<>();
-
-	private boolean receivingRequests;
+	private final FailureAttribution attribution = new FailureAttribution(this.paths, this.trackers, () -> this.rule,
+			(effect) -> this.effects.add(effect));
 
 	private List<RoutingEffect> effects = new ArrayList<>();
 
@@ -156,12 +121,12 @@
 	private ServiceRouter(ServiceRule rule, RouterSettings settings, SelectionPolicy policy, CrashHistory crashHistory,
 			long nowNanos) {
 		this.rule = rule;
-		this.settings = settings;
-		this.policy = policy;
+		this.selection = new UpstreamSelection(settings, policy, this.trackers, this.paths, this.queues,
+				this.throughput, this.contention, this.admission);
 		this.crashes = new CrashMonitor(crashHistory);
 		this.retryBudget = new RetryBudget(settings.retryLimits());
-		this.paceProbeBudget = new PaceProbeBudget(settings.paceProbesPerSecond());
-		this.probeBudget = new ProbeBudget(rule.probesPerSecond(), settings.maximumInstances(), nowNanos);
+		this.probes = new ProbeSchedule(settings, this.paths, this.trackers, () -> this.rule,
+				(effect) -> this.effects.add(effect), nowNanos);
 	}
 
 	/**
@@ -170,11 +135,11 @@
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
 	public void updateRule(ServiceRule updatedRule, long nowNanos) {
-		if (updatedRule.probesPerSecond() != this.rule.probesPerSecond()) {
-			this.probeBudget = new ProbeBudget(updatedRule.probesPerSecond(), this.settings.maximumInstances(),
-					nowNanos);
-		}
+		boolean probeRateChanged = updatedRule.probesPerSecond() != this.rule.probesPerSecond();
 		this.rule = updatedRule;
+		if (probeRateChanged) {
+			this.probes.resetBudget(nowNanos);
+		}
 	}
 
 	/**
@@ -211,9 +176,7 @@
 	private void removeDiscardable() {
 		this.trackers.values().removeIf((tracker) -> {
 			if (tracker.isDiscardable()) {
-				this.paths.forgetUpstream(tracker.upstream().name());
-				this.unreachableUpstreams.remove(tracker.upstream().name());
-				this.secondOpinionNanos.remove(tracker.upstream().name());
+				this.attribution.forgetUpstream(tracker.upstream().name());
 			}
 			return tracker.isDiscardable();
 		});
@@ -247,8 +210,7 @@
 		if (home) {
 			// Only the home probes. Others would each probe all upstreams for the few
 			// requests that they route without it.
-			this.arrivals.recordArrival(nowNanos);
-			this.receivingRequests = true;
+			this.probes.recordArrival(nowNanos);
 		}
 		this.paths.recordRequest(request.origin(), nowNanos);
 		this.paths.recordRequest(UpstreamPaths.HOME, nowNanos);
@@ -265,23 +227,25 @@
 	}
 
 	private @Nullable Refusal findRefusal(RoutingRequest request, boolean home, long nowNanos) {
-		long usableSlots = usableSlots(nowNanos);
-		boolean refusedByAll = usableTrackers(nowNanos)
+		long usableSlots = this.selection.usableSlots(nowNanos);
+		boolean refusedByAll = this.selection.usableTrackers(nowNanos)
 			.allMatch((tracker) -> tracker.refuses(request.origin(), nowNanos));
 		if (usableSlots > 0 && refusedByAll) {
-			long refusedNanos = usableTrackers(nowNanos)
+			long refusedNanos = this.selection.usableTrackers(nowNanos)
 				.mapToLong((tracker) -> tracker.refusedUntilNanos(request.origin()) - nowNanos)
 				.min()
 				.orElse(0);
 			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM,
 					this.admission.retryAfterMillis(request, Duration.ofNanos(refusedNanos).toMillis(), nowNanos));
 		}
-		boolean unreachable = usableTrackers(nowNanos).noneMatch((tracker) -> canReach(request, tracker, nowNanos));
+		boolean unreachable = this.selection.usableTrackers(nowNanos)
+			.noneMatch((tracker) -> this.selection.canReach(request, tracker, nowNanos));
 		if (usableSlots > 0 && unreachable) {
 			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM, this.admission.retryAfterMillis(request,
 					AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos));
 		}
-		boolean limitedByAll = usableTrackers(nowNanos).allMatch((tracker) -> tracker.rateLimit().isActive());
+		boolean limitedByAll = this.selection.usableTrackers(nowNanos)
+			.allMatch((tracker) -> tracker.rateLimit().isActive());
 		if (usableSlots > 0 && limitedByAll) {
 			Refusal refusal = findLimitRefusal(request, home, nowNanos);
 			if (refusal != null) {
@@ -298,8 +262,8 @@
 					AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos));
 		}
 		int requestsAhead = this.queues.sizeUpTo(this.admission.rank(request, nowNanos));
-		int requestsPerUpstream = 1 + requestsAhead / (int) usableTrackers(nowNanos).count();
-		long allowedAtNanos = usableTrackers(nowNanos)
+		int requestsPerUpstream = 1 + requestsAhead / (int) this.selection.usableTrackers(nowNanos).count();
+		long allowedAtNanos = this.selection.usableTrackers(nowNanos)
 			.mapToLong((tracker) -> tracker.rateLimit().allowedAtNanos(requestsPerUpstream, nowNanos))
 			.min()
 			.orElse(nowNanos);
@@ -310,23 +274,6 @@
 				Duration.ofNanos(allowedAtNanos - nowNanos).toMillis(), nowNanos));
 	}
 
-	// Whether the instance that received the request, or another one, can send it there.
-	private boolean canReach(RoutingRequest request, UpstreamTracker tracker, long nowNanos) {
-		String upstream = tracker.upstream().name();
-		return this.paths.isUsable(request.origin(), upstream, nowNanos)
-				|| this.paths.findRelay(request.origin(), upstream, nowNanos) != null;
-	}
-
-	private Stream<UpstreamTracker> usableTrackers(long nowNanos) {
-		return this.trackers.values()
-			.stream()
-			.filter((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos));
-	}
-
-	private long usableSlots(long nowNanos) {
-		return usableTrackers(nowNanos).mapToLong((tracker) -> tracker.usableSlots(nowNanos)).sum();
-	}
-
 	private void enqueue(RoutingRequest request, AttemptKind kind, long nowNanos) {
 		long expiryNanos = Math.min(request.deadlineNanos(), nowNanos + this.rule.queueTimeout().toNanos());
 		QueuedRequest queued = new QueuedRequest(request, kind, this.admission.rank(request, nowNanos), nowNanos,
@@ -384,10 +331,10 @@
 	private Optional<UpstreamTracker> findIdleUpstream(RequestState state, long nowNanos) {
 		UpstreamTracker reservedUpstream = this.trials.reservedUpstream();
 		if (reservedUpstream != null && reservedUpstream.isIdle(nowNanos) && state.mayUse(reservedUpstream, nowNanos)
-				&& canReach(state.request(), reservedUpstream, nowNanos)) {
+				&& this.selection.canReach(state.request(), reservedUpstream, nowNanos)) {
 			return Optional.of(reservedUpstream);
 		}
-		return choose(state, nowNanos, (tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved());
+		return this.selection.choose(state, nowNanos, (tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved());
 	}
 
 	private void reserveUpstream(RequestState state, long nowNanos) {
@@ -396,8 +343,9 @@
 			return;
 		}
 		this.trials.releaseReservation();
-		usableTrackers(nowNanos).filter((tracker) -> !tracker.isReserved() && state.mayUse(tracker, nowNanos))
-			.filter((tracker) -> canReach(state.request(), tracker, nowNanos))
+		this.selection.usableTrackers(nowNanos)
+			.filter((tracker) -> !tracker.isReserved() && state.mayUse(tracker, nowNanos))
+			.filter((tracker) -> this.selection.canReach(state.request(), tracker, nowNanos))
 			.min(Comparator.comparingInt(UpstreamTracker::inFlight))
 			.ifPresent(this.trials::reserve);
 	}
@@ -412,8 +360,8 @@
 				queued = this.queues.peek(minimumRank);
 				continue;
 			}
-			Optional<UpstreamTracker> chosenUpstream = chooseFreeSlot(state, nowNanos)
-				.or(() -> choosePipelined(state, nowNanos));
+			Optional<UpstreamTracker> chosenUpstream = this.selection.chooseFreeSlot(state, nowNanos)
+				.or(() -> this.selection.choosePipelined(state, nowNanos));
 			if (chosenUpstream.isEmpty()) {
 				return;
 			}
@@ -429,60 +377,6 @@
 		return state;
 	}
 
-	// Prefers slots that can be used without contention.
-	private Optional<UpstreamTracker> chooseFreeSlot(RequestState state, long nowNanos) {
-		return choose(state, nowNanos, (tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended())
-			.or(() -> choose(state, nowNanos,
-					(tracker) -> tracker.hasFreeSlot(nowNanos) && mayUseContendedSlot(tracker)));
-	}
-
-	private boolean mayUseContendedSlot(UpstreamTracker tracker) {
-		return !this.contention.reducesThroughput(tracker.upstream().slots()) || this.contention.tryStartTrial();
-	}
-
-	// While all slots are in use, chooses an upstream for a request to wait at,
-	// so that it is there when the next slot becomes free.
-	private Optional<UpstreamTracker> choosePipelined(RequestState state, long nowNanos) {
-		double queuedPerSlot = (double) this.queues.size() / Math.max(1, usableSlots(nowNanos));
-		return choose(state, nowNanos,
-				(tracker) -> tracker.mayPipeline(nowNanos, queuedPerSlot, this.throughput.meanServiceNanos())
-						&& !this.contention.reducesThroughput(tracker.upstream().slots()));
-	}
-
-	private Optional<UpstreamTracker> choose(RequestState state, long nowNanos, Predicate<UpstreamTracker> eligible) {
-		List<UpstreamTracker> candidates = new ArrayList<>();
-		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request(), nowNanos);
-		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (eligible.test(tracker) && state.mayUse(tracker, nowNanos)
-					&& canReach(state.request(), tracker, nowNanos)
-					&& nowNanos + expectedDurationNanos(tracker, nowNanos) <= latestCompletionNanos) {
-				candidates.add(tracker);
-			}
-		}
-		if (candidates.isEmpty()) {
-			return Optional.empty();
-		}
-		SelectionContext context = new SelectionContext(
-				state.request().zone().isEmpty() ? this.settings.zone() : state.request().zone(), medianLatencyNanos(),
-				this.throughput.expectedWaitNanos(this.queues.size()), this.throughput.meanServiceNanos(),
-				this.contention, state.request().mayRepeat(), nowNanos);
-		return this.policy.choose(candidates, context);
-	}
-
-	private double expectedDurationNanos(UpstreamTracker tracker, long nowNanos) {
-		return tracker.expectedDurationNanos(this.throughput.meanServiceNanos(), this.contention, nowNanos);
-	}
-
-	private double medianLatencyNanos() {
-		double[] latenciesNanos = this.trackers.values()
-			.stream()
-			.filter(UpstreamTracker::isLatencyKnown)
-			.mapToDouble(UpstreamTracker::meanLatencyNanos)
-			.sorted()
-			.toArray();
-		return (latenciesNanos.length == 0) ? 0 : latenciesNanos[(latenciesNanos.length - 1) / 2];
-	}
-
 	private void dispatch(RequestState state, UpstreamTracker tracker, AttemptKind kind, long queueTimeNanos,
 			long nowNanos) {
 		tracker.recordDispatch(nowNanos);
@@ -566,7 +460,7 @@
 		if (result != AttemptResult.UNREACHABLE) {
 			state.markArrived();
 		}
-		recordOnPath(state.request().origin(), attemptStart.relay(), tracker, result, nowNanos);
+		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker, result, nowNanos);
 		if (result == AttemptResult.SUCCESS) {
 			this.contention.recordAttempt(attemptStart.inFlight(), tracker.upstream().slots(),
 					latencyNanos / attemptStart.paceFactor());
@@ -578,76 +472,6 @@
 		return takeEffects();
 	}
 
-	private void recordOnPath(String origin, @Nullable String relay, UpstreamTracker tracker, AttemptResult result,
-			long nowNanos) {
-		String sender = (relay != null) ? relay : origin;
-		if (relay != null) {
-			this.paths.recordRelayEnd(relay);
-		}
-		if (result == AttemptResult.SUCCESS || result == AttemptResult.SHED) {
-			recordReached(sender, tracker.upstream().name(), nowNanos);
-		}
-		else if (result == AttemptResult.UNREACHABLE) {
-			recordUnreachable(sender, tracker, nowNanos);
-		}
-		else if (result.countsAgainstUpstream() && !this.paths.isPartitioned(sender, nowNanos)) {
-			recordFailure(tracker, result, sender, nowNanos);
-		}
-	}
-
-	private void recordReached(String sender, String upstream, long nowNanos) {
-		if (this.paths.recordSuccess(sender, upstream, nowNanos)) {
-			this.effects.add(new PartitionChanged(sender, false));
-		}
-		if (this.unreachableUpstreams.contains(upstream)) {
-			endEjectionIfUnfounded(upstream, nowNanos);
-		}
-	}
-
-	// A failure to connect counts against the upstream if other instances agree. The
-	// home gives a second opinion, unless it is partitioned itself.
-	private void recordUnreachable(String sender, UpstreamTracker tracker, long nowNanos) {
-		String upstream = tracker.upstream().name();
-		if (this.paths.recordFailure(sender, upstream, this.trackers.size(), nowNanos)) {
-			this.effects.add(new PartitionChanged(sender, true));
-			// Instances that turn out to be partitioned may have ejected upstreams.
-			List.copyOf(this.unreachableUpstreams).forEach((other) -> endEjectionIfUnfounded(other, nowNanos));
-		}
-		if (this.paths.isUnreachableForAll(upstream, nowNanos)) {
-			this.unreachableUpstreams.add(upstream);
-			recordFailure(tracker, AttemptResult.UNREACHABLE, sender, nowNanos);
-		}
-		else if (!sender.equals(UpstreamPaths.HOME) && !this.paths.isPartitioned(sender, nowNanos)
-				&& !this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos) && mayAskSecondOpinion(upstream, nowNanos)) {
-			this.effects.add(new ConnectionProbe(tracker.upstream()));
-		}
-	}
-
-	private boolean mayAskSecondOpinion(String upstream, long nowNanos) {
-		Long askedNanos = this.secondOpinionNanos.get(upstream);
-		if (askedNanos != null && nowNanos - askedNanos < SECOND_OPINION_INTERVAL_NANOS) {
-			return false;
-		}
-		this.secondOpinionNanos.put(upstream, nowNanos);
-		return true;
-	}
-
-	private void endEjectionIfUnfounded(String upstream, long nowNanos) {
-		UpstreamTracker tracker = this.trackers.get(upstream);
-		if (tracker != null && !this.paths.isUnreachableForAll(upstream, nowNanos)) {
-			tracker.endEjection();
-			this.unreachableUpstreams.remove(upstream);
-		}
-	}
-
-	private void recordFailure(UpstreamTracker tracker, AttemptResult result, String origin, long nowNanos) {
-		boolean ejectedBefore = tracker.isEjected(nowNanos);
-		tracker.recordFailure(result, nowNanos, ejectionRule(nowNanos));
-		if (!ejectedBefore && tracker.isEjected(nowNanos)) {
-			this.effects.add(new UpstreamEjected(tracker.upstream().name(), result, origin));
-		}
-	}
-
 	private void endTrial(RequestState state, UpstreamTracker tracker) {
 		if (state.exclusiveUpstream() == tracker) {
 			state.setExclusiveUpstream(null);
@@ -656,17 +480,6 @@
 		}
 	}
 
-	// When many upstreams fail a part of their requests, the others could
-	// not carry the whole load, so the failing ones stay in use and requests
-	// are retried instead.
-	private EjectionRule ejectionRule(long nowNanos) {
-		long accepting = this.trackers.values().stream().filter(UpstreamTracker::acceptsRequests).count();
-		long ejected = this.trackers.values().stream().filter((tracker) -> tracker.isEjected(nowNanos)).count();
-		boolean allowed = (ejected + 1) <= accepting * MAXIMUM_EJECTED_SHARE;
-		return new EjectionRule(this.rule.ejectionFailureThreshold(), allowed || accepting == 1,
-				this.rule.probesPerSecond() > 0);
-	}
-
 	/**
 	 * Requests another attempt after one that failed. It must have been checked before
 	 * that the request may be sent again.
@@ -689,8 +502,9 @@
 			return List.of(new Refusal(requestId, RefusalReason.RETRY_BUDGET, this.admission
 				.retryAfterMillis(state.request(), AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
 		}
-		boolean hasUntriedUpstream = usableTrackers(nowNanos)
-			.anyMatch((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos));
+		boolean hasUntriedUpstream = this.selection.usableTrackers(nowNanos)
+			.anyMatch((tracker) -> state.mayUse(tracker, nowNanos)
+					&& this.selection.canReach(state.request(), tracker, nowNanos));
 		if (!hasUntriedUpstream) {
 			return List.of(new Refusal(requestId, RefusalReason.NO_UPSTREAM, this.admission
 				.retryAfterMillis(state.request(), AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos)));
@@ -700,25 +514,6 @@
 		return takeEffects();
 	}
 
-	// In parallel to an attempt that seems stuck, even a straggler or a contended
-	// slot may be used.
-	private Optional<UpstreamTracker> chooseForStuckAttempt(RequestState state, long nowNanos) {
-		long latestStartNanos = state.attemptsInFlight()
-			.values()
-			.stream()
-			.mapToLong(AttemptStart::startNanos)
-			.max()
-			.orElse(nowNanos);
-		if (nowNanos - latestStartNanos < STUCK_ATTEMPT_FACTOR * this.admission.typicalServiceNanos()) {
-			return Optional.empty();
-		}
-		return this.trackers.values()
-			.stream()
-			.filter((tracker) -> tracker.hasFreeSlot(nowNanos))
-			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
-			.min(Comparator.comparingDouble((tracker) -> expectedDurationNanos(tracker, nowNanos)));
-	}
-
 	/**
 	 * Requests a second attempt in parallel to a slow one. It is dispatched only if no
 	 * request is queued, a suitable slot is free and the retry budget allows it.
@@ -733,9 +528,9 @@
 				|| this.queues.size() > 0 || this.crashes.crashesUnder(state.request()) > 0) {
 			return List.of();
 		}
-		Optional<UpstreamTracker> chosenUpstream = choose(state, nowNanos,
-				(tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended())
-			.or(() -> chooseForStuckAttempt(state, nowNanos));
+		Optional<UpstreamTracker> chosenUpstream = this.selection
+			.choose(state, nowNanos, (tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended())
+			.or(() -> this.selection.chooseForStuckAttempt(state, nowNanos));
 		if (chosenUpstream.isEmpty() || !this.retryBudget.tryAcquireForHedge(nowNanos)) {
 			return List.of();
 		}
@@ -774,7 +569,7 @@
 	 */
 	public List<RoutingEffect> tick(long nowNanos) {
 		int position = 0;
-		long usableSlots = usableSlots(nowNanos);
+		long usableSlots = this.selection.usableSlots(nowNanos);
 		for (QueuedRequest queued : this.queues.inServiceOrder()) {
 			position++;
 			int rank = this.admission.rank(queued.request(), nowNanos);
@@ -799,32 +594,11 @@
 				this.effects.add(Refusal.quarantined(queued.request(), TRIAL_RETRY_AFTER_NANOS));
 			}
 		}
-		sendConnectionProbes(nowNanos);
-		sendPaceProbes(nowNanos);
+		this.probes.sendDueProbes(nowNanos);
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
 
-	// The rate of probes is also limited in proportion to the rate of requests,
-	// so that a service with few requests gets few probes.
-	private void sendPaceProbes(long nowNanos) {
-		this.receivingRequests = !this.arrivals.isIdle(nowNanos);
-		PaceProbeRule probeRule = this.rule.paceProbeRule();
-		if (probeRule == null || !this.receivingRequests) {
-			return;
-		}
-		double demandIntervalNanos = this.trackers.size() * this.arrivals.intervalNanos() / PACE_PROBES_PER_REQUEST;
-		long intervalNanos = (long) Math.max(this.paceProbeBudget.intervalNanos(this.trackers.size()),
-				Math.max(NANOS_PER_SECOND / probeRule.maximumProbesPerSecond(), demandIntervalNanos));
-		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (tracker.acceptsRequests() && !tracker.isEjected(nowNanos) && !tracker.refuses("", nowNanos)
-					&& tracker.isPaceProbeDue(intervalNanos, nowNanos) && this.paceProbeBudget.tryAcquire(nowNanos)) {
-				tracker.recordPaceProbeSent(nowNanos);
-				this.effects.add(new PaceProbe(tracker.upstream(), probeRule.path()));
-			}
-		}
-	}
-
 	/**
 	 * Records the result of a pace probe.
 	 * @param upstream the name of the upstream
@@ -836,26 +610,12 @@
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		if (tracker != null) {
 			tracker.recordPaceProbe(report, nowNanos);
-			recordReached(UpstreamPaths.HOME, upstream, nowNanos);
+			this.attribution.recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
 
-	private void sendConnectionProbes(long nowNanos) {
-		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (tracker.isConnectionProbeDue(nowNanos) && this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos)) {
-				// The probe would fail on the path; a request of another instance tries
-				// the upstream instead.
-				tracker.recordConnectionProbe(true, nowNanos);
-			}
-			else if (tracker.isConnectionProbeDue(nowNanos) && this.probeBudget.tryAcquire(nowNanos)) {
-				tracker.recordConnectionProbeSent(nowNanos);
-				this.effects.add(new ConnectionProbe(tracker.upstream()));
-			}
-		}
-	}
-
 	/**
 	 * Records the result of a connection probe. An upstream that could be reached is used
 	 * again, with one request at a time until one succeeds.
@@ -869,17 +629,17 @@
 		boolean conclusive = reachable || !this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos);
 		boolean crashed = conclusive && this.crashes.recordProbe(upstream, reachable);
 		if (reachable) {
-			recordReached(UpstreamPaths.HOME, upstream, nowNanos);
+			this.attribution.recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
 		if (tracker != null && tracker.awaitsConnectionProbe()) {
 			tracker.recordConnectionProbe(reachable, nowNanos);
 		}
 		else if (tracker != null && crashed) {
 			this.paths.recordFailure(UpstreamPaths.HOME, upstream, this.trackers.size(), nowNanos);
-			recordFailure(tracker, AttemptResult.UNREACHABLE, UpstreamPaths.HOME, nowNanos);
+			this.attribution.recordFailure(tracker, AttemptResult.UNREACHABLE, UpstreamPaths.HOME, nowNanos);
 		}
 		else if (tracker != null && !reachable) {
-			recordUnreachable(UpstreamPaths.HOME, tracker, nowNanos);
+			this.attribution.recordUnreachable(UpstreamPaths.HOME, tracker, nowNanos);
 		}
 		this.effects.addAll(this.crashes.takeNews(nowNanos));
 		dispatchQueued(nowNanos);
@@ -892,8 +652,7 @@
 	 * @return whether {@link #tick} has work
 	 */
 	public boolean needsTick() {
-		boolean paceProbing = this.receivingRequests && this.rule.paceProbeRule() != null;
-		return paceProbing || this.queues.size() > 0 || !this.trials.isEmpty()
+		return this.probes.isPaceProbing() || this.queues.size() > 0 || !this.trials.isEmpty()
 				|| this.trackers.values().stream().anyMatch(UpstreamTracker::awaitsConnectionProbe);
 	}
 
--- /dev/null
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
@@ -0,0 +1,145 @@
+package org.radishthread.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+import org.radishthread.routing.RequestState.AttemptStart;
+
+/**
+ * Selects the upstream of an attempt among those of one service: those that may be used,
+ * can be reached and are expected to respond in time, in the order of a
+ * {@link SelectionPolicy}. Points in time are monotonic, in nanoseconds. Not safe for
+ * concurrent use.
+ */
+final class UpstreamSelection {
+
+	// An attempt that takes longer than this multiple of the typical duration
+	// counts as stuck.
+	private static final double STUCK_ATTEMPT_FACTOR = 5;
+
+	private final RouterSettings settings;
+
+	private final SelectionPolicy policy;
+
+	// The upstreams of the service by name, shared with the router.
+	private final Map<String, UpstreamTracker> trackers;
+
+	private final UpstreamPaths paths;
+
+	private final CallerQueues queues;
+
+	private final ThroughputEstimate throughput;
+
+	private final ContentionEstimate contention;
+
+	private final AdmissionControl admission;
+
+	UpstreamSelection(RouterSettings settings, SelectionPolicy policy, Map<String, UpstreamTracker> trackers,
+			UpstreamPaths paths, CallerQueues queues, ThroughputEstimate throughput, ContentionEstimate contention,
+			AdmissionControl admission) {
+		this.settings = settings;
+		this.policy = policy;
+		this.trackers = trackers;
+		this.paths = paths;
+		this.queues = queues;
+		this.throughput = throughput;
+		this.contention = contention;
+		this.admission = admission;
+	}
+
+	// Whether the instance that received the request, or another one, can send it there.
+	boolean canReach(RoutingRequest request, UpstreamTracker tracker, long nowNanos) {
+		String upstream = tracker.upstream().name();
+		return this.paths.isUsable(request.origin(), upstream, nowNanos)
+				|| this.paths.findRelay(request.origin(), upstream, nowNanos) != null;
+	}
+
+	Stream<UpstreamTracker> usableTrackers(long nowNanos) {
+		return this.trackers.values()
+			.stream()
+			.filter((tracker) -> tracker.acceptsRequests() && !tracker.isEjected(nowNanos));
+	}
+
+	long usableSlots(long nowNanos) {
+		return usableTrackers(nowNanos).mapToLong((tracker) -> tracker.usableSlots(nowNanos)).sum();
+	}
+
+	// Prefers slots that can be used without contention.
+	Optional<UpstreamTracker> chooseFreeSlot(RequestState state, long nowNanos) {
+		return choose(state, nowNanos, (tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended())
+			.or(() -> choose(state, nowNanos,
+					(tracker) -> tracker.hasFreeSlot(nowNanos) && mayUseContendedSlot(tracker)));
+	}
+
+	private boolean mayUseContendedSlot(UpstreamTracker tracker) {
+		return !this.contention.reducesThroughput(tracker.upstream().slots()) || this.contention.tryStartTrial();
+	}
+
+	// While all slots are in use, chooses an upstream for a request to wait at,
+	// so that it is there when the next slot becomes free.
+	Optional<UpstreamTracker> choosePipelined(RequestState state, long nowNanos) {
+		double queuedPerSlot = (double) this.queues.size() / Math.max(1, usableSlots(nowNanos));
+		return choose(state, nowNanos,
+				(tracker) -> tracker.mayPipeline(nowNanos, queuedPerSlot, this.throughput.meanServiceNanos())
+						&& !this.contention.reducesThroughput(tracker.upstream().slots()));
+	}
+
+	Optional<UpstreamTracker> choose(RequestState state, long nowNanos, Predicate<UpstreamTracker> eligible) {
+		List<UpstreamTracker> candidates = new ArrayList<>();
+		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request(), nowNanos);
+		for (UpstreamTracker tracker : this.trackers.values()) {
+			if (eligible.test(tracker) && state.mayUse(tracker, nowNanos)
+					&& canReach(state.request(), tracker, nowNanos)
+					&& nowNanos + expectedDurationNanos(tracker, nowNanos) <= latestCompletionNanos) {
+				candidates.add(tracker);
+			}
+		}
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		SelectionContext context = new SelectionContext(
+				state.request().zone().isEmpty() ? this.settings.zone() : state.request().zone(), medianLatencyNanos(),
+				this.throughput.expectedWaitNanos(this.queues.size()), this.throughput.meanServiceNanos(),
+				this.contention, state.request().mayRepeat(), nowNanos);
+		return this.policy.choose(candidates, context);
+	}
+
+	private double expectedDurationNanos(UpstreamTracker tracker, long nowNanos) {
+		return tracker.expectedDurationNanos(this.throughput.meanServiceNanos(), this.contention, nowNanos);
+	}
+
+	private double medianLatencyNanos() {
+		double[] latenciesNanos = this.trackers.values()
+			.stream()
+			.filter(UpstreamTracker::isLatencyKnown)
+			.mapToDouble(UpstreamTracker::meanLatencyNanos)
+			.sorted()
+			.toArray();
+		return (latenciesNanos.length == 0) ? 0 : latenciesNanos[(latenciesNanos.length - 1) / 2];
+	}
+
+	// In parallel to an attempt that seems stuck, even a straggler or a contended
+	// slot may be used.
+	Optional<UpstreamTracker> chooseForStuckAttempt(RequestState state, long nowNanos) {
+		long latestStartNanos = state.attemptsInFlight()
+			.values()
+			.stream()
+			.mapToLong(AttemptStart::startNanos)
+			.max()
+			.orElse(nowNanos);
+		if (nowNanos - latestStartNanos < STUCK_ATTEMPT_FACTOR * this.admission.typicalServiceNanos()) {
+			return Optional.empty();
+		}
+		return this.trackers.values()
+			.stream()
+			.filter((tracker) -> tracker.hasFreeSlot(nowNanos))
+			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
+			.min(Comparator.comparingDouble((tracker) -> expectedDurationNanos(tracker, nowNanos)));
+	}
+
+}
