Let rule files name workspaces, open routes and the rate of cold upstreams

Nothing read the workspaces of a configuration. A rule file now has lines 'workspace NAME keys=DIGESTS rate=R/s burst=B priority=P', an option 'open' for routes without a key, and 'cold-rate' for services. A file without these lines is parsed as before and requires no keys.

--- a/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
@@ -16,9 +16,10 @@
  * @param mode the delivery mode of the requests
  * @param limits the time limits, priority and attempts of the requests
  * @param requestedBy the person who requested the rule, as named in its comment
+ * @param open whether callers need no key
  */
 public record RouteRule(int line, String service, List<WeightedService> split, RouteMatch match, RouteMode mode,
-		RouteLimits limits, String requestedBy) {
+		RouteLimits limits, String requestedBy, boolean open) {
 
 	public RouteRule {
 		Assert.isTrue(totalWeight(split) > 0, "The weights of a route must add up to more than zero.");
@@ -65,7 +66,7 @@
 			}
 		}
 		return new RouteRule(this.line, selected.service(), List.of(selected), this.match, this.mode, this.limits,
-				this.requestedBy);
+				this.requestedBy, this.open);
 	}
 
 }
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptionsParser.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptionsParser.java
@@ -20,6 +20,8 @@
 
 	private static final Pattern DURATION = Pattern.compile("([1-9][0-9]{0,8})(ms|s|m)");
 
+	private static final Pattern RATE = Pattern.compile("([0-9]{1,9}(?:[.][0-9]{1,9})?)/s");
+
 	private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
 
 	private static final Duration DEFAULT_UPLOAD_TIMEOUT = Duration.ofSeconds(60);
@@ -60,6 +62,10 @@
 
 	private String host = "";
 
+	private boolean open;
+
+	private double coldRequestsPerSecond;
+
 	private int maximumHeaderBytes = -1;
 
 	private long maximumBodyBytes = -1;
@@ -91,7 +97,8 @@
 				orElse(this.callerSharePercent, defaults.callerSharePercent()),
 				orElse(this.probesPerSecond, defaults.probesPerSecond()),
 				orElse(this.retryPercent, defaults.retryPercent()),
-				orElse(this.ejectionFailureThreshold, defaults.ejectionFailureThreshold()), createPaceProbeRule());
+				orElse(this.ejectionFailureThreshold, defaults.ejectionFailureThreshold()), createPaceProbeRule(),
+				this.coldRequestsPerSecond);
 	}
 
 	private @Nullable PaceProbeRule createPaceProbeRule() {
@@ -112,7 +119,7 @@
 				orElse(this.objective, effectiveTimeout), orElse(this.priority, RouteLimits.DEFAULT_PRIORITY),
 				orElse(this.maximumAttempts, RouteLimits.DEFAULT_MAXIMUM_ATTEMPTS));
 		return new RouteRule(this.line, split.get(0).service(), split, new RouteMatch(this.host, method, pattern),
-				effectiveMode, limits, requestedBy);
+				effectiveMode, limits, requestedBy, this.open);
 	}
 
 	CallerLimits parseCallerLimits() {
@@ -177,12 +184,15 @@
 			case "retries" -> {
 				this.retryPercent = parseNumber(option, "%", 100, column);
 			}
+			case "cold-rate" -> {
+				this.coldRequestsPerSecond = parseRate(option, column);
+			}
 			case "eject-after" -> {
 				this.ejectionFailureThreshold = parseNumber(option, "", 1_000, column);
 			}
 			default -> this.findings.add(this.line, column, key,
-					"Unknown service option; queue, wait, caller-share, probes, pace-probes, health, retries"
-							+ " or eject-after is expected.");
+					"Unknown service option; queue, wait, caller-share, probes, pace-probes, health, retries,"
+							+ " cold-rate or eject-after is expected.");
 		}
 	}
 
@@ -208,10 +218,11 @@
 			case "host" -> {
 				this.host = optionValue(option).toLowerCase(Locale.ROOT);
 			}
+			case "open" -> parseOpen(option, column);
 			case "once", "repeatable", "upload" -> parseMode(option, column);
 			default -> this.findings.add(this.line, column, key,
-					"Unknown route option; once, repeatable, upload, timeout, total, objective, priority, attempts"
-							+ " or host is expected.");
+					"Unknown route option; once, repeatable, upload, open, timeout, total, objective, priority,"
+							+ " attempts or host is expected.");
 		}
 	}
 
@@ -234,6 +245,22 @@
 		this.mode = RouteMode.valueOf(option.toUpperCase(Locale.ROOT));
 	}
 
+	private void parseOpen(String option, int column) {
+		if (option.indexOf('=') >= 0) {
+			this.findings.add(this.line, column, "open", "The option takes no value.");
+		}
+		this.open = true;
+	}
+
+	private double parseRate(String option, int column) {
+		Matcher matcher = RATE.matcher(optionValue(option));
+		if (matcher.matches()) {
+			return Double.parseDouble(matcher.group(1));
+		}
+		this.findings.add(this.line, column, optionKey(option), "A rate such as 2.5/s is expected.");
+		return 0;
+	}
+
 	private void rejectDuplicate(String key, int column) {
 		if (!this.parsedKeys.add(key)) {
 			this.findings.add(this.line, column, key, "The option is given twice; remove one.");
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,8 @@
 
 	private static final Pattern SERVICE_NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
 
+	private static final Pattern WORKSPACE_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+
 	private static final Pattern WEIGHTED_SERVICE = Pattern
 		.compile("(" + SERVICE_NAME + "):([0-9]{1,9}(?:\\.[0-9]{1,9})?)");
 
@@ -43,6 +46,11 @@
 
 	private final List<RouteRule> routes = new ArrayList<>();
 
+	private final Map<String, WorkspaceRule> workspaces = new LinkedHashMap<>();
+
+	// Keyed by the digests of all keys.
+	private final Map<String, String> workspaceNamesByKeyDigest = new HashMap<>();
+
 	private @Nullable CallerLimits callerLimits;
 
 	private RuleParser(String source, String text) {
@@ -63,7 +71,7 @@
 		parser.findings.throwIfAny();
 		CallerLimits limits = parser.callerLimits;
 		return new RuleSet(parser.revision, Map.copyOf(parser.services), List.copyOf(parser.routes),
-				(limits != null) ? limits : CallerLimits.DEFAULTS);
+				(limits != null) ? limits : CallerLimits.DEFAULTS, Map.copyOf(parser.workspaces));
 	}
 
 	private void parseLines() {
@@ -103,8 +111,9 @@
 			case "service" -> parseService(line, tokens);
 			case "route" -> parseRoute(line, tokens, requestedBy);
 			case "callers" -> parseCallers(line, tokens);
+			case "workspace" -> parseWorkspace(line, tokens);
 			default -> this.findings.add(line, tokens.column(0), tokens.text(0),
-					"Unknown rule; 'revision', 'service', 'route' or 'callers' is expected.");
+					"Unknown rule; 'revision', 'service', 'route', 'callers' or 'workspace' is expected.");
 		}
 	}
 
@@ -138,6 +147,24 @@
 		this.callerLimits = new RuleOptionsParser(line, tokens, 1, this.findings).parseCallerLimits();
 	}
 
+	private void parseWorkspace(int line, TokenizedLine tokens) {
+		if (!checkToken(line, tokens, 1, WORKSPACE_NAME,
+				"A workspace name of letters, digits, '.', '_' and '-' is expected.")) {
+			return;
+		}
+		WorkspaceRule rule = new WorkspaceOptionsParser(line, tokens, 2, this.findings).parse(tokens.text(1));
+		if (this.workspaces.putIfAbsent(rule.name(), rule) != null) {
+			this.findings.add(line, tokens.column(1), rule.name(), "The workspace stands twice; join the lines.");
+		}
+		for (String keyDigest : rule.keyDigests()) {
+			String otherName = this.workspaceNamesByKeyDigest.putIfAbsent(keyDigest, rule.name());
+			if (otherName != null && !otherName.equals(rule.name())) {
+				this.findings.add(line, tokens.column(1), rule.name(),
+						"The workspace has a key in common with '" + otherName + "'.");
+			}
+		}
+	}
+
 	private void parseRoute(int line, TokenizedLine tokens, String requestedBy) {
 		List<WeightedService> split = parseSplit(line, tokens);
 		boolean validMethod = checkToken(line, tokens, 2, HTTP_METHOD,
--- a/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
@@ -18,9 +18,12 @@
  * @param ejectionFailureThreshold the number of consecutive failures after which an
  * upstream is ejected
  * @param paceProbeRule the rule for pace probes, or {@code null} for none
+ * @param coldRequestsPerSecond the requests per second that a cold upstream of the
+ * service tolerates, or zero for no limit
  */
 public record ServiceRule(String service, int queueLimit, Duration queueTimeout, int callerSharePercent,
-		int probesPerSecond, int retryPercent, int ejectionFailureThreshold, @Nullable PaceProbeRule paceProbeRule) {
+		int probesPerSecond, int retryPercent, int ejectionFailureThreshold, @Nullable PaceProbeRule paceProbeRule,
+		double coldRequestsPerSecond) {
 
 	public ServiceRule(String service, int queueLimit, Duration queueTimeout, int callerSharePercent,
 			int probesPerSecond, int retryPercent, int ejectionFailureThreshold) {
@@ -28,6 +31,13 @@
 				ejectionFailureThreshold, null);
 	}
 
+	public ServiceRule(String service, int queueLimit, Duration queueTimeout, int callerSharePercent,
+			int probesPerSecond, int retryPercent, int ejectionFailureThreshold,
+			@Nullable PaceProbeRule paceProbeRule) {
+		this(service, queueLimit, queueTimeout, callerSharePercent, probesPerSecond, retryPercent,
+				ejectionFailureThreshold, paceProbeRule, 0);
+	}
+
 	/**
 	 * Returns the rule of a service for which the rule file has none.
 	 * @param service the name of the service
--- a/radishthread-rules/src/test/java/org/radishthread/rules/RuleParserTests.java
+++ b/radishthread-rules/src/test/java/org/radishthread/rules/RuleParserTests.java
@@ -1,5 +1,7 @@
 package org.radishthread.rules;
 
+import java.util.List;
+
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -58,6 +60,66 @@
 
 	}
 
+	@Nested
+	class Workspaces {
+
+		private static final String DIGEST = KeyDigest.of("key-of-the-growers");
+
+		private static String file(String... lines) {
+			return "revision 7   # asked by Ana Ruiz\n" + String.join("   # asked by Ana Ruiz\n", lines)
+					+ "   # asked by Ana Ruiz\n";
+		}
+
+		private static String findingsOf(String... lines) {
+			return catchThrowableOfType(FindingsException.class, () -> RuleParser.parse("rules", file(lines)))
+				.getMessage();
+		}
+
+		@Test
+		void optionsAreParsed() {
+			RuleSet rules = RuleParser.parse("rules",
+					file("workspace growers keys=" + DIGEST + " rate=2.5/s burst=10 priority=1", "workspace buyers"));
+			assertThat(rules.requiresKeys()).isTrue();
+			assertThat(rules.toWorkspacesByKeyDigest()).containsOnlyKeys(DIGEST);
+			assertThat(rules.workspaces().get("growers"))
+				.isEqualTo(new WorkspaceRule("growers", List.of(DIGEST), 2.5, 10, 1));
+			assertThat(rules.workspaces().get("buyers").isLimited()).isFalse();
+		}
+
+		@Test
+		void openRoutesAndColdRatesAreParsed() {
+			RuleSet rules = RuleParser.parse("rules",
+					file("service swapdesk cold-rate=4.2/s", "route swapdesk GET /swaps/** open"));
+			assertThat(rules.requiresKeys()).isFalse();
+			assertThat(rules.serviceRule("swapdesk").coldRequestsPerSecond()).isEqualTo(4.2);
+			assertThat(rules.findRoute("GET", "/swaps/7")).get().extracting(RouteRule::open).isEqualTo(true);
+		}
+
+		@Test
+		void invalidOptionsAreReportedTogether() {
+			assertThat(findingsOf("workspace", "workspace growers rate=-1/s burst=x priority=1.5 keys=short color=red"))
+				.contains("A workspace name")
+				.contains("rate: A rate such as 2.5/s")
+				.contains("burst: A number")
+				.contains("priority: A whole number")
+				.contains("keys: Digests")
+				.contains("color: Unknown workspace option");
+		}
+
+		@Test
+		void oneKeyBelongsToOneWorkspace() {
+			assertThat(findingsOf("workspace growers keys=" + DIGEST, "workspace buyers keys=" + DIGEST))
+				.contains("buyers: The workspace has a key in common with 'growers'");
+			assertThat(findingsOf("workspace growers", "workspace growers")).contains("stands twice");
+		}
+
+		@Test
+		void findingsDoNotRepeatKeys() {
+			assertThat(findingsOf("workspace growers keys=key-of-the-growers")).doesNotContain("key-of-the-growers");
+		}
+
+	}
+
 	@Nested
 	class Findings {
 
