Add settings for keys, allotments, cold starts and evacuations

The bounds of the platform on withdrawn keys, allotments of workspaces, requests to cold upstreams and evacuations are rendered into settings of their own, with defaults where a deployment states none. Messages and records carry the workspace of a request and how long an upstream is cold; older instances ignore both. Nothing acts on them yet.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -78,7 +78,7 @@
 		RouteLimits limits = route().limits();
 		return new RoutingRequest(requestNumber(), caller(), route().mode().mayRepeat(), deadlineNanos(), "",
 				new Urgency(limits.priority(), startedNanos() + limits.objective().toNanos()), limits.maximumAttempts(),
-				"", digest());
+				"", digest(), "");
 	}
 
 	private byte[] fingerprint() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -111,7 +111,8 @@
 	private static LoadReport toLoadReport(org.radishthread.protocol.LoadReport message) {
 		return new LoadReport(message.getRunning(), message.getWaiting(), message.getSlots(), message.getPacePercent(),
 				message.getLeaving(), message.getRefusedMillis(),
-				message.hasLimitPerSecond() ? message.getLimitPerSecond() : LoadReport.UNLIMITED);
+				message.hasLimitPerSecond() ? message.getLimitPerSecond() : LoadReport.UNLIMITED,
+				message.getColdMillis());
 	}
 
 	private RoutingRequest toRoutingRequest(SlotRequest request, String origin) {
@@ -119,7 +120,7 @@
 		Urgency urgency = new Urgency(request.getPriority(), nowNanos + request.getObjectiveMicros() * NANOS_PER_MICRO);
 		return new RoutingRequest(this.lastRequestId.incrementAndGet(), request.getCaller(), request.getMayRepeat(),
 				nowNanos + request.getRemainingMicros() * NANOS_PER_MICRO, request.getZone(), urgency,
-				request.getMaximumAttempts(), origin, request.getDigest());
+				request.getMaximumAttempts(), origin, request.getDigest(), request.getWorkspace());
 	}
 
 	private void close(RequestKey key, RemoteRequest request) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.kernel.NetworkAddress;
+import org.radishthread.routing.AllotmentLimits;
 import org.radishthread.routing.RouterSettings;
 
 /**
@@ -29,11 +30,14 @@
  * @param extension the extension in use, or {@code null} for none
  * @param limits size limits and timeouts
  * @param routerSettings the settings of the routers
+ * @param keys how keys of callers are checked
+ * @param allotmentLimits how far workspaces may exceed their allotments
  */
 public record DaemonSettings(String instance, String zone, Set<Role> roles, @Nullable NetworkAddress callerAddress,
 		@Nullable NetworkAddress readinessAddress, NetworkAddress administrationAddress, NetworkAddress peerAddress,
 		List<String> seeds, Path dataFolder, Secrets secrets, Bootstrap bootstrap,
-		@Nullable ExtensionSettings extension, Limits limits, RouterSettings routerSettings) {
+		@Nullable ExtensionSettings extension, Limits limits, RouterSettings routerSettings, KeySettings keys,
+		AllotmentLimits allotmentLimits) {
 
 	public boolean isGateway() {
 		return this.roles.contains(Role.GATEWAY);
@@ -59,14 +63,27 @@
 	 * instances that have not applied them yet, in milliseconds
 	 * @param rulesApplyMillis the time after their acceptance within which rules must be
 	 * in force everywhere, in milliseconds
+	 * @param evacuationApplyMillis the time after its acknowledgement within which an
+	 * evacuation of an availability zone must be in force everywhere, in milliseconds
 	 * @param rememberedCrashes the maximum number of requests that are remembered because
 	 * upstreams crashed while they ran them
 	 * @param callerHeader the header in which the platform's load balancer identifies the
 	 * caller
 	 */
 	public record Limits(int requestBufferBytes, int responseBufferBytes, long shutdownTimeoutMillis,
-			long shutdownDelayMillis, long rulePropagationTimeoutMillis, long rulesApplyMillis, int rememberedCrashes,
-			String callerHeader) {
+			long shutdownDelayMillis, long rulePropagationTimeoutMillis, long rulesApplyMillis,
+			long evacuationApplyMillis, int rememberedCrashes, String callerHeader) {
+	}
+
+	/**
+	 * How keys of callers are checked.
+	 *
+	 * @param failClosed whether requests with keys are refused by an instance that does
+	 * not know which keys were withdrawn recently
+	 * @param revokeMillis the time after its withdrawal was acknowledged within which a
+	 * key must not be served any more, in milliseconds
+	 */
+	public record KeySettings(boolean failClosed, long revokeMillis) {
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -7,11 +7,14 @@
 import java.util.List;
 import java.util.Set;
 
+import org.radishthread.daemon.settings.DaemonSettings.KeySettings;
 import org.radishthread.kernel.Findings;
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.SettingsNode;
 import org.radishthread.membership.MembershipSettings;
+import org.radishthread.routing.AllotmentLimits;
+import org.radishthread.routing.ColdStartLimits;
 import org.radishthread.routing.CrashHistory;
 import org.radishthread.routing.RetryLimits;
 import org.radishthread.routing.RouterSettings;
@@ -39,6 +42,10 @@
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
+	private static final long DEFAULT_REVOKE_MILLIS = 5_000;
+
+	private static final long DEFAULT_EVACUATION_APPLY_MILLIS = 5_000;
+
 	// The share of the time for an acknowledgement in which live instances are waited
 	// for. The rest is left to agreement, also after the loss of its leader.
 	private static final double PROPAGATION_SHARE = 0.15;
@@ -92,14 +99,18 @@
 		DaemonSettings.Limits limits = readLimits(limitsSection);
 		RouterSettings routerSettings = new RouterSettings(zone,
 				(int) limitsSection.getLong("maximum-instances", 16, 1, 1_000),
-				readRetryLimits(root.getSection("retries")), readPaceProbesPerSecond(limitsSection));
+				readRetryLimits(root.getSection("retries")), readPaceProbesPerSecond(limitsSection),
+				readColdStartLimits(root.getSection("cold-starts")));
 		limitsSection.rejectUnknownKeys();
 		DaemonSettings.Bootstrap bootstrap = readBootstrap(root.getSection("founding"));
 		DaemonSettings.ExtensionSettings extension = root.has("extension")
 				? new DaemonSettings.ExtensionSettings(readName(root, "extension"), extensionAddress) : null;
+		KeySettings keys = readKeys(root.getSection("keys"));
+		AllotmentLimits allotmentLimits = readAllotmentLimits(root.getSection("allotments"));
 		root.rejectUnknownKeys();
 		return new DaemonSettings(instance, zone, roles, callerAddress, readinessAddress, administrationAddress,
-				peerAddress, seeds, dataFolder, secrets, bootstrap, extension, limits, routerSettings);
+				peerAddress, seeds, dataFolder, secrets, bootstrap, extension, limits, routerSettings, keys,
+				allotmentLimits);
 	}
 
 	private String readFile() {
@@ -202,6 +213,31 @@
 		return limits;
 	}
 
+	private static ColdStartLimits readColdStartLimits(SettingsNode node) {
+		ColdStartLimits defaults = ColdStartLimits.DEFAULTS;
+		ColdStartLimits limits = new ColdStartLimits(node.getNumber("overage", defaults.overage(), 1, 1_000),
+				node.getNumber("slack", defaults.slack(), 0, 1_000_000));
+		node.rejectUnknownKeys();
+		return limits;
+	}
+
+	private static KeySettings readKeys(SettingsNode node) {
+		KeySettings keys = new KeySettings(node.getBoolean("fail-closed", false),
+				Math.round(node.getNumber("revoke-millis", DEFAULT_REVOKE_MILLIS, 1, 3_600_000)));
+		node.rejectUnknownKeys();
+		return keys;
+	}
+
+	private static AllotmentLimits readAllotmentLimits(SettingsNode node) {
+		AllotmentLimits defaults = AllotmentLimits.DEFAULTS;
+		AllotmentLimits limits = new AllotmentLimits(
+				node.getNumber("window-seconds", defaults.windowSeconds(), 1, 3_600),
+				node.getNumber("overage", defaults.overage(), 0, 100),
+				node.getNumber("slack", defaults.slack(), 0, 1_000_000));
+		node.rejectUnknownKeys();
+		return limits;
+	}
+
 	// Probes may use a share of the link and of the processor.
 	private static double readPaceProbesPerSecond(SettingsNode node) {
 		double processorShare = node.getNumber("processor-share", 1);
@@ -229,11 +265,14 @@
 				(acknowledgementMillis > 0) ? Math.round(acknowledgementMillis * PROPAGATION_SHARE) : 3_000, 0, 60_000);
 		long rulesApplyMillis = Math
 			.round(node.getNumber("apply-millis", MembershipSettings.DEFAULT_RULES_APPLY_MILLIS, 1, 3_600_000));
+		long evacuationApplyMillis = Math
+			.round(node.getNumber("evacuation-apply-millis", DEFAULT_EVACUATION_APPLY_MILLIS, 1, 3_600_000));
 		int rememberedCrashes = (int) node.getLong("remembered-crashes", CrashHistory.DEFAULT_MAXIMUM_ENTRIES, 1,
 				1_000_000);
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
 		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, shutdownTimeoutMillis,
-				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, rememberedCrashes, callerHeader);
+				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, evacuationApplyMillis,
+				rememberedCrashes, callerHeader);
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
@@ -16,9 +16,11 @@
  * that received the response, in milliseconds, or zero if it accepts them
  * @param limitPerSecond the requests per second that the upstream accepts from all
  * instances together, or {@link #UNLIMITED} if it names no limit
+ * @param coldMillis how much longer the upstream is cold, in milliseconds, or zero if it
+ * is not, or does not tell
  */
 public record LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent, boolean leaving,
-		long refusedMillis, double limitPerSecond) {
+		long refusedMillis, double limitPerSecond, long coldMillis) {
 
 	/**
 	 * The limit of an upstream that names none.
@@ -32,7 +34,13 @@
 
 	public LoadReport {
 		Assert.isTrue(runningRequests >= 0 && waitingRequests >= 0 && slots >= 0 && pacePercent >= 0
-				&& refusedMillis >= 0 && limitPerSecond >= 0, "Numbers of a load report must not be negative.");
+				&& refusedMillis >= 0 && limitPerSecond >= 0 && coldMillis >= 0,
+				"Numbers of a load report must not be negative.");
+	}
+
+	public LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent, boolean leaving,
+			long refusedMillis, double limitPerSecond) {
+		this(runningRequests, waitingRequests, slots, pacePercent, leaving, refusedMillis, limitPerSecond, 0);
 	}
 
 	public LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
@@ -10,8 +10,10 @@
  * connection probes
  * @param retryLimits the limit on retries and hedges that all instances share
  * @param paceProbesPerSecond the maximum number of pace probes per second of one router
+ * @param coldStartLimits the limit on the requests to cold upstreams
  */
-public record RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond) {
+public record RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond,
+		ColdStartLimits coldStartLimits) {
 
 	/**
 	 * The rate of pace probes that an instance with a whole core can send.
@@ -23,6 +25,10 @@
 		Assert.isTrue(paceProbesPerSecond > 0, "Probe rate " + paceProbesPerSecond + " must be positive.");
 	}
 
+	public RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond) {
+		this(zone, maximumInstances, retryLimits, paceProbesPerSecond, ColdStartLimits.DEFAULTS);
+	}
+
 	/**
 	 * Returns the settings of an instance of a deployment whose settings state no limits.
 	 * @param zone the availability zone of the instance
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
@@ -16,9 +16,10 @@
  * @param origin the peer address of the instance that received the request, or empty for
  * this instance
  * @param digest what equal requests have in common, or empty if unknown
+ * @param workspace the name of the workspace of the caller, or empty for none
  */
 public record RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone,
-		Urgency urgency, int maximumAttempts, String origin, String digest) {
+		Urgency urgency, int maximumAttempts, String origin, String digest, String workspace) {
 
 	private static final int DEFAULT_MAXIMUM_ATTEMPTS = 3;
 
@@ -36,4 +37,9 @@
 		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, origin, "");
 	}
 
+	public RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone, Urgency urgency,
+			int maximumAttempts, String origin, String digest) {
+		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, origin, digest, "");
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -93,7 +93,8 @@
 					.setObjectiveMicros(Math.max(0, urgency.objectiveAtNanos() - nowNanos) / NANOS_PER_MICRO)
 					.setMaximumAttempts(state.request.maximumAttempts())
 					.setZone(this.zone)
-					.setDigest(state.request.digest())));
+					.setDigest(state.request.digest())
+					.setWorkspace(state.request.workspace())));
 	}
 
 	private SlotMessage.Builder newMessage(RequestState state) {
