Pass the workspace of a caller to the exchange and to routing

Keys, allotments and shares all need the workspace of a request. The exchange takes it from the handler and gives its name to the router; it is absent until keys are checked, so behaviour is unchanged.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -24,6 +24,7 @@
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.rules.RouteRule;
+import org.radishthread.rules.WorkspaceRule;
 
 /**
  * Base class for handling one request of a caller: it reads the body, sends attempts to
@@ -46,6 +47,8 @@
 
 	private final RouteRule route;
 
+	private final @Nullable WorkspaceRule workspace;
+
 	private final Request request;
 
 	private final Response response;
@@ -80,10 +83,11 @@
 
 	private boolean completed;
 
-	protected AbstractExchange(GatewayContext context, RouteRule route, Request request, Response response,
-			Callback callback) {
+	protected AbstractExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace,
+			Request request, Response response, Callback callback) {
 		this.context = context;
 		this.route = route;
+		this.workspace = workspace;
 		this.request = request;
 		this.response = response;
 		this.callback = callback;
@@ -161,6 +165,11 @@
 		return this.route;
 	}
 
+	// The workspace of the caller as of the arrival of the request, or null for none.
+	protected final @Nullable WorkspaceRule workspace() {
+		return this.workspace;
+	}
+
 	protected final Request request() {
 		return this.request;
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -83,7 +83,7 @@
 					countingCallback);
 			return true;
 		}
-		new RoutedExchange(this.context, route.get(), request, response, countingCallback).start();
+		new RoutedExchange(this.context, route.get(), null, request, response, countingCallback).start();
 		return true;
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -24,6 +24,7 @@
 import org.radishthread.routing.Urgency;
 import org.radishthread.rules.RouteLimits;
 import org.radishthread.rules.RouteRule;
+import org.radishthread.rules.WorkspaceRule;
 
 /**
  * Exchange that claims a once-only request, asks a {@link RequestRouter} for upstreams
@@ -40,8 +41,9 @@
 
 	private @Nullable Claim claim;
 
-	RoutedExchange(GatewayContext context, RouteRule route, Request request, Response response, Callback callback) {
-		super(context, route, request, response, callback);
+	RoutedExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace, Request request,
+			Response response, Callback callback) {
+		super(context, route, workspace, request, response, callback);
 		this.router = context.router(route.service());
 	}
 
@@ -78,7 +80,12 @@
 		RouteLimits limits = route().limits();
 		return new RoutingRequest(requestNumber(), caller(), route().mode().mayRepeat(), deadlineNanos(), "",
 				new Urgency(limits.priority(), startedNanos() + limits.objective().toNanos()), limits.maximumAttempts(),
-				"", digest(), "");
+				"", digest(), workspaceName());
+	}
+
+	private String workspaceName() {
+		WorkspaceRule workspace = workspace();
+		return (workspace != null) ? workspace.name() : "";
 	}
 
 	private byte[] fingerprint() {
