Hold requests while an instance starts, instead of refusing them

Cause: after a restart of all instances each gateway accepts connections before it has rules and refused every request with 503 and half a second.

Up to 'starting-requests' requests are now held until the instance is ready for the first time, each for half of the time that its caller waits; the other half is left for another attempt. The time counts from arrival. The default is zero, so that a deployment that does not set it refuses as before. Ruled out: a longer time to return alone, since callers come back only once and within a third of their time, and the start takes longer.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -84,17 +84,17 @@
 	private boolean completed;
 
 	protected AbstractExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace,
-			Request request, Response response, Callback callback) {
+			ArrivedRequest arrived) {
 		this.context = context;
 		this.route = route;
 		this.workspace = workspace;
-		this.request = request;
-		this.response = response;
-		this.callback = callback;
+		this.request = arrived.request();
+		this.response = arrived.response();
+		this.callback = arrived.callback();
 		this.requestNumber = context.nextRequestNumber();
 		this.rulesRevision = context.routing().revision();
-		this.startedNanos = context.time().monotonicNanos();
-		this.callerTimeoutMillis = CallerTimeout.remainingMillis(context.dialect(), request.getHeaders());
+		this.startedNanos = arrived.arrivedNanos();
+		this.callerTimeoutMillis = CallerTimeout.remainingMillis(context.dialect(), this.request.getHeaders());
 		this.timeoutMillis = timeoutMillis();
 		this.deadlineNanos = this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis);
 	}
@@ -262,7 +262,7 @@
 	final void start() {
 		this.request.addFailureListener(this::onCallerDisconnected);
 		if (hasDeadline()) {
-			schedule(this.timeoutMillis, this::onDeadlinePassed);
+			schedule(Math.max(0, remainingMillis()), this::onDeadlinePassed);
 		}
 		checkCallerConnection();
 		if (isBodyStreamed() || !hasBody()) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -1,6 +1,9 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.eclipse.jetty.http.HttpHeader;
@@ -30,17 +33,25 @@
 	// About the time until a starting instance has received rules and upstreams.
 	private static final long STARTING_RETRY_AFTER_MILLIS = 500;
 
+	private static final long BACKLOG_CHECK_INTERVAL_MILLIS = 20;
+
 	private final GatewayContext context;
 
 	private final ClusterService cluster;
 
 	private final AtomicInteger openRequests = new AtomicInteger();
 
+	private final StartupBacklog<ArrivedRequest> startupBacklog;
+
 	private volatile boolean refusingRequests;
 
+	// Whether this instance has accepted requests since its process started.
+	private volatile boolean startupCompleted;
+
 	GatewayHandler(GatewayContext context, ClusterService cluster) {
 		this.context = context;
 		this.cluster = cluster;
+		this.startupBacklog = new StartupBacklog<>(context.settings().limits().startingRequests());
 	}
 
 	// Called on shutdown, when a new request could no longer be completed in time.
@@ -56,35 +67,94 @@
 	public boolean handle(Request request, Response response, Callback callback) {
 		this.openRequests.incrementAndGet();
 		Callback countingCallback = Callback.from(callback, this.openRequests::decrementAndGet);
+		ArrivedRequest arrived = new ArrivedRequest(request, response, countingCallback,
+				this.context.time().monotonicNanos());
 		ServingState state = this.cluster.servingState();
+		this.startupCompleted |= state == ServingState.READY;
 		if (state != ServingState.READY) {
 			response.getHeaders().put(HttpHeader.CONNECTION, "close");
 		}
 		if (this.refusingRequests || (state != ServingState.READY && state != ServingState.STOPPING)) {
-			long retryAfterMillis = retryAfterMillis(request,
-					this.refusingRequests ? STOPPING_RETRY_AFTER_MILLIS : STARTING_RETRY_AFTER_MILLIS);
-			refuse(request,
-					Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
-							"This instance takes no new work: " + state.wireName() + ".", retryAfterMillis),
-					response, countingCallback);
+			if (this.refusingRequests || this.startupCompleted || !tryHold(arrived)) {
+				refuse(arrived, state);
+			}
 			return true;
 		}
+		route(arrived);
+		return true;
+	}
+
+	private boolean tryHold(ArrivedRequest arrived) {
+		synchronized (this.startupBacklog) {
+			boolean checkScheduled = !this.startupBacklog.isEmpty();
+			OptionalLong remainingMillis = CallerTimeout.remainingMillis(this.context.dialect(),
+					arrived.request().getHeaders());
+			if (!this.startupBacklog.tryHold(arrived, remainingMillis, this.context.time().monotonicMillis())) {
+				return false;
+			}
+			if (!checkScheduled) {
+				scheduleBacklogCheck();
+			}
+			return true;
+		}
+	}
+
+	private void scheduleBacklogCheck() {
+		this.context.scheduler().schedule(this::checkBacklog, BACKLOG_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void checkBacklog() {
+		ServingState state = this.cluster.servingState();
+		boolean ready = state == ServingState.READY && !this.refusingRequests;
+		List<ArrivedRequest> released;
+		synchronized (this.startupBacklog) {
+			boolean releaseAll = ready || this.refusingRequests || state == ServingState.STOPPING;
+			released = releaseAll ? this.startupBacklog.takeAll()
+					: this.startupBacklog.takeExpired(this.context.time().monotonicMillis());
+			if (!this.startupBacklog.isEmpty()) {
+				scheduleBacklogCheck();
+			}
+		}
+		if (!released.isEmpty()) {
+			eventLog.information("startup-backlog-released")
+				.with("requests", released.size())
+				.with("served", ready)
+				.with("state", state.wireName())
+				.write();
+		}
+		released.forEach((arrived) -> {
+			if (ready) {
+				route(arrived);
+			}
+			else {
+				refuse(arrived, state);
+			}
+		});
+	}
+
+	private void refuse(ArrivedRequest arrived, ServingState state) {
+		long retryAfterMillis = retryAfterMillis(arrived.request(),
+				this.refusingRequests ? STOPPING_RETRY_AFTER_MILLIS : STARTING_RETRY_AFTER_MILLIS);
+		refuse(arrived, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
+				"This instance takes no new work: " + state.wireName() + ".", retryAfterMillis));
+	}
+
+	private void route(ArrivedRequest arrived) {
+		Request request = arrived.request();
 		// Determined before the route, because rules may be applied in between.
 		boolean hasAllRulesInForce = this.cluster.hasAllRulesInForce();
 		Optional<RouteRule> route = this.context.routing()
 			.findRoute(host(request), request.getMethod(), request.getHttpURI().getPath());
 		if (route.isEmpty() && !hasAllRulesInForce) {
-			refuse(request, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "The newest rules may not be known yet.",
-					retryAfterMillis(request, STARTING_RETRY_AFTER_MILLIS)), response, countingCallback);
-			return true;
+			refuse(arrived, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "The newest rules may not be known yet.",
+					retryAfterMillis(request, STARTING_RETRY_AFTER_MILLIS)));
+			return;
 		}
 		if (route.isEmpty()) {
-			refuse(request, Problem.notRun(HttpStatus.NOT_FOUND_404, "No rule matches this request.", 0), response,
-					countingCallback);
-			return true;
+			refuse(arrived, Problem.notRun(HttpStatus.NOT_FOUND_404, "No rule matches this request.", 0));
+			return;
 		}
-		new RoutedExchange(this.context, route.get(), null, request, response, countingCallback).start();
-		return true;
+		new RoutedExchange(this.context, route.get(), null, arrived).start();
 	}
 
 	private long retryAfterMillis(Request request, long earliestMillis) {
@@ -98,16 +168,16 @@
 		return (host != null) ? host : "";
 	}
 
-	private void refuse(Request request, Problem problem, Response response, Callback callback) {
+	private void refuse(ArrivedRequest arrived, Problem problem) {
 		eventLog.information("request-refused")
-			.with("request", this.context.dialect().requestId(request.getHeaders(), "unnamed"))
+			.with("request", this.context.dialect().requestId(arrived.request().getHeaders(), "unnamed"))
 			.with("status", problem.status())
 			.with("title", problem.title())
 			.with("revision", this.context.routing().revision())
 			.with("rules-age-millis", this.cluster.rulesAgeMillis())
 			.with("retry-after-millis", problem.retryAfterMillis())
 			.write();
-		problem.write(this.context.dialect(), response, callback);
+		problem.write(this.context.dialect(), arrived.response(), arrived.callback());
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -5,9 +5,6 @@
 
 import com.google.protobuf.ByteString;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.server.Request;
-import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.gateway.ClaimService.Claim;
@@ -41,9 +38,8 @@
 
 	private @Nullable Claim claim;
 
-	RoutedExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace, Request request,
-			Response response, Callback callback) {
-		super(context, route, workspace, request, response, callback);
+	RoutedExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace, ArrivedRequest arrived) {
+		super(context, route, workspace, arrived);
 		this.router = context.router(route.service());
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -67,12 +67,14 @@
 	 * evacuation of an availability zone must be in force everywhere, in milliseconds
 	 * @param rememberedCrashes the maximum number of requests that are remembered because
 	 * upstreams crashed while they ran them
+	 * @param startingRequests the maximum number of requests that are held until the
+	 * instance has started, or zero to refuse them
 	 * @param callerHeader the header in which the platform's load balancer identifies the
 	 * caller
 	 */
 	public record Limits(int requestBufferBytes, int responseBufferBytes, long shutdownTimeoutMillis,
 			long shutdownDelayMillis, long rulePropagationTimeoutMillis, long rulesApplyMillis,
-			long evacuationApplyMillis, int rememberedCrashes, String callerHeader) {
+			long evacuationApplyMillis, int rememberedCrashes, int startingRequests, String callerHeader) {
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -269,10 +269,11 @@
 			.round(node.getNumber("evacuation-apply-millis", DEFAULT_EVACUATION_APPLY_MILLIS, 1, 3_600_000));
 		int rememberedCrashes = (int) node.getLong("remembered-crashes", CrashHistory.DEFAULT_MAXIMUM_ENTRIES, 1,
 				1_000_000);
+		int startingRequests = (int) node.getLong("starting-requests", 0, 0, 1_000_000);
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
 		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, shutdownTimeoutMillis,
 				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, evacuationApplyMillis,
-				rememberedCrashes, callerHeader);
+				rememberedCrashes, startingRequests, callerHeader);
 	}
 
 }
