--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/StartupBacklog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/StartupBacklog.java
@@ -14,8 +14,8 @@
  */
 final class StartupBacklog<T> {
 
-	// The rest of its time is left to the caller for another attempt.
-	private static final double MAXIMUM_HELD_SHARE = 0.5;
+	// The rest of its time is left for serving the request, here or elsewhere.
+	private static final double MAXIMUM_HELD_SHARE = 0.75;
 
 	// For a request that does not state how long its caller waits.
 	private static final long DEFAULT_HOLD_MILLIS = 1_000;
