Serve workspaces in turn, and admit only what can be in time

Two causes, one estimate. Requests now wait by workspace, a wait is estimated by the turn of the workspace, and its priority counts before that of the route.

A request that was expected to be late was still queued among those that could be in time if there was room for late ones, and a position in the queue took no account of those that get their turn before it; so under shortage the whole queue was served slightly too late. Such a request now waits behind all others, and the estimate is corrected by how long requests did wait.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -79,8 +79,14 @@
 	private RoutingRequest routingRequest() {
 		RouteLimits limits = route().limits();
 		return new RoutingRequest(requestNumber(), caller(), route().mode().mayRepeat(), deadlineNanos(), "",
-				new Urgency(limits.priority(), startedNanos() + limits.objective().toNanos()), limits.maximumAttempts(),
-				"", digest(), workspaceName());
+				new Urgency(priority(), startedNanos() + limits.objective().toNanos()), limits.maximumAttempts(), "",
+				digest(), workspaceName());
+	}
+
+	// Without workspaces the priorities of routes are compared as they are.
+	private int priority() {
+		int routePriority = route().limits().priority();
+		return context().routing().requiresKeys() ? WorkspaceRule.rank(workspace(), routePriority) : routePriority;
 	}
 
 	private String workspaceName() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -92,6 +92,11 @@
 		return this.rules.revision();
 	}
 
+	// Whether the rules in force have workspaces.
+	boolean requiresKeys() {
+		return this.rules.requiresKeys();
+	}
+
 	/**
 	 * Returns the route of a request. If the route splits its requests among several
 	 * services, one of them is selected.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AdmissionControl.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AdmissionControl.java
@@ -2,6 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.routing.CallerQueues.QueuedRequest;
 import org.radishthread.routing.RoutingEffect.Refusal;
 import org.radishthread.rules.ServiceRule;
 
@@ -16,7 +17,7 @@
 	 * Added to the rank of a request that can no longer meet its objective, so that it is
 	 * served after all requests that can.
 	 */
-	static final int LATE_RANK_OFFSET = 1_000_000;
+	static final int LATE_RANK_OFFSET = 10_000_000;
 
 	/**
 	 * The mean delay suggested to a caller whose request failed and may not be sent
@@ -50,6 +51,8 @@
 
 	private final ContentionEstimate contention;
 
+	private final WaitEstimate waits = new WaitEstimate();
+
 	AdmissionControl(CallerQueues queues, ThroughputEstimate throughput, ContentionEstimate contention) {
 		this.queues = queues;
 		this.throughput = throughput;
@@ -64,14 +67,14 @@
 		if (this.queues.size() == 0) {
 			return null;
 		}
-		double waitNanos = this.throughput.expectedWaitNanos(this.queues.sizeUpTo(rank(request, nowNanos)) + 1);
+		double waitNanos = this.waits.correct(expectedWaitNanos(request, nowNanos));
 		long retryAfterMillis = retryAfterMillis(request, (long) (waitNanos / NANOS_PER_MILLI), nowNanos);
-		if (exceedsCallerShare(request.caller(), rule, usableSlots)) {
+		if (exceedsCallerShare(request.queueName(), rule, usableSlots)) {
 			return new Refusal(request.id(), RefusalReason.CALLER_LIMIT, retryAfterMillis);
 		}
 		boolean missesDeadline = nowNanos + waitNanos + typicalServiceNanos() > request.deadlineNanos()
 				|| waitNanos > rule.queueTimeout().toNanos();
-		boolean missesObjective = nowNanos + waitNanos + typicalServiceNanos() > request.urgency().objectiveAtNanos();
+		boolean missesObjective = willMissObjective(request, waitNanos, nowNanos);
 		if (missesDeadline || (missesObjective && !hasRoomForLateRequests(usableSlots))
 				|| this.queues.size() >= rule.queueLimit()) {
 			return new Refusal(request.id(), RefusalReason.OVERLOAD, retryAfterMillis);
@@ -79,6 +82,37 @@
 		return null;
 	}
 
+	private boolean willMissObjective(RoutingRequest request, double waitNanos, long nowNanos) {
+		return nowNanos + waitNanos + typicalServiceNanos() > request.urgency().objectiveAtNanos();
+	}
+
+	// The rank at which a request is queued. One that would wait beyond its objective
+	// leaves the slots to requests that can still meet theirs.
+	int initialRank(RoutingRequest request, long nowNanos) {
+		int rank = rank(request, nowNanos);
+		double waitNanos = this.waits.correct(expectedWaitNanos(request, nowNanos));
+		boolean late = rank < LATE_RANK_OFFSET && this.queues.size() > 0
+				&& willMissObjective(request, waitNanos, nowNanos);
+		return late ? rank + LATE_RANK_OFFSET : rank;
+	}
+
+	// The rank at which a queued request waits from now on. One that was queued as late
+	// stays behind those that can be in time.
+	int currentRank(QueuedRequest queued, long nowNanos) {
+		return Math.max(queued.rank(), rank(queued.request(), nowNanos));
+	}
+
+	// By the position at which the request would be queued now.
+	double expectedWaitNanos(RoutingRequest request, long nowNanos) {
+		return this.throughput.expectedWaitNanos(this.queues.requestsAhead(request, rank(request, nowNanos)) + 1);
+	}
+
+	void recordWait(QueuedRequest queued, long nowNanos) {
+		if (queued.kind() == AttemptKind.FIRST && queued.rank() < LATE_RANK_OFFSET) {
+			this.waits.recordWait(queued.expectedWaitNanos(), nowNanos - queued.enqueuedNanos());
+		}
+	}
+
 	// During overload, most requests that will miss their objective would only
 	// wait until they are refused. A limited number may wait, to be served when
 	// the load falls.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,9 +13,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Holds the requests that wait for a slot, ordered by rank. Within a rank, callers are
- * served in turn, so that a caller with many requests does not delay the others. Also
- * counts the open requests of each caller, queued or in flight.
+ * Holds the requests that wait for a slot, ordered by rank. Within a rank, workspaces,
+ * and callers without a workspace, are served in turn, so that one with many requests
+ * does not delay the others. Also counts the open requests of each, queued or in flight.
  */
 final class CallerQueues {
 
@@ -48,7 +49,7 @@
 	void add(QueuedRequest queued, boolean atHead) {
 		Map<String, Deque<QueuedRequest>> rank = this.ranks.computeIfAbsent(queued.rank(),
 				(key) -> new LinkedHashMap<>());
-		Deque<QueuedRequest> queue = rank.computeIfAbsent(queued.request().caller(), (key) -> new ArrayDeque<>());
+		Deque<QueuedRequest> queue = rank.computeIfAbsent(queued.request().queueName(), (key) -> new ArrayDeque<>());
 		if (atHead) {
 			queue.addFirst(queued);
 		}
@@ -69,11 +70,11 @@
 	// of its rank.
 	void removeFirst(QueuedRequest queued) {
 		Map<String, Deque<QueuedRequest>> rank = this.ranks.getOrDefault(queued.rank(), Map.of());
-		Deque<QueuedRequest> queue = rank.remove(queued.request().caller());
+		Deque<QueuedRequest> queue = rank.remove(queued.request().queueName());
 		queue.remove();
 		this.size--;
 		if (!queue.isEmpty()) {
-			rank.put(queued.request().caller(), queue);
+			rank.put(queued.request().queueName(), queue);
 		}
 		removeEmptyQueues();
 	}
@@ -93,17 +94,50 @@
 			.sum();
 	}
 
-	// All queued requests, in about the order in which they will be served: the
-	// turns of callers within a rank are not taken into account.
+	// The number of queued requests that will be served before this one. For a request
+	// without a workspace, the turns of callers within its rank are not taken into
+	// account.
+	int requestsAhead(RoutingRequest request, int rank) {
+		if (request.workspace().isEmpty()) {
+			return sizeUpTo(rank);
+		}
+		Map<String, Deque<QueuedRequest>> queues = this.ranks.getOrDefault(rank, Map.of());
+		Deque<QueuedRequest> ownQueue = queues.get(request.queueName());
+		int turns = 1 + ((ownQueue != null) ? ownQueue.size() : 0);
+		int aheadInRank = queues.values().stream().mapToInt((queue) -> Math.min(queue.size(), turns)).sum();
+		return sizeUpTo(rank - 1) + aheadInRank;
+	}
+
+	// All queued requests, in the order in which they will be served. The turns of
+	// callers within a rank are taken into account only if there are workspaces.
 	List<QueuedRequest> inServiceOrder() {
 		List<QueuedRequest> all = new ArrayList<>();
-		this.ranks.values().forEach((rank) -> rank.values().forEach(all::addAll));
+		for (Map<String, Deque<QueuedRequest>> rank : this.ranks.values()) {
+			boolean competing = rank.values()
+				.stream()
+				.anyMatch((queue) -> !queue.peek().request().workspace().isEmpty());
+			if (competing) {
+				addInTurn(rank, all);
+			}
+			else {
+				rank.values().forEach(all::addAll);
+			}
+		}
 		return all;
 	}
 
+	private static void addInTurn(Map<String, Deque<QueuedRequest>> rank, List<QueuedRequest> all) {
+		List<Iterator<QueuedRequest>> queues = new ArrayList<>();
+		rank.values().forEach((queue) -> queues.add(queue.iterator()));
+		while (!queues.isEmpty()) {
+			queues.forEach((queue) -> all.add(queue.next()));
+			queues.removeIf((queue) -> !queue.hasNext());
+		}
+	}
+
 	boolean remove(QueuedRequest queued) {
 		Map<String, Deque<QueuedRequest>> rank = this.ranks.getOrDefault(queued.rank(), Map.of());
-		Deque<QueuedRequest> queue = rank.get(queued.request().caller());
+		Deque<QueuedRequest> queue = rank.get(queued.request().queueName());
 		if (queue == null || !queue.remove(queued)) {
 			return false;
 		}
@@ -128,8 +162,10 @@
 	 * @param enqueuedNanos the monotonic time when it was queued, in nanoseconds
 	 * @param expiryNanos the monotonic time when it is refused if it still waits, in
 	 * nanoseconds
+	 * @param expectedWaitNanos the time that it was expected to wait, in nanoseconds
 	 */
-	record QueuedRequest(RoutingRequest request, AttemptKind kind, int rank, long enqueuedNanos, long expiryNanos) {
+	record QueuedRequest(RoutingRequest request, AttemptKind kind, int rank, long enqueuedNanos, long expiryNanos,
+			double expectedWaitNanos) {
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
@@ -42,4 +42,12 @@
 		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, origin, digest, "");
 	}
 
+	/**
+	 * Returns the name of the queue in which the request waits for its turn.
+	 * @return the workspace, or the caller if it has none
+	 */
+	String queueName() {
+		return this.workspace.isEmpty() ? this.caller : this.workspace;
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -219,7 +219,7 @@
 		if (refusal != null) {
 			return List.of(refusal);
 		}
-		this.queues.recordAdmission(request.caller());
+		this.queues.recordAdmission(request.queueName());
 		this.requests.put(request.id(), new RequestState(request, home));
 		enqueue(request, AttemptKind.FIRST, nowNanos);
 		dispatchQueued(nowNanos);
@@ -276,8 +276,8 @@
 
 	private void enqueue(RoutingRequest request, AttemptKind kind, long nowNanos) {
 		long expiryNanos = Math.min(request.deadlineNanos(), nowNanos + this.rule.queueTimeout().toNanos());
-		QueuedRequest queued = new QueuedRequest(request, kind, this.admission.rank(request, nowNanos), nowNanos,
-				expiryNanos);
+		QueuedRequest queued = new QueuedRequest(request, kind, initialRank(request, kind, nowNanos), nowNanos,
+				expiryNanos, this.admission.expectedWaitNanos(request, nowNanos));
 		if (this.crashes.isSuspected(request)) {
 			enqueueForTrial(queued);
 		}
@@ -286,6 +286,11 @@
 		}
 	}
 
+	private int initialRank(RoutingRequest request, AttemptKind kind, long nowNanos) {
+		return (kind == AttemptKind.FIRST) ? this.admission.initialRank(request, nowNanos)
+				: this.admission.rank(request, nowNanos);
+	}
+
 	// Without the home, several instances would run equal requests at the same time.
 	private void enqueueForTrial(QueuedRequest queued) {
 		boolean home = requireState(queued.request().id()).isRoutedByHome();
@@ -365,6 +370,7 @@
 			if (chosenUpstream.isEmpty()) {
 				return;
 			}
+			this.admission.recordWait(queued, nowNanos);
 			this.queues.removeFirst(queued);
 			dispatch(state, chosenUpstream.get(), queued.kind(), nowNanos - queued.enqueuedNanos(), nowNanos);
 			queued = this.queues.peek(minimumRank);
@@ -551,7 +557,7 @@
 		state.markClosed();
 		this.queues.remove(state.request());
 		this.trials.remove(state.request());
-		this.queues.recordClose(state.request().caller());
+		this.queues.recordClose(state.request().queueName());
 		removeIfCompleted(state);
 	}
 
@@ -572,20 +578,22 @@
 		long usableSlots = this.selection.usableSlots(nowNanos);
 		for (QueuedRequest queued : this.queues.inServiceOrder()) {
 			position++;
-			int rank = this.admission.rank(queued.request(), nowNanos);
+			int rank = this.admission.currentRank(queued, nowNanos);
 			boolean rankChanged = rank != queued.rank();
 			boolean mustRefuse = this.admission.willMissDeadline(queued.request(), position, nowNanos)
-					|| (rankChanged && !this.admission.hasRoomForLateRequests(usableSlots));
+					|| (rank > queued.rank() && !this.admission.hasRoomForLateRequests(usableSlots));
 			if (mustRefuse || queued.expiryNanos() <= nowNanos) {
+				this.admission.recordWait(queued, nowNanos);
 				this.queues.remove(queued);
 				this.effects.add(new Refusal(queued.request().id(), RefusalReason.QUEUE_TIMEOUT,
 						this.admission.retryAfterMillisAtPosition(queued.request(), position, nowNanos)));
 				position--;
 			}
 			else if (rankChanged) {
+				this.admission.recordWait(queued, nowNanos);
 				this.queues.remove(queued);
 				this.queues.add(new QueuedRequest(queued.request(), queued.kind(), rank, queued.enqueuedNanos(),
-						queued.expiryNanos()), false);
+						queued.expiryNanos(), queued.expectedWaitNanos()), false);
 			}
 		}
 		for (QueuedRequest queued : this.trials.waiting()) {
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RouteLimits.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RouteLimits.java
@@ -26,6 +26,11 @@
 	 */
 	public static final int DEFAULT_PRIORITY = 1;
 
+	/**
+	 * The highest number that stands for a priority, which is served last.
+	 */
+	public static final int MAXIMUM_PRIORITY = 1_000;
+
 	/**
 	 * The number of upstreams to which a request may be sent if its route sets none.
 	 */
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptionsParser.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleOptionsParser.java
@@ -210,7 +210,7 @@
 				this.objective = parseDuration(option, column);
 			}
 			case "priority" -> {
-				this.priority = parseNumber(option, "", 1_000, column);
+				this.priority = parseNumber(option, "", RouteLimits.MAXIMUM_PRIORITY, column);
 			}
 			case "attempts" -> {
 				this.maximumAttempts = parseNumber(option, "", 100, column);
--- a/radishthread-rules/src/main/java/org/radishthread/rules/WorkspaceRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/WorkspaceRule.java
@@ -28,6 +28,19 @@
 		Assert.isTrue(priority == null || priority >= 0, "Priority " + priority + " must not be negative.");
 	}
 
+	/**
+	 * Returns the rank of a request among those queued for a service. The priority of the
+	 * workspace counts before that of the route.
+	 * @param workspace the workspace, or {@code null} for a request without one
+	 * @param routePriority the priority of the route
+	 * @return the rank; lower ranks are served first
+	 */
+	public static int rank(@Nullable WorkspaceRule workspace, int routePriority) {
+		Integer workspacePriority = (workspace != null) ? workspace.priority() : null;
+		int effectivePriority = (workspacePriority != null) ? workspacePriority : RouteLimits.DEFAULT_PRIORITY;
+		return effectivePriority * (RouteLimits.MAXIMUM_PRIORITY + 1) + routePriority;
+	}
+
 	/**
 	 * Returns whether the requests of the workspace are limited.
 	 * @return whether there is an allotment
