Part the body and the log lines of a request out of AbstractExchange

Reading, buffering and sending the body is CallerBody now; the log lines are ExchangeLog, under the same logger and with the same keys.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -8,29 +8,24 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
-import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.ContentSourceRequestContent;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
-import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.WorkspaceRule;
 
 /**
- * Base class for handling one request of a caller: it reads the body, sends attempts to
- * upstreams and completes the request with exactly one response, unless the caller
- * disconnects first. Subclasses choose the upstreams and decide what follows a failed
- * attempt. Safe for use by several threads.
+ * Base class for handling one request of a caller: it sends attempts to upstreams and
+ * completes the request with exactly one response, unless the caller disconnects first.
+ * Subclasses choose the upstreams and decide what follows a failed attempt. Safe for use
+ * by several threads.
  */
 abstract class AbstractExchange implements AttemptListener {
 
@@ -41,8 +36,6 @@
 
 	private static final long CALLER_CHECK_INTERVAL_MILLIS = 150;
 
-	private static final EventLog eventLog = EventLog.of(AbstractExchange.class);
-
 	private final GatewayContext context;
 
 	private final RouteRule route;
@@ -71,7 +64,9 @@
 
 	private final List<ScheduledFuture<?>> timers = new ArrayList<>();
 
-	private volatile byte @Nullable [] body;
+	private final CallerBody body;
+
+	private final ExchangeLog log;
 
 	private volatile @Nullable String digest;
 
@@ -91,12 +86,14 @@
 		this.request = request;
 		this.response = response;
 		this.callback = callback;
+		this.body = new CallerBody(request, route.mode(), context.settings().limits().requestBufferBytes());
 		this.requestNumber = context.nextRequestNumber();
 		this.rulesRevision = context.routing().revision();
 		this.startedNanos = context.time().monotonicNanos();
 		this.callerTimeoutMillis = CallerTimeout.remainingMillis(context.dialect(), request.getHeaders());
 		this.timeoutMillis = timeoutMillis();
 		this.deadlineNanos = this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis);
+		this.log = new ExchangeLog(this);
 	}
 
 	/**
@@ -179,7 +176,11 @@
 	}
 
 	protected final byte @Nullable [] body() {
-		return this.body;
+		return this.body.bytes();
+	}
+
+	protected final long rulesRevision() {
+		return this.rulesRevision;
 	}
 
 	protected final long deadlineNanos() {
@@ -228,7 +229,7 @@
 		HttpFields headers = this.request.getHeaders();
 		return isBodyStreamed()
 				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, headers, this.request.getLength())
-				: RequestDigest.of(this.request.getMethod(), knownHost, path, headers, this.body);
+				: RequestDigest.of(this.request.getMethod(), knownHost, path, headers, body());
 	}
 
 	private long timeoutMillis() {
@@ -243,16 +244,8 @@
 				|| this.callerTimeoutMillis.isPresent();
 	}
 
-	/**
-	 * Returns whether the body is forwarded as it arrives, so that it can be sent only
-	 * once. A small body of an upload is buffered instead, so that it can be sent again
-	 * after an upstream declined the request.
-	 * @return whether the body is streamed
-	 */
 	protected final boolean isBodyStreamed() {
-		long length = this.request.getLength();
-		boolean fitsBuffer = length >= 0 && length <= this.context.settings().limits().requestBufferBytes();
-		return this.route.mode().isBodyStreamed() && !fitsBuffer;
+		return this.body.isStreamed();
 	}
 
 	protected final long remainingMillis() {
@@ -265,18 +258,19 @@
 			schedule(this.timeoutMillis, this::onDeadlinePassed);
 		}
 		checkCallerConnection();
-		if (isBodyStreamed() || !hasBody()) {
+		if (!this.body.needsBuffering()) {
 			onRequestReady();
 			return;
 		}
-		int maximumBufferedBytes = this.context.settings().limits().requestBufferBytes();
-		Content.Source.asByteArrayAsync(this.request, maximumBufferedBytes).whenComplete((bytes, failure) -> {
+		this.body.buffer().whenComplete((bytes, failure) -> {
 			if (failure != null) {
-				completeWithProblem(Problem.notRun(413, "The request body was not received whole, or exceeds "
-						+ maximumBufferedBytes + " bytes; mark the route as upload for larger ones.", 0));
+				completeWithProblem(Problem.notRun(413,
+						"The request body was not received whole, or exceeds "
+								+ this.context.settings().limits().requestBufferBytes()
+								+ " bytes; mark the route as upload for larger ones.",
+						0));
 				return;
 			}
-			this.body = bytes;
 			onRequestReady();
 		});
 	}
@@ -286,7 +280,7 @@
 		if (isCompleted()) {
 			return;
 		}
-		if (isBodyRead()
+		if (this.body.isRead()
 				&& this.request.getConnectionMetaData().getConnection().getEndPoint() instanceof CallerEndPoint endPoint
 				&& endPoint.isClosedByCaller()) {
 			onCallerDisconnected(new EofException("The caller closed the connection."));
@@ -295,14 +289,6 @@
 		schedule(CALLER_CHECK_INTERVAL_MILLIS, this::checkCallerConnection);
 	}
 
-	private boolean isBodyRead() {
-		return !hasBody() || this.body != null;
-	}
-
-	private boolean hasBody() {
-		return this.request.getLength() > 0 || this.request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
-	}
-
 	/**
 	 * Sends the request to an upstream.
 	 * @param upstream the name of the upstream
@@ -323,17 +309,7 @@
 				this.context.settings().instance() + '-' + this.requestNumber + '-' + kind);
 		prepareRequest(attemptRequest, new HttpDialect.AttemptDetails(requestId, remainingMillis(), upstream));
 		int maximumBufferedBytes = this.context.settings().limits().responseBufferBytes();
-		eventLog.information("attempt")
-			.with("request", loggedRequestId())
-			.with("number", this.requestNumber)
-			.with("service", this.route.service())
-			.with("upstream", upstream)
-			.with("kind", kind)
-			.with("relay", (relay != null) ? relay : "none")
-			.with("digest", digest())
-			.with("revision", this.rulesRevision)
-			.with("remaining-millis", remainingMillis())
-			.write();
+		this.log.attempt(upstream, kind, relay);
 		Attempt attempt = new Attempt(upstream, address, attemptRequest, dialect, requestId, maximumBufferedBytes,
 				useNewConnection, this);
 		synchronized (this) {
@@ -354,15 +330,8 @@
 		});
 		if (isBodyStreamed()) {
 			attemptRequest.idleTimeout(this.route.timeout().toMillis(), TimeUnit.MILLISECONDS);
-			attemptRequest.body(new ContentSourceRequestContent(this.request, contentType()));
-		}
-		else if (this.body != null) {
-			attemptRequest.body(new BytesRequestContent(contentType(), this.body));
 		}
-	}
-
-	private @Nullable String contentType() {
-		return this.request.getHeaders().get(HttpHeader.CONTENT_TYPE);
+		attemptRequest.body(this.body.toContent());
 	}
 
 	@Override
@@ -396,24 +365,13 @@
 		if (!tryComplete()) {
 			return;
 		}
-		logForwardedResponse(attempt, upstreamResponse.getStatus(), "whole");
+		this.log.responseForwarded(attempt, upstreamResponse.getStatus(), "whole");
 		onResponseSelected(upstreamResponse, content);
 		abortOtherAttempts(attempt);
 		copyResponseHead(upstreamResponse);
 		this.response.write(true, ByteBuffer.wrap(content), this.callback);
 	}
 
-	private void logForwardedResponse(Attempt attempt, int status, String form) {
-		eventLog.information("response-forwarded")
-			.with("request", loggedRequestId())
-			.with("service", this.route.service())
-			.with("upstream", attempt.upstreamName())
-			.with("status", status)
-			.with("form", form)
-			.with("elapsed-millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
-			.write();
-	}
-
 	private void copyResponseHead(org.eclipse.jetty.client.Response upstreamResponse) {
 		this.response.setStatus(upstreamResponse.getStatus());
 		EndToEndHeaders.copyResponseHeaders(this.context.dialect(), upstreamResponse.getHeaders(),
@@ -444,7 +402,7 @@
 		if (!tryComplete()) {
 			return;
 		}
-		logForwardedResponse(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
+		this.log.responseForwarded(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
 		if (complete) {
 			this.response.write(true, ByteBuffer.allocate(0), this.callback);
 		}
@@ -466,14 +424,7 @@
 			closeIfCompleted();
 			return;
 		}
-		eventLog.information("attempt-failed")
-			.with("request", loggedRequestId())
-			.with("upstream", attempt.upstreamName())
-			.with("outcome", failure)
-			.with("connection-lost", attempt.isConnectionLost())
-			.with("digest", digest())
-			.with("cause", cause.getMessage())
-			.write();
+		this.log.attemptFailed(attempt, failure, cause);
 		if (!recordFailure(failure)) {
 			onAttemptFailed(attempt, failure);
 		}
@@ -549,7 +500,7 @@
 
 	private void onCallerDisconnected(Throwable cause) {
 		if (tryComplete()) {
-			eventLog.information("caller-disconnected").with("request", loggedRequestId()).with("cause", cause).write();
+			this.log.callerDisconnected(cause);
 			abortOtherAttempts(null);
 			this.callback.failed(cause);
 		}
@@ -557,15 +508,7 @@
 
 	protected final void completeWithProblem(Problem problem) {
 		if (tryComplete()) {
-			eventLog.information("problem-response")
-				.with("request", loggedRequestId())
-				.with("service", this.route.service())
-				.with("status", problem.status())
-				.with("outcome", problem.outcome().wireName())
-				.with("title", problem.title())
-				.with("revision", this.rulesRevision)
-				.with("elapsed-millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
-				.write();
+			this.log.problemResponse(problem);
 			abortOtherAttempts(null);
 			problem.write(this.context.dialect(), this.response, this.callback);
 		}
