Check the key of a request on arrival and before each attempt

Requests with unknown keys ran, and the key reached the upstream as any other header.

The names of these headers are those of the dialect. Equal requests of two workspaces have different digests and fingerprints. Refusals are logged as key-refused, with eight digits of the key's digest, and counted by reason and stage.

The view of the cluster named a new revision before the listeners routed by it. The age of the new rules would have counted for the former ones while they were parsed. The view keeps the former revision and age until then, and a revision that could not be parsed has no known age.

Without workspaces no header is read or left out and digests are the same: KeyCheckTests.earlierRulesRequireNoKeysWhateverTheirAge, EndToEndHeadersTests, RequestDigestTests.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -20,6 +20,7 @@
 import org.radishthread.daemon.extension.DaemonExtension;
 import org.radishthread.daemon.extension.ExtensionContext;
 import org.radishthread.daemon.extension.ExtensionLoader;
+import org.radishthread.daemon.gateway.CallerKeys;
 import org.radishthread.daemon.gateway.ClaimService;
 import org.radishthread.daemon.gateway.CrashExchange;
 import org.radishthread.daemon.gateway.DefaultHttpDialect;
@@ -133,13 +134,20 @@
 		return new SlotService(settings, transport, cluster, routing, time);
 	}
 
+	@Provides
+	@Singleton
+	static CallerKeys callerKeys(ClusterService cluster, RoutingService routing, HttpDialect dialect, TimeSource time,
+			MeterRegistry meters) {
+		return new CallerKeys(cluster, routing, dialect, time, meters);
+	}
+
 	@Provides
 	@Singleton
 	static GatewayContext gatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients,
-			ControlClient controlClient, SlotService slots, HttpDialect dialect, TimeSource time,
+			ControlClient controlClient, SlotService slots, CallerKeys keys, HttpDialect dialect, TimeSource time,
 			MeterRegistry meters) {
-		return new GatewayContext(settings, routing, clients, new ClaimService(settings, controlClient), slots, dialect,
-				time, meters);
+		return new GatewayContext(settings, routing, clients, new ClaimService(settings, controlClient), slots, keys,
+				dialect, time, meters);
 	}
 
 	@Provides
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -203,9 +203,11 @@
 		if (state != this.view.state()) {
 			logStateChange(state, nowMillis);
 		}
-		this.view = new ClusterView(state, nowMillis,
+		ClusterView newView = new ClusterView(state, nowMillis,
 				instances.equals(previousInstances) ? previousInstances : instances, this.membership.appliedRules(),
 				this.membership.hasConfirmedRules(), this.membership.rulesCurrentAtMillis());
+		// Others take the rules of the view for those by which requests are routed.
+		this.view = (effects.rules() != null) ? newView.withRulesOf(this.view) : newView;
 		if (effects.resumedFromFreeze()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
 			this.transport.closeInboundConnections();
@@ -226,6 +228,7 @@
 			RuleFile rules = effects.rules();
 			eventLog.information("rules-applied").with("revision", rules.getRevision()).write();
 			this.listeners.forEach((listener) -> listener.rulesChanged(rules));
+			this.view = newView;
 		}
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.radishthread.kernel.Freshness;
 import org.radishthread.membership.InstanceView;
 import org.radishthread.membership.ServingState;
 import org.radishthread.protocol.RuleFile;
@@ -26,6 +27,11 @@
 	 */
 	public static final long MAXIMUM_AGE_MILLIS = 2_000;
 
+	ClusterView withRulesOf(ClusterView former) {
+		return new ClusterView(this.state, this.createdAtMillis, this.instances, former.rules, former.rulesConfirmed,
+				former.rulesCurrentAtMillis);
+	}
+
 	/**
 	 * Returns whether this instance applies every revision that must be in force by now.
 	 * @param nowMillis the monotonic time, in milliseconds
@@ -37,6 +43,19 @@
 		return hasRules() && nowMillis - this.rulesCurrentAtMillis <= rulesApplyMillis;
 	}
 
+	/**
+	 * Returns the time since the rules of a revision were last known to be the newest
+	 * accepted ones.
+	 * @param revision the revision by which requests are routed
+	 * @param nowMillis the monotonic time, in milliseconds
+	 * @return the time, in milliseconds, very high if that is not known or a newer
+	 * revision was accepted
+	 */
+	public long rulesAgeMillis(long revision, long nowMillis) {
+		long currentAtMillis = (revision < this.rules.getRevision()) ? Freshness.UNKNOWN : this.rulesCurrentAtMillis;
+		return nowMillis - currentAtMillis;
+	}
+
 	/**
 	 * Returns whether this instance applies any rules.
 	 * @return whether the revision is greater than zero
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -18,6 +18,7 @@
 
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptFailure;
+import org.radishthread.rules.KeyDecision;
 import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.WorkspaceRule;
 
@@ -40,7 +41,7 @@
 
 	private final RouteRule route;
 
-	private final @Nullable WorkspaceRule workspace;
+	private final KeyDecision keyDecision;
 
 	private final Request request;
 
@@ -78,11 +79,11 @@
 
 	private boolean completed;
 
-	protected AbstractExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace,
-			Request request, Response response, Callback callback) {
+	protected AbstractExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision, Request request,
+			Response response, Callback callback) {
 		this.context = context;
 		this.route = route;
-		this.workspace = workspace;
+		this.keyDecision = keyDecision;
 		this.request = request;
 		this.response = response;
 		this.callback = callback;
@@ -164,7 +165,12 @@
 
 	// The workspace of the caller as of the arrival of the request, or null for none.
 	protected final @Nullable WorkspaceRule workspace() {
-		return this.workspace;
+		return this.keyDecision.workspace();
+	}
+
+	protected final @Nullable String workspaceName() {
+		WorkspaceRule workspace = workspace();
+		return (workspace != null) ? workspace.name() : null;
 	}
 
 	protected final Request request() {
@@ -228,8 +234,9 @@
 		String path = this.request.getHttpURI().getPathQuery();
 		HttpFields headers = this.request.getHeaders();
 		return isBodyStreamed()
-				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, headers, this.request.getLength())
-				: RequestDigest.of(this.request.getMethod(), knownHost, path, headers, body());
+				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, headers, workspaceName(),
+						this.request.getLength())
+				: RequestDigest.of(this.request.getMethod(), knownHost, path, headers, workspaceName(), body());
 	}
 
 	private long timeoutMillis() {
@@ -295,19 +302,23 @@
 	 * @param address the address of the upstream
 	 * @param kind the wire name of the {@link org.radishthread.routing.AttemptKind}
 	 * @param useNewConnection whether to open a connection for the attempt
+	 * @param currentKeyDecision the check of the caller's key right before this call
 	 * @param relay the peer address of the instance that relays the attempt, or
 	 * {@code null} for none
 	 * @return whether it was sent; if not, the request is already completed
 	 */
 	protected final boolean sendAttempt(String upstream, NetworkAddress address, String kind, boolean useNewConnection,
-			@Nullable String relay) {
+			KeyDecision currentKeyDecision, @Nullable String relay) {
 		org.eclipse.jetty.client.Request attemptRequest = (relay != null)
 				? this.context.clients().relayedRequest(address, useNewConnection, relay)
 				: this.context.clients().request(address, useNewConnection);
 		HttpDialect dialect = this.context.dialect();
 		String requestId = dialect.requestId(this.request.getHeaders(),
 				this.context.settings().instance() + '-' + this.requestNumber + '-' + kind);
-		prepareRequest(attemptRequest, new HttpDialect.AttemptDetails(requestId, remainingMillis(), upstream));
+		WorkspaceRule currentWorkspace = currentKeyDecision.workspace();
+		String workspaceName = (currentWorkspace != null) ? currentWorkspace.name() : null;
+		prepareRequest(attemptRequest, currentKeyDecision,
+				new HttpDialect.AttemptDetails(requestId, remainingMillis(), upstream, workspaceName));
 		int maximumBufferedBytes = this.context.settings().limits().responseBufferBytes();
 		this.log.attempt(upstream, kind, relay);
 		Attempt attempt = new Attempt(upstream, address, attemptRequest, dialect, requestId, maximumBufferedBytes,
@@ -322,10 +333,14 @@
 		return true;
 	}
 
-	private void prepareRequest(org.eclipse.jetty.client.Request attemptRequest, HttpDialect.AttemptDetails details) {
+	private void prepareRequest(org.eclipse.jetty.client.Request attemptRequest, KeyDecision currentKeyDecision,
+			HttpDialect.AttemptDetails details) {
+		boolean includeWorkspaceHeaders = !this.keyDecision.outcome().replacesCallerHeaders()
+				&& !currentKeyDecision.outcome().replacesCallerHeaders();
 		attemptRequest.method(this.request.getMethod()).path(this.request.getHttpURI().getPathQuery());
 		attemptRequest.headers((headers) -> {
-			EndToEndHeaders.copyRequestHeaders(this.context.dialect(), this.request.getHeaders(), headers);
+			EndToEndHeaders.copyRequestHeaders(this.context.dialect(), includeWorkspaceHeaders,
+					this.request.getHeaders(), headers);
 			this.context.dialect().addAttemptHeaders(headers, details);
 		});
 		if (isBodyStreamed()) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
@@ -1,5 +1,6 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
@@ -18,6 +19,9 @@
 	private static final Set<String> REPLACED_REQUEST_HEADERS = Set.of(lowerCase(RadishthreadHeader.DEADLINE),
 			lowerCase(RadishthreadHeader.REQUEST));
 
+	private static final Set<String> WORKSPACE_REQUEST_HEADERS = Set.of(lowerCase(RadishthreadHeader.CALLER_KEY),
+			lowerCase(RadishthreadHeader.WORKSPACE));
+
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	private static String lowerCase(String name) {
@@ -34,10 +38,23 @@
 		return requestHeaders.get(RadishthreadHeader.DEADLINE);
 	}
 
+	@Override
+	public List<String> callerKeys(HttpFields requestHeaders) {
+		return requestHeaders.getValuesList(RadishthreadHeader.CALLER_KEY);
+	}
+
+	@Override
+	public boolean isWorkspaceRequestHeader(String name) {
+		return WORKSPACE_REQUEST_HEADERS.contains(name);
+	}
+
 	@Override
 	public void addAttemptHeaders(HttpFields.Mutable headers, AttemptDetails attempt) {
 		headers.put(RadishthreadHeader.REQUEST, String.valueOf(attempt.requestId()));
 		headers.put(RadishthreadHeader.DEADLINE, Math.max(1, attempt.remainingMillis()));
+		if (attempt.workspaceName() != null) {
+			headers.put(RadishthreadHeader.WORKSPACE, attempt.workspaceName());
+		}
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/EndToEndHeaders.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/EndToEndHeaders.java
@@ -24,8 +24,10 @@
 	private EndToEndHeaders() {
 	}
 
-	static void copyRequestHeaders(HttpDialect dialect, HttpFields source, HttpFields.Mutable target) {
-		copy(source, target, dialect::isReplacedRequestHeader);
+	static void copyRequestHeaders(HttpDialect dialect, boolean includeWorkspaceHeaders, HttpFields source,
+			HttpFields.Mutable target) {
+		copy(source, target, (name) -> dialect.isReplacedRequestHeader(name)
+				|| (!includeWorkspaceHeaders && dialect.isWorkspaceRequestHeader(name)));
 	}
 
 	static void copyResponseHeaders(HttpDialect dialect, HttpFields source, HttpFields.Mutable target) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
@@ -28,6 +28,8 @@
 
 	private final SlotService slots;
 
+	private final CallerKeys keys;
+
 	private final HttpDialect dialect;
 
 	private final TimeSource time;
@@ -41,12 +43,13 @@
 	private final ScheduledThreadPoolExecutor scheduler;
 
 	public GatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients, ClaimService claims,
-			SlotService slots, HttpDialect dialect, TimeSource time, MeterRegistry meters) {
+			SlotService slots, CallerKeys keys, HttpDialect dialect, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
 		this.routing = routing;
 		this.clients = clients;
 		this.claims = claims;
 		this.slots = slots;
+		this.keys = keys;
 		this.dialect = dialect;
 		this.time = time;
 		this.meters = meters;
@@ -74,6 +77,10 @@
 		return this.claims;
 	}
 
+	CallerKeys keys() {
+		return this.keys;
+	}
+
 	HttpDialect dialect() {
 		return this.dialect;
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -9,11 +9,14 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.membership.ServingState;
 import org.radishthread.routing.RetryAfter;
+import org.radishthread.rules.KeyDecision;
+import org.radishthread.rules.KeyOutcome;
 import org.radishthread.rules.RouteRule;
 
 /**
@@ -30,6 +33,9 @@
 	// About the time until a starting instance has received rules and upstreams.
 	private static final long STARTING_RETRY_AFTER_MILLIS = 500;
 
+	// Short, because other instances may know the newest keys.
+	private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 100;
+
 	private final GatewayContext context;
 
 	private final ClusterService cluster;
@@ -83,10 +89,25 @@
 					countingCallback);
 			return true;
 		}
-		new RoutedExchange(this.context, route.get(), null, request, response, countingCallback).start();
+		KeyDecision keyDecision = this.context.keys()
+			.check(route.get(), request.getHeaders(), requestId(request), CallerKeys.Stage.ARRIVAL);
+		if (keyDecision.outcome().isRefusal()) {
+			refuse(request, toProblem(request, keyDecision.outcome()), response, countingCallback);
+			return true;
+		}
+		new RoutedExchange(this.context, route.get(), keyDecision, request, response, countingCallback).start();
 		return true;
 	}
 
+	private Problem toProblem(Request request, KeyOutcome outcome) {
+		long retryAfterMillis = outcome.isTemporary() ? retryAfterMillis(request, UNCONFIRMED_RETRY_AFTER_MILLIS) : 0;
+		return Problem.notRun(outcome.httpStatus(), outcome.title(), retryAfterMillis);
+	}
+
+	private @Nullable String requestId(Request request) {
+		return this.context.dialect().requestId(request.getHeaders(), "unnamed");
+	}
+
 	private long retryAfterMillis(Request request, long earliestMillis) {
 		long remainingMillis = CallerTimeout.remainingMillis(this.context.dialect(), request.getHeaders())
 			.orElse(Long.MAX_VALUE);
@@ -100,7 +121,7 @@
 
 	private void refuse(Request request, Problem problem, Response response, Callback callback) {
 		eventLog.information("request-refused")
-			.with("request", this.context.dialect().requestId(request.getHeaders(), "unnamed"))
+			.with("request", requestId(request))
 			.with("status", problem.status())
 			.with("title", problem.title())
 			.with("revision", this.context.routing().revision())
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
@@ -1,5 +1,7 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.List;
+
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 
@@ -29,6 +31,22 @@
 	 */
 	@Nullable String remainingMillisHeader(HttpFields requestHeaders);
 
+	/**
+	 * Returns the keys by which a caller identifies its workspace. They are credentials
+	 * and must not be logged.
+	 * @param requestHeaders the headers of the caller's request
+	 * @return the value of each header for keys, as the caller wrote it
+	 */
+	List<String> callerKeys(HttpFields requestHeaders);
+
+	/**
+	 * Returns whether a request header contains a key or the name of a workspace. Where
+	 * the rules have workspaces, those of the caller are not forwarded.
+	 * @param name the name of the header in lower case
+	 * @return whether to leave the header out of the request to the upstream
+	 */
+	boolean isWorkspaceRequestHeader(String name);
+
 	/**
 	 * Adds the headers that describe an attempt to an upstream.
 	 * @param headers the headers of the attempt, without replaced request headers
@@ -105,8 +123,11 @@
 	 * @param requestId the id of the request, or {@code null} if it has none
 	 * @param remainingMillis the time that remains until the deadline, in milliseconds
 	 * @param upstreamName the name of the upstream that the attempt is sent to
+	 * @param workspaceName the name of the workspace of the caller, or {@code null} for
+	 * none
 	 */
-	record AttemptDetails(@Nullable String requestId, long remainingMillis, String upstreamName) {
+	record AttemptDetails(@Nullable String requestId, long remainingMillis, String upstreamName,
+			@Nullable String workspaceName) {
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RadishthreadHeader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RadishthreadHeader.java
@@ -31,6 +31,16 @@
 	 */
 	static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
+	/**
+	 * Key by which a caller identifies its workspace.
+	 */
+	static final String CALLER_KEY = "Radishthread-Key";
+
+	/**
+	 * Name of the caller's workspace, sent to the upstream.
+	 */
+	static final String WORKSPACE = "Radishthread-Workspace";
+
 	private RadishthreadHeader() {
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -1,6 +1,7 @@
 package org.radishthread.daemon.gateway;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -19,12 +20,14 @@
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.routing.AttemptKind;
 import org.radishthread.routing.LoadReport;
+import org.radishthread.routing.RetryAfter;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Urgency;
+import org.radishthread.rules.KeyDecision;
+import org.radishthread.rules.KeyOutcome;
 import org.radishthread.rules.RouteLimits;
 import org.radishthread.rules.RouteRule;
-import org.radishthread.rules.WorkspaceRule;
 
 /**
  * Exchange that claims a once-only request, asks a {@link RequestRouter} for upstreams
@@ -37,13 +40,16 @@
 
 	private static final long HEDGE_RETRY_INTERVAL_MILLIS = 100;
 
+	// Short, because other instances may know the newest keys.
+	private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 100;
+
 	private final RequestRouter router;
 
 	private @Nullable Claim claim;
 
-	RoutedExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace, Request request,
-			Response response, Callback callback) {
-		super(context, route, workspace, request, response, callback);
+	RoutedExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision, Request request, Response response,
+			Callback callback) {
+		super(context, route, keyDecision, request, response, callback);
 		this.router = context.router(route.service());
 	}
 
@@ -80,19 +86,15 @@
 		RouteLimits limits = route().limits();
 		return new RoutingRequest(requestNumber(), caller(), route().mode().mayRepeat(), deadlineNanos(), "",
 				new Urgency(limits.priority(), startedNanos() + limits.objective().toNanos()), limits.maximumAttempts(),
-				"", digest(), workspaceName());
-	}
-
-	private String workspaceName() {
-		WorkspaceRule workspace = workspace();
-		return (workspace != null) ? workspace.name() : "";
+				"", digest(), Objects.requireNonNullElse(workspaceName(), ""));
 	}
 
 	private byte[] fingerprint() {
 		byte[] content = body();
 		String bodyText = (content != null) ? ByteString.copyFrom(content).toString(StandardCharsets.ISO_8859_1) : "";
+		String workspaceLine = (workspaceName() != null) ? workspaceName() + '\n' : "";
 		return Sha256.of(request().getMethod() + '\n' + request().getHttpURI().getPathQuery() + '\n'
-				+ request().getHeaders().get(HttpHeader.AUTHORIZATION) + '\n' + bodyText);
+				+ request().getHeaders().get(HttpHeader.AUTHORIZATION) + '\n' + workspaceLine + bodyText);
 	}
 
 	private void onClaimAnswer(Claim newClaim, ClaimAnswer claimAnswer) {
@@ -104,7 +106,15 @@
 			.write();
 		switch (claimAnswer.getVerdict()) {
 			case GRANTED -> onClaimGranted(newClaim);
-			case COMPLETED -> replay(claimAnswer.getAnswer());
+			case COMPLETED -> {
+				KeyDecision keyDecision = checkKey(CallerKeys.Stage.REPLAY);
+				if (keyDecision.outcome().isRefusal()) {
+					refuse(keyDecision.outcome());
+				}
+				else {
+					replay(claimAnswer.getAnswer());
+				}
+			}
 			case HELD -> completeWithProblem(
 					Problem.unknown(409, "The request with this key is under way, or it is unknown whether it ran.",
 							DEFAULT_RETRY_AFTER_MILLIS));
@@ -141,8 +151,27 @@
 		});
 	}
 
+	private KeyDecision checkKey(CallerKeys.Stage stage) {
+		return context().keys().check(route(), request().getHeaders(), loggedRequestId(), stage);
+	}
+
+	private void refuse(KeyOutcome outcome) {
+		long retryAfterMillis = outcome.isTemporary()
+				? RetryAfter.delayMillis(UNCONFIRMED_RETRY_AFTER_MILLIS, remainingMillis(), requestNumber()) : 0;
+		completeUnsuccessfully(outcome.title(), retryAfterMillis, outcome.httpStatus());
+	}
+
 	@Override
 	public void onDispatch(RoutingEffect.Dispatch dispatch) {
+		KeyDecision keyDecision = checkKey(CallerKeys.Stage.DISPATCH);
+		if (keyDecision.outcome().isRefusal()) {
+			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
+					AttemptCompletion.CANCELLED.result(), null);
+			if (activeAttemptCount() == 0) {
+				refuse(keyDecision.outcome());
+			}
+			return;
+		}
 		LoadReport constraint = context().routing().findConstraint(dispatch);
 		if (constraint != null) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
@@ -154,7 +183,7 @@
 		}
 		boolean useNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST;
 		NetworkAddress address = NetworkAddress.parse(dispatch.upstream().address());
-		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection,
+		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection, keyDecision,
 				dispatch.relay())) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
 					AttemptCompletion.CANCELLED.result(), null);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -26,6 +26,8 @@
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Upstream;
 import org.radishthread.routing.UpstreamConstraints;
+import org.radishthread.rules.KeyCheck;
+import org.radishthread.rules.KeyLimits;
 import org.radishthread.rules.RouteFinder;
 import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.RuleParser;
@@ -69,14 +71,22 @@
 
 	private volatile RouteFinder routes = RuleSet.EMPTY.toRouteFinder();
 
+	private volatile KeyCheck keyCheck;
+
 	public RoutingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
 			CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
+		this.keyCheck = new KeyCheck(RuleSet.EMPTY, keyLimits());
 		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
 	}
 
+	private KeyLimits keyLimits() {
+		return new KeyLimits(this.settings.keys().failClosed(), this.settings.keys().revokeMillis(),
+				this.settings.limits().rulesApplyMillis());
+	}
+
 	@Override
 	public String name() {
 		return NAME;
@@ -92,6 +102,11 @@
 		return this.rules.revision();
 	}
 
+	// The check of callers' keys by the rules in force.
+	KeyCheck keyCheck() {
+		return this.keyCheck;
+	}
+
 	/**
 	 * Returns the route of a request. If the route splits its requests among several
 	 * services, one of them is selected.
@@ -175,6 +190,7 @@
 	public void rulesChanged(RuleFile file) {
 		try {
 			RuleSet parsedRules = RuleParser.parse("revision-" + file.getRevision(), file.getContent());
+			this.keyCheck = new KeyCheck(parsedRules, keyLimits());
 			this.rules = parsedRules;
 			this.routes = parsedRules.toRouteFinder();
 			this.routers.forEach((service, router) -> router.updateRule(parsedRules.serviceRule(service)));
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
+import org.radishthread.kernel.Freshness;
 import org.radishthread.membership.ServingState;
 import org.radishthread.protocol.RuleFile;
 
@@ -35,6 +36,24 @@
 		assertThat(view(1, NOW_MILLIS - APPLY_MILLIS).hasAllRulesInForce(NOW_MILLIS, APPLY_MILLIS)).isTrue();
 	}
 
+	// Guards against a withdrawn key that is accepted because the age of newer rules is
+	// taken for that of the rules by which the request is routed.
+	@Test
+	void ageOfRulesCountsOnlyForTheRevisionInUse() {
+		assertThat(view(7, NOW_MILLIS - 300).rulesAgeMillis(7, NOW_MILLIS)).isEqualTo(300);
+		assertThat(view(7, NOW_MILLIS - 300).rulesAgeMillis(8, NOW_MILLIS)).isEqualTo(300);
+		assertThat(view(7, NOW_MILLIS - 300).rulesAgeMillis(6, NOW_MILLIS)).isGreaterThan(3_600_000);
+		assertThat(view(0, Freshness.UNKNOWN).rulesAgeMillis(0, NOW_MILLIS)).isGreaterThan(3_600_000);
+	}
+
+	@Test
+	void rulesThatAreNotInUseYetAreNotPublished() {
+		ClusterView former = view(7, NOW_MILLIS - 900);
+		ClusterView published = view(8, NOW_MILLIS).withRulesOf(former);
+		assertThat(published.rulesAgeMillis(7, NOW_MILLIS)).isEqualTo(900);
+		assertThat(published.rules().getRevision()).isEqualTo(7);
+	}
+
 	@Test
 	void instanceWithoutRulesDoesNotKnowThem() {
 		assertThat(view(0, NOW_MILLIS).hasAllRulesInForce(NOW_MILLIS, APPLY_MILLIS)).isFalse();
