Check the key again when the connection of an attempt is available

Cause: between the dispatch of an attempt and its first byte lie a connection to open, or a handshake with a relay, and the process may be suspended in between; a key that was withdrawn meanwhile would still have been served. An attempt asks its exchange once more right before the first byte. If it may not be sent, it fails as not sent, and the retry is refused by the check at dispatch. Ruled out: the check there alone, because a refusal at dispatch leaves the upstream's slot and connection to others.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -95,10 +95,20 @@
 	}
 
 	void send() {
-		this.request.onRequestBegin((request) -> this.requestBegun = true);
+		this.request.onRequestBegin((request) -> begin());
 		this.request.send(this);
 	}
 
+	// Decided here too, because the connection may have been established slowly, or this
+	// process may have been suspended meanwhile.
+	private void begin() {
+		if (!this.listener.maySend(this)) {
+			abort(new GatewayException("The request may not be sent any more."));
+			return;
+		}
+		this.requestBegun = true;
+	}
+
 	void abort(Throwable cause) {
 		this.request.abort(cause);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
@@ -11,6 +11,14 @@
  */
 interface AttemptListener {
 
+	/**
+	 * Decides whether the request may still be sent. Called once a connection is
+	 * available, right before the first byte.
+	 * @param attempt the attempt
+	 * @return whether to send it; if not, the attempt fails as not sent
+	 */
+	boolean maySend(Attempt attempt);
+
 	/**
 	 * Handles a complete response that was buffered.
 	 * @param attempt the attempt
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerKeys.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerKeys.java
@@ -92,10 +92,15 @@
 		ARRIVAL("arrival"),
 
 		/**
-		 * Right before an attempt is sent.
+		 * When an attempt is dispatched to an upstream.
 		 */
 		DISPATCH("dispatch"),
 
+		/**
+		 * When a connection for an attempt is available.
+		 */
+		SEND("send"),
+
 		/**
 		 * Before the recorded response to an equal request is sent.
 		 */
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -204,6 +204,11 @@
 		schedule(HEDGE_RETRY_INTERVAL_MILLIS, this::hedge);
 	}
 
+	@Override
+	public boolean maySend(Attempt attempt) {
+		return !checkKey(CallerKeys.Stage.SEND).outcome().isRefusal();
+	}
+
 	@Override
 	public void onRefusal(RoutingEffect.Refusal refusal) {
 		completeUnsuccessfully("Not sent: " + refusal.reason().wireName() + ".", refusal.retryAfterMillis(),
