--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -84,6 +84,20 @@
 	@Nested
 	class Bounds {
 
+		// A deployment that states none of the bounds of a section leaves it empty.
+		@ParameterizedTest
+		@ValueSource(strings = { "retries", "keys", "allotments", "cold-starts" })
+		void sectionWithoutValuesHasTheDefaults(String section) throws IOException {
+			assertThat(read(VALID + section + ":\n  \n")).isEqualTo(read(VALID));
+		}
+
+		@Test
+		void keySettingsAreRead() throws IOException {
+			assertThat(read(VALID + "keys: {fail-closed: true, revoke-millis: 7000}\n").keys())
+				.isEqualTo(new DaemonSettings.KeySettings(true, 7_000));
+			assertThat(read(VALID).keys().failClosed()).isFalse();
+		}
+
 		@Test
 		void retryLimitsAreRead() throws IOException {
 			String retries = "retries: {ratio: 0.35, slack: 216, window-seconds: 15}\n";
