Keep refusals by keys from contradicting a run

Cause, by reading: a hedge that was refused for its key completed the request as not run if the first attempt had just ended and its response was about to be forwarded; and a withheld recorded response was answered 503, which states that the request did not run. A refused hedge is only given up now. Instead of a recorded response the caller gets 401 or 409 with the outcome "run".

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerKeys.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerKeys.java
@@ -21,6 +21,12 @@
  */
 public final class CallerKeys {
 
+	/**
+	 * Time after which a caller may retry if the rules of this instance are too old. It
+	 * is short, because other instances may know the newest ones.
+	 */
+	static final long RETRY_AFTER_MILLIS = 100;
+
 	private static final EventLog eventLog = EventLog.of(CallerKeys.class);
 
 	private static final int LOGGED_DIGEST_LENGTH = 8;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -33,9 +33,6 @@
 	// About the time until a starting instance has received rules and upstreams.
 	private static final long STARTING_RETRY_AFTER_MILLIS = 500;
 
-	// Short, because other instances may know the newest keys.
-	private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 100;
-
 	private final GatewayContext context;
 
 	private final ClusterService cluster;
@@ -100,7 +97,7 @@
 	}
 
 	private Problem toProblem(Request request, KeyOutcome outcome) {
-		long retryAfterMillis = outcome.isTemporary() ? retryAfterMillis(request, UNCONFIRMED_RETRY_AFTER_MILLIS) : 0;
+		long retryAfterMillis = outcome.isTemporary() ? retryAfterMillis(request, CallerKeys.RETRY_AFTER_MILLIS) : 0;
 		return Problem.notRun(outcome.httpStatus(), outcome.title(), retryAfterMillis);
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -6,6 +6,7 @@
 
 import com.google.protobuf.ByteString;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -40,9 +41,6 @@
 
 	private static final long HEDGE_RETRY_INTERVAL_MILLIS = 100;
 
-	// Short, because other instances may know the newest keys.
-	private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 100;
-
 	private final RequestRouter router;
 
 	private @Nullable Claim claim;
@@ -106,15 +104,7 @@
 			.write();
 		switch (claimAnswer.getVerdict()) {
 			case GRANTED -> onClaimGranted(newClaim);
-			case COMPLETED -> {
-				KeyDecision keyDecision = checkKey(CallerKeys.Stage.REPLAY);
-				if (keyDecision.outcome().isRefusal()) {
-					refuse(keyDecision.outcome());
-				}
-				else {
-					replay(claimAnswer.getAnswer());
-				}
-			}
+			case COMPLETED -> replay(claimAnswer.getAnswer());
 			case HELD -> completeWithProblem(
 					Problem.unknown(409, "The request with this key is under way, or it is unknown whether it ran.",
 							DEFAULT_RETRY_AFTER_MILLIS));
@@ -136,6 +126,14 @@
 	}
 
 	private void replay(RecordedAnswer recordedResponse) {
+		KeyOutcome keyOutcome = checkKey(CallerKeys.Stage.REPLAY).outcome();
+		if (keyOutcome.isRefusal()) {
+			// Not 503, which states that the request did not run.
+			int status = keyOutcome.isTemporary() ? HttpStatus.CONFLICT_409 : keyOutcome.httpStatus();
+			completeWithProblem(
+					new Problem(status, keyOutcome.title(), RequestOutcome.RUN, retryAfterMillis(keyOutcome)));
+			return;
+		}
 		if (!recordedResponse.getBodyKept()) {
 			completeWithProblem(
 					new Problem(409, "The request already ran; its answer was not kept.", RequestOutcome.RUN, 0));
@@ -155,10 +153,9 @@
 		return context().keys().check(route(), request().getHeaders(), loggedRequestId(), stage);
 	}
 
-	private void refuse(KeyOutcome outcome) {
-		long retryAfterMillis = outcome.isTemporary()
-				? RetryAfter.delayMillis(UNCONFIRMED_RETRY_AFTER_MILLIS, remainingMillis(), requestNumber()) : 0;
-		completeUnsuccessfully(outcome.title(), retryAfterMillis, outcome.httpStatus());
+	private long retryAfterMillis(KeyOutcome outcome) {
+		return outcome.isTemporary()
+				? RetryAfter.delayMillis(CallerKeys.RETRY_AFTER_MILLIS, remainingMillis(), requestNumber()) : 0;
 	}
 
 	@Override
@@ -167,8 +164,10 @@
 		if (keyDecision.outcome().isRefusal()) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
 					AttemptCompletion.CANCELLED.result(), null);
-			if (activeAttemptCount() == 0) {
-				refuse(keyDecision.outcome());
+			// Another attempt, or its response that is about to be forwarded, goes on.
+			if (dispatch.kind() != AttemptKind.HEDGE && activeAttemptCount() == 0) {
+				completeUnsuccessfully(keyDecision.outcome().title(), retryAfterMillis(keyDecision.outcome()),
+						keyDecision.outcome().httpStatus());
 			}
 			return;
 		}
