--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
@@ -9,9 +9,10 @@
 
 /**
  * Strategy for the HTTP headers by which callers, instances and upstreams exchange what
- * HTTP itself does not define: the id of a request, the time that remains for it, the
- * load of an upstream, and whether a request ran. Implementations are stateless and safe
- * for use by several threads. Header names are passed in lower case.
+ * HTTP itself does not define: the id of a request, the time that remains for it, the key
+ * and the workspace of its caller, the load of an upstream, and whether a request ran.
+ * Implementations are stateless and safe for use by several threads. Header names are
+ * passed in lower case.
  */
 public interface HttpDialect {
 
