--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -8,29 +8,25 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
-import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.ContentSourceRequestContent;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
-import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptFailure;
+import org.radishthread.rules.KeyDecision;
 import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.WorkspaceRule;
 
 /**
- * Base class for handling one request of a caller: it reads the body, sends attempts to
- * upstreams and completes the request with exactly one response, unless the caller
- * disconnects first. Subclasses choose the upstreams and decide what follows a failed
- * attempt. Safe for use by several threads.
+ * Base class for handling one request of a caller: it sends attempts to upstreams and
+ * completes the request with exactly one response, unless the caller disconnects first.
+ * Subclasses choose the upstreams and decide what follows a failed attempt. Safe for use
+ * by several threads.
  */
 abstract class AbstractExchange implements AttemptListener {
 
@@ -41,13 +37,11 @@
 
 	private static final long CALLER_CHECK_INTERVAL_MILLIS = 150;
 
-	private static final EventLog eventLog = EventLog.of(AbstractExchange.class);
-
 	private final GatewayContext context;
 
 	private final RouteRule route;
 
-	private final @Nullable WorkspaceRule workspace;
+	private final KeyDecision keyDecision;
 
 	private final Request request;
 
@@ -71,7 +65,9 @@
 
 	private final List<ScheduledFuture<?>> timers = new ArrayList<>();
 
-	private volatile byte @Nullable [] body;
+	private final CallerBody body;
+
+	private final ExchangeLog log;
 
 	private volatile @Nullable String digest;
 
@@ -83,20 +79,22 @@
 
 	private boolean completed;
 
-	protected AbstractExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace,
+	protected AbstractExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision,
 			ArrivedRequest arrived) {
 		this.context = context;
 		this.route = route;
-		this.workspace = workspace;
+		this.keyDecision = keyDecision;
 		this.request = arrived.request();
 		this.response = arrived.response();
 		this.callback = arrived.callback();
+		this.body = new CallerBody(this.request, route.mode(), context.settings().limits().requestBufferBytes());
 		this.requestNumber = context.nextRequestNumber();
 		this.rulesRevision = context.routing().revision();
 		this.startedNanos = arrived.arrivedNanos();
 		this.callerTimeoutMillis = CallerTimeout.remainingMillis(context.dialect(), this.request.getHeaders());
 		this.timeoutMillis = timeoutMillis();
 		this.deadlineNanos = this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis);
+		this.log = new ExchangeLog(this);
 	}
 
 	/**
@@ -167,7 +165,12 @@
 
 	// The workspace of the caller as of the arrival of the request, or null for none.
 	protected final @Nullable WorkspaceRule workspace() {
-		return this.workspace;
+		return this.keyDecision.workspace();
+	}
+
+	protected final @Nullable String workspaceName() {
+		WorkspaceRule workspace = workspace();
+		return (workspace != null) ? workspace.name() : null;
 	}
 
 	protected final Request request() {
@@ -179,7 +182,11 @@
 	}
 
 	protected final byte @Nullable [] body() {
-		return this.body;
+		return this.body.bytes();
+	}
+
+	protected final long rulesRevision() {
+		return this.rulesRevision;
 	}
 
 	protected final long deadlineNanos() {
@@ -227,8 +234,9 @@
 		String path = this.request.getHttpURI().getPathQuery();
 		HttpFields headers = this.request.getHeaders();
 		return isBodyStreamed()
-				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, headers, this.request.getLength())
-				: RequestDigest.of(this.request.getMethod(), knownHost, path, headers, this.body);
+				? RequestDigest.ofStreamed(this.request.getMethod(), knownHost, path, headers, workspaceName(),
+						this.request.getLength())
+				: RequestDigest.of(this.request.getMethod(), knownHost, path, headers, workspaceName(), body());
 	}
 
 	private long timeoutMillis() {
@@ -243,16 +251,8 @@
 				|| this.callerTimeoutMillis.isPresent();
 	}
 
-	/**
-	 * Returns whether the body is forwarded as it arrives, so that it can be sent only
-	 * once. A small body of an upload is buffered instead, so that it can be sent again
-	 * after an upstream declined the request.
-	 * @return whether the body is streamed
-	 */
 	protected final boolean isBodyStreamed() {
-		long length = this.request.getLength();
-		boolean fitsBuffer = length >= 0 && length <= this.context.settings().limits().requestBufferBytes();
-		return this.route.mode().isBodyStreamed() && !fitsBuffer;
+		return this.body.isStreamed();
 	}
 
 	protected final long remainingMillis() {
@@ -265,18 +265,19 @@
 			schedule(Math.max(0, remainingMillis()), this::onDeadlinePassed);
 		}
 		checkCallerConnection();
-		if (isBodyStreamed() || !hasBody()) {
+		if (!this.body.needsBuffering()) {
 			onRequestReady();
 			return;
 		}
-		int maximumBufferedBytes = this.context.settings().limits().requestBufferBytes();
-		Content.Source.asByteArrayAsync(this.request, maximumBufferedBytes).whenComplete((bytes, failure) -> {
+		this.body.buffer().whenComplete((bytes, failure) -> {
 			if (failure != null) {
-				completeWithProblem(Problem.notRun(413, "The request body was not received whole, or exceeds "
-						+ maximumBufferedBytes + " bytes; mark the route as upload for larger ones.", 0));
+				completeWithProblem(Problem.notRun(413,
+						"The request body was not received whole, or exceeds "
+								+ this.context.settings().limits().requestBufferBytes()
+								+ " bytes; mark the route as upload for larger ones.",
+						0));
 				return;
 			}
-			this.body = bytes;
 			onRequestReady();
 		});
 	}
@@ -286,7 +287,7 @@
 		if (isCompleted()) {
 			return;
 		}
-		if (isBodyRead()
+		if (this.body.isRead()
 				&& this.request.getConnectionMetaData().getConnection().getEndPoint() instanceof CallerEndPoint endPoint
 				&& endPoint.isClosedByCaller()) {
 			onCallerDisconnected(new EofException("The caller closed the connection."));
@@ -295,45 +296,31 @@
 		schedule(CALLER_CHECK_INTERVAL_MILLIS, this::checkCallerConnection);
 	}
 
-	private boolean isBodyRead() {
-		return !hasBody() || this.body != null;
-	}
-
-	private boolean hasBody() {
-		return this.request.getLength() > 0 || this.request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
-	}
-
 	/**
 	 * Sends the request to an upstream.
 	 * @param upstream the name of the upstream
 	 * @param address the address of the upstream
 	 * @param kind the wire name of the {@link org.radishthread.routing.AttemptKind}
 	 * @param useNewConnection whether to open a connection for the attempt
+	 * @param currentKeyDecision the check of the caller's key right before this call
 	 * @param relay the peer address of the instance that relays the attempt, or
 	 * {@code null} for none
 	 * @return whether it was sent; if not, the request is already completed
 	 */
 	protected final boolean sendAttempt(String upstream, NetworkAddress address, String kind, boolean useNewConnection,
-			@Nullable String relay) {
+			KeyDecision currentKeyDecision, @Nullable String relay) {
 		org.eclipse.jetty.client.Request attemptRequest = (relay != null)
 				? this.context.clients().relayedRequest(address, useNewConnection, relay)
 				: this.context.clients().request(address, useNewConnection);
 		HttpDialect dialect = this.context.dialect();
 		String requestId = dialect.requestId(this.request.getHeaders(),
 				this.context.settings().instance() + '-' + this.requestNumber + '-' + kind);
-		prepareRequest(attemptRequest, new HttpDialect.AttemptDetails(requestId, remainingMillis(), upstream));
+		WorkspaceRule currentWorkspace = currentKeyDecision.workspace();
+		String workspaceName = (currentWorkspace != null) ? currentWorkspace.name() : null;
+		prepareRequest(attemptRequest, currentKeyDecision,
+				new HttpDialect.AttemptDetails(requestId, remainingMillis(), upstream, workspaceName));
 		int maximumBufferedBytes = this.context.settings().limits().responseBufferBytes();
-		eventLog.information("attempt")
-			.with("request", loggedRequestId())
-			.with("number", this.requestNumber)
-			.with("service", this.route.service())
-			.with("upstream", upstream)
-			.with("kind", kind)
-			.with("relay", (relay != null) ? relay : "none")
-			.with("digest", digest())
-			.with("revision", this.rulesRevision)
-			.with("remaining-millis", remainingMillis())
-			.write();
+		this.log.attempt(upstream, kind, relay);
 		Attempt attempt = new Attempt(upstream, address, attemptRequest, dialect, requestId, maximumBufferedBytes,
 				useNewConnection, this);
 		synchronized (this) {
@@ -346,23 +333,20 @@
 		return true;
 	}
 
-	private void prepareRequest(org.eclipse.jetty.client.Request attemptRequest, HttpDialect.AttemptDetails details) {
+	private void prepareRequest(org.eclipse.jetty.client.Request attemptRequest, KeyDecision currentKeyDecision,
+			HttpDialect.AttemptDetails details) {
+		boolean includeWorkspaceHeaders = !this.keyDecision.outcome().replacesCallerHeaders()
+				&& !currentKeyDecision.outcome().replacesCallerHeaders();
 		attemptRequest.method(this.request.getMethod()).path(this.request.getHttpURI().getPathQuery());
 		attemptRequest.headers((headers) -> {
-			EndToEndHeaders.copyRequestHeaders(this.context.dialect(), this.request.getHeaders(), headers);
+			EndToEndHeaders.copyRequestHeaders(this.context.dialect(), includeWorkspaceHeaders,
+					this.request.getHeaders(), headers);
 			this.context.dialect().addAttemptHeaders(headers, details);
 		});
 		if (isBodyStreamed()) {
 			attemptRequest.idleTimeout(this.route.timeout().toMillis(), TimeUnit.MILLISECONDS);
-			attemptRequest.body(new ContentSourceRequestContent(this.request, contentType()));
-		}
-		else if (this.body != null) {
-			attemptRequest.body(new BytesRequestContent(contentType(), this.body));
 		}
-	}
-
-	private @Nullable String contentType() {
-		return this.request.getHeaders().get(HttpHeader.CONTENT_TYPE);
+		attemptRequest.body(this.body.toContent());
 	}
 
 	@Override
@@ -396,24 +380,13 @@
 		if (!tryComplete()) {
 			return;
 		}
-		logForwardedResponse(attempt, upstreamResponse.getStatus(), "whole");
+		this.log.responseForwarded(attempt, upstreamResponse.getStatus(), "whole");
 		onResponseSelected(upstreamResponse, content);
 		abortOtherAttempts(attempt);
 		copyResponseHead(upstreamResponse);
 		this.response.write(true, ByteBuffer.wrap(content), this.callback);
 	}
 
-	private void logForwardedResponse(Attempt attempt, int status, String form) {
-		eventLog.information("response-forwarded")
-			.with("request", loggedRequestId())
-			.with("service", this.route.service())
-			.with("upstream", attempt.upstreamName())
-			.with("status", status)
-			.with("form", form)
-			.with("elapsed-millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
-			.write();
-	}
-
 	private void copyResponseHead(org.eclipse.jetty.client.Response upstreamResponse) {
 		this.response.setStatus(upstreamResponse.getStatus());
 		EndToEndHeaders.copyResponseHeaders(this.context.dialect(), upstreamResponse.getHeaders(),
@@ -444,7 +417,7 @@
 		if (!tryComplete()) {
 			return;
 		}
-		logForwardedResponse(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
+		this.log.responseForwarded(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
 		if (complete) {
 			this.response.write(true, ByteBuffer.allocate(0), this.callback);
 		}
@@ -466,14 +439,7 @@
 			closeIfCompleted();
 			return;
 		}
-		eventLog.information("attempt-failed")
-			.with("request", loggedRequestId())
-			.with("upstream", attempt.upstreamName())
-			.with("outcome", failure)
-			.with("connection-lost", attempt.isConnectionLost())
-			.with("digest", digest())
-			.with("cause", cause.getMessage())
-			.write();
+		this.log.attemptFailed(attempt, failure, cause);
 		if (!recordFailure(failure)) {
 			onAttemptFailed(attempt, failure);
 		}
@@ -549,7 +515,7 @@
 
 	private void onCallerDisconnected(Throwable cause) {
 		if (tryComplete()) {
-			eventLog.information("caller-disconnected").with("request", loggedRequestId()).with("cause", cause).write();
+			this.log.callerDisconnected(cause);
 			abortOtherAttempts(null);
 			this.callback.failed(cause);
 		}
@@ -557,15 +523,7 @@
 
 	protected final void completeWithProblem(Problem problem) {
 		if (tryComplete()) {
-			eventLog.information("problem-response")
-				.with("request", loggedRequestId())
-				.with("service", this.route.service())
-				.with("status", problem.status())
-				.with("outcome", problem.outcome().wireName())
-				.with("title", problem.title())
-				.with("revision", this.rulesRevision)
-				.with("elapsed-millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
-				.write();
+			this.log.problemResponse(problem);
 			abortOtherAttempts(null);
 			problem.write(this.context.dialect(), this.response, this.callback);
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -12,11 +12,14 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.membership.ServingState;
 import org.radishthread.routing.RetryAfter;
+import org.radishthread.rules.KeyDecision;
+import org.radishthread.rules.KeyOutcome;
 import org.radishthread.rules.RouteRule;
 
 /**
@@ -154,7 +157,22 @@
 			refuse(arrived, Problem.notRun(HttpStatus.NOT_FOUND_404, "No rule matches this request.", 0));
 			return;
 		}
-		new RoutedExchange(this.context, route.get(), null, arrived).start();
+		KeyDecision keyDecision = this.context.keys()
+			.check(route.get(), request.getHeaders(), requestId(request), CallerKeys.Stage.ARRIVAL);
+		if (keyDecision.outcome().isRefusal()) {
+			refuse(arrived, toProblem(request, keyDecision.outcome()));
+			return;
+		}
+		new RoutedExchange(this.context, route.get(), keyDecision, arrived).start();
+	}
+
+	private Problem toProblem(Request request, KeyOutcome outcome) {
+		long retryAfterMillis = outcome.isTemporary() ? retryAfterMillis(request, CallerKeys.RETRY_AFTER_MILLIS) : 0;
+		return Problem.notRun(outcome.httpStatus(), outcome.title(), retryAfterMillis);
+	}
+
+	private @Nullable String requestId(Request request) {
+		return this.context.dialect().requestId(request.getHeaders(), "unnamed");
 	}
 
 	private long retryAfterMillis(Request request, long earliestMillis) {
@@ -170,7 +188,7 @@
 
 	private void refuse(ArrivedRequest arrived, Problem problem) {
 		eventLog.information("request-refused")
-			.with("request", this.context.dialect().requestId(arrived.request().getHeaders(), "unnamed"))
+			.with("request", requestId(arrived.request()))
 			.with("status", problem.status())
 			.with("title", problem.title())
 			.with("revision", this.context.routing().revision())
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -1,10 +1,12 @@
 package org.radishthread.daemon.gateway;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.gateway.ClaimService.Claim;
@@ -16,9 +18,12 @@
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.routing.AttemptKind;
 import org.radishthread.routing.LoadReport;
+import org.radishthread.routing.RetryAfter;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Urgency;
+import org.radishthread.rules.KeyDecision;
+import org.radishthread.rules.KeyOutcome;
 import org.radishthread.rules.RouteLimits;
 import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.WorkspaceRule;
@@ -38,8 +43,8 @@
 
 	private @Nullable Claim claim;
 
-	RoutedExchange(GatewayContext context, RouteRule route, @Nullable WorkspaceRule workspace, ArrivedRequest arrived) {
-		super(context, route, workspace, arrived);
+	RoutedExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision, ArrivedRequest arrived) {
+		super(context, route, keyDecision, arrived);
 		this.router = context.router(route.service());
 	}
 
@@ -76,7 +81,7 @@
 		RouteLimits limits = route().limits();
 		return new RoutingRequest(requestNumber(), caller(), route().mode().mayRepeat(), deadlineNanos(), "",
 				new Urgency(priority(), startedNanos() + limits.objective().toNanos()), limits.maximumAttempts(), "",
-				digest(), workspaceName());
+				digest(), Objects.requireNonNullElse(workspaceName(), ""));
 	}
 
 	// Without workspaces the priorities of routes are compared as they are.
@@ -85,16 +90,12 @@
 		return context().routing().requiresKeys() ? WorkspaceRule.rank(workspace(), routePriority) : routePriority;
 	}
 
-	private String workspaceName() {
-		WorkspaceRule workspace = workspace();
-		return (workspace != null) ? workspace.name() : "";
-	}
-
 	private byte[] fingerprint() {
 		byte[] content = body();
 		String bodyText = (content != null) ? ByteString.copyFrom(content).toString(StandardCharsets.ISO_8859_1) : "";
+		String workspaceLine = (workspaceName() != null) ? workspaceName() + '\n' : "";
 		return Sha256.of(request().getMethod() + '\n' + request().getHttpURI().getPathQuery() + '\n'
-				+ request().getHeaders().get(HttpHeader.AUTHORIZATION) + '\n' + bodyText);
+				+ request().getHeaders().get(HttpHeader.AUTHORIZATION) + '\n' + workspaceLine + bodyText);
 	}
 
 	private void onClaimAnswer(Claim newClaim, ClaimAnswer claimAnswer) {
@@ -128,6 +129,14 @@
 	}
 
 	private void replay(RecordedAnswer recordedResponse) {
+		KeyOutcome keyOutcome = checkKey(CallerKeys.Stage.REPLAY).outcome();
+		if (keyOutcome.isRefusal()) {
+			// Not 503, which states that the request did not run.
+			int status = keyOutcome.isTemporary() ? HttpStatus.CONFLICT_409 : keyOutcome.httpStatus();
+			completeWithProblem(
+					new Problem(status, keyOutcome.title(), RequestOutcome.RUN, retryAfterMillis(keyOutcome)));
+			return;
+		}
 		if (!recordedResponse.getBodyKept()) {
 			completeWithProblem(
 					new Problem(409, "The request already ran; its answer was not kept.", RequestOutcome.RUN, 0));
@@ -143,8 +152,28 @@
 		});
 	}
 
+	private KeyDecision checkKey(CallerKeys.Stage stage) {
+		return context().keys().check(route(), request().getHeaders(), loggedRequestId(), stage);
+	}
+
+	private long retryAfterMillis(KeyOutcome outcome) {
+		return outcome.isTemporary()
+				? RetryAfter.delayMillis(CallerKeys.RETRY_AFTER_MILLIS, remainingMillis(), requestNumber()) : 0;
+	}
+
 	@Override
 	public void onDispatch(RoutingEffect.Dispatch dispatch) {
+		KeyDecision keyDecision = checkKey(CallerKeys.Stage.DISPATCH);
+		if (keyDecision.outcome().isRefusal()) {
+			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
+					AttemptCompletion.CANCELLED.result(), null);
+			// Another attempt, or its response that is about to be forwarded, goes on.
+			if (dispatch.kind() != AttemptKind.HEDGE && activeAttemptCount() == 0) {
+				completeUnsuccessfully(keyDecision.outcome().title(), retryAfterMillis(keyDecision.outcome()),
+						keyDecision.outcome().httpStatus());
+			}
+			return;
+		}
 		LoadReport constraint = context().routing().findConstraint(dispatch);
 		if (constraint != null) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
@@ -156,7 +185,7 @@
 		}
 		boolean useNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST;
 		NetworkAddress address = NetworkAddress.parse(dispatch.upstream().address());
-		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection,
+		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection, keyDecision,
 				dispatch.relay())) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
 					AttemptCompletion.CANCELLED.result(), null);
@@ -177,6 +206,11 @@
 		schedule(HEDGE_RETRY_INTERVAL_MILLIS, this::hedge);
 	}
 
+	@Override
+	public boolean maySend(Attempt attempt) {
+		return !checkKey(CallerKeys.Stage.SEND).outcome().isRefusal();
+	}
+
 	@Override
 	public void onRefusal(RoutingEffect.Refusal refusal) {
 		completeUnsuccessfully("Not sent: " + refusal.reason().wireName() + ".", refusal.retryAfterMillis(),
