Part the timing of rounds out of Membership

The interval between rounds and the timeouts that grow with it depend on the settings and the number of instances only; they are RoundTiming now. Behaviour is unchanged: the tests of membership, of the states of instances and of the start of a fleet pass as before (35 run).

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -56,10 +56,6 @@
 
 	private static final long FREEZE_THRESHOLD_MILLIS = 2_000;
 
-	// Four heartbeats, and the rounds of gossip that relay them. An acknowledgement does
-	// not wait for instances that are silent for longer, because it must not come late.
-	private static final long RESPONSIVE_PERIOD_MILLIS = 2_500;
-
 	private static final long JOIN_SYNCHRONIZATION_INTERVAL_MILLIS = 1_000;
 
 	// Frequent rounds let an instance that starts find the others sooner. The period is
@@ -74,10 +70,6 @@
 
 	private static final long SYNCHRONIZATION_INTERVAL_MILLIS = 10_000;
 
-	private static final int HEARTBEAT_BYTES_PER_INSTANCE = 13;
-
-	private static final int GOSSIP_MESSAGE_BASE_BYTES = 60;
-
 	private final MembershipSettings settings;
 
 	private List<String> seeds;
@@ -88,6 +80,8 @@
 
 	private final InstanceTable instances;
 
+	private final RoundTiming timing;
+
 	private final UpstreamRegistry upstreams;
 
 	private final AppliedRules rules = new AppliedRules();
@@ -153,6 +147,7 @@
 		this.selector = selector;
 		this.heartbeat = self.getIncarnation();
 		this.instances = new InstanceTable(self.getName());
+		this.timing = new RoundTiming(settings, this.instances);
 		this.upstreams = new UpstreamRegistry(self.getName());
 		this.instances.merge(self, 0);
 		this.reports = new GatewayReports(self, this.instances, settings.rulesApplyMillis());
@@ -233,7 +228,7 @@
 		List<String> gateways = this.responses.reportingAddresses(nowMillis);
 		if (!gateways.isEmpty()) {
 			Gossip update = this.responses.createUpdate(this.self, reportedRevision(), this.upstreams.stateDigest(),
-					nowMillis - failureTimeoutMillis());
+					nowMillis - this.timing.failureTimeoutMillis());
 			gateways.forEach((address) -> send(address, Envelope.newBuilder().setGossip(update)));
 		}
 	}
@@ -288,7 +283,7 @@
 		if (knowsSeedsOnly) {
 			return Math.min(FIRST_CONTACT_INTERVAL_MILLIS, this.reports.nextIntervalMillis());
 		}
-		return isStartingUp(nowMillis) ? STARTUP_INTERVAL_MILLIS : roundIntervalMillis();
+		return isStartingUp(nowMillis) ? STARTUP_INTERVAL_MILLIS : this.timing.roundIntervalMillis();
 	}
 
 	private void sendReports(long nowMillis) {
@@ -302,7 +297,7 @@
 		}
 		for (String address : targets) {
 			Gossip report = this.reports.createReport(address, this.self, this.heartbeat, reportedRevision(),
-					this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis());
+					this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis());
 			send(address, Envelope.newBuilder().setGossip(report));
 		}
 	}
@@ -312,32 +307,6 @@
 		return !hasRulesAndUpstreams && nowMillis - this.startMillis < STARTUP_PERIOD_MILLIS;
 	}
 
-	// With many instances the interval grows to limit the byte rate. Only heartbeats
-	// count towards the rate: if a burst of changes delayed heartbeats, live instances
-	// would seem lost, which would cause further changes.
-	private long roundIntervalMillis() {
-		long heartbeatBytes = GOSSIP_MESSAGE_BASE_BYTES
-				+ (long) HEARTBEAT_BYTES_PER_INSTANCE * this.instances.entries().size();
-		long bytesPerSecond = this.instances.hasControlInstance() ? this.settings.controlHeartbeatBytesPerSecond()
-				: this.settings.heartbeatBytesPerSecond();
-		long spacingMillis = this.settings.fanout() * heartbeatBytes * 1_000 / bytesPerSecond;
-		return Math.max(this.settings.gossipIntervalMillis(), spacingMillis);
-	}
-
-	// Timeouts grow with the interval between rounds, so that they always span the same
-	// number of heartbeats.
-	private long scaleToRoundInterval(long durationMillis) {
-		return durationMillis * roundIntervalMillis() / this.settings.gossipIntervalMillis();
-	}
-
-	private long failureTimeoutMillis() {
-		return scaleToRoundInterval(this.settings.failureTimeoutMillis());
-	}
-
-	private long isolationTimeoutMillis() {
-		return scaleToRoundInterval(this.settings.isolationTimeoutMillis());
-	}
-
 	/**
 	 * Detects that this process was suspended since the last call. All other instances
 	 * then count as lost until their next heartbeat, all leases restart, and the rules
@@ -365,7 +334,7 @@
 	}
 
 	private void expireLeases(long nowMillis) {
-		long sinceMillis = nowMillis - failureTimeoutMillis();
+		long sinceMillis = nowMillis - this.timing.failureTimeoutMillis();
 		// While no control instance is live, upstreams cannot renew their leases, so the
 		// leases of lost holders must not expire.
 		boolean controlInstanceLive = this.instances.entries()
@@ -380,7 +349,7 @@
 	private void removeLostInstances(long nowMillis) {
 		if (hasMajority(nowMillis)) {
 			this.instances.removeSilentSince(nowMillis - this.settings.removalTimeoutMillis());
-			this.instances.removeLeavingSilentSince(nowMillis - failureTimeoutMillis() * 2);
+			this.instances.removeLeavingSilentSince(nowMillis - this.timing.failureTimeoutMillis() * 2);
 		}
 	}
 
@@ -415,7 +384,7 @@
 		Gossip.Builder gossip = Gossip.newBuilder()
 			.setSender(this.self.getName())
 			.setSenderAddress(this.self.getPeerAddress());
-		long sinceMillis = this.lastClockReadingMillis - failureTimeoutMillis();
+		long sinceMillis = this.lastClockReadingMillis - this.timing.failureTimeoutMillis();
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
 			boolean included = this.revisedGateways.contains(entry.nameHash)
@@ -485,7 +454,7 @@
 
 	private void respondToReport(Gossip report, long nowMillis) {
 		Gossip.Builder response = this.responses.respond(report, this.self, reportedRevision(),
-				this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis(), nowMillis);
+				this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis(), nowMillis);
 		if (this.rulesConfirmed && report.getHeartbeatsCount() > 0) {
 			this.rulesFreshness.describe(response, report.getHeartbeats(0), nowMillis);
 		}
@@ -515,7 +484,7 @@
 		this.controlContacted = true;
 		response.getUpstreamsList().forEach((upstream) -> this.upstreams.merge(upstream, nowMillis));
 		String address = response.getSenderAddress();
-		if (this.reports.receive(response, nowMillis - failureTimeoutMillis(), nowMillis)
+		if (this.reports.receive(response, nowMillis - this.timing.failureTimeoutMillis(), nowMillis)
 				|| this.instances.find(response.getSender()) == null) {
 			requestInstances(address, nowMillis);
 		}
@@ -660,7 +629,8 @@
 
 	private @Nullable String findLiveAddress(String instanceName, long nowMillis) {
 		InstanceTable.Entry entry = this.instances.find(instanceName);
-		boolean live = entry != null && this.instances.isLive(instanceName, nowMillis - failureTimeoutMillis());
+		boolean live = entry != null
+				&& this.instances.isLive(instanceName, nowMillis - this.timing.failureTimeoutMillis());
 		return live ? entry.instance.getPeerAddress() : null;
 	}
 
@@ -687,7 +657,7 @@
 			if (instance.getName().equals(this.self.getName()) || instance.getLeaving() || !stores) {
 				continue;
 			}
-			if (entry.lastHeartbeatMillis >= nowMillis - failureTimeoutMillis()) {
+			if (entry.lastHeartbeatMillis >= nowMillis - this.timing.failureTimeoutMillis()) {
 				liveRecipients
 					.add(new AnnouncementReplication.Recipient(instance.getName(), instance.getPeerAddress()));
 			}
@@ -825,7 +795,7 @@
 	// all instances were stopped, none has confirmed rules, and only the control group
 	// can confirm them.
 	private void confirmRulesByMajority(long nowMillis) {
-		long sinceMillis = nowMillis - isolationTimeoutMillis();
+		long sinceMillis = nowMillis - this.timing.isolationTimeoutMillis();
 		if (!this.rulesConfirmed
 				&& 2 * this.instances.countOthersWithConfirmedRules(sinceMillis) > expectedInstanceCount()
 				&& this.rules.revision() >= this.instances.highestRuleRevision(sinceMillis)) {
@@ -840,7 +810,7 @@
 	 * @return the number of instances, with this one
 	 */
 	public int countInstancesAtRevision(long revision, long nowMillis) {
-		long sinceMillis = nowMillis - scaleToRoundInterval(RESPONSIVE_PERIOD_MILLIS);
+		long sinceMillis = nowMillis - this.timing.responsivePeriodMillis();
 		int count = 0;
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
@@ -859,7 +829,7 @@
 	 * @return the number of instances, with this one
 	 */
 	public int responsiveInstanceCount(long nowMillis) {
-		return this.instances.liveCount(nowMillis - scaleToRoundInterval(RESPONSIVE_PERIOD_MILLIS));
+		return this.instances.liveCount(nowMillis - this.timing.responsivePeriodMillis());
 	}
 
 	/**
@@ -881,7 +851,7 @@
 	 * @return the number of instances, with this one
 	 */
 	public int liveInstanceCount(long nowMillis) {
-		return this.instances.liveCount(nowMillis - isolationTimeoutMillis());
+		return this.instances.liveCount(nowMillis - this.timing.isolationTimeoutMillis());
 	}
 
 	private boolean hasMajority(long nowMillis) {
@@ -929,7 +899,7 @@
 		List<InstanceView> views = new ArrayList<>();
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
-			boolean live = isSelf || entry.lastHeartbeatMillis >= nowMillis - failureTimeoutMillis();
+			boolean live = isSelf || entry.lastHeartbeatMillis >= nowMillis - this.timing.failureTimeoutMillis();
 			views.add(new InstanceView(entry.instance, live, isSelf ? this.rules.revision() : entry.ruleRevision));
 		}
 		return views;
