Replicate and propagate evacuations of availability zones

Operators ask that nothing more be sent to the upstreams of a zone, and take that back; nothing kept such orders. They are a command of the replicated log now (EvacuationRegistry), so that they survive the loss of all processes. An order names the version of its zone that was known where it was given: one that is applied late, or twice, does not undo a later one.

Gossip and reports carry the version of the evacuations only, and nothing if none was ever ordered; the instance with the higher version sends what it has, and control instances send a change to their gateways at once.

Ruled out: a field of the rule file (a late configuration would undo an order), and the whole state in each gossip message.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
@@ -16,6 +16,7 @@
 import org.radishthread.protocol.ControlResponse;
 import org.radishthread.protocol.ControlStatus;
 import org.radishthread.protocol.Done;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.History;
 import org.radishthread.protocol.Initialize;
 import org.radishthread.protocol.LogEntry;
@@ -74,6 +75,10 @@
 
 	private long publishedRevision;
 
+	private @Nullable Evacuations evacuationsToPublish;
+
+	private long publishedEvacuationsVersion;
+
 	public ControlReplica(ReplicaDescriptor self, ReplicaSettings settings, ClaimLimits limits,
 			ElectionTimeoutSource timeouts, StoredLog storedLog) {
 		this.self = self;
@@ -82,7 +87,7 @@
 		this.stateMachine = new ControlStateMachine(limits);
 		this.stateMachine.restore(storedLog.snapshot().getState());
 		this.appliedIndex = storedLog.snapshot().getIndex();
-		markRulesForPublication();
+		markChangesForPublication();
 	}
 
 	public ReplicaRole role() {
@@ -102,6 +107,15 @@
 		return this.stateMachine.rules().currentRules();
 	}
 
+	/**
+	 * Returns the evacuations of availability zones that this replica has applied. The
+	 * leader may already have committed a later order.
+	 * @return the evacuations, with version zero if none was ever ordered
+	 */
+	public Evacuations evacuations() {
+		return this.stateMachine.evacuations().evacuations();
+	}
+
 	/**
 	 * Returns the address of a replica of this group.
 	 * @param id the id of the replica
@@ -144,8 +158,8 @@
 	}
 
 	/**
-	 * Returns the latest time as of which this replica has committed all rules that the
-	 * group had accepted.
+	 * Returns the latest time as of which this replica has committed all rules and
+	 * evacuations that the group had accepted.
 	 * @return the monotonic time, in milliseconds, very low if it is not known
 	 */
 	public long rulesCurrentAtMillis() {
@@ -324,7 +338,7 @@
 		if (effects.installedSnapshot != null) {
 			this.stateMachine.restore(effects.installedSnapshot.getState());
 			this.appliedIndex = effects.installedSnapshot.getIndex();
-			markRulesForPublication();
+			markChangesForPublication();
 		}
 		effects.committedEntries.forEach(this::apply);
 		effects.confirmedReadTokens.forEach(this::completeRead);
@@ -334,9 +348,11 @@
 		boolean rewriteLog = takeSnapshotIfDue() || effects.logRewriteRequired;
 		StoredLog logContent = rewriteLog ? currentLogContent() : null;
 		ControlReplicaEffects controlEffects = new ControlReplicaEffects(effects.logFrames, logContent,
-				effects.immediateMessages, effects.messagesAfterSync, List.copyOf(this.replies), this.rulesToPublish);
+				effects.immediateMessages, effects.messagesAfterSync, List.copyOf(this.replies), this.rulesToPublish,
+				this.evacuationsToPublish);
 		this.replies.clear();
 		this.rulesToPublish = null;
+		this.evacuationsToPublish = null;
 		return controlEffects;
 	}
 
@@ -365,7 +381,7 @@
 			return;
 		}
 		ControlResponse response = this.stateMachine.apply(entry);
-		markRulesForPublication();
+		markChangesForPublication();
 		if (pendingCommand != null && pendingCommand.term() == entry.getTerm()) {
 			reply(pendingCommand.request(), response.toBuilder());
 		}
@@ -386,7 +402,11 @@
 	private void completeRead(long token) {
 		PendingRequest pendingRequest = this.pendingReads.remove(token);
 		if (pendingRequest != null) {
-			reply(pendingRequest, ControlResponse.newBuilder().setRuleFile(rules()));
+			ControlResponse.Builder response = ControlResponse.newBuilder().setRuleFile(rules());
+			if (this.stateMachine.evacuations().version() > 0) {
+				response.setEvacuations(evacuations());
+			}
+			reply(pendingRequest, response);
 		}
 	}
 
@@ -419,11 +439,15 @@
 		return true;
 	}
 
-	private void markRulesForPublication() {
+	private void markChangesForPublication() {
 		if (rules().getRevision() > this.publishedRevision) {
 			this.publishedRevision = rules().getRevision();
 			this.rulesToPublish = rules();
 		}
+		if (this.stateMachine.evacuations().version() > this.publishedEvacuationsVersion) {
+			this.publishedEvacuationsVersion = this.stateMachine.evacuations().version();
+			this.evacuationsToPublish = evacuations();
+		}
 	}
 
 	record Reply(String requester, ControlResponse response) {
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaDriver.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaDriver.java
@@ -41,6 +41,9 @@
 		if (effects.rulesToPublish() != null) {
 			this.output.publishRules(effects.rulesToPublish());
 		}
+		if (effects.evacuationsToPublish() != null) {
+			this.output.publishEvacuations(effects.evacuationsToPublish());
+		}
 		effects.replies().forEach((reply) -> this.output.reply(reply.requester(), reply.response()));
 	}
 
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaEffects.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaEffects.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.protocol.AgreementMessage;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.LogFrame;
 import org.radishthread.protocol.RuleFile;
 
@@ -19,14 +20,17 @@
  * durable
  * @param replies responses to requests
  * @param rulesToPublish the rule file that came into force, or {@code null}
+ * @param evacuationsToPublish the evacuations that came into force, or {@code null}
  */
 record ControlReplicaEffects(List<LogFrame> logFrames, @Nullable StoredLog logContent,
 		List<AgreementMessage> immediateMessages, List<AgreementMessage> messagesAfterSync,
-		List<ControlReplica.Reply> replies, @Nullable RuleFile rulesToPublish) {
+		List<ControlReplica.Reply> replies, @Nullable RuleFile rulesToPublish,
+		@Nullable Evacuations evacuationsToPublish) {
 
 	boolean isEmpty() {
 		return this.logFrames.isEmpty() && this.logContent == null && this.immediateMessages.isEmpty()
-				&& this.messagesAfterSync.isEmpty() && this.replies.isEmpty() && this.rulesToPublish == null;
+				&& this.messagesAfterSync.isEmpty() && this.replies.isEmpty() && this.rulesToPublish == null
+				&& this.evacuationsToPublish == null;
 	}
 
 }
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaOutput.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaOutput.java
@@ -2,6 +2,7 @@
 
 import org.radishthread.protocol.AgreementMessage;
 import org.radishthread.protocol.ControlResponse;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.RuleFile;
 
 /**
@@ -28,4 +29,11 @@
 	 */
 	void publishRules(RuleFile rules);
 
+	/**
+	 * Publishes the committed evacuations of availability zones after an order was
+	 * applied.
+	 * @param evacuations the evacuations that are now in force
+	 */
+	void publishEvacuations(Evacuations evacuations);
+
 }
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlStateMachine.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlStateMachine.java
@@ -17,6 +17,8 @@
 
 	private final ClaimRegistry claims;
 
+	private final EvacuationRegistry evacuations = new EvacuationRegistry();
+
 	private long clockMillis;
 
 	ControlStateMachine(ClaimLimits limits) {
@@ -27,13 +29,17 @@
 		return this.rules;
 	}
 
+	EvacuationRegistry evacuations() {
+		return this.evacuations;
+	}
+
 	int claimCount() {
 		return this.claims.claimCount();
 	}
 
-	// Counts the rule revisions and claims that a snapshot contains.
+	// Counts the rule revisions, claims and zones that a snapshot contains.
 	int recordCount() {
-		return this.rules.revisionCount() + this.claims.claimCount();
+		return this.rules.revisionCount() + this.claims.claimCount() + this.evacuations.zoneCount();
 	}
 
 	ControlResponse apply(LogEntry entry) {
@@ -45,6 +51,8 @@
 			case CLAIM -> response.setClaim(this.claims.claim(command.getClaim(), this.clockMillis));
 			case COMPLETION -> this.claims.complete(command.getCompletion());
 			case RELEASE -> this.claims.release(command.getRelease());
+			case EVACUATION ->
+				response.setEvacuation(this.evacuations.order(command.getEvacuation(), this.clockMillis));
 			default -> {
 				return response.build();
 			}
@@ -56,6 +64,7 @@
 		ControlSnapshot.Builder snapshot = ControlSnapshot.newBuilder().setClockMillis(this.clockMillis);
 		this.rules.writeTo(snapshot);
 		this.claims.writeTo(snapshot);
+		this.evacuations.writeTo(snapshot);
 		return snapshot.build();
 	}
 
@@ -63,6 +72,7 @@
 		this.clockMillis = snapshot.getClockMillis();
 		this.rules.restore(snapshot);
 		this.claims.restore(snapshot);
+		this.evacuations.restore(snapshot);
 	}
 
 }
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlInstance.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlInstance.java
@@ -8,6 +8,7 @@
 import org.radishthread.protocol.AgreementMessage;
 import org.radishthread.protocol.ControlRequest;
 import org.radishthread.protocol.ControlResponse;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.ReplicaDescriptor;
 import org.radishthread.protocol.RuleFile;
 
@@ -39,6 +40,9 @@
 
 	boolean frozen;
 
+	// The evacuations that were published last since the start.
+	Evacuations publishedEvacuations = Evacuations.getDefaultInstance();
+
 	private @Nullable ControlReplica replica;
 
 	private @Nullable ControlReplicaDriver driver;
@@ -76,6 +80,7 @@
 			return;
 		}
 		this.frozen = false;
+		this.publishedEvacuations = Evacuations.getDefaultInstance();
 		this.storage.crashAtNextWrite(FakeLogStorage.CrashPoint.NONE);
 		ControlReplica newReplica = new ControlReplica(descriptor(), SETTINGS, CLAIM_LIMITS, this.electionTimeouts,
 				this.storage.load());
@@ -134,6 +139,11 @@
 		this.rulesListener.accept(this, rules);
 	}
 
+	@Override
+	public void publishEvacuations(Evacuations evacuations) {
+		this.publishedEvacuations = evacuations;
+	}
+
 	@Override
 	public String toString() {
 		return this.name;
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupCommitExperimentMain.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupCommitExperimentMain.java
@@ -24,6 +24,7 @@
 import org.radishthread.protocol.Command;
 import org.radishthread.protocol.ControlRequest;
 import org.radishthread.protocol.ControlResponse;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.Initialize;
 import org.radishthread.protocol.ReplicaDescriptor;
 import org.radishthread.protocol.RuleFile;
@@ -222,6 +223,11 @@
 			// The experiment submits no rules.
 		}
 
+		@Override
+		public void publishEvacuations(Evacuations evacuations) {
+			// The experiment evacuates no zones.
+		}
+
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterListener.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
 
@@ -22,4 +23,11 @@
 	 */
 	void rulesChanged(RuleFile rules);
 
+	/**
+	 * Called when evacuations of availability zones were applied.
+	 * @param evacuations the applied evacuations
+	 */
+	default void evacuationsChanged(Evacuations evacuations) {
+	}
+
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -15,6 +15,7 @@
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.EventLoop;
+import org.radishthread.kernel.Freshness;
 import org.radishthread.kernel.Service;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.membership.Announcement;
@@ -26,10 +27,12 @@
 import org.radishthread.membership.ReplicationResult;
 import org.radishthread.membership.ServingState;
 import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.ReplicaDescriptor;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
+import org.radishthread.protocol.ZoneEvacuation;
 
 /**
  * Runs the {@link Membership} of this instance on an event loop: passes messages and the
@@ -73,6 +76,10 @@
 
 	private volatile ClusterView view;
 
+	private volatile Evacuations evacuations = Evacuations.getDefaultInstance();
+
+	private volatile long evacuationsCurrentAtMillis = Freshness.UNKNOWN;
+
 	public ClusterService(DaemonSettings settings, PeerTransport transport, TimeSource time, long replicaId) {
 		this.settings = settings;
 		this.transport = transport;
@@ -137,6 +144,8 @@
 				() -> this.membership.receive(envelope.getUpstreamNotice(), address, nowMillis())));
 		this.transport.registerHandler(Envelope.BodyCase.UPSTREAM_NOTICE_RECEIPT, (name, address, envelope) -> receive(
 				() -> this.membership.receive(envelope.getUpstreamNoticeReceipt(), name, nowMillis())));
+		this.transport.registerHandler(Envelope.BodyCase.EVACUATIONS, (name, address,
+				envelope) -> receive(() -> this.membership.receive(envelope.getEvacuations(), address)));
 		this.loop.execute(this::tick);
 	}
 
@@ -206,6 +215,7 @@
 		this.view = new ClusterView(state, nowMillis,
 				instances.equals(previousInstances) ? previousInstances : instances, this.membership.appliedRules(),
 				this.membership.hasConfirmedRules(), this.membership.rulesCurrentAtMillis());
+		this.evacuationsCurrentAtMillis = this.membership.evacuationsCurrentAtMillis();
 		if (effects.resumedFromFreeze()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
 			this.transport.closeInboundConnections();
@@ -227,6 +237,28 @@
 			eventLog.information("rules-applied").with("revision", rules.getRevision()).write();
 			this.listeners.forEach((listener) -> listener.rulesChanged(rules));
 		}
+		if (effects.evacuations() != null) {
+			applyEvacuations(effects.evacuations());
+		}
+	}
+
+	private void applyEvacuations(Evacuations changedEvacuations) {
+		Evacuations formerEvacuations = this.evacuations;
+		this.evacuations = changedEvacuations;
+		this.listeners.forEach((listener) -> listener.evacuationsChanged(changedEvacuations));
+		for (ZoneEvacuation evacuation : changedEvacuations.getZonesList()) {
+			boolean formerlyEvacuated = formerEvacuations.getZonesList()
+				.stream()
+				.anyMatch((former) -> former.getZone().equals(evacuation.getZone()) && former.getEvacuated());
+			if (evacuation.getEvacuated() != formerlyEvacuated) {
+				eventLog.information(evacuation.getEvacuated() ? "zone-evacuated" : "zone-restored")
+					.with("zone", evacuation.getZone())
+					.with("requested-by", evacuation.getRequestedBy())
+					.with("ordered-at-millis", evacuation.getOrderedAtMillis())
+					.with("version", evacuation.getVersion())
+					.write();
+			}
+		}
 	}
 
 	private void logStateChange(ServingState state, long nowMillis) {
@@ -358,6 +390,31 @@
 		this.loop.execute(() -> this.membership.recordRulesCurrent(atMillis));
 	}
 
+	/**
+	 * Applies committed evacuations of availability zones, unless their version is not
+	 * higher than that of the applied ones.
+	 * @param offeredEvacuations the evacuations
+	 */
+	public void offerEvacuations(Evacuations offeredEvacuations) {
+		this.loop.execute(() -> process(() -> this.membership.offerEvacuations(offeredEvacuations)));
+	}
+
+	/**
+	 * Returns the evacuations of availability zones that this instance applies.
+	 * @return the evacuations, with version zero if none was ever ordered
+	 */
+	public Evacuations evacuations() {
+		return this.evacuations;
+	}
+
+	/**
+	 * Returns the time since the applied evacuations were last known to be the newest.
+	 * @return the time, in milliseconds, very high if that is not known
+	 */
+	public long evacuationsAgeMillis() {
+		return nowMillis() - this.evacuationsCurrentAtMillis;
+	}
+
 	/**
 	 * Returns whether a request that no applied rule matches may be refused for good.
 	 * @return whether every revision that must be in force by now is applied
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -103,6 +103,7 @@
 		sendToLeader(request, CONFIRMATION_TIMEOUT_MILLIS).whenComplete((response, failure) -> {
 			this.confirmationPending = false;
 			if (response != null && response.hasRuleFile()) {
+				this.cluster.offerEvacuations(response.getEvacuations());
 				this.cluster.confirmRules(response.getRuleFile());
 			}
 		});
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -26,6 +26,7 @@
 import org.radishthread.protocol.AgreementMessage;
 import org.radishthread.protocol.ControlResponse;
 import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.RuleFile;
 
 /**
@@ -202,6 +203,11 @@
 		this.cluster.offerRules(rules);
 	}
 
+	@Override
+	public void publishEvacuations(Evacuations evacuations) {
+		this.cluster.offerEvacuations(evacuations);
+	}
+
 	@Override
 	public void stop() {
 		this.stopRequested = true;
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -11,6 +11,7 @@
 
 import org.radishthread.kernel.Backoff;
 import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.LeaseRenewal;
@@ -88,6 +89,8 @@
 
 	private final RulesFreshness rulesFreshness = new RulesFreshness();
 
+	private final AppliedEvacuations evacuations = new AppliedEvacuations();
+
 	private final ChangeQueue<UpstreamRecord> changedUpstreams = new ChangeQueue<>();
 
 	private final ChangeQueue<InstanceRecord> changedInstances = new ChangeQueue<>();
@@ -102,6 +105,8 @@
 
 	private boolean rulesChanged;
 
+	private boolean evacuationsChanged;
+
 	private boolean urgentRoundPending;
 
 	private boolean resumedFromFreeze;
@@ -175,11 +180,13 @@
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoingMessages),
 				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.ruleFile() : null,
-				this.upstreams.drainResults(), this.resumedFromFreeze, this.reports.drainSilentAddresses(),
+				this.evacuationsChanged ? this.evacuations.evacuations() : null, this.upstreams.drainResults(),
+				this.resumedFromFreeze, this.reports.drainSilentAddresses(),
 				this.urgentRoundPending || this.updatePending);
 		this.outgoingMessages.clear();
 		this.upstreamsChanged = false;
 		this.rulesChanged = false;
+		this.evacuationsChanged = false;
 		this.resumedFromFreeze = false;
 		return effects;
 	}
@@ -229,10 +236,14 @@
 		if (!gateways.isEmpty()) {
 			Gossip update = this.responses.createUpdate(this.self, reportedRevision(), this.upstreams.stateDigest(),
 					nowMillis - this.timing.failureTimeoutMillis());
-			gateways.forEach((address) -> send(address, Envelope.newBuilder().setGossip(update)));
+			gateways.forEach((address) -> sendGossip(address, update));
 		}
 	}
 
+	private void sendGossip(String address, Gossip gossip) {
+		send(address, Envelope.newBuilder().setGossip(this.evacuations.describe(gossip)));
+	}
+
 	private void send(String address, Envelope.Builder envelope) {
 		this.outgoingMessages.add(new OutgoingMessage(address, envelope.build()));
 	}
@@ -288,17 +299,17 @@
 
 	private void sendReports(long nowMillis) {
 		this.rulesFreshness.recordReport(this.heartbeat, nowMillis);
+		this.evacuations.recordReport(this.heartbeat, nowMillis);
 		Set<String> targets = new LinkedHashSet<>(this.reports.nextTargets(nowMillis));
 		if (this.reports.isControlLost(nowMillis)) {
 			targets.addAll(this.selector.select(this.seeds, 1));
 			Gossip gossip = createGossip(true);
-			this.reports.neighborAddresses(this.self)
-				.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
+			this.reports.neighborAddresses(this.self).forEach((address) -> sendGossip(address, gossip));
 		}
 		for (String address : targets) {
 			Gossip report = this.reports.createReport(address, this.self, this.heartbeat, reportedRevision(),
 					this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis());
-			send(address, Envelope.newBuilder().setGossip(report));
+			sendGossip(address, report);
 		}
 	}
 
@@ -326,6 +337,7 @@
 			this.instances.markAllLost();
 			this.reports.resetAfterFreeze();
 			this.rulesFreshness.reset();
+			this.evacuations.resetFreshness();
 			this.upstreams.renewAll(nowMillis);
 			this.rulesConfirmed = false;
 			this.resumedFromFreeze = true;
@@ -369,7 +381,7 @@
 			return;
 		}
 		Gossip gossip = createGossip(withHeartbeats);
-		targets.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
+		targets.forEach((address) -> sendGossip(address, gossip));
 	}
 
 	// Instances that started together may know only each other. Their majority is one of
@@ -413,6 +425,8 @@
 	 */
 	public void receive(Gossip gossip, long nowMillis) {
 		gossip.getRecordsList().forEach((instance) -> mergeInstance(instance, nowMillis));
+		this.evacuations.respond(gossip)
+			.ifPresent((response) -> send(gossip.getSenderAddress(), Envelope.newBuilder().setEvacuations(response)));
 		if (GatewayReports.isResponse(gossip)) {
 			receiveResponse(gossip, nowMillis);
 			return;
@@ -458,22 +472,22 @@
 		if (this.rulesConfirmed && report.getHeartbeatsCount() > 0) {
 			this.rulesFreshness.describe(response, report.getHeartbeats(0), nowMillis);
 		}
-		send(report.getSenderAddress(), Envelope.newBuilder().setGossip(response));
+		sendGossip(report.getSenderAddress(), response.build());
 	}
 
 	// Tells an instance what is known of its former incarnation, which started while the
 	// wall clock was ahead: it must exceed that, or its heartbeats would be ignored.
 	private void sendFormerState(String address, InstanceTable.Entry former) {
-		send(address,
-				Envelope.newBuilder()
-					.setGossip(Gossip.newBuilder()
-						.setSender(this.self.getName())
-						.setSenderAddress(this.self.getPeerAddress())
-						.addInstances(former.nameHash)
-						.addHeartbeats(former.heartbeat)
-						.addRevisions(InstanceTable.UNCONFIRMED_REVISION)
-						.addRecords(former.instance)
-						.setDigest(this.upstreams.digest())));
+		sendGossip(address,
+				Gossip.newBuilder()
+					.setSender(this.self.getName())
+					.setSenderAddress(this.self.getPeerAddress())
+					.addInstances(former.nameHash)
+					.addHeartbeats(former.heartbeat)
+					.addRevisions(InstanceTable.UNCONFIRMED_REVISION)
+					.addRecords(former.instance)
+					.setDigest(this.upstreams.digest())
+					.build());
 	}
 
 	private static boolean isGateway(Gossip gossip, InstanceTable.@Nullable Entry sender) {
@@ -493,6 +507,7 @@
 		if (sender != null && sender.ruleRevision <= this.rules.revision()) {
 			this.rulesFreshness.recordResponse(response);
 		}
+		this.evacuations.recordResponse(response);
 		if (response.getDigest() == this.upstreams.stateDigest()) {
 			this.upstreamsDifferSinceMillis = Long.MAX_VALUE;
 			return;
@@ -740,12 +755,59 @@
 	}
 
 	/**
-	 * Records that this control instance has applied every revision that the control
-	 * group had accepted at a time. To be called after {@link #offerRules} with them.
+	 * Applies committed evacuations of availability zones, unless their version is not
+	 * higher than that of the applied ones. A control instance sends them to the other
+	 * control instances and to the gateways that report to it.
+	 * @param offeredEvacuations the evacuations
+	 */
+	public void offerEvacuations(Evacuations offeredEvacuations) {
+		if (!this.evacuations.applyIfNewer(offeredEvacuations)) {
+			return;
+		}
+		this.evacuationsChanged = true;
+		if (this.self.getControl()) {
+			Set<String> recipients = new LinkedHashSet<>(this.instances.otherControlPeerAddresses());
+			recipients.addAll(this.responses.reportingAddresses(this.lastClockReadingMillis));
+			recipients.forEach(
+					(address) -> send(address, Envelope.newBuilder().setEvacuations(this.evacuations.evacuations())));
+		}
+	}
+
+	/**
+	 * Processes the evacuations of a peer, and sends it those of this instance if they
+	 * are newer.
+	 * @param receivedEvacuations the evacuations
+	 * @param senderAddress the peer address of the instance
+	 */
+	public void receive(Evacuations receivedEvacuations, String senderAddress) {
+		offerEvacuations(receivedEvacuations);
+		if (receivedEvacuations.getVersion() < this.evacuations.version()) {
+			send(senderAddress, Envelope.newBuilder().setEvacuations(this.evacuations.evacuations()));
+		}
+	}
+
+	public Evacuations appliedEvacuations() {
+		return this.evacuations.evacuations();
+	}
+
+	/**
+	 * Returns the latest time as of which the applied evacuations are known to be the
+	 * newest.
+	 * @return the monotonic time, in milliseconds, very low if it is not known
+	 */
+	public long evacuationsCurrentAtMillis() {
+		return this.evacuations.currentAtMillis();
+	}
+
+	/**
+	 * Records that this control instance has applied every revision and evacuation that
+	 * the control group had accepted at a time. To be called after {@link #offerRules}
+	 * and {@link #offerEvacuations} with them.
 	 * @param atMillis the monotonic time, in milliseconds
 	 */
 	public void recordRulesCurrent(long atMillis) {
 		this.rulesFreshness.recordCurrent(atMillis);
+		this.evacuations.recordCurrent(atMillis);
 	}
 
 	/**
@@ -796,7 +858,7 @@
 	// can confirm them.
 	private void confirmRulesByMajority(long nowMillis) {
 		long sinceMillis = nowMillis - this.timing.isolationTimeoutMillis();
-		if (!this.rulesConfirmed
+		if (!this.rulesConfirmed && !this.evacuations.isBehind()
 				&& 2 * this.instances.countOthersWithConfirmedRules(sinceMillis) > expectedInstanceCount()
 				&& this.rules.revision() >= this.instances.highestRuleRevision(sinceMillis)) {
 			this.rulesConfirmed = true;
--- a/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
@@ -4,6 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
 
@@ -13,6 +14,8 @@
  * @param messages the messages to send to peers
  * @param upstreams all upstreams that have not left, or null if they did not change
  * @param rules the rules that were applied, or null if none were
+ * @param evacuations the evacuations of availability zones that were applied, or null if
+ * none were
  * @param replicationResults the results of the replications that completed
  * @param resumedFromFreeze whether this process was suspended, so that open peer
  * connections may carry outdated messages and must be closed
@@ -21,6 +24,6 @@
  * @param roundPending whether changes wait to be sent by a later call
  */
 public record MembershipEffects(List<OutgoingMessage> messages, @Nullable List<UpstreamRecord> upstreams,
-		@Nullable RuleFile rules, List<ReplicationResult> replicationResults, boolean resumedFromFreeze,
-		List<String> silentAddresses, boolean roundPending) {
+		@Nullable RuleFile rules, @Nullable Evacuations evacuations, List<ReplicationResult> replicationResults,
+		boolean resumedFromFreeze, List<String> silentAddresses, boolean roundPending) {
 }
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedCluster.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedCluster.java
@@ -162,6 +162,7 @@
 			case SYNCHRONIZATION -> target.receive(envelope.getSynchronization(), this.nowMillis);
 			case RULE_REQUEST -> target.receive(envelope.getRuleRequest(), message.from());
 			case RULE_FILE -> target.offerRules(envelope.getRuleFile());
+			case EVACUATIONS -> target.receive(envelope.getEvacuations(), message.from());
 			case LEASE_RENEWAL -> target.receive(envelope.getLeaseRenewal(), this.nowMillis);
 			case UPSTREAM_NOTICE -> target.receive(envelope.getUpstreamNotice(), message.from(), this.nowMillis);
 			case UPSTREAM_NOTICE_RECEIPT ->
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -14,9 +14,11 @@
 import java.util.function.Predicate;
 
 import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamState;
+import org.radishthread.protocol.ZoneEvacuation;
 
 /**
  * Runs control instances and gateways of limited processor share and bandwidth in virtual
@@ -91,6 +93,11 @@
 
 	private long acceptedRevision;
 
+	private Evacuations orderedEvacuations = Evacuations.getDefaultInstance();
+
+	// The envelopes sent that carry evacuations or their version.
+	long evacuationMessages;
+
 	long nowMillis = 10_000;
 
 	// The difference between the wall clock of instances that start and the true time.
@@ -167,6 +174,7 @@
 	// Responds as the control group to an instance whose rules are not confirmed.
 	private void confirmRules(Node node) {
 		if (!node.membership.hasConfirmedRules()) {
+			node.membership.offerEvacuations(this.orderedEvacuations);
 			node.membership.confirmRules(rules(this.acceptedRevision));
 		}
 	}
@@ -201,6 +209,7 @@
 			case SYNCHRONIZATION -> target.receive(envelope.getSynchronization(), this.nowMillis);
 			case RULE_REQUEST -> target.receive(envelope.getRuleRequest(), sender);
 			case RULE_FILE -> target.offerRules(envelope.getRuleFile());
+			case EVACUATIONS -> target.receive(envelope.getEvacuations(), sender);
 			case LEASE_RENEWAL -> target.receive(envelope.getLeaseRenewal(), this.nowMillis);
 			case UPSTREAM_NOTICE -> target.receive(envelope.getUpstreamNotice(), sender, this.nowMillis);
 			case UPSTREAM_NOTICE_RECEIPT -> target.receive(envelope.getUpstreamNoticeReceipt(), sender, this.nowMillis);
@@ -220,6 +229,9 @@
 		for (OutgoingMessage message : effects.messages()) {
 			int bytes = message.envelope().getSerializedSize() + PACKET_OVERHEAD_BYTES;
 			node.sentBytes += bytes;
+			Envelope envelope = message.envelope();
+			boolean evacuation = envelope.hasEvacuations() || envelope.getGossip().getEvacuationsVersion() > 0;
+			this.evacuationMessages += evacuation ? 1 : 0;
 			double sendMillis = node.useProcessor(atMillis);
 			double sentMillis = node.occupyLink(sendMillis, bytes);
 			Node target = this.nodes.get(message.address());
@@ -296,6 +308,7 @@
 		start(name, Integer.parseInt(name.substring(name.indexOf('-') + 1)), former.control);
 		if (former.control) {
 			membership(name).offerRules(former.membership.appliedRules());
+			membership(name).offerEvacuations(former.membership.appliedEvacuations());
 		}
 	}
 
@@ -310,6 +323,25 @@
 		}
 	}
 
+	// Orders an evacuation, or its end, as the leader of the control group would.
+	void order(String zone, boolean evacuate) {
+		this.orderedEvacuations = Evacuations.newBuilder()
+			.setVersion(this.orderedEvacuations.getVersion() + 1)
+			.addZones(ZoneEvacuation.newBuilder().setZone(zone).setEvacuated(evacuate))
+			.build();
+		names(true).stream().filter((name) -> !this.cutOffNames.contains(name)).forEach((name) -> {
+			this.nodes.get(name).membership.offerEvacuations(this.orderedEvacuations);
+			applyEffects(this.nodes.get(name), this.nowMillis);
+		});
+	}
+
+	boolean isEvacuated(String name, String zone) {
+		return membership(name).appliedEvacuations()
+			.getZonesList()
+			.stream()
+			.anyMatch((evacuation) -> evacuation.getEvacuated() && evacuation.getZone().equals(zone));
+	}
+
 	private static RuleFile rules(long revision) {
 		return RuleFile.newBuilder().setRevision(revision).setContent("content of " + revision).build();
 	}
