Let operators evacuate zones and use them again

POST /evacuation/ZONE/start and /end of the platform, POST /zones/evacuate and /zones/restore of the administration port and 'radishthread zones' submit the orders to the control group; GET /zones shows what is in force and how old that knowledge is. A zone in which nothing is known is an error (404, so that the platform asks two more instances); an instance that is not ready, and may not know all zones, accepts any.

--- a/radishthread-client/src/main/java/org/radishthread/client/ClientMain.java
+++ b/radishthread-client/src/main/java/org/radishthread/client/ClientMain.java
@@ -13,8 +13,8 @@
  */
 @Command(name = "radishthread", mixinStandardHelpOptions = true, version = "radishthread 0.1.0",
 		description = "Operates the load balancer through the administration port of any instance.",
-		subcommands = { RulesCommand.class, StatusCommand.class, UpstreamsCommand.class, ControlCommand.class,
-				AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class },
+		subcommands = { RulesCommand.class, StatusCommand.class, UpstreamsCommand.class, ZonesCommand.class,
+				ControlCommand.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class },
 		exitCodeListHeading = "%nExit codes:%n",
 		exitCodeList = { "0:the request was carried out", "1:no response; the outcome is unknown, try again",
 				"2:arguments or the rule file are invalid; nothing was changed",
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -15,6 +15,7 @@
 import org.radishthread.daemon.cluster.UpstreamStore;
 import org.radishthread.daemon.control.ControlClient;
 import org.radishthread.daemon.control.ControlService;
+import org.radishthread.daemon.control.EvacuationOperations;
 import org.radishthread.daemon.control.FormationService;
 import org.radishthread.daemon.control.RuleOperations;
 import org.radishthread.daemon.extension.DaemonExtension;
@@ -126,6 +127,13 @@
 		return new RuleOperations(cluster, controlClient, time, settings.limits().rulePropagationTimeoutMillis());
 	}
 
+	@Provides
+	@Singleton
+	static EvacuationOperations evacuationOperations(ClusterService cluster, ControlClient controlClient,
+			TimeSource time) {
+		return new EvacuationOperations(cluster, controlClient, time);
+	}
+
 	@Provides
 	@Singleton
 	static SlotService slotService(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
@@ -145,9 +153,10 @@
 	@Provides
 	@Singleton
 	static Kernel kernel(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
-			ControlClient controlClient, RuleOperations ruleOperations, UpstreamClients clients, RoutingService routing,
-			SlotService slots, CrashExchange crashExchange, GatewayContext gatewayContext,
-			Optional<DaemonExtension> extension, TimeSource time, PrometheusMeterRegistry meters) {
+			ControlClient controlClient, RuleOperations ruleOperations, EvacuationOperations evacuationOperations,
+			UpstreamClients clients, RoutingService routing, SlotService slots, CrashExchange crashExchange,
+			GatewayContext gatewayContext, Optional<DaemonExtension> extension, TimeSource time,
+			PrometheusMeterRegistry meters) {
 		Kernel kernel = new Kernel();
 		kernel.register(transport);
 		cluster.addListener(routing);
@@ -166,7 +175,7 @@
 		}
 		kernel.register(new HttpServer("administration", settings.administrationAddress(), ADMINISTRATION_THREADS,
 				new AdministrationHandler(settings.secrets(), cluster, controlClient, ruleOperations,
-						new MetricsPage(meters))));
+						evacuationOperations, new MetricsPage(meters))));
 		NetworkAddress readinessAddress = settings.readinessAddress();
 		if (readinessAddress != null) {
 			kernel.register(
@@ -174,7 +183,7 @@
 		}
 		extension
 			.flatMap((loadedExtension) -> loadedExtension
-				.createService(new ExtensionContext(settings, cluster, ruleOperations)))
+				.createService(new ExtensionContext(settings, cluster, ruleOperations, evacuationOperations)))
 			.ifPresent(kernel::register);
 		if (settings.isGateway()) {
 			kernel.register(clients);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
@@ -20,7 +20,9 @@
 import org.radishthread.daemon.cluster.UnconfirmedChangeException;
 import org.radishthread.daemon.control.ControlClient;
 import org.radishthread.daemon.control.ControlTimeoutException;
+import org.radishthread.daemon.control.EvacuationOperations;
 import org.radishthread.daemon.control.RuleOperations;
+import org.radishthread.daemon.control.UnknownZoneException;
 import org.radishthread.daemon.settings.Secrets;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.membership.ServingState;
@@ -51,10 +53,10 @@
 	private final MetricsPage metricsPage;
 
 	public AdministrationHandler(Secrets secrets, ClusterService cluster, ControlClient controlClient,
-			RuleOperations rules, MetricsPage metricsPage) {
+			RuleOperations rules, EvacuationOperations evacuations, MetricsPage metricsPage) {
 		this.secrets = secrets;
 		this.cluster = cluster;
-		this.operatorRequests = new OperatorRequests(cluster, controlClient, rules);
+		this.operatorRequests = new OperatorRequests(cluster, controlClient, rules, evacuations);
 		this.announcementRequests = new AnnouncementRequests(cluster);
 		this.metricsPage = metricsPage;
 	}
@@ -124,6 +126,9 @@
 		if (cause instanceof UnconfirmedChangeException) {
 			return errorResponse(503, cause.getMessage() + " Send the same request again.");
 		}
+		if (cause instanceof UnknownZoneException) {
+			return errorResponse(404, cause.getMessage());
+		}
 		if (cause instanceof IllegalArgumentException || cause instanceof IllegalStateException) {
 			return errorResponse(400, cause.getMessage());
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/OperatorRequests.java
@@ -13,6 +13,7 @@
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.cluster.RulePropagation;
 import org.radishthread.daemon.control.ControlClient;
+import org.radishthread.daemon.control.EvacuationOperations;
 import org.radishthread.daemon.control.RuleOperations;
 import org.radishthread.daemon.control.RuleSubmissionResult;
 import org.radishthread.kernel.Assert;
@@ -34,8 +35,8 @@
 import org.radishthread.rules.RuleParser;
 
 /**
- * Handles the requests of operators: rules, status, upstreams and the members of the
- * control group.
+ * Handles the requests of operators: rules, status, upstreams, availability zones and the
+ * members of the control group.
  */
 final class OperatorRequests {
 
@@ -55,10 +56,14 @@
 
 	private final RuleOperations ruleOperations;
 
-	OperatorRequests(ClusterService cluster, ControlClient controlClient, RuleOperations ruleOperations) {
+	private final ZoneRequests zoneRequests;
+
+	OperatorRequests(ClusterService cluster, ControlClient controlClient, RuleOperations ruleOperations,
+			EvacuationOperations evacuationOperations) {
 		this.cluster = cluster;
 		this.controlClient = controlClient;
 		this.ruleOperations = ruleOperations;
+		this.zoneRequests = new ZoneRequests(cluster, evacuationOperations);
 	}
 
 	CompletableFuture<JsonResponse> handle(Request request, String path, String body) {
@@ -68,6 +73,9 @@
 			case "GET /rules/history" -> readHistory();
 			case "GET /status" -> readStatus();
 			case "GET /upstreams" -> listUpstreams();
+			case "GET /zones" -> this.zoneRequests.list();
+			case "POST /zones/evacuate" -> this.zoneRequests.order(body, true, operatorName(request));
+			case "POST /zones/restore" -> this.zoneRequests.order(body, false, operatorName(request));
 			case "POST /control/initialize" -> initialize(body);
 			case "POST /control/replace" -> replace(body);
 			default ->
@@ -79,9 +87,14 @@
 		return new JsonResponse(status, Json.object().put("error", message));
 	}
 
-	private CompletableFuture<JsonResponse> submitRules(Request request, String content) {
+	private static String operatorName(Request request) {
 		String operator = Optional.ofNullable(request.getHeaders().get(OPERATOR_HEADER)).orElse("unnamed");
 		Assert.isTrue(operator.length() <= MAXIMUM_OPERATOR_NAME_LENGTH, "The operator's name is too long.");
+		return operator;
+	}
+
+	private CompletableFuture<JsonResponse> submitRules(Request request, String content) {
+		String operator = operatorName(request);
 		long revision;
 		try {
 			revision = RuleParser.parse("rules", content).revision();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/extension/ExtensionContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/extension/ExtensionContext.java
@@ -1,6 +1,7 @@
 package org.radishthread.daemon.extension;
 
 import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.control.EvacuationOperations;
 import org.radishthread.daemon.control.RuleOperations;
 import org.radishthread.daemon.settings.DaemonSettings;
 
@@ -10,6 +11,8 @@
  * @param settings the settings of the instance
  * @param cluster accepts announcements of upstreams
  * @param rules submits rules and reads the current ones
+ * @param evacuations submits orders to evacuate availability zones
  */
-public record ExtensionContext(DaemonSettings settings, ClusterService cluster, RuleOperations rules) {
+public record ExtensionContext(DaemonSettings settings, ClusterService cluster, RuleOperations rules,
+		EvacuationOperations evacuations) {
 }
