Send nothing to the upstreams of evacuated zones

The router of a service, at the home and at a gateway without it, takes upstreams in evacuated zones out of dispatch, retries, hedges, trials and pace probes; requests in flight end there. A gateway that knows of an evacuation before the home returns a grant for such an upstream, and the home grants another one. If a service has upstreams in evacuated zones only, its requests, queued ones too, are refused at once as not run, with a time to return; service-evacuated tells why.

Connection probes of ejected upstreams go on: they send no request, and tell what can be used when the zone is restored.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -1,7 +1,9 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
@@ -102,6 +104,9 @@
 				.with("origin", ejected.origin().isEmpty() ? "this instance" : ejected.origin())
 				.write();
 		}
+		else if (effect instanceof RoutingEffect.ServiceEvacuated change) {
+			logEvacuation(change.evacuated());
+		}
 		else if (effect instanceof RoutingEffect.CrashFound found) {
 			this.crashExchange.publish(found);
 		}
@@ -115,6 +120,19 @@
 		}
 	}
 
+	private void logEvacuation(boolean evacuated) {
+		if (evacuated) {
+			eventLog.warning("service-evacuated")
+				.with("service", this.service)
+				.with("cause", "operators evacuate the zones of all its upstreams")
+				.with("requests", "refused until one is restored")
+				.write();
+		}
+		else {
+			eventLog.information("service-restored").with("service", this.service).write();
+		}
+	}
+
 	private void executeDispatch(RoutingEffect.Dispatch dispatch) {
 		eventLog.information("dispatch")
 			.with("service", this.service)
@@ -163,8 +181,16 @@
 		}
 	}
 
-	void updateUpstreams(List<Upstream> upstreams) {
-		process((nowNanos) -> this.router.updateUpstreams(upstreams, nowNanos));
+	void updateUpstreams(List<Upstream> upstreams, Set<String> evacuatedZones) {
+		process((nowNanos) -> {
+			List<RoutingEffect> effects = new ArrayList<>(this.router.updateEvacuatedZones(evacuatedZones, nowNanos));
+			effects.addAll(this.router.updateUpstreams(upstreams, nowNanos));
+			return effects;
+		});
+	}
+
+	void updateEvacuatedZones(Set<String> zones) {
+		process((nowNanos) -> this.router.updateEvacuatedZones(zones, nowNanos));
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -3,10 +3,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import org.jspecify.annotations.Nullable;
 
@@ -17,9 +21,11 @@
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.kernel.Service;
 import org.radishthread.kernel.TimeSource;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
+import org.radishthread.protocol.ZoneEvacuation;
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
@@ -65,6 +71,10 @@
 
 	private final long splitOffset = ThreadLocalRandom.current().nextInt(1 << 16);
 
+	private final Counter movedRequests;
+
+	private volatile Set<String> evacuatedZones = Set.of();
+
 	private volatile RuleSet rules = RuleSet.EMPTY;
 
 	private volatile RouteFinder routes = RuleSet.EMPTY.toRouteFinder();
@@ -75,6 +85,8 @@
 		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
+		this.movedRequests = meters.counter("radishthread.evacuation.moved.requests");
+		Gauge.builder("radishthread.zones.evacuated", () -> this.evacuatedZones.size()).register(meters);
 	}
 
 	@Override
@@ -148,6 +160,9 @@
 	// Returns why this instance may not send an attempt that was granted, or null.
 	@Nullable LoadReport findConstraint(RoutingEffect.Dispatch dispatch) {
 		synchronized (this.constraints) {
+			if (this.constraints.isEvacuated(dispatch.upstream().name())) {
+				this.movedRequests.increment();
+			}
 			return this.constraints.find(dispatch.upstream().name(), dispatch.limitCounted(),
 					this.time.monotonicNanos());
 		}
@@ -163,7 +178,21 @@
 				router) -> router.updateUpstreams(upstreams.stream()
 					.filter((upstream) -> upstream.getService().equals(service))
 					.map(RoutingService::toUpstream)
-					.toList()));
+					.toList(), this.evacuatedZones));
+	}
+
+	@Override
+	public void evacuationsChanged(Evacuations evacuations) {
+		Set<String> zones = evacuations.getZonesList()
+			.stream()
+			.filter(ZoneEvacuation::getEvacuated)
+			.map(ZoneEvacuation::getZone)
+			.collect(Collectors.toUnmodifiableSet());
+		this.evacuatedZones = zones;
+		synchronized (this.constraints) {
+			this.constraints.updateEvacuatedZones(zones);
+		}
+		this.routers.values().forEach((router) -> router.updateEvacuatedZones(zones));
 	}
 
 	private static Upstream toUpstream(UpstreamRecord upstream) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -91,6 +91,15 @@
 	record UpstreamEjected(String upstream, AttemptResult result, String origin) implements RoutingEffect {
 	}
 
+	/**
+	 * Reports that all upstreams of the service are in evacuated zones, so that its
+	 * requests are refused, or that one is not any more.
+	 *
+	 * @param evacuated whether all are in evacuated zones
+	 */
+	record ServiceEvacuated(boolean evacuated) implements RoutingEffect {
+	}
+
 	/**
 	 * Tells the other gateways that an upstream crashed while it ran a request.
 	 *
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -18,6 +18,7 @@
 import org.radishthread.routing.RequestState.AttemptStart;
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.Refusal;
+import org.radishthread.routing.RoutingEffect.ServiceEvacuated;
 import org.radishthread.rules.ServiceRule;
 
 /**
@@ -57,6 +58,8 @@
 
 	private final Map<String, UpstreamTracker> trackers = new LinkedHashMap<>();
 
+	private final EvacuatedZones evacuatedZones = new EvacuatedZones(this.trackers);
+
 	private final Map<Long, RequestState> requests = new HashMap<>();
 
 	private final CallerQueues queues = new CallerQueues();
@@ -169,10 +172,48 @@
 			}
 		});
 		removeDiscardable();
+		applyEvacuations(nowNanos);
+		dispatchQueued(nowNanos);
+		return takeEffects();
+	}
+
+	/**
+	 * Sets the availability zones that operators evacuate. From now on no request is sent
+	 * to the upstreams there, and none of them is probed for its pace; requests in flight
+	 * end there. If the service has no other upstreams, requests are refused.
+	 * @param zones the names of all evacuated zones
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the requests to dispatch, or the refusals of queued ones
+	 */
+	public List<RoutingEffect> updateEvacuatedZones(Set<String> zones, long nowNanos) {
+		if (!this.evacuatedZones.update(zones)) {
+			return List.of();
+		}
+		applyEvacuations(nowNanos);
 		dispatchQueued(nowNanos);
 		return takeEffects();
 	}
 
+	private void applyEvacuations(long nowNanos) {
+		if (this.evacuatedZones.apply()) {
+			this.effects.add(new ServiceEvacuated(this.evacuatedZones.coversAll()));
+		}
+		if (this.evacuatedZones.coversAll()) {
+			refuseQueued(nowNanos);
+		}
+	}
+
+	private void refuseQueued(long nowNanos) {
+		List<QueuedRequest> waiting = new ArrayList<>(this.queues.inServiceOrder());
+		waiting.forEach(this.queues::remove);
+		waiting.addAll(this.trials.waiting());
+		for (QueuedRequest queued : waiting) {
+			this.trials.remove(queued.request());
+			this.effects.add(new Refusal(queued.request().id(), RefusalReason.NO_UPSTREAM, this.admission
+				.retryAfterMillis(queued.request(), AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos)));
+		}
+	}
+
 	private void removeDiscardable() {
 		this.trackers.values().removeIf((tracker) -> {
 			if (tracker.isDiscardable()) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -2,16 +2,19 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
 /**
- * Remembers which upstreams told this instance to send no requests: because they leave,
- * for some time, or beyond a limit that all instances share. The home of a service may
- * not know it yet when it grants a slot, such as after the home changed. Points in time
- * are monotonic, in nanoseconds. Not safe for concurrent use.
+ * Remembers to which upstreams this instance must send no requests: because they told it
+ * that they leave, for some time, or beyond a limit that all instances share, or because
+ * operators evacuate their availability zone. The home of a service may not know it yet
+ * when it grants a slot, such as after the home changed. Points in time are monotonic, in
+ * nanoseconds. Not safe for concurrent use.
  */
 public final class UpstreamConstraints {
 
@@ -19,6 +22,9 @@
 	// home knows of its end.
 	private static final long LIMIT_TOLD_PERIOD_NANOS = 1_000_000_000L;
 
+	// Longer than the home takes to learn of the evacuation, which it then keeps itself.
+	private static final long EVACUATION_TOLD_MILLIS = 1_000;
+
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	// This and the following map are keyed by the name of the upstream.
@@ -29,6 +35,11 @@
 	// Keyed by the name of the upstream.
 	private final Map<String, NamedLimit> limits = new HashMap<>();
 
+	// Keyed by the name of the upstream.
+	private final Map<String, String> zones = new HashMap<>();
+
+	private final Set<String> evacuatedZones = new HashSet<>();
+
 	/**
 	 * Sets the announced upstreams. A new incarnation of an upstream is not bound by what
 	 * an earlier one reported.
@@ -38,7 +49,9 @@
 		// The incarnation of a bound upstream is kept while it is not announced.
 		this.incarnations.keySet()
 			.removeIf((name) -> !this.constraints.containsKey(name) && !this.limits.containsKey(name));
+		this.zones.clear();
 		for (Upstream upstream : upstreams) {
+			this.zones.put(upstream.name(), upstream.zone());
 			Long formerIncarnation = this.incarnations.put(upstream.name(), upstream.incarnation());
 			if (formerIncarnation != null && upstream.incarnation() > formerIncarnation) {
 				this.constraints.remove(upstream.name());
@@ -47,6 +60,24 @@
 		}
 	}
 
+	/**
+	 * Sets the availability zones that operators evacuate.
+	 * @param updatedZones the names of all evacuated zones
+	 */
+	public void updateEvacuatedZones(Set<String> updatedZones) {
+		this.evacuatedZones.clear();
+		this.evacuatedZones.addAll(updatedZones);
+	}
+
+	/**
+	 * Returns whether operators evacuate the availability zone of an upstream.
+	 * @param upstream the name of the upstream
+	 * @return whether no request may be sent to it for that reason
+	 */
+	public boolean isEvacuated(String upstream) {
+		return this.evacuatedZones.contains(this.zones.get(upstream));
+	}
+
 	/**
 	 * Records what an upstream reported with a response.
 	 * @param upstream the name of the upstream
@@ -99,6 +130,9 @@
 	}
 
 	private @Nullable LoadReport findConstraint(String upstream, long nowNanos) {
+		if (isEvacuated(upstream)) {
+			return LoadReport.refusedFor(EVACUATION_TOLD_MILLIS);
+		}
 		Constraint constraint = this.constraints.get(upstream);
 		if (constraint == null) {
 			return null;
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -68,6 +68,9 @@
 
 	private boolean removed;
 
+	// Whether operators evacuate the availability zone of the upstream.
+	private boolean evacuated;
+
 	// Whether the upstream is kept free for a request that runs alone.
 	private boolean reserved;
 
@@ -132,9 +135,18 @@
 	}
 
 	boolean acceptsRequests() {
+		return !this.evacuated && wouldAcceptRequests();
+	}
+
+	// Whether it accepts requests unless its zone is evacuated.
+	boolean wouldAcceptRequests() {
 		return !this.removed && this.upstream.acceptsRequests();
 	}
 
+	void setEvacuated(boolean evacuated) {
+		this.evacuated = evacuated;
+	}
+
 	// Whether the upstream has told the instance of the origin to send no requests now.
 	boolean refuses(String origin, long nowNanos) {
 		return nowNanos < refusedUntilNanos(origin);
