Notice that a caller leaves behind the requests that it sent ahead

A caller that sent further requests while one was in progress and then left was not noticed until that one was completed: the check read nothing while bytes that it had read before were left, and the close follows them.

The check now reads on while there is room, and the buffer grows from 2 KB to at most 64 KB when a caller fills it; what is beyond that stays with the caller.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
@@ -18,9 +18,13 @@
  */
 final class CallerEndPoint extends SocketChannelEndPoint {
 
-	private static final int READ_AHEAD_BYTES = 2_048;
+	private static final int INITIAL_READ_AHEAD_BYTES = 2_048;
 
-	private final ByteBuffer readAhead = BufferUtil.allocate(READ_AHEAD_BYTES);
+	// The bytes of further requests that are read while one is in progress. More stay
+	// with the caller; its close is then noticed when the request is completed.
+	private static final int MAXIMUM_READ_AHEAD_BYTES = 64 * 1_024;
+
+	private ByteBuffer readAhead = BufferUtil.allocate(INITIAL_READ_AHEAD_BYTES);
 
 	private boolean closedByCaller;
 
@@ -37,8 +41,8 @@
 		if (this.closedByCaller || !getChannel().isOpen()) {
 			return true;
 		}
-		// Bytes read ahead belong to the next request, so the caller is still connected.
-		if (getFillInterest().isInterested() || this.readAhead.hasRemaining()) {
+		// A close follows the bytes of the requests that the caller sent before it.
+		if (getFillInterest().isInterested() || !hasSpace()) {
 			return false;
 		}
 		int position = BufferUtil.flipToFill(this.readAhead);
@@ -54,6 +58,14 @@
 		return this.closedByCaller;
 	}
 
+	private boolean hasSpace() {
+		if (this.readAhead.remaining() == this.readAhead.capacity()) {
+			this.readAhead = BufferUtil.ensureCapacity(this.readAhead,
+					Math.min(MAXIMUM_READ_AHEAD_BYTES, 2 * this.readAhead.capacity()));
+		}
+		return this.readAhead.remaining() < this.readAhead.capacity();
+	}
+
 	@Override
 	public synchronized int fill(ByteBuffer buffer) throws IOException {
 		if (this.readAhead.hasRemaining()) {
