Refuse evacuations while a control instance would skip the order

The record of a control instance grows by two bytes.

An instance whose evacuations may be outdated for longer than evacuation-apply-millis logs it once.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -80,6 +80,9 @@
 
 	private volatile long evacuationsCurrentAtMillis = Freshness.UNKNOWN;
 
+	// Accessed on the thread of the loop only.
+	private boolean evacuationsOutdated;
+
 	public ClusterService(DaemonSettings settings, PeerTransport transport, TimeSource time, long replicaId) {
 		this.settings = settings;
 		this.transport = transport;
@@ -108,6 +111,7 @@
 			.setAdministrationAddress(this.settings.administrationAddress().toString())
 			.setZone(this.settings.zone())
 			.setControl(this.settings.isControl())
+			.setEvacuations(this.settings.isControl())
 			.setGateway(this.settings.isGateway())
 			.setReplica(this.replica.getId())
 			.setIncarnation(this.time.wallClockMillis())
@@ -216,6 +220,7 @@
 				instances.equals(previousInstances) ? previousInstances : instances, this.membership.appliedRules(),
 				this.membership.hasConfirmedRules(), this.membership.rulesCurrentAtMillis());
 		this.evacuationsCurrentAtMillis = this.membership.evacuationsCurrentAtMillis();
+		logOutdatedEvacuations();
 		if (effects.resumedFromFreeze()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
 			this.transport.closeInboundConnections();
@@ -242,6 +247,19 @@
 		}
 	}
 
+	private void logOutdatedEvacuations() {
+		boolean outdated = this.evacuations.getVersion() > 0
+				&& evacuationsAgeMillis() > this.settings.limits().evacuationApplyMillis();
+		if (outdated && !this.evacuationsOutdated) {
+			eventLog.warning("evacuations-outdated")
+				.with("instance", this.settings.instance())
+				.with("version", this.evacuations.getVersion())
+				.with("consequence", "the zones that are known to be evacuated stay so; later orders may be missing")
+				.write();
+		}
+		this.evacuationsOutdated = outdated;
+	}
+
 	private void applyEvacuations(Evacuations changedEvacuations) {
 		Evacuations formerEvacuations = this.evacuations;
 		this.evacuations = changedEvacuations;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
@@ -4,6 +4,7 @@
 
 import org.radishthread.membership.InstanceView;
 import org.radishthread.membership.ServingState;
+import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.RuleFile;
 
 /**
@@ -37,6 +38,18 @@
 		return hasRules() && nowMillis - this.rulesCurrentAtMillis <= rulesApplyMillis;
 	}
 
+	/**
+	 * Returns whether all control instances apply orders to evacuate zones. A replica of
+	 * an earlier version skips them, so that its state would differ from the others'.
+	 * @return whether no known control instance runs an earlier version
+	 */
+	public boolean canOrderEvacuations() {
+		return this.instances.stream()
+			.map(InstanceView::instance)
+			.filter((instance) -> instance.getControl() && !instance.getLeaving())
+			.allMatch(InstanceRecord::getEvacuations);
+	}
+
 	/**
 	 * Returns whether this instance applies any rules.
 	 * @return whether the revision is greater than zero
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/EvacuationOperations.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/EvacuationOperations.java
@@ -56,6 +56,10 @@
 	 * {@link UnconfirmedChangeException} if a later order came first
 	 */
 	public CompletableFuture<Evacuations> order(String zone, boolean evacuate, String requestedBy) {
+		if (!this.cluster.view().canOrderEvacuations()) {
+			return CompletableFuture.failedFuture(new UnconfirmedChangeException(
+					"A control instance runs an earlier version, which knows no evacuations; upgrade it first."));
+		}
 		long startNanos = this.time.monotonicNanos();
 		EvacuationOrder order = EvacuationOrder.newBuilder()
 			.setZone(zone)
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
@@ -1,10 +1,13 @@
 package org.radishthread.daemon.cluster;
 
+import java.util.Arrays;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
 
+import org.radishthread.membership.InstanceView;
 import org.radishthread.membership.ServingState;
+import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.RuleFile;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -23,6 +26,27 @@
 				RuleFile.newBuilder().setRevision(revision).build(), true, rulesCurrentAtMillis);
 	}
 
+	private static boolean canOrderEvacuations(InstanceRecord... records) {
+		List<InstanceView> instances = Arrays.stream(records)
+			.map((instance) -> new InstanceView(instance, true, 1))
+			.toList();
+		return new ClusterView(ServingState.READY, NOW_MILLIS, instances, RuleFile.getDefaultInstance(), true,
+				NOW_MILLIS)
+			.canOrderEvacuations();
+	}
+
+	// Guards against replicas whose states differ, because one of an earlier version
+	// skips
+	// the order.
+	@Test
+	void evacuationsAreNotOrderedBesideAControlInstanceOfAnEarlierVersion() {
+		InstanceRecord control = InstanceRecord.newBuilder().setControl(true).setEvacuations(true).build();
+		InstanceRecord earlierControl = InstanceRecord.newBuilder().setControl(true).build();
+		InstanceRecord gateway = InstanceRecord.newBuilder().setGateway(true).build();
+		assertThat(canOrderEvacuations(control, gateway)).isTrue();
+		assertThat(canOrderEvacuations(control, earlierControl)).isFalse();
+	}
+
 	// Guards against a 404 for a route of an acknowledged revision, from a gateway that
 	// has lost contact with control instances and is late.
 	@Test
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -568,79 +568,79 @@
       "\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnation\030\006 \001(\004\022\020\n" +
       "\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(\0162\033.radisht" +
       "hread.UpstreamState\022\016\n\006holder\030\t \001(\t\022\024\n\014l" +
-      "ease_millis\030\n \001(\r\022\023\n\013cold_millis\030\013 \001(\r\"\301" +
+      "ease_millis\030\n \001(\r\022\023\n\013cold_millis\030\013 \001(\r\"\326" +
       "\001\n\016InstanceRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_" +
       "address\030\002 \001(\t\022\036\n\026administration_address\030" +
       "\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007" +
       "replica\030\006 \001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007le" +
-      "aving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010J\004\010\n\020\013\"\336\002\n\006G" +
-      "ossip\022\016\n\006sender\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007" +
-      "\022\022\n\nheartbeats\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022" +
-      "/\n\tupstreams\030\005 \003(\0132\034.radishthread.Upstre" +
-      "amRecord\022-\n\007records\030\006 \003(\0132\034.radishthread" +
-      ".InstanceRecord\022\016\n\006digest\030\007 \001(\006\022\026\n\016sende" +
-      "r_address\030\010 \001(\t\022\023\n\013live_digest\030\t \001(\006\022\014\n\004" +
-      "live\030\n \003(\007\022\016\n\006report\030\013 \001(\004\022\035\n\020rules_age_" +
-      "millis\030\014 \001(\004H\000\210\001\001\022\033\n\023evacuations_version" +
-      "\030\r \001(\004B\023\n\021_rules_age_millis\">\n\007Version\022\014" +
-      "\n\004name\030\001 \001(\007\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010seq" +
-      "uence\030\003 \001(\004\"\200\002\n\017Synchronization\022\016\n\006sende" +
-      "r\030\001 \001(\t\022$\n\005known\030\002 \003(\0132\025.radishthread.Ve" +
-      "rsion\022/\n\tupstreams\030\003 \003(\0132\034.radishthread." +
-      "UpstreamRecord\022-\n\007records\030\004 \003(\0132\034.radish" +
-      "thread.InstanceRecord\022\016\n\006answer\030\005 \001(\010\022\026\n" +
-      "\016sender_address\030\006 \001(\t\022\027\n\017known_instances" +
-      "\030\007 \003(\007\022\026\n\016instances_only\030\010 \001(\010\"C\n\014LeaseR" +
-      "enewal\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
-      "\004\022\020\n\010sequence\030\003 \001(\004\"L\n\016UpstreamNotice\022\n\n" +
-      "\002id\030\001 \001(\004\022.\n\010upstream\030\002 \001(\0132\034.radishthre" +
-      "ad.UpstreamRecord\"#\n\025UpstreamNoticeRecei" +
-      "pt\022\n\n\002id\030\001 \001(\004\"\231\003\n\013SlotMessage\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007" +
-      "request\030\004 \001(\0132\031.radishthread.SlotRequest" +
-      "H\000\022$\n\003end\030\005 \001(\0132\025.radishthread.SlotEndH\000" +
-      "\022(\n\005retry\030\006 \001(\0132\027.radishthread.SlotRetry" +
-      "H\000\022(\n\005hedge\030\007 \001(\0132\027.radishthread.SlotHed" +
-      "geH\000\022(\n\005close\030\010 \001(\0132\027.radishthread.SlotC" +
-      "loseH\000\022*\n\006queued\030\t \001(\0132\030.radishthread.Sl" +
-      "otQueuedH\000\022(\n\005grant\030\n \001(\0132\027.radishthread" +
-      ".SlotGrantH\000\022,\n\007refusal\030\013 \001(\0132\031.radishth" +
-      "read.SlotRefusalH\000B\006\n\004body\"\302\001\n\013SlotReque" +
-      "st\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030" +
-      "\n\020remaining_micros\030\003 \001(\004\022\020\n\010priority\030\004 \001" +
-      "(\r\022\030\n\020objective_micros\030\005 \001(\004\022\030\n\020maximum_" +
-      "attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010" +
-      " \001(\t\022\021\n\tworkspace\030\t \001(\t\"\305\001\n\nLoadReport\022\017" +
-      "\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slot" +
-      "s\030\003 \001(\r\022\024\n\014pace_percent\030\004 \001(\r\022\017\n\007leaving" +
-      "\030\005 \001(\010\022\026\n\016refused_millis\030\006 \001(\004\022\035\n\020limit_" +
-      "per_second\030\007 \001(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001" +
-      "(\004B\023\n\021_limit_per_second\"l\n\007SlotEnd\022\020\n\010up" +
-      "stream\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001" +
-      "(\0132\030.radishthread.LoadReport\022\027\n\017connecti" +
-      "on_lost\030\004 \001(\010\"k\n\013CrashNotice\022*\n\007crashes\030" +
-      "\001 \003(\0132\031.radishthread.CrashRecord\0220\n\nclea" +
-      "rances\030\002 \003(\0132\034.radishthread.CrashClearan" +
-      "ce\"g\n\013CrashRecord\022\016\n\006digest\030\001 \001(\t\022\020\n\010ups" +
-      "tream\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\r\n\005alon" +
-      "e\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\"4\n\016CrashClea" +
-      "rance\022\016\n\006digest\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(" +
-      "\004\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\013\n\tSlotClose" +
-      "\"\014\n\nSlotQueued\"\250\001\n\tSlotGrant\022\020\n\010upstream" +
-      "\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n" +
-      "\tin_flight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004\022" +
-      "\032\n\022hedge_after_micros\030\006 \001(\004\022\025\n\rlimit_cou" +
-      "nted\030\007 \001(\010\022\r\n\005relay\030\010 \001(\t\"9\n\013SlotRefusal" +
-      "\022\016\n\006reason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002" +
-      " \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VERDICT_UN" +
-      "SPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022" +
-      "\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022" +
-      "\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTE" +
-      "D\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH" +
-      "\020\004\022\010\n\004FULL\020\005*R\n\rUpstreamState\022\036\n\032UPSTREA" +
-      "M_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAI" +
-      "NING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthread.pro" +
-      "tocolP\001b\006proto3"
+      "aving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010\022\023\n\013evacuati" +
+      "ons\030\013 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022\016\n\006sender\030\001 \001" +
+      "(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartbeats\030\003 \003(" +
+      "\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstreams\030\005 \003(\0132" +
+      "\034.radishthread.UpstreamRecord\022-\n\007records" +
+      "\030\006 \003(\0132\034.radishthread.InstanceRecord\022\016\n\006" +
+      "digest\030\007 \001(\006\022\026\n\016sender_address\030\010 \001(\t\022\023\n\013" +
+      "live_digest\030\t \001(\006\022\014\n\004live\030\n \003(\007\022\016\n\006repor" +
+      "t\030\013 \001(\004\022\035\n\020rules_age_millis\030\014 \001(\004H\000\210\001\001\022\033" +
+      "\n\023evacuations_version\030\r \001(\004B\023\n\021_rules_ag" +
+      "e_millis\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013inc" +
+      "arnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017Syn" +
+      "chronization\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030\002 " +
+      "\003(\0132\025.radishthread.Version\022/\n\tupstreams\030" +
+      "\003 \003(\0132\034.radishthread.UpstreamRecord\022-\n\007r" +
+      "ecords\030\004 \003(\0132\034.radishthread.InstanceReco" +
+      "rd\022\016\n\006answer\030\005 \001(\010\022\026\n\016sender_address\030\006 \001" +
+      "(\t\022\027\n\017known_instances\030\007 \003(\007\022\026\n\016instances" +
+      "_only\030\010 \001(\010\"C\n\014LeaseRenewal\022\014\n\004name\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004" +
+      "\"L\n\016UpstreamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upstre" +
+      "am\030\002 \001(\0132\034.radishthread.UpstreamRecord\"#" +
+      "\n\025UpstreamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\231\003\n\013" +
+      "SlotMessage\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket\030\002" +
+      " \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.rad" +
+      "ishthread.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025.r" +
+      "adishthread.SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027.r" +
+      "adishthread.SlotRetryH\000\022(\n\005hedge\030\007 \001(\0132\027" +
+      ".radishthread.SlotHedgeH\000\022(\n\005close\030\010 \001(\013" +
+      "2\027.radishthread.SlotCloseH\000\022*\n\006queued\030\t " +
+      "\001(\0132\030.radishthread.SlotQueuedH\000\022(\n\005grant" +
+      "\030\n \001(\0132\027.radishthread.SlotGrantH\000\022,\n\007ref" +
+      "usal\030\013 \001(\0132\031.radishthread.SlotRefusalH\000B" +
+      "\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller\030\001 \001(\t\022" +
+      "\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_micros\030" +
+      "\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020objective_mic" +
+      "ros\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001(\r\022\014\n\004z" +
+      "one\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\tworkspace\030\t" +
+      " \001(\t\"\305\001\n\nLoadReport\022\017\n\007running\030\001 \001(\r\022\017\n\007" +
+      "waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_per" +
+      "cent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refused_m" +
+      "illis\030\006 \001(\004\022\035\n\020limit_per_second\030\007 \001(\001H\000\210" +
+      "\001\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021_limit_per_se" +
+      "cond\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006res" +
+      "ult\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthread.L" +
+      "oadReport\022\027\n\017connection_lost\030\004 \001(\010\"k\n\013Cr" +
+      "ashNotice\022*\n\007crashes\030\001 \003(\0132\031.radishthrea" +
+      "d.CrashRecord\0220\n\nclearances\030\002 \003(\0132\034.radi" +
+      "shthread.CrashClearance\"g\n\013CrashRecord\022\016" +
+      "\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013inca" +
+      "rnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage_mill" +
+      "is\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006digest\030\001 \001" +
+      "(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetry\"\013\n\tS" +
+      "lotHedge\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\250\001\n\t" +
+      "SlotGrant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002" +
+      " \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n" +
+      "\rwaited_micros\030\005 \001(\004\022\032\n\022hedge_after_micr" +
+      "os\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005relay" +
+      "\030\010 \001(\t\"9\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n" +
+      "\022retry_after_millis\030\002 \001(\004*a\n\014RulesVerdic" +
+      "t\022\035\n\031RULES_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCE" +
+      "PTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVAL" +
+      "ID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UN" +
+      "SPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCO" +
+      "MPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUps" +
+      "treamState\022\036\n\032UPSTREAM_STATE_UNSPECIFIED" +
+      "\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n" +
+      "\031org.radishthread.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -969,7 +969,7 @@
     internal_static_radishthread_InstanceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_InstanceRecord_descriptor,
-        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", });
+        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", "Evacuations", });
     internal_static_radishthread_Gossip_descriptor =
       getDescriptor().getMessageType(54);
     internal_static_radishthread_Gossip_fieldAccessorTable = new
