--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -15,6 +15,7 @@
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.EventLoop;
+import org.radishthread.kernel.Freshness;
 import org.radishthread.kernel.Service;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.membership.Announcement;
@@ -26,10 +27,12 @@
 import org.radishthread.membership.ReplicationResult;
 import org.radishthread.membership.ServingState;
 import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.ReplicaDescriptor;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
+import org.radishthread.protocol.ZoneEvacuation;
 
 /**
  * Runs the {@link Membership} of this instance on an event loop: passes messages and the
@@ -73,6 +76,13 @@
 
 	private volatile ClusterView view;
 
+	private volatile Evacuations evacuations = Evacuations.getDefaultInstance();
+
+	private volatile long evacuationsCurrentAtMillis = Freshness.UNKNOWN;
+
+	// Accessed on the thread of the loop only.
+	private boolean evacuationsOutdated;
+
 	public ClusterService(DaemonSettings settings, PeerTransport transport, TimeSource time, long replicaId) {
 		this.settings = settings;
 		this.transport = transport;
@@ -101,6 +111,7 @@
 			.setAdministrationAddress(this.settings.administrationAddress().toString())
 			.setZone(this.settings.zone())
 			.setControl(this.settings.isControl())
+			.setEvacuations(this.settings.isControl())
 			.setGateway(this.settings.isGateway())
 			.setReplica(this.replica.getId())
 			.setIncarnation(this.time.wallClockMillis())
@@ -137,6 +148,8 @@
 				() -> this.membership.receive(envelope.getUpstreamNotice(), address, nowMillis())));
 		this.transport.registerHandler(Envelope.BodyCase.UPSTREAM_NOTICE_RECEIPT, (name, address, envelope) -> receive(
 				() -> this.membership.receive(envelope.getUpstreamNoticeReceipt(), name, nowMillis())));
+		this.transport.registerHandler(Envelope.BodyCase.EVACUATIONS, (name, address,
+				envelope) -> receive(() -> this.membership.receive(envelope.getEvacuations(), address)));
 		this.loop.execute(this::tick);
 	}
 
@@ -208,6 +221,8 @@
 				this.membership.hasConfirmedRules(), this.membership.rulesCurrentAtMillis());
 		// Others take the rules of the view for those by which requests are routed.
 		this.view = (effects.rules() != null) ? newView.withRulesOf(this.view) : newView;
+		this.evacuationsCurrentAtMillis = this.membership.evacuationsCurrentAtMillis();
+		logOutdatedEvacuations();
 		if (effects.resumedFromFreeze()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
 			this.transport.closeInboundConnections();
@@ -230,6 +245,41 @@
 			this.listeners.forEach((listener) -> listener.rulesChanged(rules));
 			this.view = newView;
 		}
+		if (effects.evacuations() != null) {
+			applyEvacuations(effects.evacuations());
+		}
+	}
+
+	private void logOutdatedEvacuations() {
+		boolean outdated = this.evacuations.getVersion() > 0
+				&& evacuationsAgeMillis() > this.settings.limits().evacuationApplyMillis();
+		if (outdated && !this.evacuationsOutdated) {
+			eventLog.warning("evacuations-outdated")
+				.with("instance", this.settings.instance())
+				.with("version", this.evacuations.getVersion())
+				.with("consequence", "the zones that are known to be evacuated stay so; later orders may be missing")
+				.write();
+		}
+		this.evacuationsOutdated = outdated;
+	}
+
+	private void applyEvacuations(Evacuations changedEvacuations) {
+		Evacuations formerEvacuations = this.evacuations;
+		this.evacuations = changedEvacuations;
+		this.listeners.forEach((listener) -> listener.evacuationsChanged(changedEvacuations));
+		for (ZoneEvacuation evacuation : changedEvacuations.getZonesList()) {
+			boolean formerlyEvacuated = formerEvacuations.getZonesList()
+				.stream()
+				.anyMatch((former) -> former.getZone().equals(evacuation.getZone()) && former.getEvacuated());
+			if (evacuation.getEvacuated() != formerlyEvacuated) {
+				eventLog.information(evacuation.getEvacuated() ? "zone-evacuated" : "zone-restored")
+					.with("zone", evacuation.getZone())
+					.with("requested-by", evacuation.getRequestedBy())
+					.with("ordered-at-millis", evacuation.getOrderedAtMillis())
+					.with("version", evacuation.getVersion())
+					.write();
+			}
+		}
 	}
 
 	private void logStateChange(ServingState state, long nowMillis) {
@@ -361,6 +411,31 @@
 		this.loop.execute(() -> this.membership.recordRulesCurrent(atMillis));
 	}
 
+	/**
+	 * Applies committed evacuations of availability zones, unless their version is not
+	 * higher than that of the applied ones.
+	 * @param offeredEvacuations the evacuations
+	 */
+	public void offerEvacuations(Evacuations offeredEvacuations) {
+		this.loop.execute(() -> process(() -> this.membership.offerEvacuations(offeredEvacuations)));
+	}
+
+	/**
+	 * Returns the evacuations of availability zones that this instance applies.
+	 * @return the evacuations, with version zero if none was ever ordered
+	 */
+	public Evacuations evacuations() {
+		return this.evacuations;
+	}
+
+	/**
+	 * Returns the time since the applied evacuations were last known to be the newest.
+	 * @return the time, in milliseconds, very high if that is not known
+	 */
+	public long evacuationsAgeMillis() {
+		return nowMillis() - this.evacuationsCurrentAtMillis;
+	}
+
 	/**
 	 * Returns whether a request that no applied rule matches may be refused for good.
 	 * @return whether every revision that must be in force by now is applied
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -11,6 +11,7 @@
 
 import org.radishthread.kernel.Backoff;
 import org.radishthread.protocol.Envelope;
+import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.LeaseRenewal;
@@ -56,10 +57,6 @@
 
 	private static final long FREEZE_THRESHOLD_MILLIS = 2_000;
 
-	// Four heartbeats, and the rounds of gossip that relay them. An acknowledgement does
-	// not wait for instances that are silent for longer, because it must not come late.
-	private static final long RESPONSIVE_PERIOD_MILLIS = 2_500;
-
 	private static final long JOIN_SYNCHRONIZATION_INTERVAL_MILLIS = 1_000;
 
 	// Frequent rounds let an instance that starts find the others sooner. The period is
@@ -74,10 +71,6 @@
 
 	private static final long SYNCHRONIZATION_INTERVAL_MILLIS = 10_000;
 
-	private static final int HEARTBEAT_BYTES_PER_INSTANCE = 13;
-
-	private static final int GOSSIP_MESSAGE_BASE_BYTES = 60;
-
 	private final MembershipSettings settings;
 
 	private List<String> seeds;
@@ -88,12 +81,16 @@
 
 	private final InstanceTable instances;
 
+	private final RoundTiming timing;
+
 	private final UpstreamRegistry upstreams;
 
 	private final AppliedRules rules = new AppliedRules();
 
 	private final RulesFreshness rulesFreshness = new RulesFreshness();
 
+	private final AppliedEvacuations evacuations = new AppliedEvacuations();
+
 	private final ChangeQueue<UpstreamRecord> changedUpstreams = new ChangeQueue<>();
 
 	private final ChangeQueue<InstanceRecord> changedInstances = new ChangeQueue<>();
@@ -108,6 +105,8 @@
 
 	private boolean rulesChanged;
 
+	private boolean evacuationsChanged;
+
 	private boolean urgentRoundPending;
 
 	private boolean resumedFromFreeze;
@@ -153,6 +152,7 @@
 		this.selector = selector;
 		this.heartbeat = self.getIncarnation();
 		this.instances = new InstanceTable(self.getName());
+		this.timing = new RoundTiming(settings, this.instances);
 		this.upstreams = new UpstreamRegistry(self.getName());
 		this.instances.merge(self, 0);
 		this.reports = new GatewayReports(self, this.instances, settings.rulesApplyMillis());
@@ -180,11 +180,13 @@
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoingMessages),
 				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.ruleFile() : null,
-				this.upstreams.drainResults(), this.resumedFromFreeze, this.reports.drainSilentAddresses(),
+				this.evacuationsChanged ? this.evacuations.evacuations() : null, this.upstreams.drainResults(),
+				this.resumedFromFreeze, this.reports.drainSilentAddresses(),
 				this.urgentRoundPending || this.updatePending);
 		this.outgoingMessages.clear();
 		this.upstreamsChanged = false;
 		this.rulesChanged = false;
+		this.evacuationsChanged = false;
 		this.resumedFromFreeze = false;
 		return effects;
 	}
@@ -233,11 +235,15 @@
 		List<String> gateways = this.responses.reportingAddresses(nowMillis);
 		if (!gateways.isEmpty()) {
 			Gossip update = this.responses.createUpdate(this.self, reportedRevision(), this.upstreams.stateDigest(),
-					nowMillis - failureTimeoutMillis());
-			gateways.forEach((address) -> send(address, Envelope.newBuilder().setGossip(update)));
+					nowMillis - this.timing.failureTimeoutMillis());
+			gateways.forEach((address) -> sendGossip(address, update));
 		}
 	}
 
+	private void sendGossip(String address, Gossip gossip) {
+		send(address, Envelope.newBuilder().setGossip(this.evacuations.describe(gossip)));
+	}
+
 	private void send(String address, Envelope.Builder envelope) {
 		this.outgoingMessages.add(new OutgoingMessage(address, envelope.build()));
 	}
@@ -288,22 +294,22 @@
 		if (knowsSeedsOnly) {
 			return Math.min(FIRST_CONTACT_INTERVAL_MILLIS, this.reports.nextIntervalMillis());
 		}
-		return isStartingUp(nowMillis) ? STARTUP_INTERVAL_MILLIS : roundIntervalMillis();
+		return isStartingUp(nowMillis) ? STARTUP_INTERVAL_MILLIS : this.timing.roundIntervalMillis();
 	}
 
 	private void sendReports(long nowMillis) {
 		this.rulesFreshness.recordReport(this.heartbeat, nowMillis);
+		this.evacuations.recordReport(this.heartbeat, nowMillis);
 		Set<String> targets = new LinkedHashSet<>(this.reports.nextTargets(nowMillis));
 		if (this.reports.isControlLost(nowMillis)) {
 			targets.addAll(this.selector.select(this.seeds, 1));
 			Gossip gossip = createGossip(true);
-			this.reports.neighborAddresses(this.self)
-				.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
+			this.reports.neighborAddresses(this.self).forEach((address) -> sendGossip(address, gossip));
 		}
 		for (String address : targets) {
 			Gossip report = this.reports.createReport(address, this.self, this.heartbeat, reportedRevision(),
-					this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis());
-			send(address, Envelope.newBuilder().setGossip(report));
+					this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis());
+			sendGossip(address, report);
 		}
 	}
 
@@ -312,32 +318,6 @@
 		return !hasRulesAndUpstreams && nowMillis - this.startMillis < STARTUP_PERIOD_MILLIS;
 	}
 
-	// With many instances the interval grows to limit the byte rate. Only heartbeats
-	// count towards the rate: if a burst of changes delayed heartbeats, live instances
-	// would seem lost, which would cause further changes.
-	private long roundIntervalMillis() {
-		long heartbeatBytes = GOSSIP_MESSAGE_BASE_BYTES
-				+ (long) HEARTBEAT_BYTES_PER_INSTANCE * this.instances.entries().size();
-		long bytesPerSecond = this.instances.hasControlInstance() ? this.settings.controlHeartbeatBytesPerSecond()
-				: this.settings.heartbeatBytesPerSecond();
-		long spacingMillis = this.settings.fanout() * heartbeatBytes * 1_000 / bytesPerSecond;
-		return Math.max(this.settings.gossipIntervalMillis(), spacingMillis);
-	}
-
-	// Timeouts grow with the interval between rounds, so that they always span the same
-	// number of heartbeats.
-	private long scaleToRoundInterval(long durationMillis) {
-		return durationMillis * roundIntervalMillis() / this.settings.gossipIntervalMillis();
-	}
-
-	private long failureTimeoutMillis() {
-		return scaleToRoundInterval(this.settings.failureTimeoutMillis());
-	}
-
-	private long isolationTimeoutMillis() {
-		return scaleToRoundInterval(this.settings.isolationTimeoutMillis());
-	}
-
 	/**
 	 * Detects that this process was suspended since the last call. All other instances
 	 * then count as lost until their next heartbeat, all leases restart, and the rules
@@ -357,6 +337,7 @@
 			this.instances.markAllLost();
 			this.reports.resetAfterFreeze();
 			this.rulesFreshness.reset();
+			this.evacuations.resetFreshness();
 			this.upstreams.renewAll(nowMillis);
 			this.rulesConfirmed = false;
 			this.resumedFromFreeze = true;
@@ -365,7 +346,7 @@
 	}
 
 	private void expireLeases(long nowMillis) {
-		long sinceMillis = nowMillis - failureTimeoutMillis();
+		long sinceMillis = nowMillis - this.timing.failureTimeoutMillis();
 		// While no control instance is live, upstreams cannot renew their leases, so the
 		// leases of lost holders must not expire.
 		boolean controlInstanceLive = this.instances.entries()
@@ -380,7 +361,7 @@
 	private void removeLostInstances(long nowMillis) {
 		if (hasMajority(nowMillis)) {
 			this.instances.removeSilentSince(nowMillis - this.settings.removalTimeoutMillis());
-			this.instances.removeLeavingSilentSince(nowMillis - failureTimeoutMillis() * 2);
+			this.instances.removeLeavingSilentSince(nowMillis - this.timing.failureTimeoutMillis() * 2);
 		}
 	}
 
@@ -400,7 +381,7 @@
 			return;
 		}
 		Gossip gossip = createGossip(withHeartbeats);
-		targets.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
+		targets.forEach((address) -> sendGossip(address, gossip));
 	}
 
 	// Instances that started together may know only each other. Their majority is one of
@@ -415,7 +396,7 @@
 		Gossip.Builder gossip = Gossip.newBuilder()
 			.setSender(this.self.getName())
 			.setSenderAddress(this.self.getPeerAddress());
-		long sinceMillis = this.lastClockReadingMillis - failureTimeoutMillis();
+		long sinceMillis = this.lastClockReadingMillis - this.timing.failureTimeoutMillis();
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
 			boolean included = this.revisedGateways.contains(entry.nameHash)
@@ -444,6 +425,8 @@
 	 */
 	public void receive(Gossip gossip, long nowMillis) {
 		gossip.getRecordsList().forEach((instance) -> mergeInstance(instance, nowMillis));
+		this.evacuations.respond(gossip)
+			.ifPresent((response) -> send(gossip.getSenderAddress(), Envelope.newBuilder().setEvacuations(response)));
 		if (GatewayReports.isResponse(gossip)) {
 			receiveResponse(gossip, nowMillis);
 			return;
@@ -485,26 +468,26 @@
 
 	private void respondToReport(Gossip report, long nowMillis) {
 		Gossip.Builder response = this.responses.respond(report, this.self, reportedRevision(),
-				this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis(), nowMillis);
+				this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis(), nowMillis);
 		if (this.rulesConfirmed && report.getHeartbeatsCount() > 0) {
 			this.rulesFreshness.describe(response, report.getHeartbeats(0), nowMillis);
 		}
-		send(report.getSenderAddress(), Envelope.newBuilder().setGossip(response));
+		sendGossip(report.getSenderAddress(), response.build());
 	}
 
 	// Tells an instance what is known of its former incarnation, which started while the
 	// wall clock was ahead: it must exceed that, or its heartbeats would be ignored.
 	private void sendFormerState(String address, InstanceTable.Entry former) {
-		send(address,
-				Envelope.newBuilder()
-					.setGossip(Gossip.newBuilder()
-						.setSender(this.self.getName())
-						.setSenderAddress(this.self.getPeerAddress())
-						.addInstances(former.nameHash)
-						.addHeartbeats(former.heartbeat)
-						.addRevisions(InstanceTable.UNCONFIRMED_REVISION)
-						.addRecords(former.instance)
-						.setDigest(this.upstreams.digest())));
+		sendGossip(address,
+				Gossip.newBuilder()
+					.setSender(this.self.getName())
+					.setSenderAddress(this.self.getPeerAddress())
+					.addInstances(former.nameHash)
+					.addHeartbeats(former.heartbeat)
+					.addRevisions(InstanceTable.UNCONFIRMED_REVISION)
+					.addRecords(former.instance)
+					.setDigest(this.upstreams.digest())
+					.build());
 	}
 
 	private static boolean isGateway(Gossip gossip, InstanceTable.@Nullable Entry sender) {
@@ -515,7 +498,7 @@
 		this.controlContacted = true;
 		response.getUpstreamsList().forEach((upstream) -> this.upstreams.merge(upstream, nowMillis));
 		String address = response.getSenderAddress();
-		if (this.reports.receive(response, nowMillis - failureTimeoutMillis(), nowMillis)
+		if (this.reports.receive(response, nowMillis - this.timing.failureTimeoutMillis(), nowMillis)
 				|| this.instances.find(response.getSender()) == null) {
 			requestInstances(address, nowMillis);
 		}
@@ -524,6 +507,7 @@
 		if (sender != null && sender.ruleRevision <= this.rules.revision()) {
 			this.rulesFreshness.recordResponse(response);
 		}
+		this.evacuations.recordResponse(response);
 		if (response.getDigest() == this.upstreams.stateDigest()) {
 			this.upstreamsDifferSinceMillis = Long.MAX_VALUE;
 			return;
@@ -660,7 +644,8 @@
 
 	private @Nullable String findLiveAddress(String instanceName, long nowMillis) {
 		InstanceTable.Entry entry = this.instances.find(instanceName);
-		boolean live = entry != null && this.instances.isLive(instanceName, nowMillis - failureTimeoutMillis());
+		boolean live = entry != null
+				&& this.instances.isLive(instanceName, nowMillis - this.timing.failureTimeoutMillis());
 		return live ? entry.instance.getPeerAddress() : null;
 	}
 
@@ -687,7 +672,7 @@
 			if (instance.getName().equals(this.self.getName()) || instance.getLeaving() || !stores) {
 				continue;
 			}
-			if (entry.lastHeartbeatMillis >= nowMillis - failureTimeoutMillis()) {
+			if (entry.lastHeartbeatMillis >= nowMillis - this.timing.failureTimeoutMillis()) {
 				liveRecipients
 					.add(new AnnouncementReplication.Recipient(instance.getName(), instance.getPeerAddress()));
 			}
@@ -770,12 +755,59 @@
 	}
 
 	/**
-	 * Records that this control instance has applied every revision that the control
-	 * group had accepted at a time. To be called after {@link #offerRules} with them.
+	 * Applies committed evacuations of availability zones, unless their version is not
+	 * higher than that of the applied ones. A control instance sends them to the other
+	 * control instances and to the gateways that report to it.
+	 * @param offeredEvacuations the evacuations
+	 */
+	public void offerEvacuations(Evacuations offeredEvacuations) {
+		if (!this.evacuations.applyIfNewer(offeredEvacuations)) {
+			return;
+		}
+		this.evacuationsChanged = true;
+		if (this.self.getControl()) {
+			Set<String> recipients = new LinkedHashSet<>(this.instances.otherControlPeerAddresses());
+			recipients.addAll(this.responses.reportingAddresses(this.lastClockReadingMillis));
+			recipients.forEach(
+					(address) -> send(address, Envelope.newBuilder().setEvacuations(this.evacuations.evacuations())));
+		}
+	}
+
+	/**
+	 * Processes the evacuations of a peer, and sends it those of this instance if they
+	 * are newer.
+	 * @param receivedEvacuations the evacuations
+	 * @param senderAddress the peer address of the instance
+	 */
+	public void receive(Evacuations receivedEvacuations, String senderAddress) {
+		offerEvacuations(receivedEvacuations);
+		if (receivedEvacuations.getVersion() < this.evacuations.version()) {
+			send(senderAddress, Envelope.newBuilder().setEvacuations(this.evacuations.evacuations()));
+		}
+	}
+
+	public Evacuations appliedEvacuations() {
+		return this.evacuations.evacuations();
+	}
+
+	/**
+	 * Returns the latest time as of which the applied evacuations are known to be the
+	 * newest.
+	 * @return the monotonic time, in milliseconds, very low if it is not known
+	 */
+	public long evacuationsCurrentAtMillis() {
+		return this.evacuations.currentAtMillis();
+	}
+
+	/**
+	 * Records that this control instance has applied every revision and evacuation that
+	 * the control group had accepted at a time. To be called after {@link #offerRules}
+	 * and {@link #offerEvacuations} with them.
 	 * @param atMillis the monotonic time, in milliseconds
 	 */
 	public void recordRulesCurrent(long atMillis) {
 		this.rulesFreshness.recordCurrent(atMillis);
+		this.evacuations.recordCurrent(atMillis);
 	}
 
 	/**
@@ -825,8 +857,8 @@
 	// all instances were stopped, none has confirmed rules, and only the control group
 	// can confirm them.
 	private void confirmRulesByMajority(long nowMillis) {
-		long sinceMillis = nowMillis - isolationTimeoutMillis();
-		if (!this.rulesConfirmed
+		long sinceMillis = nowMillis - this.timing.isolationTimeoutMillis();
+		if (!this.rulesConfirmed && !this.evacuations.isBehind()
 				&& 2 * this.instances.countOthersWithConfirmedRules(sinceMillis) > expectedInstanceCount()
 				&& this.rules.revision() >= this.instances.highestRuleRevision(sinceMillis)) {
 			this.rulesConfirmed = true;
@@ -840,7 +872,7 @@
 	 * @return the number of instances, with this one
 	 */
 	public int countInstancesAtRevision(long revision, long nowMillis) {
-		long sinceMillis = nowMillis - scaleToRoundInterval(RESPONSIVE_PERIOD_MILLIS);
+		long sinceMillis = nowMillis - this.timing.responsivePeriodMillis();
 		int count = 0;
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
@@ -859,7 +891,7 @@
 	 * @return the number of instances, with this one
 	 */
 	public int responsiveInstanceCount(long nowMillis) {
-		return this.instances.liveCount(nowMillis - scaleToRoundInterval(RESPONSIVE_PERIOD_MILLIS));
+		return this.instances.liveCount(nowMillis - this.timing.responsivePeriodMillis());
 	}
 
 	/**
@@ -881,7 +913,7 @@
 	 * @return the number of instances, with this one
 	 */
 	public int liveInstanceCount(long nowMillis) {
-		return this.instances.liveCount(nowMillis - isolationTimeoutMillis());
+		return this.instances.liveCount(nowMillis - this.timing.isolationTimeoutMillis());
 	}
 
 	private boolean hasMajority(long nowMillis) {
@@ -929,7 +961,7 @@
 		List<InstanceView> views = new ArrayList<>();
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
-			boolean live = isSelf || entry.lastHeartbeatMillis >= nowMillis - failureTimeoutMillis();
+			boolean live = isSelf || entry.lastHeartbeatMillis >= nowMillis - this.timing.failureTimeoutMillis();
 			views.add(new InstanceView(entry.instance, live, isSelf ? this.rules.revision() : entry.ruleRevision));
 		}
 		return views;
