Part the exchange of rules out of Membership

Membership held the revision, the confirmation and the requests for rules beside heartbeats, upstreams and leases. RuleExchange takes them over and replaces AppliedRules, so that the transfer of large rule files can change in one place.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -90,7 +90,7 @@
 
 	private final UpstreamRegistry upstreams;
 
-	private final AppliedRules rules = new AppliedRules();
+	private final RuleExchange rules = new RuleExchange();
 
 	private final RulesFreshness rulesFreshness = new RulesFreshness();
 
@@ -106,8 +106,6 @@
 
 	private boolean upstreamsChanged;
 
-	private boolean rulesChanged;
-
 	private boolean urgentRoundPending;
 
 	private boolean resumedFromFreeze;
@@ -142,8 +140,6 @@
 
 	private long upstreamsDifferSinceMillis = Long.MAX_VALUE;
 
-	private boolean rulesConfirmed;
-
 	private boolean upstreamsSynchronized;
 
 	public Membership(InstanceRecord self, MembershipSettings settings, PeerSelector selector) {
@@ -179,12 +175,11 @@
 			sendUpdate(this.lastClockReadingMillis);
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoingMessages),
-				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.ruleFile() : null,
+				this.upstreamsChanged ? upstreams() : null, this.rules.drainChanged() ? this.rules.ruleFile() : null,
 				this.upstreams.drainResults(), this.resumedFromFreeze, this.reports.drainSilentAddresses(),
 				this.urgentRoundPending || this.updatePending);
 		this.outgoingMessages.clear();
 		this.upstreamsChanged = false;
-		this.rulesChanged = false;
 		this.resumedFromFreeze = false;
 		return effects;
 	}
@@ -232,8 +227,8 @@
 	private void sendUpdate(long nowMillis) {
 		List<String> gateways = this.responses.reportingAddresses(nowMillis);
 		if (!gateways.isEmpty()) {
-			Gossip update = this.responses.createUpdate(this.self, reportedRevision(), this.upstreams.stateDigest(),
-					nowMillis - failureTimeoutMillis());
+			Gossip update = this.responses.createUpdate(this.self, this.rules.reportedRevision(),
+					this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis());
 			gateways.forEach((address) -> send(address, Envelope.newBuilder().setGossip(update)));
 		}
 	}
@@ -301,14 +296,14 @@
 				.forEach((address) -> send(address, Envelope.newBuilder().setGossip(gossip)));
 		}
 		for (String address : targets) {
-			Gossip report = this.reports.createReport(address, this.self, this.heartbeat, reportedRevision(),
+			Gossip report = this.reports.createReport(address, this.self, this.heartbeat, this.rules.reportedRevision(),
 					this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis());
 			send(address, Envelope.newBuilder().setGossip(report));
 		}
 	}
 
 	private boolean isStartingUp(long nowMillis) {
-		boolean hasRulesAndUpstreams = this.rulesConfirmed && this.upstreamsSynchronized;
+		boolean hasRulesAndUpstreams = this.rules.isConfirmed() && this.upstreamsSynchronized;
 		return !hasRulesAndUpstreams && nowMillis - this.startMillis < STARTUP_PERIOD_MILLIS;
 	}
 
@@ -358,7 +353,7 @@
 			this.reports.resetAfterFreeze();
 			this.rulesFreshness.reset();
 			this.upstreams.renewAll(nowMillis);
-			this.rulesConfirmed = false;
+			this.rules.resetAfterFreeze();
 			this.resumedFromFreeze = true;
 		}
 		return frozen;
@@ -423,7 +418,7 @@
 			if (isSelf || included) {
 				gossip.addInstances(entry.nameHash);
 				gossip.addHeartbeats(isSelf ? this.heartbeat : entry.heartbeat);
-				gossip.addRevisions(isSelf ? reportedRevision() : entry.ruleRevision);
+				gossip.addRevisions(isSelf ? this.rules.reportedRevision() : entry.ruleRevision);
 			}
 		}
 		gossip.addAllUpstreams(this.changedUpstreams.pollRound(MAXIMUM_RECORDS_PER_ROUND));
@@ -431,12 +426,6 @@
 		return gossip.setDigest(this.upstreams.digest()).build();
 	}
 
-	// Rules read from the disk, or received from a peer that just started, may be older
-	// than the accepted ones, so they must not count as in force.
-	private long reportedRevision() {
-		return this.rulesConfirmed ? this.rules.revision() : InstanceTable.UNCONFIRMED_REVISION;
-	}
-
 	/**
 	 * Processes a gossip message.
 	 * @param gossip the message
@@ -484,9 +473,9 @@
 	}
 
 	private void respondToReport(Gossip report, long nowMillis) {
-		Gossip.Builder response = this.responses.respond(report, this.self, reportedRevision(),
+		Gossip.Builder response = this.responses.respond(report, this.self, this.rules.reportedRevision(),
 				this.upstreams.stateDigest(), nowMillis - failureTimeoutMillis(), nowMillis);
-		if (this.rulesConfirmed && report.getHeartbeatsCount() > 0) {
+		if (this.rules.isConfirmed() && report.getHeartbeatsCount() > 0) {
 			this.rulesFreshness.describe(response, report.getHeartbeats(0), nowMillis);
 		}
 		send(report.getSenderAddress(), Envelope.newBuilder().setGossip(response));
@@ -536,9 +525,10 @@
 	}
 
 	private void requestRulesIfBehind(InstanceTable.@Nullable Entry peer, long nowMillis) {
-		if (peer != null && this.rules.shouldRequest(peer.ruleRevision, nowMillis)) {
-			send(peer.instance.getPeerAddress(), Envelope.newBuilder()
-				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
+		if (peer != null) {
+			this.rules.createRequest(peer.ruleRevision, nowMillis)
+				.ifPresent((request) -> send(peer.instance.getPeerAddress(),
+						Envelope.newBuilder().setRuleRequest(request)));
 		}
 	}
 
@@ -752,7 +742,6 @@
 	 */
 	public void offerRules(RuleFile offeredRules) {
 		if (this.rules.applyIfNewer(offeredRules)) {
-			this.rulesChanged = true;
 			this.urgentRoundPending = true;
 			this.updatePending = gossips();
 			this.nextUpdateMillis = this.lastClockReadingMillis;
@@ -766,7 +755,7 @@
 	 */
 	public void confirmRules(RuleFile confirmedRules) {
 		offerRules(confirmedRules);
-		this.rulesConfirmed = true;
+		this.rules.confirm();
 	}
 
 	/**
@@ -794,8 +783,9 @@
 	 */
 	public void receive(RuleRequest request, String senderName) {
 		InstanceTable.Entry entry = this.instances.find(senderName);
-		if (entry != null && this.rules.revision() > request.getKnownRevision()) {
-			send(entry.instance.getPeerAddress(), Envelope.newBuilder().setRuleFile(this.rules.ruleFile()));
+		if (entry != null) {
+			this.rules.respond(request)
+				.ifPresent((file) -> send(entry.instance.getPeerAddress(), Envelope.newBuilder().setRuleFile(file)));
 		}
 	}
 
@@ -809,7 +799,7 @@
 	 * @return whether the applied rules are confirmed to be in force
 	 */
 	public boolean hasConfirmedRules() {
-		return this.rulesConfirmed;
+		return this.rules.isConfirmed();
 	}
 
 	/**
@@ -826,10 +816,10 @@
 	// can confirm them.
 	private void confirmRulesByMajority(long nowMillis) {
 		long sinceMillis = nowMillis - isolationTimeoutMillis();
-		if (!this.rulesConfirmed
+		if (!this.rules.isConfirmed()
 				&& 2 * this.instances.countOthersWithConfirmedRules(sinceMillis) > expectedInstanceCount()
 				&& this.rules.revision() >= this.instances.highestRuleRevision(sinceMillis)) {
-			this.rulesConfirmed = true;
+			this.rules.confirm();
 		}
 	}
 
@@ -906,7 +896,7 @@
 		}
 		// An instance must not route requests before it knows which upstreams have left.
 		boolean upstreamsKnown = this.upstreamsSynchronized || this.instances.entries().size() == 1;
-		return (this.rulesConfirmed && upstreamsKnown) ? ServingState.READY : ServingState.STARTING;
+		return (this.rules.isConfirmed() && upstreamsKnown) ? ServingState.READY : ServingState.STARTING;
 	}
 
 	/**
