--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
@@ -23,6 +23,7 @@
 import org.radishthread.protocol.Refused;
 import org.radishthread.protocol.ReplicaDescriptor;
 import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.RulePart;
 import org.radishthread.protocol.Snapshot;
 
 /**
@@ -56,7 +57,7 @@
 
 	private final Map<Long, PendingCommand> pendingCommands = new HashMap<>();
 
-	private final Map<Long, PendingRequest> pendingReads = new HashMap<>();
+	private final Map<Long, PendingRead> pendingReads = new HashMap<>();
 
 	private final List<PendingRequest> pendingReplacements = new ArrayList<>();
 
@@ -207,7 +208,8 @@
 			}
 			case READ_RULES -> {
 				this.lastReadToken++;
-				this.pendingReads.put(this.lastReadToken, pendingRequest);
+				this.pendingReads.put(this.lastReadToken,
+						new PendingRead(pendingRequest, request.getReadRules().getPart()));
 				this.replica.requestReadConfirmation(this.lastReadToken);
 			}
 			case READ_HISTORY -> reply(pendingRequest, ControlResponse.newBuilder()
@@ -384,16 +386,17 @@
 	}
 
 	private void completeRead(long token) {
-		PendingRequest pendingRequest = this.pendingReads.remove(token);
-		if (pendingRequest != null) {
-			reply(pendingRequest, ControlResponse.newBuilder().setRuleFile(rules()));
+		PendingRead pendingRead = this.pendingReads.remove(token);
+		if (pendingRead != null) {
+			reply(pendingRead.request(),
+					ControlResponse.newBuilder().setRuleFile(this.stateMachine.rules().readPart(pendingRead.part())));
 		}
 	}
 
 	private void redirectPendingRequests() {
 		this.pendingCommands.values().forEach((pendingCommand) -> replyNotLeader(pendingCommand.request()));
 		this.pendingCommands.clear();
-		this.pendingReads.values().forEach(this::replyNotLeader);
+		this.pendingReads.values().forEach((pendingRead) -> replyNotLeader(pendingRead.request()));
 		this.pendingReads.clear();
 		this.pendingReplacements.forEach(this::replyNotLeader);
 		this.pendingReplacements.clear();
@@ -432,6 +435,9 @@
 	private record PendingRequest(String requester, long id) {
 	}
 
+	private record PendingRead(PendingRequest request, RulePart part) {
+	}
+
 	private record PendingCommand(PendingRequest request, long term) {
 	}
 
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/RuleRegistry.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/RuleRegistry.java
@@ -6,10 +6,12 @@
 import com.google.protobuf.ByteString;
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.kernel.Compression;
 import org.radishthread.kernel.Sha256;
 import org.radishthread.protocol.ControlSnapshot;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.RuleHistory;
+import org.radishthread.protocol.RulePart;
 import org.radishthread.protocol.RulesAnswer;
 import org.radishthread.protocol.RulesVerdict;
 import org.radishthread.protocol.SubmitRules;
@@ -25,12 +27,37 @@
 
 	private RuleFile currentRules = RuleFile.getDefaultInstance();
 
+	// The document of the current rules, compressed when it was first read.
+	private RuleFile encodedDocument = RuleFile.getDefaultInstance();
+
 	private final TreeMap<Long, RuleHistory> history = new TreeMap<>();
 
 	RuleFile currentRules() {
 		return this.currentRules;
 	}
 
+	// Returns what a reader needs of the rules in force.
+	RuleFile readPart(RulePart part) {
+		return switch (part) {
+			case RULE_PART_REVISION ->
+				RuleFile.newBuilder().setRevision(this.currentRules.getRevision()).setPart(part).build();
+			case RULE_PART_DOCUMENT -> readDocument();
+			default -> this.currentRules;
+		};
+	}
+
+	private RuleFile readDocument() {
+		if (this.encodedDocument.getRevision() != this.currentRules.getRevision()) {
+			byte[] compressed = Compression.compress(this.currentRules.getDocument().toByteArray());
+			this.encodedDocument = RuleFile.newBuilder()
+				.setRevision(this.currentRules.getRevision())
+				.setPart(RulePart.RULE_PART_DOCUMENT)
+				.setCompressedDocument(ByteString.copyFrom(compressed))
+				.build();
+		}
+		return this.encodedDocument;
+	}
+
 	List<RuleHistory> latestRevisions(int limit) {
 		return this.history.descendingMap().values().stream().limit(limit).toList();
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -24,6 +25,7 @@
 import org.radishthread.membership.MembershipEffects;
 import org.radishthread.membership.MembershipSettings;
 import org.radishthread.membership.ReplicationResult;
+import org.radishthread.membership.RuleTransfer;
 import org.radishthread.membership.ServingState;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.InstanceRecord;
@@ -71,6 +73,9 @@
 	// Accessed on the thread of the loop only.
 	private boolean roundPending;
 
+	// Accessed on the thread of the loop only.
+	private long loggedRefusedRules;
+
 	private volatile ClusterView view;
 
 	public ClusterService(DaemonSettings settings, PeerTransport transport, TimeSource time, long replicaId) {
@@ -130,7 +135,7 @@
 		this.transport.registerHandler(Envelope.BodyCase.RULE_REQUEST,
 				(name, address, envelope) -> receive(() -> this.membership.receive(envelope.getRuleRequest(), name)));
 		this.transport.registerHandler(Envelope.BodyCase.RULE_FILE,
-				(name, address, envelope) -> receive(() -> this.membership.offerRules(envelope.getRuleFile())));
+				(name, address, envelope) -> receive(() -> this.membership.receive(envelope.getRuleFile())));
 		this.transport.registerHandler(Envelope.BodyCase.LEASE_RENEWAL, (name, address,
 				envelope) -> receive(() -> this.membership.receive(envelope.getLeaseRenewal(), nowMillis())));
 		this.transport.registerHandler(Envelope.BodyCase.UPSTREAM_NOTICE, (name, address, envelope) -> receive(
@@ -217,6 +222,7 @@
 		});
 		effects.messages().forEach((message) -> this.transport.send(message.address(), message.envelope()));
 		effects.replicationResults().forEach(this::completeReplication);
+		logRefusedRules();
 		if (effects.upstreams() != null) {
 			List<UpstreamRecord> upstreams = effects.upstreams();
 			eventLog.information("upstreams-changed").with("count", upstreams.size()).write();
@@ -224,11 +230,32 @@
 		}
 		if (effects.rules() != null) {
 			RuleFile rules = effects.rules();
-			eventLog.information("rules-applied").with("revision", rules.getRevision()).write();
+			logRules(rules.getRevision());
 			this.listeners.forEach((listener) -> listener.rulesChanged(rules));
 		}
 	}
 
+	private void logRefusedRules() {
+		long refusedCount = this.membership.lastRuleTransfer().refusedCount();
+		if (refusedCount > this.loggedRefusedRules) {
+			this.loggedRefusedRules = refusedCount;
+			eventLog.warning("rule-transfer-refused")
+				.with("applied-revision", this.membership.appliedRules().getRevision())
+				.with("refused", refusedCount)
+				.with("next", "the whole file is requested")
+				.write();
+		}
+	}
+
+	private void logRules(long revision) {
+		RuleTransfer transfer = this.membership.lastRuleTransfer();
+		eventLog.information("rules-applied")
+			.with("revision", revision)
+			.with("form", transfer.form().name().toLowerCase(Locale.ROOT))
+			.with("bytes", transfer.bytes())
+			.write();
+	}
+
 	private void logStateChange(ServingState state, long nowMillis) {
 		eventLog.information("serving-state-changed")
 			.with("from", this.view.state().wireName())
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -15,6 +15,7 @@
 import org.radishthread.protocol.ControlResponse;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.ReadRules;
+import org.radishthread.protocol.RulePart;
 
 /**
  * Sends requests to the control group on behalf of this instance. While its rules are not
@@ -37,6 +38,11 @@
 
 	private static final long MAXIMUM_CONFIRMATION_INTERVAL_MILLIS = 1_600;
 
+	// The rules of a confirmed revision are received from a peer nearby. If that fails,
+	// the
+	// leader of the control group sends them.
+	private static final int MAXIMUM_REVISION_RESPONSES = 4;
+
 	private final PeerTransport transport;
 
 	private final ClusterService cluster;
@@ -52,6 +58,10 @@
 	// This and the following fields are accessed on the thread of the loop only.
 	private boolean confirmationPending;
 
+	// The number of responses with the revision alone since the rules were last confirmed
+	// or read whole.
+	private int revisionResponses;
+
 	private long nextConfirmationMillis = Long.MIN_VALUE;
 
 	private final Backoff confirmationInterval = new Backoff(MINIMUM_CONFIRMATION_INTERVAL_MILLIS,
@@ -92,6 +102,7 @@
 	private void confirmRulesIfNeeded() {
 		if (!this.cluster.needsRuleConfirmation()) {
 			this.confirmationInterval.reset();
+			this.revisionResponses = 0;
 			return;
 		}
 		if (this.confirmationPending || nowMillis() < this.nextConfirmationMillis) {
@@ -99,10 +110,13 @@
 		}
 		this.confirmationPending = true;
 		this.nextConfirmationMillis = nowMillis() + this.confirmationInterval.nextMillis();
-		ControlRequest.Builder request = ControlRequest.newBuilder().setReadRules(ReadRules.getDefaultInstance());
+		RulePart part = (this.revisionResponses < MAXIMUM_REVISION_RESPONSES) ? RulePart.RULE_PART_REVISION
+				: RulePart.RULE_PART_WHOLE;
+		ControlRequest.Builder request = ControlRequest.newBuilder().setReadRules(ReadRules.newBuilder().setPart(part));
 		sendToLeader(request, CONFIRMATION_TIMEOUT_MILLIS).whenComplete((response, failure) -> {
 			this.confirmationPending = false;
 			if (response != null && response.hasRuleFile()) {
+				this.revisionResponses = (part == RulePart.RULE_PART_REVISION) ? this.revisionResponses + 1 : 0;
 				this.cluster.confirmRules(response.getRuleFile());
 			}
 		});
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
@@ -3,15 +3,18 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import com.google.protobuf.ByteString;
+
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.cluster.RulePropagation;
+import org.radishthread.kernel.Compression;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.protocol.Command;
 import org.radishthread.protocol.ControlRequest;
-import org.radishthread.protocol.ControlResponse;
 import org.radishthread.protocol.ReadRules;
 import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.RulePart;
 import org.radishthread.protocol.RulesAnswer;
 import org.radishthread.protocol.RulesVerdict;
 import org.radishthread.protocol.SubmitRules;
@@ -28,6 +31,10 @@
 
 	private static final long PROPAGATION_POLL_MILLIS = 20;
 
+	// Far above the size that operators may submit, to bound the memory used for damaged
+	// responses.
+	private static final int MAXIMUM_DOCUMENT_BYTES = 16 * 1024 * 1024;
+
 	private final ClusterService cluster;
 
 	private final ControlClient controlClient;
@@ -93,15 +100,27 @@
 	}
 
 	/**
-	 * Reads the latest accepted rules, confirmed by a quorum of the control group.
+	 * Reads the document of the latest accepted rules, confirmed by a quorum of the
+	 * control group.
 	 * @param timeoutMillis how long to wait for the response, in milliseconds
-	 * @return a future with the rules, of revision zero if none were accepted yet, or
-	 * with a {@link ControlTimeoutException}
+	 * @return a future with a rule file that holds the revision, zero if no rules were
+	 * accepted yet, and the document as submitted, or with a
+	 * {@link ControlTimeoutException}
 	 */
-	public CompletableFuture<RuleFile> readLatest(long timeoutMillis) {
+	public CompletableFuture<RuleFile> readLatestDocument(long timeoutMillis) {
 		return this.controlClient
-			.sendToLeader(ControlRequest.newBuilder().setReadRules(ReadRules.getDefaultInstance()), timeoutMillis)
-			.thenApply(ControlResponse::getRuleFile);
+			.sendToLeader(ControlRequest.newBuilder()
+				.setReadRules(ReadRules.newBuilder().setPart(RulePart.RULE_PART_DOCUMENT)), timeoutMillis)
+			.thenApply((response) -> decodeDocument(response.getRuleFile()));
+	}
+
+	// A leader that does not know parts of rule files sends the plain document.
+	private static RuleFile decodeDocument(RuleFile file) {
+		if (file.getCompressedDocument().isEmpty()) {
+			return file;
+		}
+		byte[] document = Compression.decompress(file.getCompressedDocument().toByteArray(), MAXIMUM_DOCUMENT_BYTES);
+		return RuleFile.newBuilder().setRevision(file.getRevision()).setDocument(ByteString.copyFrom(document)).build();
 	}
 
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -15,6 +15,7 @@
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.LeaseRenewal;
 import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.RulePart;
 import org.radishthread.protocol.RuleRequest;
 import org.radishthread.protocol.Synchronization;
 import org.radishthread.protocol.UpstreamNotice;
@@ -90,7 +91,7 @@
 
 	private final UpstreamRegistry upstreams;
 
-	private final RuleExchange rules = new RuleExchange();
+	private final RuleExchange rules;
 
 	private final RulesFreshness rulesFreshness = new RulesFreshness();
 
@@ -149,6 +150,7 @@
 		this.selector = selector;
 		this.heartbeat = self.getIncarnation();
 		this.instances = new InstanceTable(self.getName());
+		this.rules = new RuleExchange(self.getControl(), settings.rulesApplyMillis());
 		this.upstreams = new UpstreamRegistry(self.getName());
 		this.instances.merge(self, 0);
 		this.reports = new GatewayReports(self, this.instances, settings.rulesApplyMillis());
@@ -259,6 +261,7 @@
 		this.upstreams.replicate(recipients(nowMillis), nowMillis);
 		collectUpstreamEffects();
 		requestUpstreams(nowMillis);
+		requestOverdueRules(nowMillis);
 		if (nowMillis >= this.nextRoundMillis) {
 			this.heartbeat++;
 			this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.revision(),
@@ -526,9 +529,32 @@
 
 	private void requestRulesIfBehind(InstanceTable.@Nullable Entry peer, long nowMillis) {
 		if (peer != null) {
-			this.rules.createRequest(peer.ruleRevision, nowMillis)
-				.ifPresent((request) -> send(peer.instance.getPeerAddress(),
-						Envelope.newBuilder().setRuleRequest(request)));
+			String address = peer.instance.getPeerAddress();
+			this.rules
+				.createRequest(address, peer.ruleRevision, isNearerRuleSourceExpected(peer.instance, nowMillis),
+						nowMillis)
+				.ifPresent((request) -> send(address, Envelope.newBuilder().setRuleRequest(request)));
+		}
+	}
+
+	// A control instance receives accepted rules by the log of the control group. A
+	// gateway prefers a control instance in its own availability zone.
+	private boolean isNearerRuleSourceExpected(InstanceRecord peer, long nowMillis) {
+		if (this.self.getControl()) {
+			return true;
+		}
+		long sinceMillis = nowMillis - failureTimeoutMillis();
+		return !peer.getZone().equals(this.self.getZone()) && this.instances.entries()
+			.stream()
+			.anyMatch((entry) -> entry.instance.getControl() && entry.instance.getZone().equals(this.self.getZone())
+					&& entry.lastHeartbeatMillis >= sinceMillis);
+	}
+
+	private void requestOverdueRules(long nowMillis) {
+		String address = this.rules.overdueAddress(nowMillis);
+		if (!address.isEmpty()) {
+			this.rules.createOverdueRequest(nowMillis)
+				.ifPresent((request) -> send(address, Envelope.newBuilder().setRuleRequest(request)));
 		}
 	}
 
@@ -741,23 +767,50 @@
 	 * @param offeredRules the rules
 	 */
 	public void offerRules(RuleFile offeredRules) {
-		if (this.rules.applyIfNewer(offeredRules)) {
-			this.urgentRoundPending = true;
-			this.updatePending = gossips();
-			this.nextUpdateMillis = this.lastClockReadingMillis;
+		if (this.rules.offer(offeredRules, this.lastClockReadingMillis)) {
+			publishRevision();
 		}
 	}
 
+	/**
+	 * Processes rules that a peer sent, plain or encoded. They are applied unless their
+	 * revision is not higher than the applied one.
+	 * @param receivedRules the rules
+	 */
+	public void receive(RuleFile receivedRules) {
+		if (this.rules.receive(receivedRules, this.lastClockReadingMillis)) {
+			publishRevision();
+		}
+	}
+
+	private void publishRevision() {
+		this.urgentRoundPending = true;
+		this.updatePending = gossips();
+		this.nextUpdateMillis = this.lastClockReadingMillis;
+	}
+
 	/**
 	 * Applies rules read from a quorum of the control group, which confirms that they are
-	 * in force.
-	 * @param confirmedRules the rules
+	 * in force. If only their revision was read, it is confirmed once it is applied.
+	 * @param confirmedRules the rules, or their revision
 	 */
 	public void confirmRules(RuleFile confirmedRules) {
+		if (confirmedRules.getPart() == RulePart.RULE_PART_REVISION) {
+			this.rules.confirmRevision(confirmedRules.getRevision(), this.lastClockReadingMillis);
+			return;
+		}
 		offerRules(confirmedRules);
 		this.rules.confirm();
 	}
 
+	/**
+	 * Returns how the applied rules reached this instance.
+	 * @return the latest transfer of rules
+	 */
+	public RuleTransfer lastRuleTransfer() {
+		return this.rules.lastTransfer();
+	}
+
 	/**
 	 * Records that this control instance has applied every revision that the control
 	 * group had accepted at a time. To be called after {@link #offerRules} with them.
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -2,33 +2,91 @@
 
 import java.util.Optional;
 
+import com.google.protobuf.ByteString;
+
+import org.radishthread.kernel.Backoff;
+import org.radishthread.kernel.Sha256;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.RuleRequest;
 
 /**
  * Holds the rules that this instance applies, and exchanges them with peers: it requests
- * those of a peer with a higher revision, and responds to such requests. Only a higher
+ * those of a peer with a higher revision, and responds to such requests. A request names
+ * the applied revision, so that the response can be the difference from it and is always
+ * the newest revision of the peer, however many were accepted in between. Only a higher
  * revision replaces the applied one. Not thread-safe; times are monotonic, in
  * milliseconds.
  */
 final class RuleExchange {
 
-	private static final long REQUEST_INTERVAL_MILLIS = 500;
+	private static final long MINIMUM_REQUEST_INTERVAL_MILLIS = 500;
+
+	/**
+	 * How long a new revision is awaited from a nearer source before it is requested from
+	 * a farther one, in milliseconds. Longer than the heartbeat interval by which a
+	 * control instance learns from its leader that a revision is committed.
+	 */
+	private static final long NEARER_SOURCE_MILLIS = 250;
+
+	/**
+	 * How long the confirmation of a revision that this instance lacks is valid, in
+	 * milliseconds. It is repeated before that.
+	 */
+	private static final long CONFIRMATION_MILLIS = 2_000;
+
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
+	private final RuleFileEncoder encoder;
+
+	// The interval grows, so that requests do not add up while a large file is on its
+	// way through a slow link.
+	private final Backoff requestInterval;
 
 	private RuleFile ruleFile = RuleFile.getDefaultInstance();
 
+	private RuleTransfer lastTransfer = new RuleTransfer(RuleTransfer.Form.LOCAL, 0, 0);
+
 	private boolean changed;
 
 	private boolean confirmed;
 
-	private long lastRequestMillis = Long.MIN_VALUE / 2;
+	private long awaitedRevision;
+
+	private long awaitedUntilMillis = NEVER;
+
+	private long nextRequestMillis = NEVER;
 
 	private long behindSinceMillis = Long.MAX_VALUE;
 
+	// A peer with a higher revision from which it is requested unless a nearer one has it
+	// in time; empty for none.
+	private String fartherAddress = "";
+
+	// Whether the last file could not be decoded, so that the next one must not be a
+	// difference.
+	private boolean wholeRequired;
+
+	/**
+	 * Creates an exchange without rules.
+	 * @param retaining whether former revisions are retained as bases of differences for
+	 * peers
+	 * @param rulesApplyMillis the time after their acceptance within which rules must be
+	 * in force everywhere, in milliseconds
+	 */
+	RuleExchange(boolean retaining, long rulesApplyMillis) {
+		this.encoder = new RuleFileEncoder(retaining);
+		this.requestInterval = new Backoff(MINIMUM_REQUEST_INTERVAL_MILLIS,
+				Math.max(MINIMUM_REQUEST_INTERVAL_MILLIS, rulesApplyMillis / 2));
+	}
+
 	RuleFile ruleFile() {
 		return this.ruleFile;
 	}
 
+	RuleTransfer lastTransfer() {
+		return this.lastTransfer;
+	}
+
 	long revision() {
 		return this.ruleFile.getRevision();
 	}
@@ -47,42 +105,111 @@
 	}
 
 	// Returns whether the rules were applied.
-	boolean applyIfNewer(RuleFile offeredRules) {
+	boolean offer(RuleFile offeredRules, long nowMillis) {
 		if (offeredRules.getRevision() <= revision()) {
 			return false;
 		}
-		this.ruleFile = offeredRules;
+		apply(RuleFileDecoder.decode(offeredRules, this.ruleFile), nowMillis);
+		this.lastTransfer = new RuleTransfer(RuleTransfer.Form.LOCAL, 0, this.lastTransfer.refusedCount());
+		return true;
+	}
+
+	// Returns whether the rules that a peer sent were applied. Rules that can't be
+	// decoded are dropped; the next request then asks for the whole file.
+	boolean receive(RuleFile receivedRules, long nowMillis) {
+		if (receivedRules.getRevision() <= revision()) {
+			return false;
+		}
+		try {
+			apply(RuleFileDecoder.decode(receivedRules, this.ruleFile), nowMillis);
+		}
+		catch (IllegalArgumentException ex) {
+			this.wholeRequired = true;
+			this.nextRequestMillis = NEVER;
+			this.lastTransfer = new RuleTransfer(this.lastTransfer.form(), this.lastTransfer.bytes(),
+					this.lastTransfer.refusedCount() + 1);
+			return false;
+		}
+		this.lastTransfer = new RuleTransfer(RuleTransfer.Form.of(receivedRules), receivedRules.getSerializedSize(),
+				this.lastTransfer.refusedCount());
+		return true;
+	}
+
+	private void apply(RuleFile decodedRules, long nowMillis) {
+		this.ruleFile = decodedRules;
+		this.encoder.setCurrent(decodedRules);
 		this.changed = true;
-		this.lastRequestMillis = Long.MIN_VALUE / 2;
+		this.confirmed |= decodedRules.getRevision() >= this.awaitedRevision && nowMillis <= this.awaitedUntilMillis;
+		this.nextRequestMillis = NEVER;
+		this.requestInterval.reset();
 		this.behindSinceMillis = Long.MAX_VALUE;
-		return true;
+		this.fartherAddress = "";
+		this.wholeRequired = false;
 	}
 
 	void confirm() {
 		this.confirmed = true;
 	}
 
+	// Records that a revision was the newest accepted one just now. If this instance
+	// lacks it, it is confirmed when it arrives in time.
+	void confirmRevision(long revision, long nowMillis) {
+		if (revision() >= revision) {
+			this.confirmed = true;
+			return;
+		}
+		this.awaitedRevision = revision;
+		this.awaitedUntilMillis = nowMillis + CONFIRMATION_MILLIS;
+	}
+
 	void resetAfterFreeze() {
 		this.confirmed = false;
+		this.awaitedUntilMillis = NEVER;
 	}
 
 	// Returns the applied rules for a peer, unless its revision is not lower.
 	Optional<RuleFile> respond(RuleRequest request) {
-		return (revision() > request.getKnownRevision()) ? Optional.of(this.ruleFile) : Optional.empty();
+		return (revision() > request.getKnownRevision()) ? Optional.of(this.encoder.encode(request)) : Optional.empty();
 	}
 
-	// Returns the request to send to a peer now, if it has a higher revision. The next
-	// request is due after the request interval.
-	Optional<RuleRequest> createRequest(long peerRevision, long nowMillis) {
+	// Returns the request to send to a peer now, if it has a higher revision and no other
+	// request is under way. If a nearer source may have the revision soon, a request to
+	// the peer is left to a later call of createOverdueRequest.
+	Optional<RuleRequest> createRequest(String peerAddress, long peerRevision, boolean nearerSourceExpected,
+			long nowMillis) {
 		if (peerRevision <= revision()) {
 			return Optional.empty();
 		}
 		this.behindSinceMillis = Math.min(this.behindSinceMillis, nowMillis);
-		if (nowMillis - this.lastRequestMillis < REQUEST_INTERVAL_MILLIS) {
+		if (nearerSourceExpected && nowMillis - this.behindSinceMillis < NEARER_SOURCE_MILLIS) {
+			this.fartherAddress = peerAddress;
 			return Optional.empty();
 		}
-		this.lastRequestMillis = nowMillis;
-		return Optional.of(RuleRequest.newBuilder().setKnownRevision(revision()).build());
+		return createRequest(nowMillis);
+	}
+
+	private Optional<RuleRequest> createRequest(long nowMillis) {
+		if (nowMillis < this.nextRequestMillis) {
+			return Optional.empty();
+		}
+		this.fartherAddress = "";
+		this.nextRequestMillis = nowMillis + this.requestInterval.nextMillis();
+		RuleRequest.Builder request = RuleRequest.newBuilder().setKnownRevision(revision()).setAcceptsEncoded(true);
+		if (revision() > 0 && !this.wholeRequired) {
+			request.setKnownDigest(ByteString.copyFrom(Sha256.of(this.ruleFile.getContent())));
+		}
+		return Optional.of(request.build());
+	}
+
+	// Returns the peer to which a request is due because no nearer source had the
+	// revision
+	// in time, or an empty text.
+	String overdueAddress(long nowMillis) {
+		return isBehindLongerThan(NEARER_SOURCE_MILLIS, nowMillis) ? this.fartherAddress : "";
+	}
+
+	Optional<RuleRequest> createOverdueRequest(long nowMillis) {
+		return createRequest(nowMillis);
 	}
 
 	boolean isBehindLongerThan(long durationMillis, long nowMillis) {
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedCluster.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedCluster.java
@@ -161,7 +161,7 @@
 			case GOSSIP -> target.receive(envelope.getGossip(), this.nowMillis);
 			case SYNCHRONIZATION -> target.receive(envelope.getSynchronization(), this.nowMillis);
 			case RULE_REQUEST -> target.receive(envelope.getRuleRequest(), message.from());
-			case RULE_FILE -> target.offerRules(envelope.getRuleFile());
+			case RULE_FILE -> target.receive(envelope.getRuleFile());
 			case LEASE_RENEWAL -> target.receive(envelope.getLeaseRenewal(), this.nowMillis);
 			case UPSTREAM_NOTICE -> target.receive(envelope.getUpstreamNotice(), message.from(), this.nowMillis);
 			case UPSTREAM_NOTICE_RECEIPT ->
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -11,11 +11,15 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.LongFunction;
 import java.util.function.Predicate;
 
+import com.google.protobuf.ByteString;
+
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.RulePart;
 import org.radishthread.protocol.UpstreamState;
 
 /**
@@ -91,6 +95,9 @@
 
 	private long acceptedRevision;
 
+	// The content of the rules by revision.
+	LongFunction<String> ruleContents = (revision) -> "content of " + revision;
+
 	long nowMillis = 10_000;
 
 	// The difference between the wall clock of instances that start and the true time.
@@ -164,10 +171,15 @@
 		}
 	}
 
-	// Responds as the control group to an instance whose rules are not confirmed.
+	// Responds as the control group to an instance whose rules are not confirmed. Control
+	// instances have the rules in their log; others are told the revision.
 	private void confirmRules(Node node) {
 		if (!node.membership.hasConfirmedRules()) {
-			node.membership.confirmRules(rules(this.acceptedRevision));
+			node.membership.confirmRules(node.control ? rules(this.acceptedRevision)
+					: RuleFile.newBuilder()
+						.setRevision(this.acceptedRevision)
+						.setPart(RulePart.RULE_PART_REVISION)
+						.build());
 		}
 	}
 
@@ -200,7 +212,7 @@
 			case GOSSIP -> target.receive(envelope.getGossip(), this.nowMillis);
 			case SYNCHRONIZATION -> target.receive(envelope.getSynchronization(), this.nowMillis);
 			case RULE_REQUEST -> target.receive(envelope.getRuleRequest(), sender);
-			case RULE_FILE -> target.offerRules(envelope.getRuleFile());
+			case RULE_FILE -> target.receive(envelope.getRuleFile());
 			case LEASE_RENEWAL -> target.receive(envelope.getLeaseRenewal(), this.nowMillis);
 			case UPSTREAM_NOTICE -> target.receive(envelope.getUpstreamNotice(), sender, this.nowMillis);
 			case UPSTREAM_NOTICE_RECEIPT -> target.receive(envelope.getUpstreamNoticeReceipt(), sender, this.nowMillis);
@@ -224,6 +236,7 @@
 			double sentMillis = node.occupyLink(sendMillis, bytes);
 			Node target = this.nodes.get(message.address());
 			if (target != null && !isLost(node.name, message.address()) && !isPartitioned(node, target)) {
+				target.receivedRuleBytes += message.envelope().hasRuleFile() ? bytes : 0;
 				double receivedMillis = target.occupyLink(sentMillis + LATENCY_MILLIS, bytes);
 				target.inbox.add(new Delivery(receivedMillis, node.name, message.envelope()));
 			}
@@ -310,8 +323,12 @@
 		}
 	}
 
-	private static RuleFile rules(long revision) {
-		return RuleFile.newBuilder().setRevision(revision).setContent("content of " + revision).build();
+	private RuleFile rules(long revision) {
+		return RuleFile.newBuilder()
+			.setRevision(revision)
+			.setContent(this.ruleContents.apply(revision))
+			.setDocument(ByteString.copyFromUtf8("document of " + this.ruleContents.apply(revision)))
+			.build();
 	}
 
 	void announce(String upstream) {
@@ -343,6 +360,16 @@
 		return this.nodes.size();
 	}
 
+	// The bytes of rule files sent to a gateway, at most.
+	long maximumReceivedRuleBytes() {
+		return this.nodes.values()
+			.stream()
+			.filter((node) -> !node.control)
+			.mapToLong((node) -> node.receivedRuleBytes)
+			.max()
+			.orElse(0);
+	}
+
 	long maximumSentBytes(boolean control) {
 		return this.nodes.values()
 			.stream()
@@ -365,6 +392,7 @@
 	void resetCounters() {
 		this.nodes.values().forEach((node) -> {
 			node.sentBytes = 0;
+			node.receivedRuleBytes = 0;
 			node.usedProcessorMillis = 0;
 		});
 	}
@@ -398,6 +426,8 @@
 
 		private long sentBytes;
 
+		private long receivedRuleBytes;
+
 		private Node(String name, boolean control, Membership membership, long startMillis) {
 			this.name = name;
 			this.control = control;
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -266,6 +266,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_radishthread_RuleRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_RuleDifference_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_RuleDifference_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_RuleLines_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_RuleLines_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_RuleLineBlock_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_RuleLineBlock_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_radishthread_UpstreamRecord_descriptor;
   static final 
@@ -380,7 +395,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\022radishthread.proto\022\014radishthread\"\353\006\n\010E" +
+      "\n\022radishthread.proto\022\014radishthread\"\201\007\n\010E" +
       "nvelope\022$\n\005hello\030\001 \001(\0132\023.radishthread.He" +
       "lloH\000\022\"\n\004ping\030\002 \001(\0132\022.radishthread.PingH" +
       "\000\022\"\n\004pong\030\003 \001(\0132\022.radishthread.PongH\000\0223\n" +
@@ -402,208 +417,223 @@
       "e\030\017 \001(\0132\031.radishthread.CrashNoticeH\000\0223\n\r" +
       "relay_request\030\020 \001(\0132\032.radishthread.Relay" +
       "RequestH\000\0225\n\016relay_response\030\021 \001(\0132\033.radi" +
-      "shthread.RelayResponseH\000B\006\n\004body\"9\n\005Hell" +
-      "o\022\020\n\010instance\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\r\n\005" +
-      "token\030\003 \001(\t\"\037\n\014RelayRequest\022\017\n\007address\030\001" +
-      " \001(\t\"z\n\rRelayResponse\0222\n\006result\030\001 \001(\0162\"." +
-      "radishthread.RelayResponse.Result\"5\n\006Res" +
-      "ult\022\013\n\007UNKNOWN\020\000\022\r\n\tCONNECTED\020\001\022\017\n\013UNREA" +
-      "CHABLE\020\002\"\006\n\004Ping\"\006\n\004Pong\"\315\003\n\020AgreementMe" +
-      "ssage\022\r\n\005group\030\001 \001(\006\022\014\n\004from\030\002 \001(\006\022\n\n\002to" +
-      "\030\003 \001(\006\022\014\n\004term\030\004 \001(\004\0221\n\014vote_request\030\005 \001" +
-      "(\0132\031.radishthread.VoteRequestH\000\0223\n\rvote_" +
-      "response\030\006 \001(\0132\032.radishthread.VoteRespon" +
-      "seH\000\0225\n\016append_request\030\007 \001(\0132\033.radishthr" +
-      "ead.AppendRequestH\000\0227\n\017append_response\030\010" +
-      " \001(\0132\034.radishthread.AppendResponseH\000\022*\n\010" +
-      "snapshot\030\t \001(\0132\026.radishthread.SnapshotH\000" +
-      "\0229\n\020founding_request\030\n \001(\0132\035.radishthrea" +
-      "d.FoundingRequestH\000\022;\n\021founding_response" +
-      "\030\013 \001(\0132\036.radishthread.FoundingResponseH\000" +
-      "B\006\n\004body\"F\n\013VoteRequest\022\020\n\010pre_vote\030\001 \001(" +
-      "\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_term\030\003 \001(\004" +
-      "\"1\n\014VoteResponse\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007gr" +
-      "anted\030\002 \001(\010\"\336\001\n\rAppendRequest\022\026\n\016previou" +
-      "s_index\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022\'\n\007" +
-      "entries\030\003 \003(\0132\026.radishthread.LogEntry\022\024\n" +
-      "\014commit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\022\032\n\022ac" +
-      "knowledged_round\030\006 \001(\004\022\036\n\021commit_age_mil" +
-      "lis\030\007 \001(\004H\000\210\001\001B\024\n\022_commit_age_millis\"?\n\016" +
-      "AppendResponse\022\017\n\007success\030\001 \001(\010\022\r\n\005index" +
-      "\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017FoundingRequest" +
-      "\0222\n\rconfiguration\030\001 \001(\0132\033.radishthread.C" +
-      "onfiguration\"\022\n\020FoundingResponse\"B\n\021Repl" +
-      "icaDescriptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030\002 " +
-      "\001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Replacement\022\017\n\007r" +
-      "emoved\030\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radishthre" +
-      "ad.ReplicaDescriptor\"\243\001\n\rConfiguration\022/" +
-      "\n\006voters\030\001 \003(\0132\037.radishthread.ReplicaDes" +
-      "criptor\0221\n\010learners\030\002 \003(\0132\037.radishthread" +
-      ".ReplicaDescriptor\022.\n\013replacement\030\003 \001(\0132" +
-      "\031.radishthread.Replacement\"\253\001\n\010LogEntry\022" +
-      "\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022proposed" +
-      "_at_millis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.radi" +
-      "shthread.CommandH\000\0224\n\rconfiguration\030\005 \001(" +
-      "\0132\033.radishthread.ConfigurationH\000B\006\n\004body" +
-      "\";\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_for" +
-      "\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nhar" +
-      "d_state\030\001 \001(\0132\027.radishthread.HardState\022\025" +
-      "\n\rtruncate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026" +
-      ".radishthread.LogEntry\"2\n\010LogBatch\022&\n\006fr" +
-      "ames\030\001 \003(\0132\026.radishthread.LogFrame\"b\n\tLo" +
-      "gHeader\022(\n\010snapshot\030\001 \001(\0132\026.radishthread" +
-      ".Snapshot\022+\n\nhard_state\030\002 \001(\0132\027.radishth" +
-      "read.HardState\"\230\001\n\010Snapshot\022\r\n\005index\030\001 \001" +
-      "(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(\0132" +
-      "\033.radishthread.Configuration\022,\n\005state\030\004 " +
-      "\001(\0132\035.radishthread.ControlSnapshot\022\r\n\005ro" +
-      "und\030\005 \001(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001(\006\022\020" +
-      "\n\010instance\030\002 \001(\t\"\325\001\n\007Command\0221\n\014submit_r" +
-      "ules\030\001 \001(\0132\031.radishthread.SubmitRulesH\000\022" +
-      "+\n\005claim\030\002 \001(\0132\032.radishthread.ClaimReque" +
-      "stH\000\0223\n\ncompletion\030\003 \001(\0132\035.radishthread." +
-      "ClaimCompletionH\000\022-\n\007release\030\004 \001(\0132\032.rad" +
-      "ishthread.ClaimReleaseH\000B\006\n\004body\"X\n\013Subm" +
-      "itRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001" +
-      "(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010document\030\004 \001" +
-      "(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013finge" +
-      "rprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004" +
-      " \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001 \001(\r\022\024" +
-      "\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\tbo" +
-      "dy_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013\n\003key\030" +
-      "\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003 \001(\0132\034" +
-      ".radishthread.RecordedAnswer\",\n\014ClaimRel" +
-      "ease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"\250\001\n\013R" +
-      "ulesAnswer\022+\n\007verdict\030\001 \001(\0162\032.radishthre" +
-      "ad.RulesVerdict\022\020\n\010revision\030\002 \001(\004\022\024\n\014sub" +
-      "mitted_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030\004 " +
-      "\001(\004\022\030\n\020current_revision\030\005 \001(\004\022\016\n\006digest\030" +
-      "\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdict\030\001 \001(\0162\032." +
-      "radishthread.ClaimVerdict\022\r\n\005owner\030\002 \001(\t" +
-      "\022,\n\006answer\030\003 \001(\0132\034.radishthread.Recorded" +
-      "Answer\"\300\001\n\017ControlSnapshot\022%\n\005rules\030\001 \001(" +
-      "\0132\026.radishthread.RuleFile\022*\n\007history\030\002 \003" +
-      "(\0132\031.radishthread.RuleHistory\022)\n\006claims\030" +
-      "\003 \003(\0132\031.radishthread.ClaimRecord\022\024\n\014cloc" +
-      "k_millis\030\004 \001(\004\022\031\n\021released_attempts\030\005 \003(" +
-      "\006\"a\n\013RuleHistory\022\020\n\010revision\030\001 \001(\004\022\016\n\006di" +
-      "gest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022acce" +
-      "pted_at_millis\030\004 \001(\004\"\230\001\n\013ClaimRecord\022\013\n\003" +
-      "key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030" +
-      "\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021claimed_at_mil" +
-      "lis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.radishthread" +
-      ".RecordedAnswer\"\302\002\n\016ControlRequest\022\n\n\002id" +
-      "\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radishthread.C" +
-      "ommandH\000\022-\n\nread_rules\030\003 \001(\0132\027.radishthr" +
-      "ead.ReadRulesH\000\022.\n\ninitialize\030\004 \001(\0132\030.ra" +
-      "dishthread.InitializeH\000\022/\n\007replace\030\005 \001(\013" +
-      "2\034.radishthread.ReplaceReplicaH\000\022/\n\013read" +
-      "_status\030\006 \001(\0132\030.radishthread.ReadStatusH" +
-      "\000\0221\n\014read_history\030\007 \001(\0132\031.radishthread.R" +
-      "eadHistoryH\000B\006\n\004body\"\013\n\tReadRules\"\014\n\nRea" +
-      "dStatus\"\034\n\013ReadHistory\022\r\n\005limit\030\001 \001(\r\"5\n" +
-      "\007History\022*\n\007entries\030\001 \003(\0132\031.radishthread" +
-      ".RuleHistory\"?\n\nInitialize\0221\n\010replicas\030\001" +
-      " \003(\0132\037.radishthread.ReplicaDescriptor\"@\n" +
-      "\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037.radisht" +
-      "hread.ReplicaDescriptor\"3\n\tNotLeader\022\026\n\016" +
-      "leader_address\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\364\001\n" +
-      "\rControlStatus\0220\n\007replica\030\001 \001(\0132\037.radish" +
-      "thread.ReplicaDescriptor\022\014\n\004role\030\002 \001(\t\022\014" +
-      "\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001(\004\022\026\n\016sn" +
-      "apshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222\n\rco" +
-      "nfiguration\030\007 \001(\0132\033.radishthread.Configu" +
-      "ration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_known\030\t " +
-      "\001(\010\"\200\003\n\017ControlResponse\022\n\n\002id\030\001 \001(\004\022-\n\nn" +
-      "ot_leader\030\002 \001(\0132\027.radishthread.NotLeader" +
-      "H\000\022*\n\005rules\030\003 \001(\0132\031.radishthread.RulesAn" +
-      "swerH\000\022*\n\005claim\030\004 \001(\0132\031.radishthread.Cla" +
-      "imAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026.radishth" +
-      "read.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022.radishth" +
-      "read.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.radishthr" +
-      "ead.RefusedH\000\022-\n\006status\030\010 \001(\0132\033.radishth" +
-      "read.ControlStatusH\000\022(\n\007history\030\t \001(\0132\025." +
-      "radishthread.HistoryH\000B\006\n\004body\"\006\n\004Done\"\031" +
-      "\n\007Refused\022\016\n\006reason\030\001 \001(\t\"?\n\010RuleFile\022\020\n" +
-      "\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010docu" +
-      "ment\030\003 \001(\014\"%\n\013RuleRequest\022\026\n\016known_revis" +
-      "ion\030\001 \001(\004\"\353\001\n\016UpstreamRecord\022\014\n\004name\030\001 \001" +
-      "(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004" +
-      "zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnation" +
-      "\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(\0162" +
-      "\033.radishthread.UpstreamState\022\016\n\006holder\030\t" +
-      " \001(\t\022\024\n\014lease_millis\030\n \001(\r\022\023\n\013cold_milli" +
-      "s\030\013 \001(\r\"\301\001\n\016InstanceRecord\022\014\n\004name\030\001 \001(\t" +
-      "\022\024\n\014peer_address\030\002 \001(\t\022\036\n\026administration" +
-      "_address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007control\030" +
-      "\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022\023\n\013incarnation\030\007 " +
-      "\001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010J\004\010" +
-      "\n\020\013\"\301\002\n\006Gossip\022\016\n\006sender\030\001 \001(\t\022\021\n\tinstan" +
-      "ces\030\002 \003(\007\022\022\n\nheartbeats\030\003 \003(\004\022\021\n\trevisio" +
-      "ns\030\004 \003(\004\022/\n\tupstreams\030\005 \003(\0132\034.radishthre" +
-      "ad.UpstreamRecord\022-\n\007records\030\006 \003(\0132\034.rad" +
-      "ishthread.InstanceRecord\022\016\n\006digest\030\007 \001(\006" +
-      "\022\026\n\016sender_address\030\010 \001(\t\022\023\n\013live_digest\030" +
-      "\t \001(\006\022\014\n\004live\030\n \003(\007\022\016\n\006report\030\013 \001(\004\022\035\n\020r" +
-      "ules_age_millis\030\014 \001(\004H\000\210\001\001B\023\n\021_rules_age" +
-      "_millis\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013inca" +
-      "rnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017Sync" +
-      "hronization\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030\002 \003" +
-      "(\0132\025.radishthread.Version\022/\n\tupstreams\030\003" +
-      " \003(\0132\034.radishthread.UpstreamRecord\022-\n\007re" +
-      "cords\030\004 \003(\0132\034.radishthread.InstanceRecor" +
-      "d\022\016\n\006answer\030\005 \001(\010\022\026\n\016sender_address\030\006 \001(" +
-      "\t\022\027\n\017known_instances\030\007 \003(\007\022\026\n\016instances_" +
-      "only\030\010 \001(\010\"C\n\014LeaseRenewal\022\014\n\004name\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"" +
-      "L\n\016UpstreamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upstrea" +
-      "m\030\002 \001(\0132\034.radishthread.UpstreamRecord\"#\n" +
-      "\025UpstreamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\231\003\n\013S" +
-      "lotMessage\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket\030\002 " +
-      "\001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.radi" +
-      "shthread.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025.ra" +
-      "dishthread.SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027.ra" +
-      "dishthread.SlotRetryH\000\022(\n\005hedge\030\007 \001(\0132\027." +
-      "radishthread.SlotHedgeH\000\022(\n\005close\030\010 \001(\0132" +
-      "\027.radishthread.SlotCloseH\000\022*\n\006queued\030\t \001" +
-      "(\0132\030.radishthread.SlotQueuedH\000\022(\n\005grant\030" +
-      "\n \001(\0132\027.radishthread.SlotGrantH\000\022,\n\007refu" +
-      "sal\030\013 \001(\0132\031.radishthread.SlotRefusalH\000B\006" +
-      "\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller\030\001 \001(\t\022\022" +
-      "\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_micros\030\003" +
-      " \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020objective_micr" +
-      "os\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001(\r\022\014\n\004zo" +
-      "ne\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\tworkspace\030\t " +
-      "\001(\t\"\305\001\n\nLoadReport\022\017\n\007running\030\001 \001(\r\022\017\n\007w" +
-      "aiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_perc" +
-      "ent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refused_mi" +
-      "llis\030\006 \001(\004\022\035\n\020limit_per_second\030\007 \001(\001H\000\210\001" +
-      "\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021_limit_per_sec" +
-      "ond\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006resu" +
-      "lt\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthread.Lo" +
-      "adReport\022\027\n\017connection_lost\030\004 \001(\010\"k\n\013Cra" +
-      "shNotice\022*\n\007crashes\030\001 \003(\0132\031.radishthread" +
-      ".CrashRecord\0220\n\nclearances\030\002 \003(\0132\034.radis" +
-      "hthread.CrashClearance\"g\n\013CrashRecord\022\016\n" +
-      "\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incar" +
-      "nation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage_milli" +
-      "s\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006digest\030\001 \001(" +
-      "\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetry\"\013\n\tSl" +
-      "otHedge\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\250\001\n\tS" +
-      "lotGrant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 " +
-      "\001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\r" +
-      "waited_micros\030\005 \001(\004\022\032\n\022hedge_after_micro" +
-      "s\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005relay\030" +
-      "\010 \001(\t\"9\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022" +
-      "retry_after_millis\030\002 \001(\004*a\n\014RulesVerdict" +
-      "\022\035\n\031RULES_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCEP" +
-      "TED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALI" +
-      "D\020\004*k\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UNS" +
-      "PECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOM" +
-      "PLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUpst" +
-      "reamState\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020" +
-      "\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031" +
-      "org.radishthread.protocolP\001b\006proto3"
+      "shthread.RelayResponseH\000\022\024\n\ncompressed\030\022" +
+      " \001(\014H\000B\006\n\004body\"9\n\005Hello\022\020\n\010instance\030\001 \001(" +
+      "\t\022\017\n\007address\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\"\037\n\014Rel" +
+      "ayRequest\022\017\n\007address\030\001 \001(\t\"z\n\rRelayRespo" +
+      "nse\0222\n\006result\030\001 \001(\0162\".radishthread.Relay" +
+      "Response.Result\"5\n\006Result\022\013\n\007UNKNOWN\020\000\022\r" +
+      "\n\tCONNECTED\020\001\022\017\n\013UNREACHABLE\020\002\"\006\n\004Ping\"\"" +
+      "\n\004Pong\022\032\n\022accepts_compressed\030\001 \001(\010\"\315\003\n\020A" +
+      "greementMessage\022\r\n\005group\030\001 \001(\006\022\014\n\004from\030\002" +
+      " \001(\006\022\n\n\002to\030\003 \001(\006\022\014\n\004term\030\004 \001(\004\0221\n\014vote_r" +
+      "equest\030\005 \001(\0132\031.radishthread.VoteRequestH" +
+      "\000\0223\n\rvote_response\030\006 \001(\0132\032.radishthread." +
+      "VoteResponseH\000\0225\n\016append_request\030\007 \001(\0132\033" +
+      ".radishthread.AppendRequestH\000\0227\n\017append_" +
+      "response\030\010 \001(\0132\034.radishthread.AppendResp" +
+      "onseH\000\022*\n\010snapshot\030\t \001(\0132\026.radishthread." +
+      "SnapshotH\000\0229\n\020founding_request\030\n \001(\0132\035.r" +
+      "adishthread.FoundingRequestH\000\022;\n\021foundin" +
+      "g_response\030\013 \001(\0132\036.radishthread.Founding" +
+      "ResponseH\000B\006\n\004body\"F\n\013VoteRequest\022\020\n\010pre" +
+      "_vote\030\001 \001(\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_" +
+      "term\030\003 \001(\004\"1\n\014VoteResponse\022\020\n\010pre_vote\030\001" +
+      " \001(\010\022\017\n\007granted\030\002 \001(\010\"\336\001\n\rAppendRequest\022" +
+      "\026\n\016previous_index\030\001 \001(\004\022\025\n\rprevious_term" +
+      "\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026.radishthread.L" +
+      "ogEntry\022\024\n\014commit_index\030\004 \001(\004\022\r\n\005round\030\005" +
+      " \001(\004\022\032\n\022acknowledged_round\030\006 \001(\004\022\036\n\021comm" +
+      "it_age_millis\030\007 \001(\004H\000\210\001\001B\024\n\022_commit_age_" +
+      "millis\"?\n\016AppendResponse\022\017\n\007success\030\001 \001(" +
+      "\010\022\r\n\005index\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017Found" +
+      "ingRequest\0222\n\rconfiguration\030\001 \001(\0132\033.radi" +
+      "shthread.Configuration\"\022\n\020FoundingRespon" +
+      "se\"B\n\021ReplicaDescriptor\022\n\n\002id\030\001 \001(\006\022\020\n\010i" +
+      "nstance\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Replac" +
+      "ement\022\017\n\007removed\030\001 \001(\006\022.\n\005added\030\002 \001(\0132\037." +
+      "radishthread.ReplicaDescriptor\"\243\001\n\rConfi" +
+      "guration\022/\n\006voters\030\001 \003(\0132\037.radishthread." +
+      "ReplicaDescriptor\0221\n\010learners\030\002 \003(\0132\037.ra" +
+      "dishthread.ReplicaDescriptor\022.\n\013replacem" +
+      "ent\030\003 \001(\0132\031.radishthread.Replacement\"\253\001\n" +
+      "\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032" +
+      "\n\022proposed_at_millis\030\003 \001(\004\022(\n\007command\030\004 " +
+      "\001(\0132\025.radishthread.CommandH\000\0224\n\rconfigur" +
+      "ation\030\005 \001(\0132\033.radishthread.Configuration" +
+      "H\000B\006\n\004body\";\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n" +
+      "\tvoted_for\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010LogFr" +
+      "ame\022+\n\nhard_state\030\001 \001(\0132\027.radishthread.H" +
+      "ardState\022\025\n\rtruncate_from\030\002 \001(\004\022\'\n\007entri" +
+      "es\030\003 \003(\0132\026.radishthread.LogEntry\"2\n\010LogB" +
+      "atch\022&\n\006frames\030\001 \003(\0132\026.radishthread.LogF" +
+      "rame\"b\n\tLogHeader\022(\n\010snapshot\030\001 \001(\0132\026.ra" +
+      "dishthread.Snapshot\022+\n\nhard_state\030\002 \001(\0132" +
+      "\027.radishthread.HardState\"\230\001\n\010Snapshot\022\r\n" +
+      "\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfigurat" +
+      "ion\030\003 \001(\0132\033.radishthread.Configuration\022," +
+      "\n\005state\030\004 \001(\0132\035.radishthread.ControlSnap" +
+      "shot\022\r\n\005round\030\005 \001(\004\"-\n\010Identity\022\017\n\007repli" +
+      "ca\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\"\325\001\n\007Command\0221" +
+      "\n\014submit_rules\030\001 \001(\0132\031.radishthread.Subm" +
+      "itRulesH\000\022+\n\005claim\030\002 \001(\0132\032.radishthread." +
+      "ClaimRequestH\000\0223\n\ncompletion\030\003 \001(\0132\035.rad" +
+      "ishthread.ClaimCompletionH\000\022-\n\007release\030\004" +
+      " \001(\0132\032.radishthread.ClaimReleaseH\000B\006\n\004bo" +
+      "dy\"X\n\013SubmitRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007c" +
+      "ontent\030\002 \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010do" +
+      "cument\030\004 \001(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(" +
+      "\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n" +
+      "\007attempt\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006stat" +
+      "us\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
+      " \001(\014\022\021\n\tbody_kept\030\004 \001(\010\"]\n\017ClaimCompleti" +
+      "on\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answ" +
+      "er\030\003 \001(\0132\034.radishthread.RecordedAnswer\"," +
+      "\n\014ClaimRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002" +
+      " \001(\006\"\250\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001(\0162\032." +
+      "radishthread.RulesVerdict\022\020\n\010revision\030\002 " +
+      "\001(\004\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted_at" +
+      "_millis\030\004 \001(\004\022\030\n\020current_revision\030\005 \001(\004\022" +
+      "\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdic" +
+      "t\030\001 \001(\0162\032.radishthread.ClaimVerdict\022\r\n\005o" +
+      "wner\030\002 \001(\t\022,\n\006answer\030\003 \001(\0132\034.radishthrea" +
+      "d.RecordedAnswer\"\300\001\n\017ControlSnapshot\022%\n\005" +
+      "rules\030\001 \001(\0132\026.radishthread.RuleFile\022*\n\007h" +
+      "istory\030\002 \003(\0132\031.radishthread.RuleHistory\022" +
+      ")\n\006claims\030\003 \003(\0132\031.radishthread.ClaimReco" +
+      "rd\022\024\n\014clock_millis\030\004 \001(\004\022\031\n\021released_att" +
+      "empts\030\005 \003(\006\"a\n\013RuleHistory\022\020\n\010revision\030\001" +
+      " \001(\004\022\016\n\006digest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001" +
+      "(\t\022\032\n\022accepted_at_millis\030\004 \001(\004\"\230\001\n\013Claim" +
+      "Record\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014" +
+      "\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021clai" +
+      "med_at_millis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.ra" +
+      "dishthread.RecordedAnswer\"\302\002\n\016ControlReq" +
+      "uest\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radi" +
+      "shthread.CommandH\000\022-\n\nread_rules\030\003 \001(\0132\027" +
+      ".radishthread.ReadRulesH\000\022.\n\ninitialize\030" +
+      "\004 \001(\0132\030.radishthread.InitializeH\000\022/\n\007rep" +
+      "lace\030\005 \001(\0132\034.radishthread.ReplaceReplica" +
+      "H\000\022/\n\013read_status\030\006 \001(\0132\030.radishthread.R" +
+      "eadStatusH\000\0221\n\014read_history\030\007 \001(\0132\031.radi" +
+      "shthread.ReadHistoryH\000B\006\n\004body\"1\n\tReadRu" +
+      "les\022$\n\004part\030\001 \001(\0162\026.radishthread.RulePar" +
+      "t\"\014\n\nReadStatus\"\034\n\013ReadHistory\022\r\n\005limit\030" +
+      "\001 \001(\r\"5\n\007History\022*\n\007entries\030\001 \003(\0132\031.radi" +
+      "shthread.RuleHistory\"?\n\nInitialize\0221\n\010re" +
+      "plicas\030\001 \003(\0132\037.radishthread.ReplicaDescr" +
+      "iptor\"@\n\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037" +
+      ".radishthread.ReplicaDescriptor\"3\n\tNotLe" +
+      "ader\022\026\n\016leader_address\030\001 \001(\t\022\016\n\006reason\030\002" +
+      " \001(\t\"\364\001\n\rControlStatus\0220\n\007replica\030\001 \001(\0132" +
+      "\037.radishthread.ReplicaDescriptor\022\014\n\004role" +
+      "\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001" +
+      "(\004\022\026\n\016snapshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001" +
+      "(\004\0222\n\rconfiguration\030\007 \001(\0132\033.radishthread" +
+      ".Configuration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_" +
+      "known\030\t \001(\010\"\200\003\n\017ControlResponse\022\n\n\002id\030\001 " +
+      "\001(\004\022-\n\nnot_leader\030\002 \001(\0132\027.radishthread.N" +
+      "otLeaderH\000\022*\n\005rules\030\003 \001(\0132\031.radishthread" +
+      ".RulesAnswerH\000\022*\n\005claim\030\004 \001(\0132\031.radishth" +
+      "read.ClaimAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026." +
+      "radishthread.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022." +
+      "radishthread.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.r" +
+      "adishthread.RefusedH\000\022-\n\006status\030\010 \001(\0132\033." +
+      "radishthread.ControlStatusH\000\022(\n\007history\030" +
+      "\t \001(\0132\025.radishthread.HistoryH\000B\006\n\004body\"\006" +
+      "\n\004Done\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"\320\001\n\010Ru" +
+      "leFile\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
+      "\t\022\020\n\010document\030\003 \001(\014\022\032\n\022compressed_conten" +
+      "t\030\004 \001(\014\0220\n\ndifference\030\005 \001(\0132\034.radishthre" +
+      "ad.RuleDifference\022\033\n\023compressed_document" +
+      "\030\006 \001(\014\022$\n\004part\030\007 \001(\0162\026.radishthread.Rule" +
+      "Part\"T\n\013RuleRequest\022\026\n\016known_revision\030\001 " +
+      "\001(\004\022\027\n\017accepts_encoded\030\002 \001(\010\022\024\n\014known_di" +
+      "gest\030\003 \001(\014\"Q\n\016RuleDifference\022\025\n\rbase_rev" +
+      "ision\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\030\n\020compresse" +
+      "d_lines\030\003 \001(\014\"8\n\tRuleLines\022+\n\006blocks\030\001 \003" +
+      "(\0132\033.radishthread.RuleLineBlock\"E\n\rRuleL" +
+      "ineBlock\022\022\n\nfirst_line\030\001 \001(\r\022\022\n\nline_cou" +
+      "nt\030\002 \001(\r\022\014\n\004text\030\003 \001(\t\"\353\001\n\016UpstreamRecor" +
+      "d\022\014\n\004name\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007addr" +
+      "ess\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023" +
+      "\n\013incarnation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n" +
+      "\005state\030\010 \001(\0162\033.radishthread.UpstreamStat" +
+      "e\022\016\n\006holder\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\022" +
+      "\023\n\013cold_millis\030\013 \001(\r\"\301\001\n\016InstanceRecord\022" +
+      "\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(\t\022\036\n\026a" +
+      "dministration_address\030\003 \001(\t\022\014\n\004zone\030\004 \001(" +
+      "\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022\023\n\013i" +
+      "ncarnation\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n\007gat" +
+      "eway\030\t \001(\010J\004\010\n\020\013\"\301\002\n\006Gossip\022\016\n\006sender\030\001 " +
+      "\001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartbeats\030\003 \003" +
+      "(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstreams\030\005 \003(\013" +
+      "2\034.radishthread.UpstreamRecord\022-\n\007record" +
+      "s\030\006 \003(\0132\034.radishthread.InstanceRecord\022\016\n" +
+      "\006digest\030\007 \001(\006\022\026\n\016sender_address\030\010 \001(\t\022\023\n" +
+      "\013live_digest\030\t \001(\006\022\014\n\004live\030\n \003(\007\022\016\n\006repo" +
+      "rt\030\013 \001(\004\022\035\n\020rules_age_millis\030\014 \001(\004H\000\210\001\001B" +
+      "\023\n\021_rules_age_millis\">\n\007Version\022\014\n\004name\030" +
+      "\001 \001(\007\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003" +
+      " \001(\004\"\200\002\n\017Synchronization\022\016\n\006sender\030\001 \001(\t" +
+      "\022$\n\005known\030\002 \003(\0132\025.radishthread.Version\022/" +
+      "\n\tupstreams\030\003 \003(\0132\034.radishthread.Upstrea" +
+      "mRecord\022-\n\007records\030\004 \003(\0132\034.radishthread." +
+      "InstanceRecord\022\016\n\006answer\030\005 \001(\010\022\026\n\016sender" +
+      "_address\030\006 \001(\t\022\027\n\017known_instances\030\007 \003(\007\022" +
+      "\026\n\016instances_only\030\010 \001(\010\"C\n\014LeaseRenewal\022" +
+      "\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010se" +
+      "quence\030\003 \001(\004\"L\n\016UpstreamNotice\022\n\n\002id\030\001 \001" +
+      "(\004\022.\n\010upstream\030\002 \001(\0132\034.radishthread.Upst" +
+      "reamRecord\"#\n\025UpstreamNoticeReceipt\022\n\n\002i" +
+      "d\030\001 \001(\004\"\231\003\n\013SlotMessage\022\017\n\007service\030\001 \001(\t" +
+      "\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007request" +
+      "\030\004 \001(\0132\031.radishthread.SlotRequestH\000\022$\n\003e" +
+      "nd\030\005 \001(\0132\025.radishthread.SlotEndH\000\022(\n\005ret" +
+      "ry\030\006 \001(\0132\027.radishthread.SlotRetryH\000\022(\n\005h" +
+      "edge\030\007 \001(\0132\027.radishthread.SlotHedgeH\000\022(\n" +
+      "\005close\030\010 \001(\0132\027.radishthread.SlotCloseH\000\022" +
+      "*\n\006queued\030\t \001(\0132\030.radishthread.SlotQueue" +
+      "dH\000\022(\n\005grant\030\n \001(\0132\027.radishthread.SlotGr" +
+      "antH\000\022,\n\007refusal\030\013 \001(\0132\031.radishthread.Sl" +
+      "otRefusalH\000B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006c" +
+      "aller\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remai" +
+      "ning_micros\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020o" +
+      "bjective_micros\030\005 \001(\004\022\030\n\020maximum_attempt" +
+      "s\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n" +
+      "\tworkspace\030\t \001(\t\"\305\001\n\nLoadReport\022\017\n\007runni" +
+      "ng\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r" +
+      "\022\024\n\014pace_percent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022" +
+      "\026\n\016refused_millis\030\006 \001(\004\022\035\n\020limit_per_sec" +
+      "ond\030\007 \001(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021_" +
+      "limit_per_second\"l\n\007SlotEnd\022\020\n\010upstream\030" +
+      "\001 \001(\t\022\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.ra" +
+      "dishthread.LoadReport\022\027\n\017connection_lost" +
+      "\030\004 \001(\010\"k\n\013CrashNotice\022*\n\007crashes\030\001 \003(\0132\031" +
+      ".radishthread.CrashRecord\0220\n\nclearances\030" +
+      "\002 \003(\0132\034.radishthread.CrashClearance\"g\n\013C" +
+      "rashRecord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002" +
+      " \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010" +
+      "\022\022\n\nage_millis\030\005 \001(\004\"4\n\016CrashClearance\022\016" +
+      "\n\006digest\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSl" +
+      "otRetry\"\013\n\tSlotHedge\"\013\n\tSlotClose\"\014\n\nSlo" +
+      "tQueued\"\250\001\n\tSlotGrant\022\020\n\010upstream\030\001 \001(\t\022" +
+      "\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_fli" +
+      "ght\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032\n\022hedg" +
+      "e_after_micros\030\006 \001(\004\022\025\n\rlimit_counted\030\007 " +
+      "\001(\010\022\r\n\005relay\030\010 \001(\t\"9\n\013SlotRefusal\022\016\n\006rea" +
+      "son\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 \001(\004*a\n" +
+      "\014RulesVerdict\022\035\n\031RULES_VERDICT_UNSPECIFI" +
+      "ED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STAL" +
+      "E\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAI" +
+      "M_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004" +
+      "HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004F" +
+      "ULL\020\005*O\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026" +
+      "\n\022RULE_PART_REVISION\020\001\022\026\n\022RULE_PART_DOCU" +
+      "MENT\020\002*R\n\rUpstreamState\022\036\n\032UPSTREAM_STAT" +
+      "E_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002" +
+      "\022\010\n\004LEFT\020\003B\035\n\031org.radishthread.protocolP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -614,7 +644,7 @@
     internal_static_radishthread_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "RelayRequest", "RelayResponse", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "RelayRequest", "RelayResponse", "Compressed", "Body", });
     internal_static_radishthread_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_radishthread_Hello_fieldAccessorTable = new
@@ -644,7 +674,7 @@
     internal_static_radishthread_Pong_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Pong_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "AcceptsCompressed", });
     internal_static_radishthread_AgreementMessage_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_radishthread_AgreementMessage_fieldAccessorTable = new
@@ -824,7 +854,7 @@
     internal_static_radishthread_ReadRules_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_ReadRules_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "Part", });
     internal_static_radishthread_ReadStatus_descriptor =
       getDescriptor().getMessageType(36);
     internal_static_radishthread_ReadStatus_fieldAccessorTable = new
@@ -890,135 +920,153 @@
     internal_static_radishthread_RuleFile_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RuleFile_descriptor,
-        new java.lang.String[] { "Revision", "Content", "Document", });
+        new java.lang.String[] { "Revision", "Content", "Document", "CompressedContent", "Difference", "CompressedDocument", "Part", });
     internal_static_radishthread_RuleRequest_descriptor =
       getDescriptor().getMessageType(47);
     internal_static_radishthread_RuleRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_RuleRequest_descriptor,
-        new java.lang.String[] { "KnownRevision", });
-    internal_static_radishthread_UpstreamRecord_descriptor =
+        new java.lang.String[] { "KnownRevision", "AcceptsEncoded", "KnownDigest", });
+    internal_static_radishthread_RuleDifference_descriptor =
       getDescriptor().getMessageType(48);
+    internal_static_radishthread_RuleDifference_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_RuleDifference_descriptor,
+        new java.lang.String[] { "BaseRevision", "Digest", "CompressedLines", });
+    internal_static_radishthread_RuleLines_descriptor =
+      getDescriptor().getMessageType(49);
+    internal_static_radishthread_RuleLines_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_RuleLines_descriptor,
+        new java.lang.String[] { "Blocks", });
+    internal_static_radishthread_RuleLineBlock_descriptor =
+      getDescriptor().getMessageType(50);
+    internal_static_radishthread_RuleLineBlock_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_RuleLineBlock_descriptor,
+        new java.lang.String[] { "FirstLine", "LineCount", "Text", });
+    internal_static_radishthread_UpstreamRecord_descriptor =
+      getDescriptor().getMessageType(51);
     internal_static_radishthread_UpstreamRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_UpstreamRecord_descriptor,
         new java.lang.String[] { "Name", "Service", "Address", "Zone", "Slots", "Incarnation", "Sequence", "State", "Holder", "LeaseMillis", "ColdMillis", });
     internal_static_radishthread_InstanceRecord_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(52);
     internal_static_radishthread_InstanceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_InstanceRecord_descriptor,
         new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", });
     internal_static_radishthread_Gossip_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(53);
     internal_static_radishthread_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Gossip_descriptor,
         new java.lang.String[] { "Sender", "Instances", "Heartbeats", "Revisions", "Upstreams", "Records", "Digest", "SenderAddress", "LiveDigest", "Live", "Report", "RulesAgeMillis", });
     internal_static_radishthread_Version_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(54);
     internal_static_radishthread_Version_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Version_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Sequence", });
     internal_static_radishthread_Synchronization_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(55);
     internal_static_radishthread_Synchronization_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Synchronization_descriptor,
         new java.lang.String[] { "Sender", "Known", "Upstreams", "Records", "Answer", "SenderAddress", "KnownInstances", "InstancesOnly", });
     internal_static_radishthread_LeaseRenewal_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(56);
     internal_static_radishthread_LeaseRenewal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LeaseRenewal_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Sequence", });
     internal_static_radishthread_UpstreamNotice_descriptor =
-      getDescriptor().getMessageType(54);
+      getDescriptor().getMessageType(57);
     internal_static_radishthread_UpstreamNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_UpstreamNotice_descriptor,
         new java.lang.String[] { "Id", "Upstream", });
     internal_static_radishthread_UpstreamNoticeReceipt_descriptor =
-      getDescriptor().getMessageType(55);
+      getDescriptor().getMessageType(58);
     internal_static_radishthread_UpstreamNoticeReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_UpstreamNoticeReceipt_descriptor,
         new java.lang.String[] { "Id", });
     internal_static_radishthread_SlotMessage_descriptor =
-      getDescriptor().getMessageType(56);
+      getDescriptor().getMessageType(59);
     internal_static_radishthread_SlotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotMessage_descriptor,
         new java.lang.String[] { "Service", "Ticket", "Run", "Request", "End", "Retry", "Hedge", "Close", "Queued", "Grant", "Refusal", "Body", });
     internal_static_radishthread_SlotRequest_descriptor =
-      getDescriptor().getMessageType(57);
+      getDescriptor().getMessageType(60);
     internal_static_radishthread_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRequest_descriptor,
         new java.lang.String[] { "Caller", "MayRepeat", "RemainingMicros", "Priority", "ObjectiveMicros", "MaximumAttempts", "Zone", "Digest", "Workspace", });
     internal_static_radishthread_LoadReport_descriptor =
-      getDescriptor().getMessageType(58);
+      getDescriptor().getMessageType(61);
     internal_static_radishthread_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LoadReport_descriptor,
         new java.lang.String[] { "Running", "Waiting", "Slots", "PacePercent", "Leaving", "RefusedMillis", "LimitPerSecond", "ColdMillis", });
     internal_static_radishthread_SlotEnd_descriptor =
-      getDescriptor().getMessageType(59);
+      getDescriptor().getMessageType(62);
     internal_static_radishthread_SlotEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotEnd_descriptor,
         new java.lang.String[] { "Upstream", "Result", "Load", "ConnectionLost", });
     internal_static_radishthread_CrashNotice_descriptor =
-      getDescriptor().getMessageType(60);
+      getDescriptor().getMessageType(63);
     internal_static_radishthread_CrashNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_CrashNotice_descriptor,
         new java.lang.String[] { "Crashes", "Clearances", });
     internal_static_radishthread_CrashRecord_descriptor =
-      getDescriptor().getMessageType(61);
+      getDescriptor().getMessageType(64);
     internal_static_radishthread_CrashRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_CrashRecord_descriptor,
         new java.lang.String[] { "Digest", "Upstream", "Incarnation", "Alone", "AgeMillis", });
     internal_static_radishthread_CrashClearance_descriptor =
-      getDescriptor().getMessageType(62);
+      getDescriptor().getMessageType(65);
     internal_static_radishthread_CrashClearance_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_CrashClearance_descriptor,
         new java.lang.String[] { "Digest", "AgeMillis", });
     internal_static_radishthread_SlotRetry_descriptor =
-      getDescriptor().getMessageType(63);
+      getDescriptor().getMessageType(66);
     internal_static_radishthread_SlotRetry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRetry_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotHedge_descriptor =
-      getDescriptor().getMessageType(64);
+      getDescriptor().getMessageType(67);
     internal_static_radishthread_SlotHedge_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotHedge_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotClose_descriptor =
-      getDescriptor().getMessageType(65);
+      getDescriptor().getMessageType(68);
     internal_static_radishthread_SlotClose_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotClose_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotQueued_descriptor =
-      getDescriptor().getMessageType(66);
+      getDescriptor().getMessageType(69);
     internal_static_radishthread_SlotQueued_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotQueued_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_SlotGrant_descriptor =
-      getDescriptor().getMessageType(67);
+      getDescriptor().getMessageType(70);
     internal_static_radishthread_SlotGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotGrant_descriptor,
         new java.lang.String[] { "Upstream", "Address", "Kind", "InFlight", "WaitedMicros", "HedgeAfterMicros", "LimitCounted", "Relay", });
     internal_static_radishthread_SlotRefusal_descriptor =
-      getDescriptor().getMessageType(68);
+      getDescriptor().getMessageType(71);
     internal_static_radishthread_SlotRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRefusal_descriptor,
