Compress large messages between instances

A connection now starts with a ping, and the response says whether the peer accepts compressed envelopes; until it arrives, a large message and those behind it wait, so that the order is kept. A peer of a former version responds without the field and gets plain messages. The log keeps its form on disk, so that replicas of a former version can read it. Compressing entries once in the log was weighed: it saves processor time on the leader, but former versions could not read it.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/InboundPeerHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/InboundPeerHandler.java
@@ -1,11 +1,13 @@
 package org.radishthread.daemon.peer;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.settings.Secrets;
+import org.radishthread.kernel.Compression;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.Hello;
@@ -36,22 +38,31 @@
 	}
 
 	@Override
-	protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
+	protected void channelRead0(ChannelHandlerContext context, Envelope envelope)
+			throws InvalidProtocolBufferException {
 		Hello sender = this.peerHello;
 		if (sender == null) {
 			authenticate(context, envelope);
 		}
 		else if (envelope.hasPing()) {
-			context.writeAndFlush(Envelope.newBuilder().setPong(Pong.getDefaultInstance()).build());
+			context.writeAndFlush(Envelope.newBuilder().setPong(Pong.newBuilder().setAcceptsCompressed(true)).build());
 		}
 		else if (envelope.hasRelayRequest()) {
 			RelayedConnection.open(context.channel(), envelope.getRelayRequest().getAddress());
 		}
 		else {
-			this.messageHandler.receive(sender.getInstance(), sender.getAddress(), envelope);
+			this.messageHandler.receive(sender.getInstance(), sender.getAddress(), decompress(envelope));
 		}
 	}
 
+	private static Envelope decompress(Envelope envelope) throws InvalidProtocolBufferException {
+		if (!envelope.hasCompressed()) {
+			return envelope;
+		}
+		return Envelope.parseFrom(Compression.decompress(envelope.getCompressed().toByteArray(),
+				PeerPipeline.MAXIMUM_AUTHENTICATED_FRAME_BYTES));
+	}
+
 	private void authenticate(ChannelHandlerContext context, Envelope envelope) {
 		if (!envelope.hasHello() || !Secrets.matches(this.token, envelope.getHello().getToken())) {
 			eventLog.warning("peer-refused").with("remote", context.channel().remoteAddress()).write();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/OutboundPeerConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/OutboundPeerConnection.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.micrometer.core.instrument.Counter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -38,7 +39,7 @@
 	private static final long IDLE_TIMEOUT_NANOS = 5_000_000_000L;
 
 	// Messages are dropped while more bytes than this wait to be sent to the peer.
-	private static final int MAXIMUM_UNSENT_BYTES = 16 * 1024 * 1024;
+	static final int MAXIMUM_UNSENT_BYTES = 16 * 1024 * 1024;
 
 	private final String address;
 
@@ -52,7 +53,8 @@
 
 	private volatile long lastReceivedNanos = System.nanoTime();
 
-	OutboundPeerConnection(String address, Bootstrap bootstrap, Hello hello, Consumer<OutboundPeerConnection> onClose) {
+	OutboundPeerConnection(String address, Bootstrap bootstrap, Hello hello, Counter savedBytes,
+			Consumer<OutboundPeerConnection> onClose) {
 		this.address = address;
 		this.onClose = onClose;
 		this.connectFuture = bootstrap.handler(new ChannelInitializer<SocketChannel>() {
@@ -60,6 +62,7 @@
 			@Override
 			protected void initChannel(SocketChannel channel) {
 				PeerPipeline.install(channel.pipeline(), PeerPipeline.MAXIMUM_UNAUTHENTICATED_FRAME_BYTES);
+				channel.pipeline().addLast(new EnvelopeCompressor(savedBytes));
 				channel.pipeline().addLast(new ResponseHandler());
 			}
 
@@ -77,6 +80,8 @@
 		}
 		this.lastReceivedNanos = System.nanoTime();
 		channel.writeAndFlush(Envelope.newBuilder().setHello(hello).build());
+		// The response tells what the peer accepts.
+		sendPing(channel, System.nanoTime());
 		ScheduledFuture<?> checkTask = channel.eventLoop()
 			.scheduleWithFixedDelay(() -> checkLiveness(channel), CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
@@ -100,11 +105,15 @@
 		boolean sentSincePing = this.lastSentNanos > this.lastPingNanos;
 		if (sentSincePing && this.lastPingNanos <= this.lastReceivedNanos
 				&& nowNanos - this.lastPingNanos > PING_INTERVAL_NANOS) {
-			this.lastPingNanos = nowNanos;
-			channel.writeAndFlush(Envelope.newBuilder().setPing(Ping.getDefaultInstance()).build());
+			sendPing(channel, nowNanos);
 		}
 	}
 
+	private void sendPing(Channel channel, long nowNanos) {
+		this.lastPingNanos = nowNanos;
+		channel.writeAndFlush(Envelope.newBuilder().setPing(Ping.getDefaultInstance()).build());
+	}
+
 	void send(Envelope envelope) {
 		this.lastSentNanos = System.nanoTime();
 		if (this.connectFuture.isDone()) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
@@ -60,6 +60,9 @@
 
 	private final Counter sentBytes;
 
+	// The bytes that compression saved of those that are counted as sent.
+	private final Counter savedBytes;
+
 	private final Counter sentMessages;
 
 	private @Nullable Channel serverChannel;
@@ -67,6 +70,7 @@
 	public PeerTransport(DaemonSettings settings, MeterRegistry meters) {
 		this.settings = settings;
 		this.sentBytes = meters.counter("radishthread.peer.sent.bytes");
+		this.savedBytes = meters.counter("radishthread.peer.saved.bytes");
 		this.sentMessages = meters.counter("radishthread.peer.sent.messages");
 	}
 
@@ -153,7 +157,7 @@
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.remoteAddress(new InetSocketAddress(target.host(), target.port()));
-		return new OutboundPeerConnection(address, bootstrap, hello,
+		return new OutboundPeerConnection(address, bootstrap, hello, this.savedBytes,
 				(connection) -> this.connections.remove(address, connection));
 	}
 
