Confirm received rules only after their revision was confirmed

Rules offered before the first tick of an instance counted as confirmed: no revision was awaited, and the time of the offer lay before the unset end of the wait. MembershipTests.FullRestart found it; a unit test has the case now. The delay before a farther source is asked applied to gateways of a zone whose control instance had stopped up to 4 s before, as its heartbeats are only then missed; acknowledgements came 0.25 s late in AcknowledgementTests. The delay now applies only while the gateway reports to a control instance of its own zone, which it leaves after 1 s of silence. Run after the change: MembershipTests, AcknowledgementTests, RulesFreshnessProperties, RuleExchangeTests and RuleDistributionTests pass.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
@@ -87,6 +87,14 @@
 		return report.build();
 	}
 
+	// Whether the control instance that this gateway prefers is in the availability zone.
+	boolean isPrimaryIn(String zone) {
+		return this.instances.controlInstances()
+			.stream()
+			.anyMatch((instance) -> this.subscription.isPrimary(instance.getPeerAddress())
+					&& instance.getZone().equals(zone));
+	}
+
 	static boolean isResponse(Gossip gossip) {
 		return gossip.getHeartbeatsCount() == 0 && gossip.getLiveDigest() != 0;
 	}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -530,24 +530,17 @@
 	private void requestRulesIfBehind(InstanceTable.@Nullable Entry peer, long nowMillis) {
 		if (peer != null) {
 			String address = peer.instance.getPeerAddress();
-			this.rules
-				.createRequest(address, peer.ruleRevision, isNearerRuleSourceExpected(peer.instance, nowMillis),
-						nowMillis)
+			this.rules.createRequest(address, peer.ruleRevision, isNearerRuleSourceExpected(peer.instance), nowMillis)
 				.ifPresent((request) -> send(address, Envelope.newBuilder().setRuleRequest(request)));
 		}
 	}
 
 	// A control instance receives accepted rules by the log of the control group. A
-	// gateway prefers a control instance in its own availability zone.
-	private boolean isNearerRuleSourceExpected(InstanceRecord peer, long nowMillis) {
-		if (this.self.getControl()) {
-			return true;
-		}
-		long sinceMillis = nowMillis - failureTimeoutMillis();
-		return !peer.getZone().equals(this.self.getZone()) && this.instances.entries()
-			.stream()
-			.anyMatch((entry) -> entry.instance.getControl() && entry.instance.getZone().equals(this.self.getZone())
-					&& entry.lastHeartbeatMillis >= sinceMillis);
+	// gateway prefers the control instance in its own availability zone that it reports
+	// to.
+	private boolean isNearerRuleSourceExpected(InstanceRecord peer) {
+		return this.self.getControl()
+				|| (!peer.getZone().equals(this.self.getZone()) && this.reports.isPrimaryIn(this.self.getZone()));
 	}
 
 	private void requestOverdueRules(long nowMillis) {
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -50,9 +50,10 @@
 
 	private boolean confirmed;
 
+	// The confirmed revision that this instance lacks, or zero.
 	private long awaitedRevision;
 
-	private long awaitedUntilMillis = NEVER;
+	private long awaitedUntilMillis;
 
 	private long nextRequestMillis = NEVER;
 
@@ -139,7 +140,8 @@
 		this.ruleFile = decodedRules;
 		this.encoder.setCurrent(decodedRules);
 		this.changed = true;
-		this.confirmed |= decodedRules.getRevision() >= this.awaitedRevision && nowMillis <= this.awaitedUntilMillis;
+		this.confirmed |= this.awaitedRevision > 0 && decodedRules.getRevision() >= this.awaitedRevision
+				&& nowMillis <= this.awaitedUntilMillis;
 		this.nextRequestMillis = NEVER;
 		this.requestInterval.reset();
 		this.behindSinceMillis = Long.MAX_VALUE;
@@ -164,7 +166,7 @@
 
 	void resetAfterFreeze() {
 		this.confirmed = false;
-		this.awaitedUntilMillis = NEVER;
+		this.awaitedRevision = 0;
 	}
 
 	// Returns the applied rules for a peer, unless its revision is not lower.
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeTests.java
@@ -204,6 +204,13 @@
 			assertThat(RuleExchangeTests.this.gateway.isConfirmed()).isFalse();
 		}
 
+		@Test
+		void rulesAreNotConfirmedByTheirArrivalAlone() {
+			RuleExchangeTests.this.gateway.offer(file(1), Long.MIN_VALUE);
+			RuleExchangeTests.this.gateway.receive(file(2), 100);
+			assertThat(RuleExchangeTests.this.gateway.isConfirmed()).isFalse();
+		}
+
 		@Test
 		void confirmationIsDroppedWhenTheProcessWasSuspended() {
 			RuleExchangeTests.this.gateway.confirmRevision(2, 0);
