Parse only the changed lines of a new revision

Each gateway parsed each revision whole: with 2,000 routes, 2,004 lines for one that changed. A line whose text was in the last valid file now keeps its rule, wherever it stands; a route that moved gets its new number. Checks among lines run as before, and a line that contradicts another one is parsed to give the same finding. A revision with one changed route takes two parsed lines, the one with the revision included. The index of routes is built anew, which needs no parsing. Routers are still told their rule, which costs a comparison.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -26,9 +26,9 @@
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Upstream;
 import org.radishthread.routing.UpstreamConstraints;
+import org.radishthread.rules.IncrementalRuleParser;
 import org.radishthread.rules.RouteFinder;
 import org.radishthread.rules.RouteRule;
-import org.radishthread.rules.RuleParser;
 import org.radishthread.rules.RuleSet;
 
 /**
@@ -65,6 +65,9 @@
 
 	private final long splitOffset = ThreadLocalRandom.current().nextInt(1 << 16);
 
+	// Accessed on the thread that publishes rules only.
+	private final IncrementalRuleParser ruleParser = new IncrementalRuleParser();
+
 	private volatile RuleSet rules = RuleSet.EMPTY;
 
 	private volatile RouteFinder routes = RuleSet.EMPTY.toRouteFinder();
@@ -174,10 +177,15 @@
 	@Override
 	public void rulesChanged(RuleFile file) {
 		try {
-			RuleSet parsedRules = RuleParser.parse("revision-" + file.getRevision(), file.getContent());
+			RuleSet parsedRules = this.ruleParser.parse("revision-" + file.getRevision(), file.getContent());
 			this.rules = parsedRules;
 			this.routes = parsedRules.toRouteFinder();
 			this.routers.forEach((service, router) -> router.updateRule(parsedRules.serviceRule(service)));
+			eventLog.information("rules-parsed")
+				.with("revision", file.getRevision())
+				.with("parsed-lines", this.ruleParser.parsedLineCount())
+				.with("routes", parsedRules.routes().size())
+				.write();
 		}
 		catch (FindingsException ex) {
 			// The control group accepts only valid files, so this one was accepted by a
--- a/radishthread-rules/src/main/java/org/radishthread/rules/CallerLimits.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/CallerLimits.java
@@ -11,7 +11,7 @@
  * @param idleTimeout the time after which a connection without a request is closed
  */
 public record CallerLimits(int maximumHeaderBytes, long maximumBodyBytes, Duration headerTimeout,
-		Duration idleTimeout) {
+		Duration idleTimeout) implements LineRule {
 
 	/**
 	 * The limits that apply unless the rule file sets others. They follow the defaults of
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
@@ -19,7 +19,7 @@
  * @param open whether callers need no key
  */
 public record RouteRule(int line, String service, List<WeightedService> split, RouteMatch match, RouteMode mode,
-		RouteLimits limits, String requestedBy, boolean open) {
+		RouteLimits limits, String requestedBy, boolean open) implements LineRule {
 
 	public RouteRule {
 		Assert.isTrue(totalWeight(split) > 0, "The weights of a route must add up to more than zero.");
@@ -43,6 +43,12 @@
 		return this.limits.timeout();
 	}
 
+	// Returns the route of an equal text in another line.
+	RouteRule withLine(int newLine) {
+		return (newLine == this.line) ? this : new RouteRule(newLine, this.service, this.split, this.match, this.mode,
+				this.limits, this.requestedBy, this.open);
+	}
+
 	/**
 	 * Returns this route reduced to one service of its split. Positions that are spread
 	 * evenly over the interval select the services in proportion to their weights.
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
@@ -53,9 +53,18 @@
 
 	private @Nullable CallerLimits callerLimits;
 
-	private RuleParser(String source, String text) {
+	// The rules of a former file by the text of their lines.
+	private final Map<String, LineRule> knownRules;
+
+	// The rules of this file by the text of their lines.
+	private final Map<String, LineRule> rulesByText = new HashMap<>();
+
+	private int parsedLineCount;
+
+	RuleParser(String source, String text, Map<String, LineRule> knownRules) {
 		this.findings = new Findings(source);
 		this.text = text;
+		this.knownRules = knownRules;
 	}
 
 	/**
@@ -66,12 +75,24 @@
 	 * @throws FindingsException with all findings, if the file is invalid
 	 */
 	public static RuleSet parse(String source, String text) {
-		RuleParser parser = new RuleParser(source, text);
-		parser.parseLines();
-		parser.findings.throwIfAny();
-		CallerLimits limits = parser.callerLimits;
-		return new RuleSet(parser.revision, Map.copyOf(parser.services), List.copyOf(parser.routes),
-				(limits != null) ? limits : CallerLimits.DEFAULTS, Map.copyOf(parser.workspaces));
+		return new RuleParser(source, text, Map.of()).parse();
+	}
+
+	RuleSet parse() {
+		parseLines();
+		this.findings.throwIfAny();
+		CallerLimits limits = this.callerLimits;
+		return new RuleSet(this.revision, Map.copyOf(this.services), List.copyOf(this.routes),
+				(limits != null) ? limits : CallerLimits.DEFAULTS, Map.copyOf(this.workspaces));
+	}
+
+	// The rules of the file by the text of their lines, if it is valid.
+	Map<String, LineRule> rulesByText() {
+		return this.rulesByText;
+	}
+
+	int parsedLineCount() {
+		return this.parsedLineCount;
 	}
 
 	private void parseLines() {
@@ -79,9 +100,13 @@
 			this.findings.add(1, 1, "", "The file must not exceed " + MAXIMUM_FILE_BYTES + " bytes.");
 			return;
 		}
-		String[] lines = this.text.split("\r?\n", -1);
-		for (int i = 0; i < lines.length; i++) {
-			parseLine(i + 1, lines[i]);
+		int line = 0;
+		for (int start = 0, end; start <= this.text.length(); start = end + 1) {
+			int lineFeed = this.text.indexOf('\n', start);
+			end = (lineFeed >= 0) ? lineFeed : this.text.length();
+			boolean carriageReturn = lineFeed > start && this.text.charAt(lineFeed - 1) == '\r';
+			line++;
+			readLine(line, this.text.substring(start, carriageReturn ? end - 1 : end));
 		}
 		if (this.revision == 0 && this.findings.isEmpty()) {
 			this.findings.add(1, 1, "revision",
@@ -89,6 +114,44 @@
 		}
 	}
 
+	private void readLine(int line, String content) {
+		LineRule knownRule = this.knownRules.get(content);
+		if (knownRule == null || !addKnownRule(line, knownRule)) {
+			parseLine(line, content);
+		}
+		else {
+			this.rulesByText.put(content, knownRule);
+		}
+	}
+
+	// Returns false if the rule contradicts a former line, so that the line must be
+	// parsed
+	// to give a finding.
+	private boolean addKnownRule(int line, LineRule rule) {
+		if (rule instanceof RouteRule route) {
+			this.routes.add(route.withLine(line));
+			return true;
+		}
+		if (rule instanceof ServiceRule service) {
+			return this.services.putIfAbsent(service.service(), service) == null;
+		}
+		if (rule instanceof WorkspaceRule workspace) {
+			boolean contradicts = this.workspaces.containsKey(workspace.name())
+					|| workspace.keyDigests().stream().anyMatch(this.workspaceNamesByKeyDigest::containsKey);
+			if (!contradicts) {
+				this.workspaces.put(workspace.name(), workspace);
+				workspace.keyDigests()
+					.forEach((digest) -> this.workspaceNamesByKeyDigest.put(digest, workspace.name()));
+			}
+			return !contradicts;
+		}
+		if (this.callerLimits != null) {
+			return false;
+		}
+		this.callerLimits = (CallerLimits) rule;
+		return true;
+	}
+
 	private void parseLine(int line, String content) {
 		int commentStart = content.indexOf('#');
 		String ruleText = (commentStart >= 0) ? content.substring(0, commentStart) : content;
@@ -102,19 +165,30 @@
 			int column = (commentStart >= 0) ? commentStart + 1 : ruleText.stripTrailing().length() + 1;
 			this.findings.add(line, column, "", "The comment must name the requester: '# asked by NAME, DATE'.");
 		}
-		parseRule(line, TokenizedLine.tokenize(ruleText), hasRequester ? matcher.group(1).strip() : "");
+		this.parsedLineCount++;
+		LineRule rule = parseRule(line, TokenizedLine.tokenize(ruleText), hasRequester ? matcher.group(1).strip() : "");
+		if (rule != null) {
+			this.rulesByText.put(content, rule);
+		}
 	}
 
-	private void parseRule(int line, TokenizedLine tokens, String requestedBy) {
-		switch (tokens.text(0)) {
-			case "revision" -> parseRevision(line, tokens);
+	// Returns the rule, or null if the line defines none.
+	private @Nullable LineRule parseRule(int line, TokenizedLine tokens, String requestedBy) {
+		return switch (tokens.text(0)) {
 			case "service" -> parseService(line, tokens);
 			case "route" -> parseRoute(line, tokens, requestedBy);
 			case "callers" -> parseCallers(line, tokens);
 			case "workspace" -> parseWorkspace(line, tokens);
-			default -> this.findings.add(line, tokens.column(0), tokens.text(0),
-					"Unknown rule; 'revision', 'service', 'route', 'callers' or 'workspace' is expected.");
-		}
+			case "revision" -> {
+				parseRevision(line, tokens);
+				yield null;
+			}
+			default -> {
+				this.findings.add(line, tokens.column(0), tokens.text(0),
+						"Unknown rule; 'revision', 'service', 'route', 'callers' or 'workspace' is expected.");
+				yield null;
+			}
+		};
 	}
 
 	private void parseRevision(int line, TokenizedLine tokens) {
@@ -128,29 +202,32 @@
 		this.revision = Long.parseLong(tokens.text(1));
 	}
 
-	private void parseService(int line, TokenizedLine tokens) {
+	private @Nullable LineRule parseService(int line, TokenizedLine tokens) {
 		if (!checkServiceName(line, tokens, 1)) {
-			return;
+			return null;
 		}
 		RuleOptionsParser options = new RuleOptionsParser(line, tokens, 2, this.findings);
 		ServiceRule rule = options.parseServiceRule(tokens.text(1));
 		if (this.services.putIfAbsent(tokens.text(1), rule) != null) {
 			this.findings.add(line, tokens.column(1), tokens.text(1), "The service stands twice; join the lines.");
 		}
+		return rule;
 	}
 
-	private void parseCallers(int line, TokenizedLine tokens) {
+	private LineRule parseCallers(int line, TokenizedLine tokens) {
 		if (this.callerLimits != null) {
 			this.findings.add(line, tokens.column(0), "callers",
 					"The limits of callers are given twice; join the lines.");
 		}
-		this.callerLimits = new RuleOptionsParser(line, tokens, 1, this.findings).parseCallerLimits();
+		CallerLimits limits = new RuleOptionsParser(line, tokens, 1, this.findings).parseCallerLimits();
+		this.callerLimits = limits;
+		return limits;
 	}
 
-	private void parseWorkspace(int line, TokenizedLine tokens) {
+	private @Nullable LineRule parseWorkspace(int line, TokenizedLine tokens) {
 		if (!checkToken(line, tokens, 1, WORKSPACE_NAME,
 				"A workspace name of letters, digits, '.', '_' and '-' is expected.")) {
-			return;
+			return null;
 		}
 		WorkspaceRule rule = new WorkspaceOptionsParser(line, tokens, 2, this.findings).parse(tokens.text(1));
 		if (this.workspaces.putIfAbsent(rule.name(), rule) != null) {
@@ -163,26 +240,30 @@
 						"The workspace has a key in common with '" + otherName + "'.");
 			}
 		}
+		return rule;
 	}
 
-	private void parseRoute(int line, TokenizedLine tokens, String requestedBy) {
+	private @Nullable LineRule parseRoute(int line, TokenizedLine tokens, String requestedBy) {
 		List<WeightedService> split = parseSplit(line, tokens);
 		boolean validMethod = checkToken(line, tokens, 2, HTTP_METHOD,
 				"An HTTP method in capitals or '*' is expected.");
 		if (split.isEmpty() || !validMethod) {
-			return;
+			return null;
 		}
 		if (!tokens.hasToken(3)) {
 			this.findings.add(line, tokens.column(3), "route", "A path pattern is expected.");
-			return;
+			return null;
 		}
 		try {
 			PathPattern pattern = new PathPattern(tokens.text(3));
 			RuleOptionsParser options = new RuleOptionsParser(line, tokens, 4, this.findings);
-			this.routes.add(options.parseRouteRule(split, tokens.text(2), pattern, requestedBy));
+			RouteRule rule = options.parseRouteRule(split, tokens.text(2), pattern, requestedBy);
+			this.routes.add(rule);
+			return rule;
 		}
 		catch (IllegalArgumentException ex) {
 			this.findings.add(line, tokens.column(3), "route", String.valueOf(ex.getMessage()));
+			return null;
 		}
 	}
 
--- a/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/ServiceRule.java
@@ -23,7 +23,7 @@
  */
 public record ServiceRule(String service, int queueLimit, Duration queueTimeout, int callerSharePercent,
 		int probesPerSecond, int retryPercent, int ejectionFailureThreshold, @Nullable PaceProbeRule paceProbeRule,
-		double coldRequestsPerSecond) {
+		double coldRequestsPerSecond) implements LineRule {
 
 	public ServiceRule(String service, int queueLimit, Duration queueTimeout, int callerSharePercent,
 			int probesPerSecond, int retryPercent, int ejectionFailureThreshold) {
--- a/radishthread-rules/src/main/java/org/radishthread/rules/WorkspaceRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/WorkspaceRule.java
@@ -19,7 +19,7 @@
  * served first; {@code null} if the workspace sets none
  */
 public record WorkspaceRule(String name, List<String> keyDigests, double requestsPerSecond, double burst,
-		@Nullable Integer priority) {
+		@Nullable Integer priority) implements LineRule {
 
 	public WorkspaceRule {
 		Assert.hasText(name, "Name of a workspace must not be empty.");
