Compute the digest of a former revision once

A control instance hashed the base of a difference for each gateway that asked, some twenty times 230 KB for a revision. The digest is kept with the retained revision now.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleFileEncoder.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleFileEncoder.java
@@ -1,7 +1,6 @@
 package org.radishthread.membership;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -33,6 +32,9 @@
 	// Former revisions, oldest first.
 	private final Map<Long, String> formerContents = new LinkedHashMap<>();
 
+	// The digests of former revisions that peers have named.
+	private final Map<Long, ByteString> formerDigests = new HashMap<>();
+
 	private long formerCharacters;
 
 	private RuleFile current = RuleFile.getDefaultInstance();
@@ -65,6 +67,7 @@
 			this.formerCharacters -= oldest.next().length();
 			oldest.remove();
 		}
+		this.formerDigests.keySet().retainAll(this.formerContents.keySet());
 	}
 
 	RuleFile encode(RuleRequest request) {
@@ -72,15 +75,18 @@
 			return this.current;
 		}
 		String base = this.formerContents.get(request.getKnownRevision());
-		boolean sameBase = base != null && !request.getKnownDigest().isEmpty()
-				&& Arrays.equals(Sha256.of(base), request.getKnownDigest().toByteArray());
-		if (!sameBase) {
+		if (base == null || !digest(request.getKnownRevision(), base).equals(request.getKnownDigest())) {
 			return this.encodedFiles.computeIfAbsent(0L, (none) -> encodeWhole());
 		}
 		return this.encodedFiles.computeIfAbsent(request.getKnownRevision(),
 				(baseRevision) -> encodeDifference(baseRevision, base));
 	}
 
+	private ByteString digest(long formerRevision, String content) {
+		return this.formerDigests.computeIfAbsent(formerRevision,
+				(revision) -> ByteString.copyFrom(Sha256.of(content)));
+	}
+
 	private RuleFile encodeWhole() {
 		byte[] compressed = Compression.compress(this.current.getContent().getBytes(StandardCharsets.UTF_8));
 		return RuleFile.newBuilder()
