--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -16,6 +16,7 @@
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.protocol.LeaseRenewal;
 import org.radishthread.protocol.RuleFile;
+import org.radishthread.protocol.RulePart;
 import org.radishthread.protocol.RuleRequest;
 import org.radishthread.protocol.Synchronization;
 import org.radishthread.protocol.UpstreamNotice;
@@ -85,7 +86,7 @@
 
 	private final UpstreamRegistry upstreams;
 
-	private final AppliedRules rules = new AppliedRules();
+	private final RuleExchange rules;
 
 	private final RulesFreshness rulesFreshness = new RulesFreshness();
 
@@ -103,8 +104,6 @@
 
 	private boolean upstreamsChanged;
 
-	private boolean rulesChanged;
-
 	private boolean evacuationsChanged;
 
 	private boolean urgentRoundPending;
@@ -141,8 +140,6 @@
 
 	private long upstreamsDifferSinceMillis = Long.MAX_VALUE;
 
-	private boolean rulesConfirmed;
-
 	private boolean upstreamsSynchronized;
 
 	public Membership(InstanceRecord self, MembershipSettings settings, PeerSelector selector) {
@@ -153,6 +150,7 @@
 		this.heartbeat = self.getIncarnation();
 		this.instances = new InstanceTable(self.getName());
 		this.timing = new RoundTiming(settings, this.instances);
+		this.rules = new RuleExchange(self.getControl(), settings.rulesApplyMillis());
 		this.upstreams = new UpstreamRegistry(self.getName());
 		this.instances.merge(self, 0);
 		this.reports = new GatewayReports(self, this.instances, settings.rulesApplyMillis());
@@ -179,13 +177,12 @@
 			sendUpdate(this.lastClockReadingMillis);
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoingMessages),
-				this.upstreamsChanged ? upstreams() : null, this.rulesChanged ? this.rules.ruleFile() : null,
+				this.upstreamsChanged ? upstreams() : null, this.rules.drainChanged() ? this.rules.ruleFile() : null,
 				this.evacuationsChanged ? this.evacuations.evacuations() : null, this.upstreams.drainResults(),
 				this.resumedFromFreeze, this.reports.drainSilentAddresses(),
 				this.urgentRoundPending || this.updatePending);
 		this.outgoingMessages.clear();
 		this.upstreamsChanged = false;
-		this.rulesChanged = false;
 		this.evacuationsChanged = false;
 		this.resumedFromFreeze = false;
 		return effects;
@@ -234,8 +231,8 @@
 	private void sendUpdate(long nowMillis) {
 		List<String> gateways = this.responses.reportingAddresses(nowMillis);
 		if (!gateways.isEmpty()) {
-			Gossip update = this.responses.createUpdate(this.self, reportedRevision(), this.upstreams.stateDigest(),
-					nowMillis - this.timing.failureTimeoutMillis());
+			Gossip update = this.responses.createUpdate(this.self, this.rules.reportedRevision(),
+					this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis());
 			gateways.forEach((address) -> sendGossip(address, update));
 		}
 	}
@@ -270,6 +267,7 @@
 		this.upstreams.replicate(recipients(nowMillis), nowMillis);
 		collectUpstreamEffects();
 		requestUpstreams(nowMillis);
+		requestOverdueRules(nowMillis);
 		if (nowMillis >= this.nextRoundMillis) {
 			this.heartbeat++;
 			this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.revision(),
@@ -307,14 +305,14 @@
 			this.reports.neighborAddresses(this.self).forEach((address) -> sendGossip(address, gossip));
 		}
 		for (String address : targets) {
-			Gossip report = this.reports.createReport(address, this.self, this.heartbeat, reportedRevision(),
+			Gossip report = this.reports.createReport(address, this.self, this.heartbeat, this.rules.reportedRevision(),
 					this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis());
 			sendGossip(address, report);
 		}
 	}
 
 	private boolean isStartingUp(long nowMillis) {
-		boolean hasRulesAndUpstreams = this.rulesConfirmed && this.upstreamsSynchronized;
+		boolean hasRulesAndUpstreams = this.rules.isConfirmed() && this.upstreamsSynchronized;
 		return !hasRulesAndUpstreams && nowMillis - this.startMillis < STARTUP_PERIOD_MILLIS;
 	}
 
@@ -339,7 +337,7 @@
 			this.rulesFreshness.reset();
 			this.evacuations.resetFreshness();
 			this.upstreams.renewAll(nowMillis);
-			this.rulesConfirmed = false;
+			this.rules.resetAfterFreeze();
 			this.resumedFromFreeze = true;
 		}
 		return frozen;
@@ -404,7 +402,7 @@
 			if (isSelf || included) {
 				gossip.addInstances(entry.nameHash);
 				gossip.addHeartbeats(isSelf ? this.heartbeat : entry.heartbeat);
-				gossip.addRevisions(isSelf ? reportedRevision() : entry.ruleRevision);
+				gossip.addRevisions(isSelf ? this.rules.reportedRevision() : entry.ruleRevision);
 			}
 		}
 		gossip.addAllUpstreams(this.changedUpstreams.pollRound(MAXIMUM_RECORDS_PER_ROUND));
@@ -412,12 +410,6 @@
 		return gossip.setDigest(this.upstreams.digest()).build();
 	}
 
-	// Rules read from the disk, or received from a peer that just started, may be older
-	// than the accepted ones, so they must not count as in force.
-	private long reportedRevision() {
-		return this.rulesConfirmed ? this.rules.revision() : InstanceTable.UNCONFIRMED_REVISION;
-	}
-
 	/**
 	 * Processes a gossip message.
 	 * @param gossip the message
@@ -467,9 +459,9 @@
 	}
 
 	private void respondToReport(Gossip report, long nowMillis) {
-		Gossip.Builder response = this.responses.respond(report, this.self, reportedRevision(),
+		Gossip.Builder response = this.responses.respond(report, this.self, this.rules.reportedRevision(),
 				this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis(), nowMillis);
-		if (this.rulesConfirmed && report.getHeartbeatsCount() > 0) {
+		if (this.rules.isConfirmed() && report.getHeartbeatsCount() > 0) {
 			this.rulesFreshness.describe(response, report.getHeartbeats(0), nowMillis);
 		}
 		sendGossip(report.getSenderAddress(), response.build());
@@ -520,9 +512,26 @@
 	}
 
 	private void requestRulesIfBehind(InstanceTable.@Nullable Entry peer, long nowMillis) {
-		if (peer != null && this.rules.shouldRequest(peer.ruleRevision, nowMillis)) {
-			send(peer.instance.getPeerAddress(), Envelope.newBuilder()
-				.setRuleRequest(RuleRequest.newBuilder().setKnownRevision(this.rules.revision())));
+		if (peer != null) {
+			String address = peer.instance.getPeerAddress();
+			this.rules.createRequest(address, peer.ruleRevision, isNearerRuleSourceExpected(peer.instance), nowMillis)
+				.ifPresent((request) -> send(address, Envelope.newBuilder().setRuleRequest(request)));
+		}
+	}
+
+	// A control instance receives accepted rules by the log of the control group. A
+	// gateway prefers the control instance in its own availability zone that it reports
+	// to.
+	private boolean isNearerRuleSourceExpected(InstanceRecord peer) {
+		return this.self.getControl()
+				|| (!peer.getZone().equals(this.self.getZone()) && this.reports.isPrimaryIn(this.self.getZone()));
+	}
+
+	private void requestOverdueRules(long nowMillis) {
+		String address = this.rules.overdueAddress(nowMillis);
+		if (!address.isEmpty()) {
+			this.rules.createOverdueRequest(nowMillis)
+				.ifPresent((request) -> send(address, Envelope.newBuilder().setRuleRequest(request)));
 		}
 	}
 
@@ -736,22 +745,48 @@
 	 * @param offeredRules the rules
 	 */
 	public void offerRules(RuleFile offeredRules) {
-		if (this.rules.applyIfNewer(offeredRules)) {
-			this.rulesChanged = true;
-			this.urgentRoundPending = true;
-			this.updatePending = gossips();
-			this.nextUpdateMillis = this.lastClockReadingMillis;
+		if (this.rules.offer(offeredRules, this.lastClockReadingMillis)) {
+			publishRevision();
+		}
+	}
+
+	/**
+	 * Processes rules that a peer sent, plain or encoded. They are applied unless their
+	 * revision is not higher than the applied one.
+	 * @param receivedRules the rules
+	 */
+	public void receive(RuleFile receivedRules) {
+		if (this.rules.receive(receivedRules, this.lastClockReadingMillis)) {
+			publishRevision();
 		}
 	}
 
+	private void publishRevision() {
+		this.urgentRoundPending = true;
+		this.updatePending = gossips();
+		this.nextUpdateMillis = this.lastClockReadingMillis;
+	}
+
 	/**
 	 * Applies rules read from a quorum of the control group, which confirms that they are
-	 * in force.
-	 * @param confirmedRules the rules
+	 * in force. If only their revision was read, it is confirmed once it is applied.
+	 * @param confirmedRules the rules, or their revision
 	 */
 	public void confirmRules(RuleFile confirmedRules) {
+		if (confirmedRules.getPart() == RulePart.RULE_PART_REVISION) {
+			this.rules.confirmRevision(confirmedRules.getRevision(), this.lastClockReadingMillis);
+			return;
+		}
 		offerRules(confirmedRules);
-		this.rulesConfirmed = true;
+		this.rules.confirm();
+	}
+
+	/**
+	 * Returns how the applied rules reached this instance.
+	 * @return the latest transfer of rules
+	 */
+	public RuleTransfer lastRuleTransfer() {
+		return this.rules.lastTransfer();
 	}
 
 	/**
@@ -826,8 +861,9 @@
 	 */
 	public void receive(RuleRequest request, String senderName) {
 		InstanceTable.Entry entry = this.instances.find(senderName);
-		if (entry != null && this.rules.revision() > request.getKnownRevision()) {
-			send(entry.instance.getPeerAddress(), Envelope.newBuilder().setRuleFile(this.rules.ruleFile()));
+		if (entry != null) {
+			this.rules.respond(request)
+				.ifPresent((file) -> send(entry.instance.getPeerAddress(), Envelope.newBuilder().setRuleFile(file)));
 		}
 	}
 
@@ -841,7 +877,7 @@
 	 * @return whether the applied rules are confirmed to be in force
 	 */
 	public boolean hasConfirmedRules() {
-		return this.rulesConfirmed;
+		return this.rules.isConfirmed();
 	}
 
 	/**
@@ -858,10 +894,10 @@
 	// can confirm them.
 	private void confirmRulesByMajority(long nowMillis) {
 		long sinceMillis = nowMillis - this.timing.isolationTimeoutMillis();
-		if (!this.rulesConfirmed && !this.evacuations.isBehind()
+		if (!this.rules.isConfirmed() && !this.evacuations.isBehind()
 				&& 2 * this.instances.countOthersWithConfirmedRules(sinceMillis) > expectedInstanceCount()
 				&& this.rules.revision() >= this.instances.highestRuleRevision(sinceMillis)) {
-			this.rulesConfirmed = true;
+			this.rules.confirm();
 		}
 	}
 
@@ -938,7 +974,7 @@
 		}
 		// An instance must not route requests before it knows which upstreams have left.
 		boolean upstreamsKnown = this.upstreamsSynchronized || this.instances.entries().size() == 1;
-		return (this.rulesConfirmed && upstreamsKnown) ? ServingState.READY : ServingState.STARTING;
+		return (this.rules.isConfirmed() && upstreamsKnown) ? ServingState.READY : ServingState.STARTING;
 	}
 
 	/**
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
@@ -76,6 +76,7 @@
     RELAY_REQUEST(16),
     RELAY_RESPONSE(17),
     EVACUATIONS(18),
+    COMPRESSED(19),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -111,6 +112,7 @@
         case 16: return RELAY_REQUEST;
         case 17: return RELAY_RESPONSE;
         case 18: return EVACUATIONS;
+        case 19: return COMPRESSED;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -684,6 +686,35 @@
     return org.radishthread.protocol.Evacuations.getDefaultInstance();
   }
 
+  public static final int COMPRESSED_FIELD_NUMBER = 19;
+  /**
+   * <pre>
+   * Another envelope in the zlib format. Only for recipients that accept it.
+   * </pre>
+   *
+   * <code>bytes compressed = 19;</code>
+   * @return Whether the compressed field is set.
+   */
+  @java.lang.Override
+  public boolean hasCompressed() {
+    return bodyCase_ == 19;
+  }
+  /**
+   * <pre>
+   * Another envelope in the zlib format. Only for recipients that accept it.
+   * </pre>
+   *
+   * <code>bytes compressed = 19;</code>
+   * @return The compressed.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getCompressed() {
+    if (bodyCase_ == 19) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -752,6 +783,10 @@
     if (bodyCase_ == 18) {
       output.writeMessage(18, (org.radishthread.protocol.Evacuations) body_);
     }
+    if (bodyCase_ == 19) {
+      output.writeBytes(
+          19, (com.google.protobuf.ByteString) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -828,6 +863,11 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(18, (org.radishthread.protocol.Evacuations) body_);
     }
+    if (bodyCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            19, (com.google.protobuf.ByteString) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -926,6 +966,10 @@
         if (!getEvacuations()
             .equals(other.getEvacuations())) return false;
         break;
+      case 19:
+        if (!getCompressed()
+            .equals(other.getCompressed())) return false;
+        break;
       case 0:
       default:
     }
@@ -1013,6 +1057,10 @@
         hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
         hash = (53 * hash) + getEvacuations().hashCode();
         break;
+      case 19:
+        hash = (37 * hash) + COMPRESSED_FIELD_NUMBER;
+        hash = (53 * hash) + getCompressed().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1405,6 +1453,10 @@
           mergeEvacuations(other.getEvacuations());
           break;
         }
+        case COMPRESSED: {
+          setCompressed(other.getCompressed());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1559,6 +1611,11 @@
               bodyCase_ = 18;
               break;
             } // case 146
+            case 154: {
+              body_ = input.readBytes();
+              bodyCase_ = 19;
+              break;
+            } // case 154
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4111,6 +4168,64 @@
       return evacuationsBuilder_;
     }
 
+    /**
+     * <pre>
+     * Another envelope in the zlib format. Only for recipients that accept it.
+     * </pre>
+     *
+     * <code>bytes compressed = 19;</code>
+     * @return Whether the compressed field is set.
+     */
+    public boolean hasCompressed() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <pre>
+     * Another envelope in the zlib format. Only for recipients that accept it.
+     * </pre>
+     *
+     * <code>bytes compressed = 19;</code>
+     * @return The compressed.
+     */
+    public com.google.protobuf.ByteString getCompressed() {
+      if (bodyCase_ == 19) {
+        return (com.google.protobuf.ByteString) body_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <pre>
+     * Another envelope in the zlib format. Only for recipients that accept it.
+     * </pre>
+     *
+     * <code>bytes compressed = 19;</code>
+     * @param value The compressed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompressed(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      bodyCase_ = 19;
+      body_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Another envelope in the zlib format. Only for recipients that accept it.
+     * </pre>
+     *
+     * <code>bytes compressed = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompressed() {
+      if (bodyCase_ == 19) {
+        bodyCase_ = 0;
+        body_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.Envelope)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
@@ -280,5 +280,24 @@
    */
   org.radishthread.protocol.EvacuationsOrBuilder getEvacuationsOrBuilder();
 
+  /**
+   * <pre>
+   * Another envelope in the zlib format. Only for recipients that accept it.
+   * </pre>
+   *
+   * <code>bytes compressed = 19;</code>
+   * @return Whether the compressed field is set.
+   */
+  boolean hasCompressed();
+  /**
+   * <pre>
+   * Another envelope in the zlib format. Only for recipients that accept it.
+   * </pre>
+   *
+   * <code>bytes compressed = 19;</code>
+   * @return The compressed.
+   */
+  com.google.protobuf.ByteString getCompressed();
+
   org.radishthread.protocol.Envelope.BodyCase getBodyCase();
 }
