Read and pass on how long an upstream is cold

The time for which an upstream stays cold stands in its announcements and in its health responses, and nothing read it. A record of an upstream carries the time of the announcement it stems from; each receiver counts from its own receipt, so that a delay never shortens it. While an upstream is cold it announces less and less time. Only the beginning, an extension and the end are changes that are replicated, and a heartbeat in between renews the lease as before. The digest of the state tells a cold upstream from a warm one, so that a gateway that missed the change asks for it.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Announcement.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Announcement.java
@@ -16,15 +16,23 @@
  * @param state whether the upstream accepts new requests
  * @param leaseMillis the time without an announcement after which the upstream counts as
  * left, in milliseconds
+ * @param coldMillis how much longer the upstream is cold, in milliseconds, or zero if it
+ * is not, or does not tell
  */
 public record Announcement(String name, String service, String address, String zone, int slots, long incarnation,
-		long sequence, UpstreamState state, int leaseMillis) {
+		long sequence, UpstreamState state, int leaseMillis, int coldMillis) {
 
 	/**
 	 * The maximum lease of an upstream, in milliseconds.
 	 */
 	public static final int MAXIMUM_LEASE_MILLIS = 10_000;
 
+	/**
+	 * The longest time for which an upstream can announce that it is cold, in
+	 * milliseconds. A later announcement can extend it.
+	 */
+	public static final int MAXIMUM_COLD_MILLIS = 600_000;
+
 	public Announcement {
 		Assert.hasText(name, "Name of an upstream must not be empty.");
 		Assert.isTrue(name.length() <= 128, "Name of an upstream must not exceed 128 characters.");
@@ -35,6 +43,13 @@
 		Assert.isTrue(sequence > 0, "Sequence " + sequence + " must be positive.");
 		Assert.isTrue(leaseMillis >= 500 && leaseMillis <= MAXIMUM_LEASE_MILLIS,
 				"Lease " + leaseMillis + " ms must be from 500 to " + MAXIMUM_LEASE_MILLIS + ".");
+		Assert.isTrue(coldMillis >= 0 && coldMillis <= MAXIMUM_COLD_MILLIS,
+				"Cold time " + coldMillis + " ms must be from 0 to " + MAXIMUM_COLD_MILLIS + ".");
+	}
+
+	public Announcement(String name, String service, String address, String zone, int slots, long incarnation,
+			long sequence, UpstreamState state, int leaseMillis) {
+		this(name, service, address, zone, slots, incarnation, sequence, state, leaseMillis, 0);
 	}
 
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
@@ -43,7 +43,7 @@
 			AnnouncementReplication.Recipients recipients, long nowMillis) {
 		UpstreamRecord record = toRecord(announcement);
 		UpstreamTable.Entry storedEntry = this.table.find(announcement.name());
-		if (storedEntry != null && isRenewal(record, storedEntry.upstream)
+		if (storedEntry != null && isRenewal(record, storedEntry, nowMillis)
 				&& storedEntry.upstream.getState() == UpstreamState.READY) {
 			boolean accepted = renewLease(storedEntry.upstream, record, holders, nowMillis);
 			return accepted ? AnnouncementOutcome.confirmed() : AnnouncementOutcome.stale();
@@ -92,12 +92,23 @@
 		return new AnnouncementOutcome(true, replicationId);
 	}
 
-	private static boolean isRenewal(UpstreamRecord record, UpstreamRecord storedRecord) {
+	private static boolean isRenewal(UpstreamRecord record, UpstreamTable.Entry storedEntry, long nowMillis) {
+		UpstreamRecord storedRecord = storedEntry.upstream;
 		return storedRecord.toBuilder()
 			.setSequence(record.getSequence())
 			.setHolder(record.getHolder())
+			.setColdMillis(record.getColdMillis())
 			.build()
-			.equals(record) && storedRecord.getState() != UpstreamState.LEFT;
+			.equals(record) && storedRecord.getState() != UpstreamState.LEFT
+				&& isColdnessKnown(record, storedEntry, nowMillis);
+	}
+
+	// A cold upstream announces less and less time. Only the beginning, an extension and
+	// the end of its coldness are changes.
+	private static boolean isColdnessKnown(UpstreamRecord record, UpstreamTable.Entry storedEntry, long nowMillis) {
+		boolean cold = record.getColdMillis() > 0;
+		return cold == storedEntry.upstream.getColdMillis() > 0
+				&& (!cold || nowMillis + record.getColdMillis() <= storedEntry.coldUntilMillis);
 	}
 
 	// Renews a lease held by this instance, forwards the renewal to the live holder, or
@@ -134,6 +145,7 @@
 			.setState(announcement.state())
 			.setHolder(this.selfName)
 			.setLeaseMillis(announcement.leaseMillis())
+			.setColdMillis(announcement.coldMillis())
 			.build();
 	}
 
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
@@ -55,6 +55,7 @@
 		existingEntry.upstream = receivedRecord;
 		existingEntry.replicated = false;
 		existingEntry.lastRenewalMillis = nowMillis;
+		existingEntry.coldUntilMillis = nowMillis + receivedRecord.getColdMillis();
 		existingEntry.highestSequence = Math.max(existingEntry.highestSequence, receivedRecord.getSequence());
 		return true;
 	}
@@ -127,6 +128,9 @@
 		// The start of the lease or, for an upstream that left, of the retention.
 		long lastRenewalMillis;
 
+		// The end of the coldness that the upstream announced, counted from the receipt.
+		long coldUntilMillis;
+
 		// Whether this instance has replicated the record to enough other instances.
 		boolean replicated;
 
@@ -134,6 +138,7 @@
 			this.upstream = upstream;
 			this.highestSequence = upstream.getSequence();
 			this.lastRenewalMillis = nowMillis;
+			this.coldUntilMillis = nowMillis + upstream.getColdMillis();
 		}
 
 		private boolean isLeaseExpired(long nowMillis) {
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamVersions.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamVersions.java
@@ -18,6 +18,9 @@
  */
 final class UpstreamVersions {
 
+	// Exceeds the numbers of all states.
+	private static final long COLD_STATE_CODE = 64;
+
 	private UpstreamVersions() {
 	}
 
@@ -27,7 +30,11 @@
 
 	// A digest that does not change when only the holder of a lease does.
 	static long stateDigest(Collection<UpstreamTable.Entry> entries) {
-		return digest(entries, UpstreamRecord::getStateValue);
+		return digest(entries, UpstreamVersions::stateCode);
+	}
+
+	private static long stateCode(UpstreamRecord upstream) {
+		return upstream.getStateValue() + ((upstream.getColdMillis() > 0) ? COLD_STATE_CODE : 0);
 	}
 
 	private static long digest(Collection<UpstreamTable.Entry> entries, ToLongFunction<UpstreamRecord> lastPart) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
@@ -66,6 +66,15 @@
 		return new LoadReport(0, 0, 0, 0, false, 0, requestsPerSecond);
 	}
 
+	/**
+	 * Returns a report of an upstream that is cold for some time.
+	 * @param millis the time in milliseconds
+	 * @return the report
+	 */
+	public static LoadReport coldFor(long millis) {
+		return new LoadReport(0, 0, 0, 0, false, 0, UNLIMITED, millis);
+	}
+
 	/**
 	 * Returns whether the upstream names a limit.
 	 * @return whether there is a limit
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -215,7 +215,8 @@
 			.setSlots(report.slots())
 			.setPacePercent(report.pacePercent())
 			.setLeaving(report.leaving())
-			.setRefusedMillis(report.refusedMillis());
+			.setRefusedMillis(report.refusedMillis())
+			.setColdMillis(report.coldMillis());
 		if (report.isLimited()) {
 			message.setLimitPerSecond(report.limitPerSecond());
 		}
