Limit the requests to cold upstreams at the home

A cold upstream got as many requests as its slots allowed and could crash. In a service that names a rate for cold upstreams, the home now spaces the requests to each of them evenly at that rate, started with a whole interval, so that neither a home that takes over nor a router that has just started adds a burst. Warm upstreams are chosen first; cold ones get their rate before requests wait or contend for slots. Hedges and pace probes avoid them, requests that run alone for a suspicion of a crash prefer warm ones, and gateways that route without the home send them nothing. A gateway that knows of coldness before the home returns the grant with it, as for a limit that an upstream named. If all upstreams are cold, a request that would come too late is refused at once with the time at which one is allowed. Slow start by age stays for services without a rate.

One interface for this limit, named limits, refusals and ejection was weighed: they share no more than the question whether a request is allowed now, so the tracker combines them.

A service without a rate sends the same requests whether or not coldness is announced.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -102,6 +102,14 @@
 				.with("origin", ejected.origin().isEmpty() ? "this instance" : ejected.origin())
 				.write();
 		}
+		else if (effect instanceof RoutingEffect.UpstreamCold cold) {
+			eventLog.information("upstream-cold")
+				.with("service", this.service)
+				.with("upstream", cold.upstream())
+				.with("remaining-millis", cold.remainingMillis())
+				.with("per-second", cold.requestsPerSecond())
+				.write();
+		}
 		else if (effect instanceof RoutingEffect.CrashFound found) {
 			this.crashExchange.publish(found);
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -143,7 +143,7 @@
 
 	@Override
 	public void onDispatch(RoutingEffect.Dispatch dispatch) {
-		LoadReport constraint = context().routing().findConstraint(dispatch);
+		LoadReport constraint = context().routing().findConstraint(route().service(), dispatch);
 		if (constraint != null) {
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
 					AttemptCompletion.CANCELLED.result(), constraint);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -75,6 +75,7 @@
 		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
+		meters.gauge("radishthread.upstreams.cold", this, RoutingService::countColdUpstreams);
 	}
 
 	@Override
@@ -146,17 +147,30 @@
 	}
 
 	// Returns why this instance may not send an attempt that was granted, or null.
-	@Nullable LoadReport findConstraint(RoutingEffect.Dispatch dispatch) {
+	@Nullable LoadReport findConstraint(String service, RoutingEffect.Dispatch dispatch) {
+		boolean coldnessMatters = this.rules.serviceRule(service).coldRequestsPerSecond() > 0;
+		String upstream = dispatch.upstream().name();
+		long nowNanos = this.time.monotonicNanos();
 		synchronized (this.constraints) {
-			return this.constraints.find(dispatch.upstream().name(), dispatch.limitCounted(),
-					this.time.monotonicNanos());
+			LoadReport constraint = this.constraints.find(upstream, dispatch.limitCounted(), nowNanos);
+			if (constraint != null || dispatch.limitCounted() || !coldnessMatters) {
+				return constraint;
+			}
+			return this.constraints.findColdness(upstream, nowNanos);
+		}
+	}
+
+	private int countColdUpstreams() {
+		synchronized (this.constraints) {
+			return this.constraints.coldUpstreams(this.time.monotonicNanos());
 		}
 	}
 
 	@Override
 	public void upstreamsChanged(List<UpstreamRecord> upstreams) {
 		synchronized (this.constraints) {
-			this.constraints.updateUpstreams(upstreams.stream().map(RoutingService::toUpstream).toList());
+			this.constraints.updateUpstreams(upstreams.stream().map(RoutingService::toUpstream).toList(),
+					this.time.monotonicNanos());
 		}
 		upstreams.forEach((upstream) -> router(upstream.getService()));
 		this.routers.forEach((service,
@@ -168,7 +182,8 @@
 
 	private static Upstream toUpstream(UpstreamRecord upstream) {
 		return new Upstream(upstream.getName(), upstream.getAddress(), upstream.getZone(), upstream.getSlots(),
-				upstream.getIncarnation(), upstream.getState() == UpstreamState.READY);
+				upstream.getIncarnation(), upstream.getState() == UpstreamState.READY, upstream.getSequence(),
+				Integer.toUnsignedLong(upstream.getColdMillis()));
 	}
 
 	@Override
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ProbeSchedule.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ProbeSchedule.java
@@ -75,6 +75,7 @@
 
 	// The rate of probes is also limited in proportion to the rate of requests,
 	// so that a service with few requests gets few probes.
+	// A cold upstream is spared.
 	private void sendPaceProbes(long nowNanos) {
 		this.receivingRequests = !this.arrivals.isIdle(nowNanos);
 		PaceProbeRule probeRule = this.rule.get().paceProbeRule();
@@ -86,7 +87,8 @@
 				Math.max(NANOS_PER_SECOND / probeRule.maximumProbesPerSecond(), demandIntervalNanos));
 		for (UpstreamTracker tracker : this.trackers.values()) {
 			if (tracker.acceptsRequests() && !tracker.isEjected(nowNanos) && !tracker.refuses("", nowNanos)
-					&& tracker.isPaceProbeDue(intervalNanos, nowNanos) && this.paceProbeBudget.tryAcquire(nowNanos)) {
+					&& !tracker.isCold(nowNanos) && tracker.isPaceProbeDue(intervalNanos, nowNanos)
+					&& this.paceProbeBudget.tryAcquire(nowNanos)) {
 				tracker.recordPaceProbeSent(nowNanos);
 				this.effects.accept(new PaceProbe(tracker.upstream(), probeRule.path()));
 			}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -79,7 +79,7 @@
 
 	// An upstream with a limit takes only requests that the home counts.
 	boolean mayUse(UpstreamTracker tracker, long nowNanos) {
-		return !tracker.refuses(this.request.origin(), nowNanos) && (this.home || !tracker.rateLimit().isActive())
+		return !tracker.refuses(this.request.origin(), nowNanos) && (this.home || !tracker.isLimited(nowNanos))
 				&& !this.triedUpstreams.contains(tracker.upstream().name());
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -20,7 +20,7 @@
 	 * @param hedgeAfterNanos the time without a response after which
 	 * {@link ServiceRouter#hedge} is to be called, in nanoseconds, or zero for never
 	 * @param limitCounted whether the attempt was counted against a limit that the
-	 * upstream named
+	 * upstream named, or against the rate of a cold upstream
 	 * @param relay the peer address of the instance that relays the attempt, empty for
 	 * the home, or {@code null} if the attempt is made directly
 	 */
@@ -91,6 +91,16 @@
 	record UpstreamEjected(String upstream, AttemptResult result, String origin) implements RoutingEffect {
 	}
 
+	/**
+	 * Reports that an upstream is cold, so that its requests are counted.
+	 *
+	 * @param upstream the name of the upstream
+	 * @param remainingMillis how much longer it is cold, in milliseconds
+	 * @param requestsPerSecond the requests per second that it tolerates
+	 */
+	record UpstreamCold(String upstream, long remainingMillis, double requestsPerSecond) implements RoutingEffect {
+	}
+
 	/**
 	 * Tells the other gateways that an upstream crashed while it ran a request.
 	 *
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -18,6 +18,7 @@
 import org.radishthread.routing.RequestState.AttemptStart;
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.Refusal;
+import org.radishthread.routing.RoutingEffect.UpstreamCold;
 import org.radishthread.rules.ServiceRule;
 
 /**
@@ -53,8 +54,15 @@
 	// About the time in which an equal request that runs alone has completed.
 	private static final long TRIAL_RETRY_AFTER_NANOS = 500_000_000;
 
+	// After a longer time without requests, another instance may have been the home.
+	private static final long HOME_GAP_NANOS = 1_000_000_000;
+
 	private ServiceRule rule;
 
+	private final ColdStartLimits coldStartLimits;
+
+	private long lastHomeAdmissionNanos = Long.MIN_VALUE / 2;
+
 	private final Map<String, UpstreamTracker> trackers = new LinkedHashMap<>();
 
 	private final Map<Long, RequestState> requests = new HashMap<>();
@@ -121,6 +129,7 @@
 	private ServiceRouter(ServiceRule rule, RouterSettings settings, SelectionPolicy policy, CrashHistory crashHistory,
 			long nowNanos) {
 		this.rule = rule;
+		this.coldStartLimits = settings.coldStartLimits();
 		this.selection = new UpstreamSelection(settings, policy, this.trackers, this.paths, this.queues,
 				this.throughput, this.contention, this.admission);
 		this.crashes = new CrashMonitor(crashHistory);
@@ -137,6 +146,9 @@
 	public void updateRule(ServiceRule updatedRule, long nowNanos) {
 		boolean probeRateChanged = updatedRule.probesPerSecond() != this.rule.probesPerSecond();
 		this.rule = updatedRule;
+		this.trackers.values()
+			.forEach((tracker) -> tracker.coldLimit()
+				.setRate(updatedRule.coldRequestsPerSecond(), this.coldStartLimits));
 		if (probeRateChanged) {
 			this.probes.resetBudget(nowNanos);
 		}
@@ -155,8 +167,12 @@
 			// The first upstreams already ran before this instance started, so
 			// they need no slow start.
 			long slowStartBeginNanos = this.awaitsFirstUpstreams ? Long.MIN_VALUE / 2 : nowNanos;
-			this.trackers.computeIfAbsent(upstream.name(), (name) -> new UpstreamTracker(upstream, slowStartBeginNanos))
-				.update(upstream, nowNanos);
+			UpstreamTracker tracker = this.trackers.computeIfAbsent(upstream.name(),
+					(name) -> newTracker(upstream, slowStartBeginNanos));
+			tracker.update(upstream, nowNanos);
+			if (tracker.coldLimit().recordAnnouncement(upstream, nowNanos)) {
+				addColdEffect(tracker, nowNanos);
+			}
 			if (this.crashes.recordIncarnation(upstream, nowNanos)) {
 				this.paths.forgetUpstream(upstream.name());
 			}
@@ -173,6 +189,17 @@
 		return takeEffects();
 	}
 
+	private UpstreamTracker newTracker(Upstream upstream, long slowStartBeginNanos) {
+		UpstreamTracker tracker = new UpstreamTracker(upstream, slowStartBeginNanos);
+		tracker.coldLimit().setRate(this.rule.coldRequestsPerSecond(), this.coldStartLimits);
+		return tracker;
+	}
+
+	private void addColdEffect(UpstreamTracker tracker, long nowNanos) {
+		this.effects.add(new UpstreamCold(tracker.upstream().name(), tracker.coldLimit().remainingMillis(nowNanos),
+				this.rule.coldRequestsPerSecond()));
+	}
+
 	private void removeDiscardable() {
 		this.trackers.values().removeIf((tracker) -> {
 			if (tracker.isDiscardable()) {
@@ -211,6 +238,7 @@
 			// Only the home probes. Others would each probe all upstreams for the few
 			// requests that they route without it.
 			this.probes.recordArrival(nowNanos);
+			recordHomeAdmission(nowNanos);
 		}
 		this.paths.recordRequest(request.origin(), nowNanos);
 		this.paths.recordRequest(UpstreamPaths.HOME, nowNanos);
@@ -226,6 +254,13 @@
 		return takeEffects();
 	}
 
+	private void recordHomeAdmission(long nowNanos) {
+		if (nowNanos - this.lastHomeAdmissionNanos > HOME_GAP_NANOS) {
+			this.trackers.values().forEach((tracker) -> tracker.coldLimit().restart(nowNanos));
+		}
+		this.lastHomeAdmissionNanos = nowNanos;
+	}
+
 	private @Nullable Refusal findRefusal(RoutingRequest request, boolean home, long nowNanos) {
 		long usableSlots = this.selection.usableSlots(nowNanos);
 		boolean refusedByAll = this.selection.usableTrackers(nowNanos)
@@ -245,7 +280,7 @@
 					AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos));
 		}
 		boolean limitedByAll = this.selection.usableTrackers(nowNanos)
-			.allMatch((tracker) -> tracker.rateLimit().isActive());
+			.allMatch((tracker) -> tracker.isLimited(nowNanos));
 		if (usableSlots > 0 && limitedByAll) {
 			Refusal refusal = findLimitRefusal(request, home, nowNanos);
 			if (refusal != null) {
@@ -264,16 +299,29 @@
 		int requestsAhead = this.queues.sizeUpTo(this.admission.rank(request, nowNanos));
 		int requestsPerUpstream = 1 + requestsAhead / (int) this.selection.usableTrackers(nowNanos).count();
 		long allowedAtNanos = this.selection.usableTrackers(nowNanos)
-			.mapToLong((tracker) -> tracker.rateLimit().allowedAtNanos(requestsPerUpstream, nowNanos))
+			.mapToLong((tracker) -> tracker.allowedAtNanos(requestsPerUpstream, nowNanos))
 			.min()
 			.orElse(nowNanos);
-		if (allowedAtNanos + this.admission.typicalServiceNanos() <= request.deadlineNanos()) {
+		if (allowedAtNanos + this.admission.typicalServiceNanos() <= latestCompletionNanos(request, nowNanos)) {
 			return null;
 		}
 		return new Refusal(request.id(), RefusalReason.OVERLOAD, this.admission.retryAfterMillis(request,
 				Duration.ofNanos(allowedAtNanos - nowNanos).toMillis(), nowNanos));
 	}
 
+	// While upstreams are cold, a request that would wait until it is too late, or until
+	// its time in the queue is over, is not let in.
+	private long latestCompletionNanos(RoutingRequest request, long nowNanos) {
+		if (this.selection.usableTrackers(nowNanos).noneMatch((tracker) -> tracker.isCold(nowNanos))) {
+			return request.deadlineNanos();
+		}
+		double typicalNanos = this.admission.typicalServiceNanos();
+		long queueEndNanos = nowNanos + this.rule.queueTimeout().toNanos() + (long) typicalNanos;
+		boolean late = nowNanos + typicalNanos > request.urgency().objectiveAtNanos();
+		return Math.min(queueEndNanos, late ? request.deadlineNanos()
+				: Math.min(request.deadlineNanos(), request.urgency().objectiveAtNanos()));
+	}
+
 	private void enqueue(RoutingRequest request, AttemptKind kind, long nowNanos) {
 		long expiryNanos = Math.min(request.deadlineNanos(), nowNanos + this.rule.queueTimeout().toNanos());
 		QueuedRequest queued = new QueuedRequest(request, kind, this.admission.rank(request, nowNanos), nowNanos,
@@ -334,7 +382,7 @@
 				&& this.selection.canReach(state.request(), reservedUpstream, nowNanos)) {
 			return Optional.of(reservedUpstream);
 		}
-		return this.selection.choose(state, nowNanos, (tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved());
+		return this.selection.chooseIdle(state, nowNanos);
 	}
 
 	private void reserveUpstream(RequestState state, long nowNanos) {
@@ -346,7 +394,8 @@
 		this.selection.usableTrackers(nowNanos)
 			.filter((tracker) -> !tracker.isReserved() && state.mayUse(tracker, nowNanos))
 			.filter((tracker) -> this.selection.canReach(state.request(), tracker, nowNanos))
-			.min(Comparator.comparingInt(UpstreamTracker::inFlight))
+			.min(Comparator.comparing((UpstreamTracker tracker) -> tracker.isCold(nowNanos))
+				.thenComparingInt(UpstreamTracker::inFlight))
 			.ifPresent(this.trials::reserve);
 	}
 
@@ -389,7 +438,7 @@
 				&& this.throughput.meanServiceNanos() > 0;
 		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request(), nowNanos) : 0;
 		this.effects.add(new Dispatch(state.request().id(), tracker.upstream(), kind, tracker.inFlight(),
-				queueTimeNanos, hedgeAfterNanos, tracker.rateLimit().isActive(), relay));
+				queueTimeNanos, hedgeAfterNanos, tracker.isLimited(nowNanos), relay));
 	}
 
 	// After an attempt that could not connect, another instance is preferred also where
@@ -451,7 +500,7 @@
 		this.effects.addAll(
 				this.crashes.recordCompletion(state.request(), tracker, result, attemptStart.startNanos(), nowNanos));
 		if (report != null) {
-			tracker.recordReport(report, state.request().origin(), nowNanos);
+			recordReport(tracker, report, state.request().origin(), nowNanos);
 		}
 		if (result == AttemptResult.SUCCESS && (report == null || !report.isLimited())) {
 			tracker.rateLimit().clear();
@@ -472,6 +521,13 @@
 		return takeEffects();
 	}
 
+	private void recordReport(UpstreamTracker tracker, LoadReport report, String origin, long nowNanos) {
+		tracker.recordReport(report, origin, nowNanos);
+		if (tracker.coldLimit().recordReport(report, nowNanos)) {
+			addColdEffect(tracker, nowNanos);
+		}
+	}
+
 	private void endTrial(RequestState state, UpstreamTracker tracker) {
 		if (state.exclusiveUpstream() == tracker) {
 			state.setExclusiveUpstream(null);
@@ -528,8 +584,7 @@
 				|| this.queues.size() > 0 || this.crashes.crashesUnder(state.request()) > 0) {
 			return List.of();
 		}
-		Optional<UpstreamTracker> chosenUpstream = this.selection
-			.choose(state, nowNanos, (tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended())
+		Optional<UpstreamTracker> chosenUpstream = this.selection.chooseUncontended(state, nowNanos)
 			.or(() -> this.selection.chooseForStuckAttempt(state, nowNanos));
 		if (chosenUpstream.isEmpty() || !this.retryBudget.tryAcquireForHedge(nowNanos)) {
 			return List.of();
@@ -610,6 +665,9 @@
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		if (tracker != null) {
 			tracker.recordPaceProbe(report, nowNanos);
+			if (tracker.coldLimit().recordReport(report, nowNanos)) {
+				addColdEffect(tracker, nowNanos);
+			}
 			this.attribution.recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
 		dispatchQueued(nowNanos);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -4,14 +4,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.jspecify.annotations.Nullable;
 
 /**
  * Remembers which upstreams told this instance to send no requests: because they leave,
- * for some time, or beyond a limit that all instances share. The home of a service may
- * not know it yet when it grants a slot, such as after the home changed. Points in time
- * are monotonic, in nanoseconds. Not safe for concurrent use.
+ * for some time, beyond a limit that all instances share, or because they are cold. The
+ * home of a service may not know it yet when it grants a slot, such as after the home
+ * changed. Points in time are monotonic, in nanoseconds. Not safe for concurrent use.
  */
 public final class UpstreamConstraints {
 
@@ -29,12 +30,19 @@
 	// Keyed by the name of the upstream.
 	private final Map<String, NamedLimit> limits = new HashMap<>();
 
+	// Whether each announced upstream is cold, by name.
+	private final Map<String, Coldness> coldness = new HashMap<>();
+
 	/**
 	 * Sets the announced upstreams. A new incarnation of an upstream is not bound by what
 	 * an earlier one reported.
 	 * @param upstreams all announced upstreams of all services
+	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
-	public void updateUpstreams(List<Upstream> upstreams) {
+	public void updateUpstreams(List<Upstream> upstreams, long nowNanos) {
+		this.coldness.keySet().retainAll(upstreams.stream().map(Upstream::name).collect(Collectors.toSet()));
+		upstreams.forEach((upstream) -> this.coldness.computeIfAbsent(upstream.name(), (name) -> new Coldness()).period
+			.recordAnnouncement(upstream, nowNanos));
 		// The incarnation of a bound upstream is kept while it is not announced.
 		this.incarnations.keySet()
 			.removeIf((name) -> !this.constraints.containsKey(name) && !this.limits.containsKey(name));
@@ -54,6 +62,7 @@
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 */
 	public void record(String upstream, LoadReport report, long nowNanos) {
+		this.coldness.computeIfAbsent(upstream, (name) -> new Coldness()).period.recordReport(report, nowNanos);
 		if (!report.leaving() && report.refusedMillis() == 0) {
 			return;
 		}
@@ -98,6 +107,31 @@
 		return LoadReport.limitedTo(limit.perSecond());
 	}
 
+	/**
+	 * Returns whether no request that the home did not count may be sent to an upstream
+	 * now, because it is cold. As for a limit, that is returned at intervals only.
+	 * @param upstream the name of the upstream
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the report to give to the home, or {@code null} if requests may be sent
+	 */
+	public @Nullable LoadReport findColdness(String upstream, long nowNanos) {
+		Coldness known = this.coldness.get(upstream);
+		if (known == null || !known.period.isCold(nowNanos) || nowNanos - known.toldNanos < LIMIT_TOLD_PERIOD_NANOS) {
+			return null;
+		}
+		known.toldNanos = nowNanos;
+		return LoadReport.coldFor(known.period.remainingMillis(nowNanos));
+	}
+
+	/**
+	 * Returns the number of upstreams that are cold.
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the count
+	 */
+	public int coldUpstreams(long nowNanos) {
+		return (int) this.coldness.values().stream().filter((known) -> known.period.isCold(nowNanos)).count();
+	}
+
 	private @Nullable LoadReport findConstraint(String upstream, long nowNanos) {
 		Constraint constraint = this.constraints.get(upstream);
 		if (constraint == null) {
@@ -113,6 +147,15 @@
 	private record Constraint(boolean leaving, long refusedUntilNanos) {
 	}
 
+	private static final class Coldness {
+
+		private final ColdPeriod period = new ColdPeriod();
+
+		// The time at which the home was last told.
+		private long toldNanos = NEVER;
+
+	}
+
 	private record NamedLimit(double perSecond, long toldNanos) {
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
@@ -69,13 +69,27 @@
 		return usableTrackers(nowNanos).mapToLong((tracker) -> tracker.usableSlots(nowNanos)).sum();
 	}
 
-	// Prefers slots that can be used without contention.
+	// Prefers slots that can be used without contention, then what cold upstreams
+	// tolerate.
 	Optional<UpstreamTracker> chooseFreeSlot(RequestState state, long nowNanos) {
-		return choose(state, nowNanos, (tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended())
+		return chooseUncontended(state, nowNanos)
+			.or(() -> choose(state, nowNanos, (tracker) -> tracker.isCold(nowNanos) && tracker.hasFreeSlot(nowNanos)))
 			.or(() -> choose(state, nowNanos,
 					(tracker) -> tracker.hasFreeSlot(nowNanos) && mayUseContendedSlot(tracker)));
 	}
 
+	Optional<UpstreamTracker> chooseUncontended(RequestState state, long nowNanos) {
+		return choose(state, nowNanos,
+				(tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended() && !tracker.isCold(nowNanos));
+	}
+
+	// For a request that runs alone. A crash of a cold upstream would say less.
+	Optional<UpstreamTracker> chooseIdle(RequestState state, long nowNanos) {
+		return choose(state, nowNanos,
+				(tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved() && !tracker.isCold(nowNanos))
+			.or(() -> choose(state, nowNanos, (tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved()));
+	}
+
 	private boolean mayUseContendedSlot(UpstreamTracker tracker) {
 		return !this.contention.reducesThroughput(tracker.upstream().slots()) || this.contention.tryStartTrial();
 	}
@@ -137,7 +151,7 @@
 		}
 		return this.trackers.values()
 			.stream()
-			.filter((tracker) -> tracker.hasFreeSlot(nowNanos))
+			.filter((tracker) -> tracker.hasFreeSlot(nowNanos) && !tracker.isCold(nowNanos))
 			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
 			.min(Comparator.comparingDouble((tracker) -> expectedDurationNanos(tracker, nowNanos)));
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -81,6 +81,8 @@
 
 	private final UpstreamRateLimit rateLimit = new UpstreamRateLimit();
 
+	private final ColdStartLimit coldLimit = new ColdStartLimit();
+
 	// Keyed by the origin of the requests that the upstream refuses.
 	private final Map<String, Long> refusedUntilNanos = new HashMap<>();
 
@@ -121,11 +123,11 @@
 		return this.inFlight;
 	}
 
-	// The number of slots that may be used at this time; it grows
-	// during slow start.
+	// The number of slots that may be used at this time; it grows during slow start. A
+	// service with a rate for cold upstreams has no slow start.
 	int usableSlots(long nowNanos) {
 		long ageNanos = nowNanos - this.slowStartBeginNanos;
-		if (ageNanos >= SLOW_START_NANOS) {
+		if (ageNanos >= SLOW_START_NANOS || this.coldLimit.isConfigured()) {
 			return this.upstream.slots();
 		}
 		return (int) Math.max(1, this.upstream.slots() * ageNanos / SLOW_START_NANOS);
@@ -191,7 +193,8 @@
 	}
 
 	private boolean isAvailable(long nowNanos) {
-		return acceptsRequests() && !isEjected(nowNanos) && this.rateLimit.allows(nowNanos);
+		return acceptsRequests() && !isEjected(nowNanos) && this.rateLimit.allows(nowNanos)
+				&& this.coldLimit.allows(nowNanos);
 	}
 
 	boolean isReserved() {
@@ -218,7 +221,8 @@
 	// Allows some requests beyond the slots to wait at the upstream, so that a
 	// slot is not idle while a response and the next request are transferred.
 	boolean mayPipeline(long nowNanos, double queuedPerSlot, double defaultServiceNanos) {
-		if (this.reserved || !isAvailable(nowNanos) || isOnTrial() || usableSlots(nowNanos) < this.upstream.slots()) {
+		if (this.reserved || !isAvailable(nowNanos) || isOnTrial() || isCold(nowNanos)
+				|| usableSlots(nowNanos) < this.upstream.slots()) {
 			return false;
 		}
 		return this.inFlight < this.upstream.slots() + pipelineLimit(queuedPerSlot, defaultServiceNanos);
@@ -305,9 +309,30 @@
 		return this.rateLimit;
 	}
 
+	ColdStartLimit coldLimit() {
+		return this.coldLimit;
+	}
+
+	// Whether the upstream is cold and its service has a rate for that.
+	boolean isCold(long nowNanos) {
+		return this.coldLimit.isActive(nowNanos);
+	}
+
+	// Whether requests are counted against a limit, so that only the home may send them.
+	boolean isLimited(long nowNanos) {
+		return this.rateLimit.isActive() || isCold(nowNanos);
+	}
+
+	// The earliest time at which the number of further requests has been allowed.
+	long allowedAtNanos(int requests, long nowNanos) {
+		return Math.max(this.rateLimit.allowedAtNanos(requests, nowNanos),
+				this.coldLimit.allowedAtNanos(requests, nowNanos));
+	}
+
 	void recordDispatch(long nowNanos) {
 		this.inFlight++;
 		this.rateLimit.recordDispatch(nowNanos);
+		this.coldLimit.recordDispatch(nowNanos);
 		this.lastDispatchNanos = nowNanos;
 	}
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
@@ -122,24 +122,24 @@
 		private final UpstreamConstraints constraints = new UpstreamConstraints();
 
 		Instance() {
-			this.constraints.updateUpstreams(List.of(upstream("one", 1)));
+			this.constraints.updateUpstreams(List.of(upstream("one", 1)), 0);
 		}
 
 		@Test
 		void leavingUpstreamIsAvoidedUntilANewIncarnationIsAnnounced() {
 			this.constraints.record("one", LoadReport.LEAVING, 0);
 			assertThat(this.constraints.find("one", false, 3_600_000 * NANOS_PER_MILLI)).isEqualTo(LoadReport.LEAVING);
-			this.constraints.updateUpstreams(List.of(upstream("one", 1)));
+			this.constraints.updateUpstreams(List.of(upstream("one", 1)), 0);
 			assertThat(this.constraints.find("one", false, 0)).isEqualTo(LoadReport.LEAVING);
-			this.constraints.updateUpstreams(List.of(upstream("one", 2)));
+			this.constraints.updateUpstreams(List.of(upstream("one", 2)), 0);
 			assertThat(this.constraints.find("one", false, 0)).isNull();
 		}
 
 		@Test
 		void leavingUpstreamIsAvoidedWhileItIsNotAnnounced() {
 			this.constraints.record("one", LoadReport.LEAVING, 0);
-			this.constraints.updateUpstreams(List.of());
-			this.constraints.updateUpstreams(List.of(upstream("one", 1)));
+			this.constraints.updateUpstreams(List.of(), 0);
+			this.constraints.updateUpstreams(List.of(upstream("one", 1)), 0);
 			assertThat(this.constraints.find("one", false, 0)).isEqualTo(LoadReport.LEAVING);
 		}
 
