Read an empty section of the settings as an absent one

Where the platform states none of the bounds of a section, the template of the settings renders that section without a value. The same holds for the section of retries and cold starts. A section without a value now has the defaults; another value that is not a mapping is a finding as before.

--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.radishthread.kernel.FindingsException;
+import org.radishthread.routing.ColdStartLimits;
 import org.radishthread.routing.RetryLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -94,6 +95,14 @@
 		// Guards against instances that do not start, since a bound of the platform is
 		// not
 		// an integer.
+		// A deployment that states none of the bounds of a section leaves it empty.
+		@Test
+		void emptySectionHasTheDefaults() throws IOException {
+			DaemonSettings settings = read(VALID + "keys:\nallotments: {}\ncold-starts:\n");
+			assertThat(settings.keys()).isEqualTo(read(VALID).keys());
+			assertThat(settings.routerSettings().coldStartLimits()).isEqualTo(ColdStartLimits.DEFAULTS);
+		}
+
 		@Test
 		void boundsMayBeFractions() throws IOException {
 			DaemonSettings settings = read(VALID + "retries: {ratio: 0.2, slack: 24.43, window-seconds: 7.5}\n"
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/SettingsNode.java
@@ -22,6 +22,7 @@
 import org.yaml.snakeyaml.nodes.NodeTuple;
 import org.yaml.snakeyaml.nodes.ScalarNode;
 import org.yaml.snakeyaml.nodes.SequenceNode;
+import org.yaml.snakeyaml.nodes.Tag;
 
 /**
  * Reads a mapping of a YAML file, and reports invalid values as findings with their line
@@ -118,15 +119,16 @@
 	/**
 	 * Returns a nested mapping.
 	 * @param key the key
-	 * @return the mapping, which is empty if the key is absent or its value is not a
-	 * mapping
+	 * @return the mapping, which is empty if the key is absent, has no value, or has one
+	 * that is not a mapping
 	 */
 	public SettingsNode getSection(String key) {
 		Node node = readNode(key);
 		if (node instanceof MappingNode mappingNode) {
 			return new SettingsNode(childPath(key), mappingNode, this.findings);
 		}
-		if (node != null) {
+		boolean empty = node != null && node.getTag().equals(Tag.NULL);
+		if (node != null && !empty) {
 			report(node, key, "A mapping is expected.");
 		}
 		return new SettingsNode(childPath(key), null, this.findings);
