Spare full upstreams that reset connections instead of ejecting them

Some upstreams reset connections while their slots and their queue are in use. Under a burst, five of them were ejected for lost connections within four seconds in which nothing crashed, and by the new tests the crash monitor took a request for the cause of crashes if the connection of the probe was reset too.

An upstream counts as full if more attempts are in flight there than it has slots, by the home's count, or if its load report within the last half second shows requests waiting. A connection lost there leads to a short back-off of new requests (0.2 s, doubled up to 1.6 s until one succeeds), not to an ejection. Such an upstream has crashed only if all attempts at it are lost and it then accepts no connection, if it accepts none twice without a response in between, or if a later incarnation is announced. It is not probed while other attempts there are in flight, which saves probes in a burst. Waiting for the end of its announcements was ruled out: it takes up to the lease of 10 s, in which a request that crashes upstreams would crash more than three. Whether a request is sent again is decided as before: after a lost connection only if it may repeat.

Tests that failed first: FullUpstreamTests, the back-off and the suspicion. Now its 7 tests pass, and CrashingRequestTests, CrashHistoryTests, ServiceRouterTests and ServiceRouterProperties pass with their bounds as they were. PartitionedGatewayTests has its known failure, no other.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -102,6 +102,13 @@
 				.with("origin", ejected.origin().isEmpty() ? "this instance" : ejected.origin())
 				.write();
 		}
+		else if (effect instanceof RoutingEffect.UpstreamFull full) {
+			eventLog.information("upstream-full")
+				.with("service", this.service)
+				.with("upstream", full.upstream())
+				.with("back-off-millis", full.backOffMillis())
+				.write();
+		}
 		else if (effect instanceof RoutingEffect.UpstreamCold cold) {
 			eventLog.information("upstream-cold")
 				.with("service", this.service)
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CrashChecks.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CrashChecks.java
@@ -10,8 +10,10 @@
 /**
  * Determines whether upstreams have crashed. When the connection of an attempt is lost,
  * the upstream is suspected; it has crashed if it then accepts no connection, or if a
- * later incarnation of it is announced. Points in time are monotonic, in nanoseconds. Not
- * safe for concurrent use.
+ * later incarnation of it is announced. A full upstream may reset connections, that of a
+ * probe too. It has crashed if all attempts at it are lost and it then accepts no
+ * connection, or if it accepts none twice and sends no response. Points in time are
+ * monotonic, in nanoseconds. Not safe for concurrent use.
  */
 final class CrashChecks {
 
@@ -19,6 +21,11 @@
 	// attributed to it.
 	private static final long ATTRIBUTION_NANOS = 5_000_000_000L;
 
+	// A response that arrives sooner after the loss may have been sent before it.
+	private static final long RESPONSE_DELAY_NANOS = 100_000_000L;
+
+	private static final int FULL_UPSTREAM_FAILURES = 2;
+
 	// Keyed by the name of the upstream.
 	private final Map<String, Check> checks = new HashMap<>();
 
@@ -28,21 +35,60 @@
 	 * @param digest what equal requests have in common
 	 * @param startNanos the start of the attempt
 	 * @param inFlight the number of attempts in flight at the upstream, with this one
+	 * @param full whether the upstream may have had no room for the attempt
 	 * @param nowNanos the current time
 	 * @return whether the upstream is to be probed now
 	 */
-	boolean recordLoss(Upstream upstream, String digest, long startNanos, int inFlight, long nowNanos) {
+	boolean recordLoss(Upstream upstream, String digest, long startNanos, int inFlight, boolean full, long nowNanos) {
 		Check check = this.checks.get(upstream.name());
 		boolean belongsToCheck = check != null && check.incarnation == upstream.incarnation()
 				&& startNanos <= check.beganNanos && nowNanos - check.beganNanos < ATTRIBUTION_NANOS;
 		if (belongsToCheck) {
 			check.digests.add(digest);
-			return false;
+			boolean allLost = check.full && inFlight == 1;
+			check.full = check.full && !allLost;
+			return allLost;
 		}
-		Check newCheck = new Check(upstream.incarnation(), inFlight == 1, nowNanos);
+		Check newCheck = new Check(upstream.incarnation(), inFlight == 1, full, nowNanos);
 		newCheck.digests.add(digest);
 		this.checks.put(upstream.name(), newCheck);
-		return true;
+		return !full || inFlight == 1;
+	}
+
+	/**
+	 * Records that no connection to an upstream could be opened for an attempt.
+	 * @param upstream the name of the upstream
+	 * @return whether the upstream is to be probed now
+	 */
+	boolean recordUnreachable(String upstream) {
+		if (!isUndecided(upstream)) {
+			return false;
+		}
+		recordProbe(upstream, false);
+		return isUndecided(upstream);
+	}
+
+	/**
+	 * Records a response of an upstream. It shows that a full one has not crashed.
+	 * @param upstream the name of the upstream
+	 * @param nowNanos the current time
+	 */
+	void recordResponse(String upstream, long nowNanos) {
+		Check check = this.checks.get(upstream);
+		if (check != null && check.full && nowNanos - check.beganNanos >= RESPONSE_DELAY_NANOS) {
+			this.checks.remove(upstream);
+		}
+	}
+
+	/**
+	 * Returns whether an upstream lost a connection while it was full, and it is not
+	 * known yet whether it has crashed.
+	 * @param upstream the name of the upstream
+	 * @return whether that is undecided
+	 */
+	boolean isUndecided(String upstream) {
+		Check check = this.checks.get(upstream);
+		return check != null && check.full && !check.crashed && !check.probed;
 	}
 
 	/**
@@ -57,8 +103,9 @@
 		if (check == null || check.crashed) {
 			return false;
 		}
-		check.crashed = !reachable;
-		check.probed = true;
+		check.failures += reachable ? 0 : 1;
+		check.crashed = !reachable && (!check.full || check.failures >= FULL_UPSTREAM_FAILURES);
+		check.probed = reachable || check.crashed;
 		return check.crashed;
 	}
 
@@ -126,9 +173,15 @@
 
 		private boolean crashed;
 
-		private Check(long incarnation, boolean soleAttempt, long beganNanos) {
+		// Whether the upstream may have had no room for the attempt.
+		private boolean full;
+
+		private int failures;
+
+		private Check(long incarnation, boolean soleAttempt, boolean full, long beganNanos) {
 			this.incarnation = incarnation;
 			this.soleAttempt = soleAttempt;
+			this.full = full;
 			this.beganNanos = beganNanos;
 		}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CrashMonitor.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CrashMonitor.java
@@ -55,8 +55,16 @@
 	List<RoutingEffect> recordCompletion(RoutingRequest request, UpstreamTracker tracker, AttemptResult result,
 			long startNanos, long nowNanos) {
 		List<RoutingEffect> effects = new ArrayList<>();
-		if (result == AttemptResult.CONNECTION_LOST && this.checks.recordLoss(tracker.upstream(), request.digest(),
-				startNanos, tracker.inFlight(), nowNanos)) {
+		boolean probeDue = switch (result) {
+			case CONNECTION_LOST -> this.checks.recordLoss(tracker.upstream(), request.digest(), startNanos,
+					tracker.inFlight(), tracker.isFull(nowNanos), nowNanos);
+			case UNREACHABLE -> this.checks.recordUnreachable(tracker.upstream().name());
+			default -> false;
+		};
+		if (result == AttemptResult.SUCCESS || result == AttemptResult.SHED) {
+			this.checks.recordResponse(tracker.upstream().name(), nowNanos);
+		}
+		if (probeDue) {
 			effects.add(new ConnectionProbe(tracker.upstream()));
 		}
 		else if (result == AttemptResult.SUCCESS && this.history.clear(request.digest(), nowNanos)) {
@@ -71,6 +79,11 @@
 		return this.checks.recordProbe(upstream, reachable);
 	}
 
+	// Returns whether a full upstream may have crashed, which is not decided yet.
+	boolean isUndecided(String upstream) {
+		return this.checks.isUndecided(upstream);
+	}
+
 	// Returns whether a suspected upstream has been started again.
 	boolean recordIncarnation(Upstream upstream, long nowNanos) {
 		return this.checks.recordIncarnation(upstream, nowNanos);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/FailureAttribution.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/FailureAttribution.java
@@ -1,5 +1,6 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.radishthread.routing.RoutingEffect.ConnectionProbe;
 import org.radishthread.routing.RoutingEffect.PartitionChanged;
 import org.radishthread.routing.RoutingEffect.UpstreamEjected;
+import org.radishthread.routing.RoutingEffect.UpstreamFull;
 import org.radishthread.routing.UpstreamTracker.EjectionRule;
 import org.radishthread.rules.ServiceRule;
 
@@ -58,13 +60,17 @@
 		this.secondOpinionNanos.remove(upstream);
 	}
 
+	// The upstream is full if it may have had no room for the attempt.
 	void recordCompletion(String origin, @Nullable String relay, UpstreamTracker tracker, AttemptResult result,
-			long nowNanos) {
+			boolean full, long nowNanos) {
 		String sender = (relay != null) ? relay : origin;
 		if (relay != null) {
 			this.paths.recordRelayEnd(relay);
 		}
-		if (result == AttemptResult.SUCCESS || result == AttemptResult.SHED) {
+		if (result == AttemptResult.CONNECTION_LOST && full) {
+			backOff(tracker, nowNanos);
+		}
+		else if (result == AttemptResult.SUCCESS || result == AttemptResult.SHED) {
 			recordReached(sender, tracker.upstream().name(), nowNanos);
 		}
 		else if (result == AttemptResult.UNREACHABLE) {
@@ -75,6 +81,12 @@
 		}
 	}
 
+	// A full upstream that resets connections works, so it is not ejected.
+	private void backOff(UpstreamTracker tracker, long nowNanos) {
+		long backOffNanos = tracker.backOff(nowNanos);
+		this.effects.accept(new UpstreamFull(tracker.upstream().name(), Duration.ofNanos(backOffNanos).toMillis()));
+	}
+
 	void recordReached(String sender, String upstream, long nowNanos) {
 		if (this.paths.recordSuccess(sender, upstream, nowNanos)) {
 			this.effects.accept(new PartitionChanged(sender, false));
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -91,6 +91,16 @@
 	record UpstreamEjected(String upstream, AttemptResult result, String origin) implements RoutingEffect {
 	}
 
+	/**
+	 * Reports that an upstream lost the connection of an attempt while it was full, so
+	 * that it is sent no new requests for a short time.
+	 *
+	 * @param upstream the name of the upstream
+	 * @param backOffMillis the time, in milliseconds
+	 */
+	record UpstreamFull(String upstream, long backOffMillis) implements RoutingEffect {
+	}
+
 	/**
 	 * Reports that an upstream is cold, so that its requests are counted.
 	 *
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -497,6 +497,7 @@
 		Assert.state(attemptStart != null && tracker != null, "Attempt at '" + upstream + "' must be in flight.");
 		long latencyNanos = nowNanos - attemptStart.startNanos();
 		endTrial(state, tracker);
+		boolean full = tracker.isFull(nowNanos);
 		this.effects.addAll(
 				this.crashes.recordCompletion(state.request(), tracker, result, attemptStart.startNanos(), nowNanos));
 		if (report != null) {
@@ -509,7 +510,8 @@
 		if (result != AttemptResult.UNREACHABLE) {
 			state.markArrived();
 		}
-		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker, result, nowNanos);
+		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker, result, full,
+				nowNanos);
 		if (result == AttemptResult.SUCCESS) {
 			this.contention.recordAttempt(attemptStart.inFlight(), tracker.upstream().slots(),
 					latencyNanos / attemptStart.paceFactor());
@@ -686,6 +688,7 @@
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		boolean conclusive = reachable || !this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos);
 		boolean crashed = conclusive && this.crashes.recordProbe(upstream, reachable);
+		boolean undecided = this.crashes.isUndecided(upstream);
 		if (reachable) {
 			this.attribution.recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
@@ -696,7 +699,7 @@
 			this.paths.recordFailure(UpstreamPaths.HOME, upstream, this.trackers.size(), nowNanos);
 			this.attribution.recordFailure(tracker, AttemptResult.UNREACHABLE, UpstreamPaths.HOME, nowNanos);
 		}
-		else if (tracker != null && !reachable) {
+		else if (tracker != null && !reachable && !undecided) {
 			this.attribution.recordUnreachable(UpstreamPaths.HOME, tracker, nowNanos);
 		}
 		this.effects.addAll(this.crashes.takeNews(nowNanos));
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -39,6 +39,13 @@
 
 	private static final long STRAGGLER_TRIAL_INTERVAL_NANOS = 500_000_000L;
 
+	// An older load report does not show whether the upstream is full.
+	private static final long FULL_REPORT_NANOS = 500_000_000L;
+
+	private static final long BASE_BACK_OFF_NANOS = 200_000_000L;
+
+	private static final int MAXIMUM_BACK_OFF_DOUBLINGS = 3;
+
 	private Upstream upstream;
 
 	private long slowStartBeginNanos;
@@ -81,6 +88,13 @@
 
 	private final UpstreamRateLimit rateLimit = new UpstreamRateLimit();
 
+	// The time of the latest load report if it shows that requests wait.
+	private long reportedFullNanos = NEVER;
+
+	private long backOffUntilNanos = NEVER;
+
+	private int backOffs;
+
 	private final ColdStartLimit coldLimit = new ColdStartLimit();
 
 	// Keyed by the origin of the requests that the upstream refuses.
@@ -194,7 +208,24 @@
 
 	private boolean isAvailable(long nowNanos) {
 		return acceptsRequests() && !isEjected(nowNanos) && this.rateLimit.allows(nowNanos)
-				&& this.coldLimit.allows(nowNanos);
+				&& this.coldLimit.allows(nowNanos) && nowNanos >= this.backOffUntilNanos;
+	}
+
+	// Whether the upstream may have no room for the latest attempt, by the attempts in
+	// flight or by its load report.
+	boolean isFull(long nowNanos) {
+		return this.inFlight > this.upstream.slots() || nowNanos - this.reportedFullNanos < FULL_REPORT_NANOS;
+	}
+
+	// Sends no new requests for a short time, because the upstream had no room. Returns
+	// the time.
+	long backOff(long nowNanos) {
+		if (nowNanos >= this.backOffUntilNanos) {
+			this.backOffUntilNanos = nowNanos
+					+ (BASE_BACK_OFF_NANOS << Math.min(this.backOffs, MAXIMUM_BACK_OFF_DOUBLINGS));
+			this.backOffs++;
+		}
+		return this.backOffUntilNanos - nowNanos;
 	}
 
 	boolean isReserved() {
@@ -270,6 +301,7 @@
 		}
 		if (report.hasLoad()) {
 			this.lastReportNanos = nowNanos;
+			this.reportedFullNanos = (report.waitingRequests() > 0) ? nowNanos : NEVER;
 			this.pace.recordReport(report.pacePercent(), nowNanos);
 		}
 	}
@@ -342,6 +374,7 @@
 		if (result == AttemptResult.SUCCESS) {
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
+			this.backOffs = 0;
 			recordLatency(latencyNanos, paceAtStart);
 		}
 		else if (result == AttemptResult.CANCELLED) {
