Take a returned grant neither for a fast attempt nor for a retry

A gateway that knows before the home that an upstream is cold returns the grant at once. The home took the time until then for the duration of an attempt, so that the upstream looked faster than all others and got their requests as soon as it was allowed to, and the further attempt needed the retry budget. A grant that is returned with coldness now does neither. Durations of attempts at a cold upstream are not kept either, because they do not hold once it is warm. Grants that are returned for other reasons are counted as before.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -65,8 +65,8 @@
 		return this.arrived;
 	}
 
-	void markArrived() {
-		this.arrived = true;
+	void recordResult(AttemptResult result) {
+		this.arrived |= result != AttemptResult.UNREACHABLE;
 	}
 
 	boolean isClosed() {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -506,9 +506,12 @@
 		if (result == AttemptResult.SUCCESS && (report == null || !report.isLimited())) {
 			tracker.rateLimit().clear();
 		}
-		tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
-		if (result != AttemptResult.UNREACHABLE) {
-			state.markArrived();
+		if (isReturned(result, report)) {
+			tracker.recordReturn();
+		}
+		else {
+			tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
+			state.recordResult(result);
 		}
 		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker, result, full,
 				nowNanos);
@@ -523,6 +526,13 @@
 		return takeEffects();
 	}
 
+	// Whether an instance returned a grant because the upstream is cold. Its duration
+	// says
+	// nothing about the upstream, and a further attempt is no retry.
+	private static boolean isReturned(AttemptResult result, @Nullable LoadReport report) {
+		return result == AttemptResult.CANCELLED && report != null && report.coldMillis() > 0;
+	}
+
 	private void recordReport(UpstreamTracker tracker, LoadReport report, String origin, long nowNanos) {
 		tracker.recordReport(report, origin, nowNanos);
 		if (tracker.coldLimit().recordReport(report, nowNanos)) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -375,7 +375,10 @@
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
 			this.backOffs = 0;
-			recordLatency(latencyNanos, paceAtStart);
+			if (!isCold(nowNanos)) {
+				// Durations of a cold upstream do not hold once it is warm.
+				recordLatency(latencyNanos, paceAtStart);
+			}
 		}
 		else if (result == AttemptResult.CANCELLED) {
 			// The attempt would have taken at least the time
@@ -384,6 +387,11 @@
 		}
 	}
 
+	// The attempt was not made.
+	void recordReturn() {
+		this.inFlight--;
+	}
+
 	private void recordLatency(long latencyNanos, double paceAtStart) {
 		double sampleWeight = (this.latencySamples == 0) ? 1 : LATENCY_SAMPLE_WEIGHT;
 		this.normalizedServiceNanos += sampleWeight * (latencyNanos / paceAtStart - this.normalizedServiceNanos);
--- a/radishthread-routing/src/test/java/org/radishthread/routing/ColdUpstreamTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/ColdUpstreamTests.java
@@ -109,6 +109,47 @@
 			assertThat(admit(true, 100)).isEmpty();
 		}
 
+		// Without that, the time until grants are returned would make the upstream look
+		// fast, and it would get all requests.
+		@Test
+		void returnedGrantsDoNotMakeAnUpstreamLookFast() {
+			this.router.updateUpstreams(List.of(cold(1, 0), new Upstream("two", "127.0.0.1:2", "bastrop", 3, 1, true)),
+					0);
+			for (int round = 0; round < 4; round++) {
+				Dispatch first = (Dispatch) admit(true, 100 * round).get(0);
+				Dispatch second = (Dispatch) admit(true, 100 * round).get(0);
+				for (Dispatch attempt : List.of(first, second)) {
+					boolean returned = attempt.upstream().name().equals("one");
+					this.router.completeAttempt(attempt.requestId(), attempt.upstream().name(),
+							returned ? AttemptResult.CANCELLED : AttemptResult.SUCCESS,
+							returned ? LoadReport.coldFor(50) : null,
+							(100 * round + (returned ? 1 : 40)) * NANOS_PER_MILLI);
+					this.router.close(attempt.requestId());
+				}
+			}
+			int requestsToOne = 0;
+			for (int i = 0; i < 4; i++) {
+				Dispatch attempt = (Dispatch) admit(true, 2_000).get(0);
+				requestsToOne += attempt.upstream().name().equals("one") ? 1 : 0;
+			}
+			assertThat(requestsToOne).isEqualTo(2);
+		}
+
+		@Test
+		void requestWhoseGrantIsReturnedNeedsNoRetryBudget() {
+			ServiceRouter withoutBudget = new ServiceRouter(
+					new ServiceRule("rotaboard", 256, Duration.ofSeconds(1), 50, 0, 0, 3, null, 2),
+					new RouterSettings("bastrop", 4, new RetryLimits(0, 0, 10), 500), 0);
+			withoutBudget
+				.updateUpstreams(List.of(cold(1, 0), new Upstream("two", "127.0.0.1:2", "bastrop", 3, 1, true)), 0);
+			Dispatch attempt = (Dispatch) withoutBudget
+				.admit(new RoutingRequest(1, "caller", true, 900 * NANOS_PER_MILLI), 0)
+				.get(0);
+			withoutBudget.completeAttempt(1, attempt.upstream().name(), AttemptResult.CANCELLED,
+					LoadReport.coldFor(1_000), NANOS_PER_MILLI);
+			assertThat(withoutBudget.retry(1, NANOS_PER_MILLI)).singleElement().isInstanceOf(Dispatch.class);
+		}
+
 		@Test
 		void hedgesAvoidColdUpstreams() {
 			this.router.updateUpstreams(
