--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -107,6 +107,21 @@
 		else if (effect instanceof RoutingEffect.ServiceEvacuated change) {
 			logEvacuation(change.evacuated());
 		}
+		else if (effect instanceof RoutingEffect.UpstreamFull full) {
+			eventLog.information("upstream-full")
+				.with("service", this.service)
+				.with("upstream", full.upstream())
+				.with("back-off-millis", full.backOffMillis())
+				.write();
+		}
+		else if (effect instanceof RoutingEffect.UpstreamCold cold) {
+			eventLog.information("upstream-cold")
+				.with("service", this.service)
+				.with("upstream", cold.upstream())
+				.with("remaining-millis", cold.remainingMillis())
+				.with("per-second", cold.requestsPerSecond())
+				.write();
+		}
 		else if (effect instanceof RoutingEffect.CrashFound found) {
 			this.crashExchange.publish(found);
 		}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -19,6 +19,7 @@
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.Refusal;
 import org.radishthread.routing.RoutingEffect.ServiceEvacuated;
+import org.radishthread.routing.RoutingEffect.UpstreamCold;
 import org.radishthread.rules.ServiceRule;
 
 /**
@@ -54,8 +55,15 @@
 	// About the time in which an equal request that runs alone has completed.
 	private static final long TRIAL_RETRY_AFTER_NANOS = 500_000_000;
 
+	// After a longer time without requests, another instance may have been the home.
+	private static final long HOME_GAP_NANOS = 1_000_000_000;
+
 	private ServiceRule rule;
 
+	private final ColdStartLimits coldStartLimits;
+
+	private long lastHomeAdmissionNanos = Long.MIN_VALUE / 2;
+
 	private final Map<String, UpstreamTracker> trackers = new LinkedHashMap<>();
 
 	private final EvacuatedZones evacuatedZones = new EvacuatedZones(this.trackers);
@@ -124,6 +132,7 @@
 	private ServiceRouter(ServiceRule rule, RouterSettings settings, SelectionPolicy policy, CrashHistory crashHistory,
 			long nowNanos) {
 		this.rule = rule;
+		this.coldStartLimits = settings.coldStartLimits();
 		this.selection = new UpstreamSelection(settings, policy, this.trackers, this.paths, this.queues,
 				this.throughput, this.contention, this.admission);
 		this.crashes = new CrashMonitor(crashHistory);
@@ -140,6 +149,9 @@
 	public void updateRule(ServiceRule updatedRule, long nowNanos) {
 		boolean probeRateChanged = updatedRule.probesPerSecond() != this.rule.probesPerSecond();
 		this.rule = updatedRule;
+		this.trackers.values()
+			.forEach((tracker) -> tracker.coldLimit()
+				.setRate(updatedRule.coldRequestsPerSecond(), this.coldStartLimits));
 		if (probeRateChanged) {
 			this.probes.resetBudget(nowNanos);
 		}
@@ -158,8 +170,12 @@
 			// The first upstreams already ran before this instance started, so
 			// they need no slow start.
 			long slowStartBeginNanos = this.awaitsFirstUpstreams ? Long.MIN_VALUE / 2 : nowNanos;
-			this.trackers.computeIfAbsent(upstream.name(), (name) -> new UpstreamTracker(upstream, slowStartBeginNanos))
-				.update(upstream, nowNanos);
+			UpstreamTracker tracker = this.trackers.computeIfAbsent(upstream.name(),
+					(name) -> newTracker(upstream, slowStartBeginNanos));
+			tracker.update(upstream, nowNanos);
+			if (tracker.coldLimit().recordAnnouncement(upstream, nowNanos)) {
+				addColdEffect(tracker, nowNanos);
+			}
 			if (this.crashes.recordIncarnation(upstream, nowNanos)) {
 				this.paths.forgetUpstream(upstream.name());
 			}
@@ -214,6 +230,17 @@
 		}
 	}
 
+	private UpstreamTracker newTracker(Upstream upstream, long slowStartBeginNanos) {
+		UpstreamTracker tracker = new UpstreamTracker(upstream, slowStartBeginNanos);
+		tracker.coldLimit().setRate(this.rule.coldRequestsPerSecond(), this.coldStartLimits);
+		return tracker;
+	}
+
+	private void addColdEffect(UpstreamTracker tracker, long nowNanos) {
+		this.effects.add(new UpstreamCold(tracker.upstream().name(), tracker.coldLimit().remainingMillis(nowNanos),
+				this.rule.coldRequestsPerSecond()));
+	}
+
 	private void removeDiscardable() {
 		this.trackers.values().removeIf((tracker) -> {
 			if (tracker.isDiscardable()) {
@@ -252,6 +279,7 @@
 			// Only the home probes. Others would each probe all upstreams for the few
 			// requests that they route without it.
 			this.probes.recordArrival(nowNanos);
+			recordHomeAdmission(nowNanos);
 		}
 		this.paths.recordRequest(request.origin(), nowNanos);
 		this.paths.recordRequest(UpstreamPaths.HOME, nowNanos);
@@ -267,6 +295,13 @@
 		return takeEffects();
 	}
 
+	private void recordHomeAdmission(long nowNanos) {
+		if (nowNanos - this.lastHomeAdmissionNanos > HOME_GAP_NANOS) {
+			this.trackers.values().forEach((tracker) -> tracker.coldLimit().restart(nowNanos));
+		}
+		this.lastHomeAdmissionNanos = nowNanos;
+	}
+
 	private @Nullable Refusal findRefusal(RoutingRequest request, boolean home, long nowNanos) {
 		long usableSlots = this.selection.usableSlots(nowNanos);
 		boolean refusedByAll = this.selection.usableTrackers(nowNanos)
@@ -286,7 +321,7 @@
 					AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos));
 		}
 		boolean limitedByAll = this.selection.usableTrackers(nowNanos)
-			.allMatch((tracker) -> tracker.rateLimit().isActive());
+			.allMatch((tracker) -> tracker.isLimited(nowNanos));
 		if (usableSlots > 0 && limitedByAll) {
 			Refusal refusal = findLimitRefusal(request, home, nowNanos);
 			if (refusal != null) {
@@ -305,16 +340,29 @@
 		int requestsAhead = this.queues.sizeUpTo(this.admission.rank(request, nowNanos));
 		int requestsPerUpstream = 1 + requestsAhead / (int) this.selection.usableTrackers(nowNanos).count();
 		long allowedAtNanos = this.selection.usableTrackers(nowNanos)
-			.mapToLong((tracker) -> tracker.rateLimit().allowedAtNanos(requestsPerUpstream, nowNanos))
+			.mapToLong((tracker) -> tracker.allowedAtNanos(requestsPerUpstream, nowNanos))
 			.min()
 			.orElse(nowNanos);
-		if (allowedAtNanos + this.admission.typicalServiceNanos() <= request.deadlineNanos()) {
+		if (allowedAtNanos + this.admission.typicalServiceNanos() <= latestCompletionNanos(request, nowNanos)) {
 			return null;
 		}
 		return new Refusal(request.id(), RefusalReason.OVERLOAD, this.admission.retryAfterMillis(request,
 				Duration.ofNanos(allowedAtNanos - nowNanos).toMillis(), nowNanos));
 	}
 
+	// While upstreams are cold, a request that would wait until it is too late, or until
+	// its time in the queue is over, is not let in.
+	private long latestCompletionNanos(RoutingRequest request, long nowNanos) {
+		if (this.selection.usableTrackers(nowNanos).noneMatch((tracker) -> tracker.isCold(nowNanos))) {
+			return request.deadlineNanos();
+		}
+		double typicalNanos = this.admission.typicalServiceNanos();
+		long queueEndNanos = nowNanos + this.rule.queueTimeout().toNanos() + (long) typicalNanos;
+		boolean late = nowNanos + typicalNanos > request.urgency().objectiveAtNanos();
+		return Math.min(queueEndNanos, late ? request.deadlineNanos()
+				: Math.min(request.deadlineNanos(), request.urgency().objectiveAtNanos()));
+	}
+
 	private void enqueue(RoutingRequest request, AttemptKind kind, long nowNanos) {
 		long expiryNanos = Math.min(request.deadlineNanos(), nowNanos + this.rule.queueTimeout().toNanos());
 		QueuedRequest queued = new QueuedRequest(request, kind, initialRank(request, kind, nowNanos), nowNanos,
@@ -380,7 +428,7 @@
 				&& this.selection.canReach(state.request(), reservedUpstream, nowNanos)) {
 			return Optional.of(reservedUpstream);
 		}
-		return this.selection.choose(state, nowNanos, (tracker) -> tracker.isIdle(nowNanos) && !tracker.isReserved());
+		return this.selection.chooseIdle(state, nowNanos);
 	}
 
 	private void reserveUpstream(RequestState state, long nowNanos) {
@@ -392,7 +440,8 @@
 		this.selection.usableTrackers(nowNanos)
 			.filter((tracker) -> !tracker.isReserved() && state.mayUse(tracker, nowNanos))
 			.filter((tracker) -> this.selection.canReach(state.request(), tracker, nowNanos))
-			.min(Comparator.comparingInt(UpstreamTracker::inFlight))
+			.min(Comparator.comparing((UpstreamTracker tracker) -> tracker.isCold(nowNanos))
+				.thenComparingInt(UpstreamTracker::inFlight))
 			.ifPresent(this.trials::reserve);
 	}
 
@@ -436,7 +485,7 @@
 				&& this.throughput.meanServiceNanos() > 0;
 		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request(), nowNanos) : 0;
 		this.effects.add(new Dispatch(state.request().id(), tracker.upstream(), kind, tracker.inFlight(),
-				queueTimeNanos, hedgeAfterNanos, tracker.rateLimit().isActive(), relay));
+				queueTimeNanos, hedgeAfterNanos, tracker.isLimited(nowNanos), relay));
 	}
 
 	// After an attempt that could not connect, another instance is preferred also where
@@ -495,19 +544,24 @@
 		Assert.state(attemptStart != null && tracker != null, "Attempt at '" + upstream + "' must be in flight.");
 		long latencyNanos = nowNanos - attemptStart.startNanos();
 		endTrial(state, tracker);
+		boolean full = tracker.isFull(nowNanos);
 		this.effects.addAll(
 				this.crashes.recordCompletion(state.request(), tracker, result, attemptStart.startNanos(), nowNanos));
 		if (report != null) {
-			tracker.recordReport(report, state.request().origin(), nowNanos);
+			recordReport(tracker, report, state.request().origin(), nowNanos);
 		}
 		if (result == AttemptResult.SUCCESS && (report == null || !report.isLimited())) {
 			tracker.rateLimit().clear();
 		}
-		tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
-		if (result != AttemptResult.UNREACHABLE) {
-			state.markArrived();
+		if (isReturned(result, report)) {
+			tracker.recordReturn();
 		}
-		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker, result, nowNanos);
+		else {
+			tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
+			state.recordResult(result);
+		}
+		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker, result, full,
+				nowNanos);
 		if (result == AttemptResult.SUCCESS) {
 			this.contention.recordAttempt(attemptStart.inFlight(), tracker.upstream().slots(),
 					latencyNanos / attemptStart.paceFactor());
@@ -519,6 +573,20 @@
 		return takeEffects();
 	}
 
+	// Whether an instance returned a grant because the upstream is cold. Its duration
+	// says
+	// nothing about the upstream, and a further attempt is no retry.
+	private static boolean isReturned(AttemptResult result, @Nullable LoadReport report) {
+		return result == AttemptResult.CANCELLED && report != null && report.coldMillis() > 0;
+	}
+
+	private void recordReport(UpstreamTracker tracker, LoadReport report, String origin, long nowNanos) {
+		tracker.recordReport(report, origin, nowNanos);
+		if (tracker.coldLimit().recordReport(report, nowNanos)) {
+			addColdEffect(tracker, nowNanos);
+		}
+	}
+
 	private void endTrial(RequestState state, UpstreamTracker tracker) {
 		if (state.exclusiveUpstream() == tracker) {
 			state.setExclusiveUpstream(null);
@@ -575,8 +643,7 @@
 				|| this.queues.size() > 0 || this.crashes.crashesUnder(state.request()) > 0) {
 			return List.of();
 		}
-		Optional<UpstreamTracker> chosenUpstream = this.selection
-			.choose(state, nowNanos, (tracker) -> tracker.hasFreeSlot(nowNanos) && tracker.isUncontended())
+		Optional<UpstreamTracker> chosenUpstream = this.selection.chooseUncontended(state, nowNanos)
 			.or(() -> this.selection.chooseForStuckAttempt(state, nowNanos));
 		if (chosenUpstream.isEmpty() || !this.retryBudget.tryAcquireForHedge(nowNanos)) {
 			return List.of();
@@ -659,6 +726,9 @@
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		if (tracker != null) {
 			tracker.recordPaceProbe(report, nowNanos);
+			if (tracker.coldLimit().recordReport(report, nowNanos)) {
+				addColdEffect(tracker, nowNanos);
+			}
 			this.attribution.recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
 		dispatchQueued(nowNanos);
@@ -677,6 +747,7 @@
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		boolean conclusive = reachable || !this.paths.isPartitioned(UpstreamPaths.HOME, nowNanos);
 		boolean crashed = conclusive && this.crashes.recordProbe(upstream, reachable);
+		boolean undecided = this.crashes.isUndecided(upstream);
 		if (reachable) {
 			this.attribution.recordReached(UpstreamPaths.HOME, upstream, nowNanos);
 		}
@@ -687,7 +758,7 @@
 			this.paths.recordFailure(UpstreamPaths.HOME, upstream, this.trackers.size(), nowNanos);
 			this.attribution.recordFailure(tracker, AttemptResult.UNREACHABLE, UpstreamPaths.HOME, nowNanos);
 		}
-		else if (tracker != null && !reachable) {
+		else if (tracker != null && !reachable && !undecided) {
 			this.attribution.recordUnreachable(UpstreamPaths.HOME, tracker, nowNanos);
 		}
 		this.effects.addAll(this.crashes.takeNews(nowNanos));
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -39,6 +39,13 @@
 
 	private static final long STRAGGLER_TRIAL_INTERVAL_NANOS = 500_000_000L;
 
+	// An older load report does not show whether the upstream is full.
+	private static final long FULL_REPORT_NANOS = 500_000_000L;
+
+	private static final long BASE_BACK_OFF_NANOS = 200_000_000L;
+
+	private static final int MAXIMUM_BACK_OFF_DOUBLINGS = 3;
+
 	private Upstream upstream;
 
 	private long slowStartBeginNanos;
@@ -84,6 +91,15 @@
 
 	private final UpstreamRateLimit rateLimit = new UpstreamRateLimit();
 
+	// The time of the latest load report if it shows that requests wait.
+	private long reportedFullNanos = NEVER;
+
+	private long backOffUntilNanos = NEVER;
+
+	private int backOffs;
+
+	private final ColdStartLimit coldLimit = new ColdStartLimit();
+
 	// Keyed by the origin of the requests that the upstream refuses.
 	private final Map<String, Long> refusedUntilNanos = new HashMap<>();
 
@@ -124,11 +140,11 @@
 		return this.inFlight;
 	}
 
-	// The number of slots that may be used at this time; it grows
-	// during slow start.
+	// The number of slots that may be used at this time; it grows during slow start. A
+	// service with a rate for cold upstreams has no slow start.
 	int usableSlots(long nowNanos) {
 		long ageNanos = nowNanos - this.slowStartBeginNanos;
-		if (ageNanos >= SLOW_START_NANOS) {
+		if (ageNanos >= SLOW_START_NANOS || this.coldLimit.isConfigured()) {
 			return this.upstream.slots();
 		}
 		return (int) Math.max(1, this.upstream.slots() * ageNanos / SLOW_START_NANOS);
@@ -203,7 +219,25 @@
 	}
 
 	private boolean isAvailable(long nowNanos) {
-		return acceptsRequests() && !isEjected(nowNanos) && this.rateLimit.allows(nowNanos);
+		return acceptsRequests() && !isEjected(nowNanos) && this.rateLimit.allows(nowNanos)
+				&& this.coldLimit.allows(nowNanos) && nowNanos >= this.backOffUntilNanos;
+	}
+
+	// Whether the upstream may have no room for the latest attempt, by the attempts in
+	// flight or by its load report.
+	boolean isFull(long nowNanos) {
+		return this.inFlight > this.upstream.slots() || nowNanos - this.reportedFullNanos < FULL_REPORT_NANOS;
+	}
+
+	// Sends no new requests for a short time, because the upstream had no room. Returns
+	// the time.
+	long backOff(long nowNanos) {
+		if (nowNanos >= this.backOffUntilNanos) {
+			this.backOffUntilNanos = nowNanos
+					+ (BASE_BACK_OFF_NANOS << Math.min(this.backOffs, MAXIMUM_BACK_OFF_DOUBLINGS));
+			this.backOffs++;
+		}
+		return this.backOffUntilNanos - nowNanos;
 	}
 
 	boolean isReserved() {
@@ -230,7 +264,8 @@
 	// Allows some requests beyond the slots to wait at the upstream, so that a
 	// slot is not idle while a response and the next request are transferred.
 	boolean mayPipeline(long nowNanos, double queuedPerSlot, double defaultServiceNanos) {
-		if (this.reserved || !isAvailable(nowNanos) || isOnTrial() || usableSlots(nowNanos) < this.upstream.slots()) {
+		if (this.reserved || !isAvailable(nowNanos) || isOnTrial() || isCold(nowNanos)
+				|| usableSlots(nowNanos) < this.upstream.slots()) {
 			return false;
 		}
 		return this.inFlight < this.upstream.slots() + pipelineLimit(queuedPerSlot, defaultServiceNanos);
@@ -278,6 +313,7 @@
 		}
 		if (report.hasLoad()) {
 			this.lastReportNanos = nowNanos;
+			this.reportedFullNanos = (report.waitingRequests() > 0) ? nowNanos : NEVER;
 			this.pace.recordReport(report.pacePercent(), nowNanos);
 		}
 	}
@@ -317,9 +353,30 @@
 		return this.rateLimit;
 	}
 
+	ColdStartLimit coldLimit() {
+		return this.coldLimit;
+	}
+
+	// Whether the upstream is cold and its service has a rate for that.
+	boolean isCold(long nowNanos) {
+		return this.coldLimit.isActive(nowNanos);
+	}
+
+	// Whether requests are counted against a limit, so that only the home may send them.
+	boolean isLimited(long nowNanos) {
+		return this.rateLimit.isActive() || isCold(nowNanos);
+	}
+
+	// The earliest time at which the number of further requests has been allowed.
+	long allowedAtNanos(int requests, long nowNanos) {
+		return Math.max(this.rateLimit.allowedAtNanos(requests, nowNanos),
+				this.coldLimit.allowedAtNanos(requests, nowNanos));
+	}
+
 	void recordDispatch(long nowNanos) {
 		this.inFlight++;
 		this.rateLimit.recordDispatch(nowNanos);
+		this.coldLimit.recordDispatch(nowNanos);
 		this.lastDispatchNanos = nowNanos;
 	}
 
@@ -329,7 +386,11 @@
 		if (result == AttemptResult.SUCCESS) {
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
-			recordLatency(latencyNanos, paceAtStart);
+			this.backOffs = 0;
+			if (!isCold(nowNanos)) {
+				// Durations of a cold upstream do not hold once it is warm.
+				recordLatency(latencyNanos, paceAtStart);
+			}
 		}
 		else if (result == AttemptResult.CANCELLED) {
 			// The attempt would have taken at least the time
@@ -338,6 +399,11 @@
 		}
 	}
 
+	// The attempt was not made.
+	void recordReturn() {
+		this.inFlight--;
+	}
+
 	private void recordLatency(long latencyNanos, double paceAtStart) {
 		double sampleWeight = (this.latencySamples == 0) ? 1 : LATENCY_SAMPLE_WEIGHT;
 		this.normalizedServiceNanos += sampleWeight * (latencyNanos / paceAtStart - this.normalizedServiceNanos);
--- a/radishthread-routing/src/test/java/org/radishthread/routing/EvacuationTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/EvacuationTests.java
@@ -183,7 +183,7 @@
 
 		@BeforeEach
 		void announceUpstreams() {
-			this.constraints.updateUpstreams(List.of(HERE, ELSEWHERE));
+			this.constraints.updateUpstreams(List.of(HERE, ELSEWHERE), 0);
 		}
 
 		// The home may not know of the evacuation yet.
