--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -20,6 +20,7 @@
 import org.radishthread.daemon.extension.DaemonExtension;
 import org.radishthread.daemon.extension.ExtensionContext;
 import org.radishthread.daemon.extension.ExtensionLoader;
+import org.radishthread.daemon.gateway.AllotmentService;
 import org.radishthread.daemon.gateway.ClaimService;
 import org.radishthread.daemon.gateway.CrashExchange;
 import org.radishthread.daemon.gateway.DefaultHttpDialect;
@@ -106,11 +107,18 @@
 		return new CrashExchange(settings, transport, cluster, time);
 	}
 
+	@Provides
+	@Singleton
+	static AllotmentService allotmentService(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
+			TimeSource time, MeterRegistry meters) {
+		return new AllotmentService(settings, transport, cluster, time, meters);
+	}
+
 	@Provides
 	@Singleton
 	static RoutingService routingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
-			CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
-		return new RoutingService(settings, clients, dialect, crashExchange, time, meters);
+			AllotmentService allotments, CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
+		return new RoutingService(settings, clients, dialect, allotments, crashExchange, time, meters);
 	}
 
 	@Provides
@@ -146,7 +154,7 @@
 	@Singleton
 	static Kernel kernel(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
 			ControlClient controlClient, RuleOperations ruleOperations, UpstreamClients clients, RoutingService routing,
-			SlotService slots, CrashExchange crashExchange, GatewayContext gatewayContext,
+			SlotService slots, AllotmentService allotments, CrashExchange crashExchange, GatewayContext gatewayContext,
 			Optional<DaemonExtension> extension, TimeSource time, PrometheusMeterRegistry meters) {
 		Kernel kernel = new Kernel();
 		kernel.register(transport);
@@ -180,6 +188,7 @@
 			kernel.register(clients);
 			kernel.register(routing);
 			kernel.register(slots);
+			kernel.register(allotments);
 			kernel.register(crashExchange);
 			kernel.register(new GatewayServer(settings, gatewayContext, cluster));
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -102,6 +102,7 @@
 			.setZone(this.settings.zone())
 			.setControl(this.settings.isControl())
 			.setGateway(this.settings.isGateway())
+			.setCountsAllotments(this.settings.isGateway())
 			.setReplica(this.replica.getId())
 			.setIncarnation(this.time.wallClockMillis())
 			.build();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -35,6 +35,8 @@
 
 	private final ServiceRouter router;
 
+	private final AllotmentService allotments;
+
 	private final CrashExchange crashExchange;
 
 	private final TimeSource time;
@@ -47,11 +49,12 @@
 
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
-	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, CrashExchange crashExchange, TimeSource time,
-			UpstreamProber prober, EventLoop eventLoop) {
+	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, AllotmentService allotments,
+			CrashExchange crashExchange, TimeSource time, UpstreamProber prober, EventLoop eventLoop) {
 		this.service = rule.service();
 		this.router = new ServiceRouter(rule, settings.routerSettings(), crashExchange.history(),
 				time.monotonicNanos());
+		this.allotments = allotments;
 		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = prober;
@@ -124,6 +127,7 @@
 			.with("in-flight", dispatch.inFlight())
 			.with("waited-micros", dispatch.queueTimeNanos() / 1_000)
 			.write();
+		this.allotments.recordDispatch(dispatch.requestId());
 		RoutingCallback callback = this.callbacks.get(dispatch.requestId());
 		if (callback != null) {
 			callback.onDispatch(dispatch);
@@ -170,18 +174,29 @@
 	@Override
 	public void admit(RoutingRequest request, RoutingCallback callback) {
 		this.callbacks.put(request.id(), callback);
-		process((nowNanos) -> this.router.admit(request, true, nowNanos));
+		this.allotments.acquire(request, () -> admitAllotted(request, true), this::executeRefusal);
 	}
 
 	// Routes a request whose home is unavailable.
 	void admitWithoutHome(RoutingRequest request, RoutingCallback callback) {
 		this.callbacks.put(request.id(), callback);
-		process((nowNanos) -> this.router.admit(request, false, nowNanos));
+		this.allotments.acquire(request, () -> admitAllotted(request, false), this::executeRefusal);
+	}
+
+	private void admitAllotted(RoutingRequest request, boolean home) {
+		process((nowNanos) -> this.router.admit(request, home, nowNanos));
+		if (!this.callbacks.containsKey(request.id())) {
+			// Closed while it waited for a token.
+			synchronized (this.router) {
+				this.router.close(request.id());
+			}
+		}
 	}
 
 	@Override
 	public void completeAttempt(long requestId, String upstream, AttemptResult result,
 			@Nullable LoadReport loadReport) {
+		this.allotments.recordResult(requestId, result);
 		process((nowNanos) -> this.router.completeAttempt(requestId, upstream, result, loadReport, nowNanos));
 	}
 
@@ -207,6 +222,7 @@
 		synchronized (this.router) {
 			this.router.close(requestId);
 		}
+		this.allotments.close(requestId);
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -19,6 +19,7 @@
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.routing.AttemptKind;
 import org.radishthread.routing.LoadReport;
+import org.radishthread.routing.RefusalReason;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Urgency;
@@ -177,8 +178,14 @@
 
 	@Override
 	public void onRefusal(RoutingEffect.Refusal refusal) {
-		completeUnsuccessfully("Not sent: " + refusal.reason().wireName() + ".", refusal.retryAfterMillis(),
-				refusal.reason().httpStatus());
+		completeUnsuccessfully("Not sent: " + refusal.reason().wireName() + allotmentText(refusal) + ".",
+				refusal.retryAfterMillis(), refusal.reason().httpStatus());
+	}
+
+	private String allotmentText(RoutingEffect.Refusal refusal) {
+		WorkspaceRule workspace = workspace();
+		return (workspace != null && refusal.reason() == RefusalReason.ALLOTMENT) ? " of workspace '" + workspace.name()
+				+ "' (" + workspace.requestsPerSecond() + " requests per second) is used up" : "";
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -49,6 +49,8 @@
 
 	private final DaemonSettings settings;
 
+	private final AllotmentService allotments;
+
 	private final CrashExchange crashExchange;
 
 	private final TimeSource time;
@@ -70,8 +72,9 @@
 	private volatile RouteFinder routes = RuleSet.EMPTY.toRouteFinder();
 
 	public RoutingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
-			CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
+			AllotmentService allotments, CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
+		this.allotments = allotments;
 		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
@@ -119,7 +122,7 @@
 
 	LocalRequestRouter router(String service) {
 		return this.routers.computeIfAbsent(service, (name) -> new LocalRequestRouter(this.rules.serviceRule(name),
-				this.settings, this.crashExchange, this.time, this.prober, this.eventLoop));
+				this.settings, this.allotments, this.crashExchange, this.time, this.prober, this.eventLoop));
 	}
 
 	// Returns the refusal of a request that is quarantined, or null.
@@ -176,6 +179,7 @@
 		try {
 			RuleSet parsedRules = RuleParser.parse("revision-" + file.getRevision(), file.getContent());
 			this.rules = parsedRules;
+			this.allotments.updateRules(parsedRules);
 			this.routes = parsedRules.toRouteFinder();
 			this.routers.forEach((service, router) -> router.updateRule(parsedRules.serviceRule(service)));
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -227,9 +227,11 @@
 
 		@Override
 		public void onRefusal(RoutingEffect.Refusal refusal) {
+			RefusalReason generalReason = refusal.reason().generalReason();
 			send(message()
 				.setRefusal(SlotRefusal.newBuilder()
-					.setReason(refusal.reason().wireName())
+					.setReason(generalReason.wireName())
+					.setSpecificReason((generalReason != refusal.reason()) ? refusal.reason().wireName() : "")
 					.setRetryAfterMillis(refusal.retryAfterMillis()))
 				.build());
 		}
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -371,6 +371,46 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_radishthread_SlotRefusal_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_AllotmentMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_AllotmentMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_AllotmentTerms_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_AllotmentTerms_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_LoanRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_LoanRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_Loan_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_Loan_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_LoanReturn_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_LoanReturn_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_AllotmentHandover_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_AllotmentHandover_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_HandoverRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_HandoverRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_OpenLoan_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_OpenLoan_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -380,7 +420,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\022radishthread.proto\022\014radishthread\"\353\006\n\010E" +
+      "\n\022radishthread.proto\022\014radishthread\"\240\007\n\010E" +
       "nvelope\022$\n\005hello\030\001 \001(\0132\023.radishthread.He" +
       "lloH\000\022\"\n\004ping\030\002 \001(\0132\022.radishthread.PingH" +
       "\000\022\"\n\004pong\030\003 \001(\0132\022.radishthread.PongH\000\0223\n" +
@@ -402,142 +442,144 @@
       "e\030\017 \001(\0132\031.radishthread.CrashNoticeH\000\0223\n\r" +
       "relay_request\030\020 \001(\0132\032.radishthread.Relay" +
       "RequestH\000\0225\n\016relay_response\030\021 \001(\0132\033.radi" +
-      "shthread.RelayResponseH\000B\006\n\004body\"9\n\005Hell" +
-      "o\022\020\n\010instance\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\r\n\005" +
-      "token\030\003 \001(\t\"\037\n\014RelayRequest\022\017\n\007address\030\001" +
-      " \001(\t\"z\n\rRelayResponse\0222\n\006result\030\001 \001(\0162\"." +
-      "radishthread.RelayResponse.Result\"5\n\006Res" +
-      "ult\022\013\n\007UNKNOWN\020\000\022\r\n\tCONNECTED\020\001\022\017\n\013UNREA" +
-      "CHABLE\020\002\"\006\n\004Ping\"\006\n\004Pong\"\315\003\n\020AgreementMe" +
-      "ssage\022\r\n\005group\030\001 \001(\006\022\014\n\004from\030\002 \001(\006\022\n\n\002to" +
-      "\030\003 \001(\006\022\014\n\004term\030\004 \001(\004\0221\n\014vote_request\030\005 \001" +
-      "(\0132\031.radishthread.VoteRequestH\000\0223\n\rvote_" +
-      "response\030\006 \001(\0132\032.radishthread.VoteRespon" +
-      "seH\000\0225\n\016append_request\030\007 \001(\0132\033.radishthr" +
-      "ead.AppendRequestH\000\0227\n\017append_response\030\010" +
-      " \001(\0132\034.radishthread.AppendResponseH\000\022*\n\010" +
-      "snapshot\030\t \001(\0132\026.radishthread.SnapshotH\000" +
-      "\0229\n\020founding_request\030\n \001(\0132\035.radishthrea" +
-      "d.FoundingRequestH\000\022;\n\021founding_response" +
-      "\030\013 \001(\0132\036.radishthread.FoundingResponseH\000" +
-      "B\006\n\004body\"F\n\013VoteRequest\022\020\n\010pre_vote\030\001 \001(" +
-      "\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_term\030\003 \001(\004" +
-      "\"1\n\014VoteResponse\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007gr" +
-      "anted\030\002 \001(\010\"\336\001\n\rAppendRequest\022\026\n\016previou" +
-      "s_index\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022\'\n\007" +
-      "entries\030\003 \003(\0132\026.radishthread.LogEntry\022\024\n" +
-      "\014commit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\022\032\n\022ac" +
-      "knowledged_round\030\006 \001(\004\022\036\n\021commit_age_mil" +
-      "lis\030\007 \001(\004H\000\210\001\001B\024\n\022_commit_age_millis\"?\n\016" +
-      "AppendResponse\022\017\n\007success\030\001 \001(\010\022\r\n\005index" +
-      "\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017FoundingRequest" +
-      "\0222\n\rconfiguration\030\001 \001(\0132\033.radishthread.C" +
-      "onfiguration\"\022\n\020FoundingResponse\"B\n\021Repl" +
-      "icaDescriptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030\002 " +
-      "\001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Replacement\022\017\n\007r" +
-      "emoved\030\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radishthre" +
-      "ad.ReplicaDescriptor\"\243\001\n\rConfiguration\022/" +
-      "\n\006voters\030\001 \003(\0132\037.radishthread.ReplicaDes" +
-      "criptor\0221\n\010learners\030\002 \003(\0132\037.radishthread" +
-      ".ReplicaDescriptor\022.\n\013replacement\030\003 \001(\0132" +
-      "\031.radishthread.Replacement\"\253\001\n\010LogEntry\022" +
-      "\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022proposed" +
-      "_at_millis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.radi" +
-      "shthread.CommandH\000\0224\n\rconfiguration\030\005 \001(" +
-      "\0132\033.radishthread.ConfigurationH\000B\006\n\004body" +
-      "\";\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_for" +
-      "\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nhar" +
-      "d_state\030\001 \001(\0132\027.radishthread.HardState\022\025" +
-      "\n\rtruncate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026" +
-      ".radishthread.LogEntry\"2\n\010LogBatch\022&\n\006fr" +
-      "ames\030\001 \003(\0132\026.radishthread.LogFrame\"b\n\tLo" +
-      "gHeader\022(\n\010snapshot\030\001 \001(\0132\026.radishthread" +
-      ".Snapshot\022+\n\nhard_state\030\002 \001(\0132\027.radishth" +
-      "read.HardState\"\230\001\n\010Snapshot\022\r\n\005index\030\001 \001" +
-      "(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(\0132" +
-      "\033.radishthread.Configuration\022,\n\005state\030\004 " +
-      "\001(\0132\035.radishthread.ControlSnapshot\022\r\n\005ro" +
-      "und\030\005 \001(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001(\006\022\020" +
-      "\n\010instance\030\002 \001(\t\"\325\001\n\007Command\0221\n\014submit_r" +
-      "ules\030\001 \001(\0132\031.radishthread.SubmitRulesH\000\022" +
-      "+\n\005claim\030\002 \001(\0132\032.radishthread.ClaimReque" +
-      "stH\000\0223\n\ncompletion\030\003 \001(\0132\035.radishthread." +
-      "ClaimCompletionH\000\022-\n\007release\030\004 \001(\0132\032.rad" +
-      "ishthread.ClaimReleaseH\000B\006\n\004body\"X\n\013Subm" +
-      "itRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001" +
-      "(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010document\030\004 \001" +
-      "(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013finge" +
-      "rprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004" +
-      " \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001 \001(\r\022\024" +
-      "\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\tbo" +
-      "dy_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013\n\003key\030" +
-      "\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003 \001(\0132\034" +
-      ".radishthread.RecordedAnswer\",\n\014ClaimRel" +
-      "ease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"\250\001\n\013R" +
-      "ulesAnswer\022+\n\007verdict\030\001 \001(\0162\032.radishthre" +
-      "ad.RulesVerdict\022\020\n\010revision\030\002 \001(\004\022\024\n\014sub" +
-      "mitted_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030\004 " +
-      "\001(\004\022\030\n\020current_revision\030\005 \001(\004\022\016\n\006digest\030" +
-      "\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdict\030\001 \001(\0162\032." +
-      "radishthread.ClaimVerdict\022\r\n\005owner\030\002 \001(\t" +
-      "\022,\n\006answer\030\003 \001(\0132\034.radishthread.Recorded" +
-      "Answer\"\300\001\n\017ControlSnapshot\022%\n\005rules\030\001 \001(" +
-      "\0132\026.radishthread.RuleFile\022*\n\007history\030\002 \003" +
-      "(\0132\031.radishthread.RuleHistory\022)\n\006claims\030" +
-      "\003 \003(\0132\031.radishthread.ClaimRecord\022\024\n\014cloc" +
-      "k_millis\030\004 \001(\004\022\031\n\021released_attempts\030\005 \003(" +
-      "\006\"a\n\013RuleHistory\022\020\n\010revision\030\001 \001(\004\022\016\n\006di" +
-      "gest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022acce" +
-      "pted_at_millis\030\004 \001(\004\"\230\001\n\013ClaimRecord\022\013\n\003" +
-      "key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030" +
-      "\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021claimed_at_mil" +
-      "lis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.radishthread" +
-      ".RecordedAnswer\"\302\002\n\016ControlRequest\022\n\n\002id" +
-      "\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radishthread.C" +
-      "ommandH\000\022-\n\nread_rules\030\003 \001(\0132\027.radishthr" +
-      "ead.ReadRulesH\000\022.\n\ninitialize\030\004 \001(\0132\030.ra" +
-      "dishthread.InitializeH\000\022/\n\007replace\030\005 \001(\013" +
-      "2\034.radishthread.ReplaceReplicaH\000\022/\n\013read" +
-      "_status\030\006 \001(\0132\030.radishthread.ReadStatusH" +
-      "\000\0221\n\014read_history\030\007 \001(\0132\031.radishthread.R" +
-      "eadHistoryH\000B\006\n\004body\"\013\n\tReadRules\"\014\n\nRea" +
-      "dStatus\"\034\n\013ReadHistory\022\r\n\005limit\030\001 \001(\r\"5\n" +
-      "\007History\022*\n\007entries\030\001 \003(\0132\031.radishthread" +
-      ".RuleHistory\"?\n\nInitialize\0221\n\010replicas\030\001" +
-      " \003(\0132\037.radishthread.ReplicaDescriptor\"@\n" +
-      "\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037.radisht" +
-      "hread.ReplicaDescriptor\"3\n\tNotLeader\022\026\n\016" +
-      "leader_address\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\364\001\n" +
-      "\rControlStatus\0220\n\007replica\030\001 \001(\0132\037.radish" +
-      "thread.ReplicaDescriptor\022\014\n\004role\030\002 \001(\t\022\014" +
-      "\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001(\004\022\026\n\016sn" +
-      "apshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222\n\rco" +
-      "nfiguration\030\007 \001(\0132\033.radishthread.Configu" +
-      "ration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_known\030\t " +
-      "\001(\010\"\200\003\n\017ControlResponse\022\n\n\002id\030\001 \001(\004\022-\n\nn" +
-      "ot_leader\030\002 \001(\0132\027.radishthread.NotLeader" +
-      "H\000\022*\n\005rules\030\003 \001(\0132\031.radishthread.RulesAn" +
-      "swerH\000\022*\n\005claim\030\004 \001(\0132\031.radishthread.Cla" +
-      "imAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026.radishth" +
-      "read.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022.radishth" +
-      "read.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.radishthr" +
-      "ead.RefusedH\000\022-\n\006status\030\010 \001(\0132\033.radishth" +
-      "read.ControlStatusH\000\022(\n\007history\030\t \001(\0132\025." +
-      "radishthread.HistoryH\000B\006\n\004body\"\006\n\004Done\"\031" +
-      "\n\007Refused\022\016\n\006reason\030\001 \001(\t\"?\n\010RuleFile\022\020\n" +
-      "\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010docu" +
-      "ment\030\003 \001(\014\"%\n\013RuleRequest\022\026\n\016known_revis" +
-      "ion\030\001 \001(\004\"\353\001\n\016UpstreamRecord\022\014\n\004name\030\001 \001" +
-      "(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004" +
-      "zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnation" +
-      "\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(\0162" +
-      "\033.radishthread.UpstreamState\022\016\n\006holder\030\t" +
-      " \001(\t\022\024\n\014lease_millis\030\n \001(\r\022\023\n\013cold_milli" +
-      "s\030\013 \001(\r\"\301\001\n\016InstanceRecord\022\014\n\004name\030\001 \001(\t" +
-      "\022\024\n\014peer_address\030\002 \001(\t\022\036\n\026administration" +
-      "_address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007control\030" +
-      "\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022\023\n\013incarnation\030\007 " +
-      "\001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010J\004\010" +
+      "shthread.RelayResponseH\000\0223\n\tallotment\030\030 " +
+      "\001(\0132\036.radishthread.AllotmentMessageH\000B\006\n" +
+      "\004body\"9\n\005Hello\022\020\n\010instance\030\001 \001(\t\022\017\n\007addr" +
+      "ess\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\"\037\n\014RelayRequest" +
+      "\022\017\n\007address\030\001 \001(\t\"z\n\rRelayResponse\0222\n\006re" +
+      "sult\030\001 \001(\0162\".radishthread.RelayResponse." +
+      "Result\"5\n\006Result\022\013\n\007UNKNOWN\020\000\022\r\n\tCONNECT" +
+      "ED\020\001\022\017\n\013UNREACHABLE\020\002\"\006\n\004Ping\"\006\n\004Pong\"\315\003" +
+      "\n\020AgreementMessage\022\r\n\005group\030\001 \001(\006\022\014\n\004fro" +
+      "m\030\002 \001(\006\022\n\n\002to\030\003 \001(\006\022\014\n\004term\030\004 \001(\004\0221\n\014vot" +
+      "e_request\030\005 \001(\0132\031.radishthread.VoteReque" +
+      "stH\000\0223\n\rvote_response\030\006 \001(\0132\032.radishthre" +
+      "ad.VoteResponseH\000\0225\n\016append_request\030\007 \001(" +
+      "\0132\033.radishthread.AppendRequestH\000\0227\n\017appe" +
+      "nd_response\030\010 \001(\0132\034.radishthread.AppendR" +
+      "esponseH\000\022*\n\010snapshot\030\t \001(\0132\026.radishthre" +
+      "ad.SnapshotH\000\0229\n\020founding_request\030\n \001(\0132" +
+      "\035.radishthread.FoundingRequestH\000\022;\n\021foun" +
+      "ding_response\030\013 \001(\0132\036.radishthread.Found" +
+      "ingResponseH\000B\006\n\004body\"F\n\013VoteRequest\022\020\n\010" +
+      "pre_vote\030\001 \001(\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tla" +
+      "st_term\030\003 \001(\004\"1\n\014VoteResponse\022\020\n\010pre_vot" +
+      "e\030\001 \001(\010\022\017\n\007granted\030\002 \001(\010\"\336\001\n\rAppendReque" +
+      "st\022\026\n\016previous_index\030\001 \001(\004\022\025\n\rprevious_t" +
+      "erm\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026.radishthrea" +
+      "d.LogEntry\022\024\n\014commit_index\030\004 \001(\004\022\r\n\005roun" +
+      "d\030\005 \001(\004\022\032\n\022acknowledged_round\030\006 \001(\004\022\036\n\021c" +
+      "ommit_age_millis\030\007 \001(\004H\000\210\001\001B\024\n\022_commit_a" +
+      "ge_millis\"?\n\016AppendResponse\022\017\n\007success\030\001" +
+      " \001(\010\022\r\n\005index\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"E\n\017Fo" +
+      "undingRequest\0222\n\rconfiguration\030\001 \001(\0132\033.r" +
+      "adishthread.Configuration\"\022\n\020FoundingRes" +
+      "ponse\"B\n\021ReplicaDescriptor\022\n\n\002id\030\001 \001(\006\022\020" +
+      "\n\010instance\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\"N\n\013Rep" +
+      "lacement\022\017\n\007removed\030\001 \001(\006\022.\n\005added\030\002 \001(\013" +
+      "2\037.radishthread.ReplicaDescriptor\"\243\001\n\rCo" +
+      "nfiguration\022/\n\006voters\030\001 \003(\0132\037.radishthre" +
+      "ad.ReplicaDescriptor\0221\n\010learners\030\002 \003(\0132\037" +
+      ".radishthread.ReplicaDescriptor\022.\n\013repla" +
+      "cement\030\003 \001(\0132\031.radishthread.Replacement\"" +
+      "\253\001\n\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(" +
+      "\004\022\032\n\022proposed_at_millis\030\003 \001(\004\022(\n\007command" +
+      "\030\004 \001(\0132\025.radishthread.CommandH\000\0224\n\rconfi" +
+      "guration\030\005 \001(\0132\033.radishthread.Configurat" +
+      "ionH\000B\006\n\004body\";\n\tHardState\022\014\n\004term\030\001 \001(\004" +
+      "\022\021\n\tvoted_for\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"w\n\010Lo" +
+      "gFrame\022+\n\nhard_state\030\001 \001(\0132\027.radishthrea" +
+      "d.HardState\022\025\n\rtruncate_from\030\002 \001(\004\022\'\n\007en" +
+      "tries\030\003 \003(\0132\026.radishthread.LogEntry\"2\n\010L" +
+      "ogBatch\022&\n\006frames\030\001 \003(\0132\026.radishthread.L" +
+      "ogFrame\"b\n\tLogHeader\022(\n\010snapshot\030\001 \001(\0132\026" +
+      ".radishthread.Snapshot\022+\n\nhard_state\030\002 \001" +
+      "(\0132\027.radishthread.HardState\"\230\001\n\010Snapshot" +
+      "\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\rconfigu" +
+      "ration\030\003 \001(\0132\033.radishthread.Configuratio" +
+      "n\022,\n\005state\030\004 \001(\0132\035.radishthread.ControlS" +
+      "napshot\022\r\n\005round\030\005 \001(\004\"-\n\010Identity\022\017\n\007re" +
+      "plica\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\"\325\001\n\007Comman" +
+      "d\0221\n\014submit_rules\030\001 \001(\0132\031.radishthread.S" +
+      "ubmitRulesH\000\022+\n\005claim\030\002 \001(\0132\032.radishthre" +
+      "ad.ClaimRequestH\000\0223\n\ncompletion\030\003 \001(\0132\035." +
+      "radishthread.ClaimCompletionH\000\022-\n\007releas" +
+      "e\030\004 \001(\0132\032.radishthread.ClaimReleaseH\000B\006\n" +
+      "\004body\"X\n\013SubmitRules\022\020\n\010revision\030\001 \001(\004\022\017" +
+      "\n\007content\030\002 \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n" +
+      "\010document\030\004 \001(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001" +
+      " \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t" +
+      "\022\017\n\007attempt\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006s" +
+      "tatus\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004bod" +
+      "y\030\003 \001(\014\022\021\n\tbody_kept\030\004 \001(\010\"]\n\017ClaimCompl" +
+      "etion\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006a" +
+      "nswer\030\003 \001(\0132\034.radishthread.RecordedAnswe" +
+      "r\",\n\014ClaimRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007attemp" +
+      "t\030\002 \001(\006\"\250\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001(\016" +
+      "2\032.radishthread.RulesVerdict\022\020\n\010revision" +
+      "\030\002 \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted" +
+      "_at_millis\030\004 \001(\004\022\030\n\020current_revision\030\005 \001" +
+      "(\004\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007ver" +
+      "dict\030\001 \001(\0162\032.radishthread.ClaimVerdict\022\r" +
+      "\n\005owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\0132\034.radishth" +
+      "read.RecordedAnswer\"\300\001\n\017ControlSnapshot\022" +
+      "%\n\005rules\030\001 \001(\0132\026.radishthread.RuleFile\022*" +
+      "\n\007history\030\002 \003(\0132\031.radishthread.RuleHisto" +
+      "ry\022)\n\006claims\030\003 \003(\0132\031.radishthread.ClaimR" +
+      "ecord\022\024\n\014clock_millis\030\004 \001(\004\022\031\n\021released_" +
+      "attempts\030\005 \003(\006\"a\n\013RuleHistory\022\020\n\010revisio" +
+      "n\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\024\n\014submitted_by\030" +
+      "\003 \001(\t\022\032\n\022accepted_at_millis\030\004 \001(\004\"\230\001\n\013Cl" +
+      "aimRecord\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 " +
+      "\001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021c" +
+      "laimed_at_millis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034" +
+      ".radishthread.RecordedAnswer\"\302\002\n\016Control" +
+      "Request\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.r" +
+      "adishthread.CommandH\000\022-\n\nread_rules\030\003 \001(" +
+      "\0132\027.radishthread.ReadRulesH\000\022.\n\ninitiali" +
+      "ze\030\004 \001(\0132\030.radishthread.InitializeH\000\022/\n\007" +
+      "replace\030\005 \001(\0132\034.radishthread.ReplaceRepl" +
+      "icaH\000\022/\n\013read_status\030\006 \001(\0132\030.radishthrea" +
+      "d.ReadStatusH\000\0221\n\014read_history\030\007 \001(\0132\031.r" +
+      "adishthread.ReadHistoryH\000B\006\n\004body\"\013\n\tRea" +
+      "dRules\"\014\n\nReadStatus\"\034\n\013ReadHistory\022\r\n\005l" +
+      "imit\030\001 \001(\r\"5\n\007History\022*\n\007entries\030\001 \003(\0132\031" +
+      ".radishthread.RuleHistory\"?\n\nInitialize\022" +
+      "1\n\010replicas\030\001 \003(\0132\037.radishthread.Replica" +
+      "Descriptor\"@\n\016ReplaceReplica\022.\n\005added\030\001 " +
+      "\001(\0132\037.radishthread.ReplicaDescriptor\"3\n\t" +
+      "NotLeader\022\026\n\016leader_address\030\001 \001(\t\022\016\n\006rea" +
+      "son\030\002 \001(\t\"\364\001\n\rControlStatus\0220\n\007replica\030\001" +
+      " \001(\0132\037.radishthread.ReplicaDescriptor\022\014\n" +
+      "\004role\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_inde" +
+      "x\030\004 \001(\004\022\026\n\016snapshot_index\030\005 \001(\004\022\016\n\006claim" +
+      "s\030\006 \001(\004\0222\n\rconfiguration\030\007 \001(\0132\033.radisht" +
+      "hread.Configuration\022\r\n\005group\030\010 \001(\006\022\024\n\014le" +
+      "ader_known\030\t \001(\010\"\200\003\n\017ControlResponse\022\n\n\002" +
+      "id\030\001 \001(\004\022-\n\nnot_leader\030\002 \001(\0132\027.radishthr" +
+      "ead.NotLeaderH\000\022*\n\005rules\030\003 \001(\0132\031.radisht" +
+      "hread.RulesAnswerH\000\022*\n\005claim\030\004 \001(\0132\031.rad" +
+      "ishthread.ClaimAnswerH\000\022+\n\trule_file\030\005 \001" +
+      "(\0132\026.radishthread.RuleFileH\000\022\"\n\004done\030\006 \001" +
+      "(\0132\022.radishthread.DoneH\000\022(\n\007refused\030\007 \001(" +
+      "\0132\025.radishthread.RefusedH\000\022-\n\006status\030\010 \001" +
+      "(\0132\033.radishthread.ControlStatusH\000\022(\n\007his" +
+      "tory\030\t \001(\0132\025.radishthread.HistoryH\000B\006\n\004b" +
+      "ody\"\006\n\004Done\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"?" +
+      "\n\010RuleFile\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030" +
+      "\002 \001(\t\022\020\n\010document\030\003 \001(\014\"%\n\013RuleRequest\022\026" +
+      "\n\016known_revision\030\001 \001(\004\"\353\001\n\016UpstreamRecor" +
+      "d\022\014\n\004name\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007addr" +
+      "ess\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023" +
+      "\n\013incarnation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n" +
+      "\005state\030\010 \001(\0162\033.radishthread.UpstreamStat" +
+      "e\022\016\n\006holder\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\022" +
+      "\023\n\013cold_millis\030\013 \001(\r\"\334\001\n\016InstanceRecord\022" +
+      "\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(\t\022\036\n\026a" +
+      "dministration_address\030\003 \001(\t\022\014\n\004zone\030\004 \001(" +
+      "\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022\023\n\013i" +
+      "ncarnation\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n\007gat" +
+      "eway\030\t \001(\010\022\031\n\021counts_allotments\030\030 \001(\010J\004\010" +
       "\n\020\013\"\301\002\n\006Gossip\022\016\n\006sender\030\001 \001(\t\022\021\n\tinstan" +
       "ces\030\002 \003(\007\022\022\n\nheartbeats\030\003 \003(\004\022\021\n\trevisio" +
       "ns\030\004 \003(\004\022/\n\tupstreams\030\005 \003(\0132\034.radishthre" +
@@ -594,16 +636,45 @@
       "\001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\r" +
       "waited_micros\030\005 \001(\004\022\032\n\022hedge_after_micro" +
       "s\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005relay\030" +
-      "\010 \001(\t\"9\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022" +
-      "retry_after_millis\030\002 \001(\004*a\n\014RulesVerdict" +
-      "\022\035\n\031RULES_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCEP" +
-      "TED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALI" +
-      "D\020\004*k\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UNS" +
-      "PECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOM" +
-      "PLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*R\n\rUpst" +
-      "reamState\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020" +
-      "\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031" +
-      "org.radishthread.protocolP\001b\006proto3"
+      "\010 \001(\t\"R\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022" +
+      "retry_after_millis\030\002 \001(\004\022\027\n\017specific_rea" +
+      "son\030\003 \001(\t\"\345\002\n\020AllotmentMessage\022\021\n\tworksp" +
+      "ace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022+" +
+      "\n\005terms\030\004 \001(\0132\034.radishthread.AllotmentTe" +
+      "rms\022,\n\007request\030\005 \001(\0132\031.radishthread.Loan" +
+      "RequestH\000\022\"\n\004loan\030\006 \001(\0132\022.radishthread.L" +
+      "oanH\000\022*\n\006return\030\007 \001(\0132\030.radishthread.Loa" +
+      "nReturnH\000\0223\n\010handover\030\010 \001(\0132\037.radishthre" +
+      "ad.AllotmentHandoverH\000\0229\n\020handover_reque" +
+      "st\030\t \001(\0132\035.radishthread.HandoverRequestH" +
+      "\000B\006\n\004body\"N\n\016AllotmentTerms\022\020\n\010revision\030" +
+      "\001 \001(\004\022\033\n\023requests_per_second\030\002 \001(\001\022\r\n\005bu" +
+      "rst\030\003 \001(\001\"\272\001\n\013LoanRequest\022\027\n\017accepted_nu" +
+      "mber\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand_per_s" +
+      "econd\030\003 \001(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023given_up_" +
+      "per_second\030\005 \001(\001\022\027\n\017given_up_millis\030\006 \001(" +
+      "\004\022\022\n\nlender_run\030\007 \001(\006\022\017\n\007surplus\030\010 \001(\001\"\277" +
+      "\001\n\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n\nlender_run\030\002 " +
+      "\001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper_second\030\004 \001(\001\022" +
+      "\026\n\016maximum_tokens\030\005 \001(\001\022\024\n\014valid_millis\030" +
+      "\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020available_mill" +
+      "is\030\010 \001(\004\022\026\n\016lender_address\030\t \001(\t\"\034\n\nLoan" +
+      "Return\022\016\n\006tokens\030\001 \001(\001\"J\n\021AllotmentHando" +
+      "ver\022\016\n\006tokens\030\001 \001(\001\022%\n\005loans\030\002 \003(\0132\026.rad" +
+      "ishthread.OpenLoan\"\021\n\017HandoverRequest\"\232\001" +
+      "\n\010OpenLoan\022\020\n\010borrower\030\001 \001(\t\022\013\n\003run\030\002 \001(" +
+      "\006\022\016\n\006number\030\003 \001(\004\022\022\n\nper_second\030\004 \001(\001\022\026\n" +
+      "\016maximum_tokens\030\005 \001(\001\022\031\n\021demand_per_seco" +
+      "nd\030\006 \001(\001\022\030\n\020remaining_millis\030\007 \001(\004*a\n\014Ru" +
+      "lesVerdict\022\035\n\031RULES_VERDICT_UNSPECIFIED\020" +
+      "\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003" +
+      "\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAIM_V" +
+      "ERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HEL" +
+      "D\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL" +
+      "\020\005*R\n\rUpstreamState\022\036\n\032UPSTREAM_STATE_UN" +
+      "SPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004" +
+      "LEFT\020\003B\035\n\031org.radishthread.protocolP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -614,7 +685,7 @@
     internal_static_radishthread_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "RelayRequest", "RelayResponse", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "RelayRequest", "RelayResponse", "Allotment", "Body", });
     internal_static_radishthread_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_radishthread_Hello_fieldAccessorTable = new
@@ -908,7 +979,7 @@
     internal_static_radishthread_InstanceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_InstanceRecord_descriptor,
-        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", });
+        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", "CountsAllotments", });
     internal_static_radishthread_Gossip_descriptor =
       getDescriptor().getMessageType(50);
     internal_static_radishthread_Gossip_fieldAccessorTable = new
@@ -1022,7 +1093,55 @@
     internal_static_radishthread_SlotRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRefusal_descriptor,
-        new java.lang.String[] { "Reason", "RetryAfterMillis", });
+        new java.lang.String[] { "Reason", "RetryAfterMillis", "SpecificReason", });
+    internal_static_radishthread_AllotmentMessage_descriptor =
+      getDescriptor().getMessageType(69);
+    internal_static_radishthread_AllotmentMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_AllotmentMessage_descriptor,
+        new java.lang.String[] { "Workspace", "Run", "Number", "Terms", "Request", "Loan", "Return", "Handover", "HandoverRequest", "Body", });
+    internal_static_radishthread_AllotmentTerms_descriptor =
+      getDescriptor().getMessageType(70);
+    internal_static_radishthread_AllotmentTerms_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_AllotmentTerms_descriptor,
+        new java.lang.String[] { "Revision", "RequestsPerSecond", "Burst", });
+    internal_static_radishthread_LoanRequest_descriptor =
+      getDescriptor().getMessageType(71);
+    internal_static_radishthread_LoanRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_LoanRequest_descriptor,
+        new java.lang.String[] { "AcceptedNumber", "Held", "DemandPerSecond", "Wanted", "GivenUpPerSecond", "GivenUpMillis", "LenderRun", "Surplus", });
+    internal_static_radishthread_Loan_descriptor =
+      getDescriptor().getMessageType(72);
+    internal_static_radishthread_Loan_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_Loan_descriptor,
+        new java.lang.String[] { "Lender", "LenderRun", "Tokens", "PerSecond", "MaximumTokens", "ValidMillis", "Limited", "AvailableMillis", "LenderAddress", });
+    internal_static_radishthread_LoanReturn_descriptor =
+      getDescriptor().getMessageType(73);
+    internal_static_radishthread_LoanReturn_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_LoanReturn_descriptor,
+        new java.lang.String[] { "Tokens", });
+    internal_static_radishthread_AllotmentHandover_descriptor =
+      getDescriptor().getMessageType(74);
+    internal_static_radishthread_AllotmentHandover_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_AllotmentHandover_descriptor,
+        new java.lang.String[] { "Tokens", "Loans", });
+    internal_static_radishthread_HandoverRequest_descriptor =
+      getDescriptor().getMessageType(75);
+    internal_static_radishthread_HandoverRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_HandoverRequest_descriptor,
+        new java.lang.String[] { });
+    internal_static_radishthread_OpenLoan_descriptor =
+      getDescriptor().getMessageType(76);
+    internal_static_radishthread_OpenLoan_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_OpenLoan_descriptor,
+        new java.lang.String[] { "Borrower", "Run", "Number", "PerSecond", "MaximumTokens", "DemandPerSecond", "RemainingMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/HomeAssignment.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/HomeAssignment.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.zip.CRC32;
@@ -32,6 +33,19 @@
 		return rankedInstances;
 	}
 
+	/**
+	 * Returns the instance with the highest hash weight.
+	 * @param name the name of the service, or of what else is assigned
+	 * @param instances the names of the live instances, at least one
+	 * @return the instance, the first of {@link #rankInstances}
+	 */
+	public static String findHome(String name, List<String> instances) {
+		return Collections.min(instances,
+				Comparator.comparingLong((String instance) -> weight(name, instance))
+					.reversed()
+					.thenComparing(Comparator.naturalOrder()));
+	}
+
 	private static long weight(String service, String instance) {
 		// Spreads the checksum over all bits, so that the order of the
 		// weights looks random.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
@@ -1,5 +1,6 @@
 package org.radishthread.routing;
 
+import java.util.Arrays;
 import java.util.Locale;
 
 /**
@@ -45,7 +46,18 @@
 	/**
 	 * The instance that received the slot request does not act as home of the service.
 	 */
-	NOT_HOME(503);
+	NOT_HOME(503),
+
+	/**
+	 * The requests of the workspace use up its allotment.
+	 */
+	ALLOTMENT(429),
+
+	/**
+	 * It could not be found out in time whether the allotment of the workspace is used
+	 * up.
+	 */
+	ALLOTMENT_UNKNOWN(503);
 
 	private final int httpStatus;
 
@@ -69,6 +81,33 @@
 		return name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
+	/**
+	 * Returns the reason that is sent beside this one, for instances of versions that do
+	 * not know it.
+	 * @return a reason with the same status that all versions know
+	 */
+	public RefusalReason generalReason() {
+		return switch (this) {
+			case ALLOTMENT -> CALLER_LIMIT;
+			case ALLOTMENT_UNKNOWN -> OVERLOAD;
+			default -> this;
+		};
+	}
+
+	/**
+	 * Returns the reason of a refusal by another instance.
+	 * @param wireName the wire name of a reason that all versions know
+	 * @param specificWireName the wire name of a more specific reason, empty if there is
+	 * none; if it is unknown, the other reason counts
+	 * @return the most specific known reason
+	 */
+	public static RefusalReason fromWireNames(String wireName, String specificWireName) {
+		return Arrays.stream(values())
+			.filter((reason) -> reason.wireName().equals(specificWireName))
+			.findFirst()
+			.orElseGet(() -> fromWireName(wireName));
+	}
+
 	/**
 	 * Returns the reason with this wire name.
 	 * @param wireName the name, as returned by {@link #wireName()}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -172,7 +172,7 @@
 			return;
 		}
 		state.awaitsDecision = false;
-		RefusalReason reason = RefusalReason.fromWireName(refusal.getReason());
+		RefusalReason reason = RefusalReason.fromWireNames(refusal.getReason(), refusal.getSpecificReason());
 		if (reason == RefusalReason.NOT_HOME) {
 			abandonHome(state);
 			return;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
@@ -35,7 +35,24 @@
 	@Test
 	void refusalReasonsKeepTheirWireNames() {
 		assertThat(Arrays.stream(RefusalReason.values()).map(RefusalReason::wireName)).containsExactly("no-upstream",
-				"overload", "caller-limit", "queue-timeout", "retry-budget", "quarantined", "not-home");
+				"overload", "caller-limit", "queue-timeout", "retry-budget", "quarantined", "not-home", "allotment",
+				"allotment-unknown");
+	}
+
+	// Earlier versions fail to read names that they do not know.
+	@Test
+	void generalReasonsAreKnownToAllVersionsAndHaveTheSameStatus() {
+		assertThat(RefusalReason.values()).allSatisfy((reason) -> {
+			assertThat(reason.generalReason()).isLessThanOrEqualTo(RefusalReason.NOT_HOME);
+			assertThat(reason.generalReason().httpStatus()).isEqualTo(reason.httpStatus());
+		});
+	}
+
+	@Test
+	void specificReasonCountsIfItIsKnown() {
+		assertThat(RefusalReason.fromWireNames("caller-limit", "allotment")).isEqualTo(RefusalReason.ALLOTMENT);
+		assertThat(RefusalReason.fromWireNames("caller-limit", "")).isEqualTo(RefusalReason.CALLER_LIMIT);
+		assertThat(RefusalReason.fromWireNames("overload", "of-a-later-version")).isEqualTo(RefusalReason.OVERLOAD);
 	}
 
 	@Test
