--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -118,6 +118,7 @@
 			.setControl(this.settings.isControl())
 			.setEvacuations(this.settings.isControl())
 			.setGateway(this.settings.isGateway())
+			.setCountsAllotments(this.settings.isGateway())
 			.setReplica(this.replica.getId())
 			.setIncarnation(this.time.wallClockMillis())
 			.build();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -57,6 +57,8 @@
 
 	private final DaemonSettings settings;
 
+	private final AllotmentService allotments;
+
 	private final CrashExchange crashExchange;
 
 	private final TimeSource time;
@@ -87,9 +89,10 @@
 	private volatile KeyCheck keyCheck;
 
 	public RoutingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
-			CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
+			AllotmentService allotments, CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
 		this.settings = settings;
 		this.keyCheck = new KeyCheck(RuleSet.EMPTY, keyLimits());
+		this.allotments = allotments;
 		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
@@ -155,7 +158,7 @@
 
 	LocalRequestRouter router(String service) {
 		return this.routers.computeIfAbsent(service, (name) -> new LocalRequestRouter(this.rules.serviceRule(name),
-				this.settings, this.crashExchange, this.time, this.prober, this.eventLoop));
+				this.settings, this.allotments, this.crashExchange, this.time, this.prober, this.eventLoop));
 	}
 
 	// Returns the refusal of a request that is quarantined, or null.
@@ -244,6 +247,7 @@
 			RuleSet parsedRules = this.ruleParser.parse("revision-" + file.getRevision(), file.getContent());
 			this.keyCheck = new KeyCheck(parsedRules, keyLimits());
 			this.rules = parsedRules;
+			this.allotments.updateRules(parsedRules);
 			this.routes = parsedRules.toRouteFinder();
 			this.routers.forEach((service, router) -> router.updateRule(parsedRules.serviceRule(service)));
 			eventLog.information("rules-parsed")
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Envelope.java
@@ -77,6 +77,7 @@
     RELAY_RESPONSE(17),
     EVACUATIONS(18),
     COMPRESSED(19),
+    ALLOTMENT(24),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -113,6 +114,7 @@
         case 17: return RELAY_RESPONSE;
         case 18: return EVACUATIONS;
         case 19: return COMPRESSED;
+        case 24: return ALLOTMENT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -715,6 +717,37 @@
     return com.google.protobuf.ByteString.EMPTY;
   }
 
+  public static final int ALLOTMENT_FIELD_NUMBER = 24;
+  /**
+   * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+   * @return Whether the allotment field is set.
+   */
+  @java.lang.Override
+  public boolean hasAllotment() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+   * @return The allotment.
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.AllotmentMessage getAllotment() {
+    if (bodyCase_ == 24) {
+       return (org.radishthread.protocol.AllotmentMessage) body_;
+    }
+    return org.radishthread.protocol.AllotmentMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+   */
+  @java.lang.Override
+  public org.radishthread.protocol.AllotmentMessageOrBuilder getAllotmentOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (org.radishthread.protocol.AllotmentMessage) body_;
+    }
+    return org.radishthread.protocol.AllotmentMessage.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -787,6 +820,9 @@
       output.writeBytes(
           19, (com.google.protobuf.ByteString) body_);
     }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (org.radishthread.protocol.AllotmentMessage) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -868,6 +904,10 @@
         .computeBytesSize(
             19, (com.google.protobuf.ByteString) body_);
     }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (org.radishthread.protocol.AllotmentMessage) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -970,6 +1010,10 @@
         if (!getCompressed()
             .equals(other.getCompressed())) return false;
         break;
+      case 24:
+        if (!getAllotment()
+            .equals(other.getAllotment())) return false;
+        break;
       case 0:
       default:
     }
@@ -1061,6 +1105,10 @@
         hash = (37 * hash) + COMPRESSED_FIELD_NUMBER;
         hash = (53 * hash) + getCompressed().hashCode();
         break;
+      case 24:
+        hash = (37 * hash) + ALLOTMENT_FIELD_NUMBER;
+        hash = (53 * hash) + getAllotment().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1253,6 +1301,9 @@
       if (evacuationsBuilder_ != null) {
         evacuationsBuilder_.clear();
       }
+      if (allotmentBuilder_ != null) {
+        allotmentBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1366,6 +1417,10 @@
           evacuationsBuilder_ != null) {
         result.body_ = evacuationsBuilder_.build();
       }
+      if (bodyCase_ == 24 &&
+          allotmentBuilder_ != null) {
+        result.body_ = allotmentBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1457,6 +1512,10 @@
           setCompressed(other.getCompressed());
           break;
         }
+        case ALLOTMENT: {
+          mergeAllotment(other.getAllotment());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1616,6 +1675,13 @@
               bodyCase_ = 19;
               break;
             } // case 154
+            case 194: {
+              input.readMessage(
+                  internalGetAllotmentFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4226,6 +4292,146 @@
       return this;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.AllotmentMessage, org.radishthread.protocol.AllotmentMessage.Builder, org.radishthread.protocol.AllotmentMessageOrBuilder> allotmentBuilder_;
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     * @return Whether the allotment field is set.
+     */
+    @java.lang.Override
+    public boolean hasAllotment() {
+      return bodyCase_ == 24;
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     * @return The allotment.
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.AllotmentMessage getAllotment() {
+      if (allotmentBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (org.radishthread.protocol.AllotmentMessage) body_;
+        }
+        return org.radishthread.protocol.AllotmentMessage.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 24) {
+          return allotmentBuilder_.getMessage();
+        }
+        return org.radishthread.protocol.AllotmentMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     */
+    public Builder setAllotment(org.radishthread.protocol.AllotmentMessage value) {
+      if (allotmentBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        allotmentBuilder_.setMessage(value);
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     */
+    public Builder setAllotment(
+        org.radishthread.protocol.AllotmentMessage.Builder builderForValue) {
+      if (allotmentBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        allotmentBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     */
+    public Builder mergeAllotment(org.radishthread.protocol.AllotmentMessage value) {
+      if (allotmentBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != org.radishthread.protocol.AllotmentMessage.getDefaultInstance()) {
+          body_ = org.radishthread.protocol.AllotmentMessage.newBuilder((org.radishthread.protocol.AllotmentMessage) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 24) {
+          allotmentBuilder_.mergeFrom(value);
+        } else {
+          allotmentBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     */
+    public Builder clearAllotment() {
+      if (allotmentBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        allotmentBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     */
+    public org.radishthread.protocol.AllotmentMessage.Builder getAllotmentBuilder() {
+      return internalGetAllotmentFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     */
+    @java.lang.Override
+    public org.radishthread.protocol.AllotmentMessageOrBuilder getAllotmentOrBuilder() {
+      if ((bodyCase_ == 24) && (allotmentBuilder_ != null)) {
+        return allotmentBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 24) {
+          return (org.radishthread.protocol.AllotmentMessage) body_;
+        }
+        return org.radishthread.protocol.AllotmentMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.radishthread.protocol.AllotmentMessage, org.radishthread.protocol.AllotmentMessage.Builder, org.radishthread.protocol.AllotmentMessageOrBuilder> 
+        internalGetAllotmentFieldBuilder() {
+      if (allotmentBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = org.radishthread.protocol.AllotmentMessage.getDefaultInstance();
+        }
+        allotmentBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.radishthread.protocol.AllotmentMessage, org.radishthread.protocol.AllotmentMessage.Builder, org.radishthread.protocol.AllotmentMessageOrBuilder>(
+                (org.radishthread.protocol.AllotmentMessage) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 24;
+      onChanged();
+      return allotmentBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.Envelope)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/EnvelopeOrBuilder.java
@@ -299,5 +299,20 @@
    */
   com.google.protobuf.ByteString getCompressed();
 
+  /**
+   * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+   * @return Whether the allotment field is set.
+   */
+  boolean hasAllotment();
+  /**
+   * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+   * @return The allotment.
+   */
+  org.radishthread.protocol.AllotmentMessage getAllotment();
+  /**
+   * <code>.radishthread.AllotmentMessage allotment = 24;</code>
+   */
+  org.radishthread.protocol.AllotmentMessageOrBuilder getAllotmentOrBuilder();
+
   org.radishthread.protocol.Envelope.BodyCase getBodyCase();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecord.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecord.java
@@ -278,6 +278,21 @@
     return evacuations_;
   }
 
+  public static final int COUNTS_ALLOTMENTS_FIELD_NUMBER = 24;
+  private boolean countsAllotments_ = false;
+  /**
+   * <pre>
+   * Whether the gateway counts the requests of workspaces, and lends tokens to others that do.
+   * </pre>
+   *
+   * <code>bool counts_allotments = 24;</code>
+   * @return The countsAllotments.
+   */
+  @java.lang.Override
+  public boolean getCountsAllotments() {
+    return countsAllotments_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -322,6 +337,9 @@
     if (evacuations_ != false) {
       output.writeBool(11, evacuations_);
     }
+    if (countsAllotments_ != false) {
+      output.writeBool(24, countsAllotments_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -362,6 +380,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(11, evacuations_);
     }
+    if (countsAllotments_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(24, countsAllotments_);
+    }
     return size;
   }
   @java.lang.Override
@@ -406,6 +428,8 @@
         != other.getGateway()) return false;
     if (getEvacuations()
         != other.getEvacuations()) return false;
+    if (getCountsAllotments()
+        != other.getCountsAllotments()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -443,6 +467,9 @@
     hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getEvacuations());
+    hash = (37 * hash) + COUNTS_ALLOTMENTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCountsAllotments());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -584,6 +611,7 @@
       leaving_ = false;
       gateway_ = false;
       evacuations_ = false;
+      countsAllotments_ = false;
       return this;
     }
 
@@ -647,6 +675,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.evacuations_ = evacuations_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.countsAllotments_ = countsAllotments_;
+      }
     }
 
     @java.lang.Override
@@ -699,6 +730,9 @@
       if (other.getEvacuations() != false) {
         setEvacuations(other.getEvacuations());
       }
+      if (other.getCountsAllotments() != false) {
+        setCountsAllotments(other.getCountsAllotments());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -773,6 +807,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 88
+            case 192: {
+              countsAllotments_ = input.readBool();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 192
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1282,6 +1321,50 @@
       return this;
     }
 
+    private boolean countsAllotments_ ;
+    /**
+     * <pre>
+     * Whether the gateway counts the requests of workspaces, and lends tokens to others that do.
+     * </pre>
+     *
+     * <code>bool counts_allotments = 24;</code>
+     * @return The countsAllotments.
+     */
+    @java.lang.Override
+    public boolean getCountsAllotments() {
+      return countsAllotments_;
+    }
+    /**
+     * <pre>
+     * Whether the gateway counts the requests of workspaces, and lends tokens to others that do.
+     * </pre>
+     *
+     * <code>bool counts_allotments = 24;</code>
+     * @param value The countsAllotments to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCountsAllotments(boolean value) {
+
+      countsAllotments_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the gateway counts the requests of workspaces, and lends tokens to others that do.
+     * </pre>
+     *
+     * <code>bool counts_allotments = 24;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCountsAllotments() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      countsAllotments_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.InstanceRecord)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecordOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecordOrBuilder.java
@@ -97,4 +97,14 @@
    * @return The evacuations.
    */
   boolean getEvacuations();
+
+  /**
+   * <pre>
+   * Whether the gateway counts the requests of workspaces, and lends tokens to others that do.
+   * </pre>
+   *
+   * <code>bool counts_allotments = 24;</code>
+   * @return The countsAllotments.
+   */
+  boolean getCountsAllotments();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -406,6 +406,46 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_radishthread_SlotRefusal_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_AllotmentMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_AllotmentMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_AllotmentTerms_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_AllotmentTerms_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_LoanRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_LoanRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_Loan_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_Loan_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_LoanReturn_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_LoanReturn_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_AllotmentHandover_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_AllotmentHandover_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_HandoverRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_HandoverRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_OpenLoan_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_OpenLoan_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -415,7 +455,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\022radishthread.proto\022\014radishthread\"\263\007\n\010E" +
+      "\n\022radishthread.proto\022\014radishthread\"\350\007\n\010E" +
       "nvelope\022$\n\005hello\030\001 \001(\0132\023.radishthread.He" +
       "lloH\000\022\"\n\004ping\030\002 \001(\0132\022.radishthread.PingH" +
       "\000\022\"\n\004pong\030\003 \001(\0132\022.radishthread.PongH\000\0223\n" +
@@ -439,169 +479,171 @@
       "RequestH\000\0225\n\016relay_response\030\021 \001(\0132\033.radi" +
       "shthread.RelayResponseH\000\0220\n\013evacuations\030" +
       "\022 \001(\0132\031.radishthread.EvacuationsH\000\022\024\n\nco" +
-      "mpressed\030\023 \001(\014H\000B\006\n\004body\"9\n\005Hello\022\020\n\010ins" +
-      "tance\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\r\n\005token\030\003 " +
-      "\001(\t\"\037\n\014RelayRequest\022\017\n\007address\030\001 \001(\t\"z\n\r" +
-      "RelayResponse\0222\n\006result\030\001 \001(\0162\".radishth" +
-      "read.RelayResponse.Result\"5\n\006Result\022\013\n\007U" +
-      "NKNOWN\020\000\022\r\n\tCONNECTED\020\001\022\017\n\013UNREACHABLE\020\002" +
-      "\"\006\n\004Ping\"\"\n\004Pong\022\032\n\022accepts_compressed\030\001" +
-      " \001(\010\"\315\003\n\020AgreementMessage\022\r\n\005group\030\001 \001(\006" +
-      "\022\014\n\004from\030\002 \001(\006\022\n\n\002to\030\003 \001(\006\022\014\n\004term\030\004 \001(\004" +
-      "\0221\n\014vote_request\030\005 \001(\0132\031.radishthread.Vo" +
-      "teRequestH\000\0223\n\rvote_response\030\006 \001(\0132\032.rad" +
-      "ishthread.VoteResponseH\000\0225\n\016append_reque" +
-      "st\030\007 \001(\0132\033.radishthread.AppendRequestH\000\022" +
-      "7\n\017append_response\030\010 \001(\0132\034.radishthread." +
-      "AppendResponseH\000\022*\n\010snapshot\030\t \001(\0132\026.rad" +
-      "ishthread.SnapshotH\000\0229\n\020founding_request" +
-      "\030\n \001(\0132\035.radishthread.FoundingRequestH\000\022" +
-      ";\n\021founding_response\030\013 \001(\0132\036.radishthrea" +
-      "d.FoundingResponseH\000B\006\n\004body\"F\n\013VoteRequ" +
-      "est\022\020\n\010pre_vote\030\001 \001(\010\022\022\n\nlast_index\030\002 \001(" +
-      "\004\022\021\n\tlast_term\030\003 \001(\004\"1\n\014VoteResponse\022\020\n\010" +
-      "pre_vote\030\001 \001(\010\022\017\n\007granted\030\002 \001(\010\"\336\001\n\rAppe" +
-      "ndRequest\022\026\n\016previous_index\030\001 \001(\004\022\025\n\rpre" +
-      "vious_term\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026.radi" +
-      "shthread.LogEntry\022\024\n\014commit_index\030\004 \001(\004\022" +
-      "\r\n\005round\030\005 \001(\004\022\032\n\022acknowledged_round\030\006 \001" +
-      "(\004\022\036\n\021commit_age_millis\030\007 \001(\004H\000\210\001\001B\024\n\022_c" +
-      "ommit_age_millis\"?\n\016AppendResponse\022\017\n\007su" +
-      "ccess\030\001 \001(\010\022\r\n\005index\030\002 \001(\004\022\r\n\005round\030\003 \001(" +
-      "\004\"E\n\017FoundingRequest\0222\n\rconfiguration\030\001 " +
-      "\001(\0132\033.radishthread.Configuration\"\022\n\020Foun" +
-      "dingResponse\"B\n\021ReplicaDescriptor\022\n\n\002id\030" +
-      "\001 \001(\006\022\020\n\010instance\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
-      "\"N\n\013Replacement\022\017\n\007removed\030\001 \001(\006\022.\n\005adde" +
-      "d\030\002 \001(\0132\037.radishthread.ReplicaDescriptor" +
-      "\"\243\001\n\rConfiguration\022/\n\006voters\030\001 \003(\0132\037.rad" +
-      "ishthread.ReplicaDescriptor\0221\n\010learners\030" +
-      "\002 \003(\0132\037.radishthread.ReplicaDescriptor\022." +
-      "\n\013replacement\030\003 \001(\0132\031.radishthread.Repla" +
-      "cement\"\253\001\n\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004te" +
-      "rm\030\002 \001(\004\022\032\n\022proposed_at_millis\030\003 \001(\004\022(\n\007" +
-      "command\030\004 \001(\0132\025.radishthread.CommandH\000\0224" +
-      "\n\rconfiguration\030\005 \001(\0132\033.radishthread.Con" +
-      "figurationH\000B\006\n\004body\";\n\tHardState\022\014\n\004ter" +
-      "m\030\001 \001(\004\022\021\n\tvoted_for\030\002 \001(\006\022\r\n\005group\030\003 \001(" +
-      "\006\"w\n\010LogFrame\022+\n\nhard_state\030\001 \001(\0132\027.radi" +
-      "shthread.HardState\022\025\n\rtruncate_from\030\002 \001(" +
-      "\004\022\'\n\007entries\030\003 \003(\0132\026.radishthread.LogEnt" +
-      "ry\"2\n\010LogBatch\022&\n\006frames\030\001 \003(\0132\026.radisht" +
-      "hread.LogFrame\"b\n\tLogHeader\022(\n\010snapshot\030" +
-      "\001 \001(\0132\026.radishthread.Snapshot\022+\n\nhard_st" +
-      "ate\030\002 \001(\0132\027.radishthread.HardState\"\230\001\n\010S" +
-      "napshot\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\r" +
-      "configuration\030\003 \001(\0132\033.radishthread.Confi" +
-      "guration\022,\n\005state\030\004 \001(\0132\035.radishthread.C" +
-      "ontrolSnapshot\022\r\n\005round\030\005 \001(\004\"-\n\010Identit" +
-      "y\022\017\n\007replica\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\"\212\002\n" +
-      "\007Command\0221\n\014submit_rules\030\001 \001(\0132\031.radisht" +
-      "hread.SubmitRulesH\000\022+\n\005claim\030\002 \001(\0132\032.rad" +
-      "ishthread.ClaimRequestH\000\0223\n\ncompletion\030\003" +
-      " \001(\0132\035.radishthread.ClaimCompletionH\000\022-\n" +
-      "\007release\030\004 \001(\0132\032.radishthread.ClaimRelea" +
-      "seH\000\0223\n\nevacuation\030\005 \001(\0132\035.radishthread." +
-      "EvacuationOrderH\000B\006\n\004body\"X\n\013SubmitRules" +
-      "\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\024\n\014s" +
-      "ubmitted_by\030\003 \001(\t\022\020\n\010document\030\004 \001(\014\"P\n\014C" +
-      "laimRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030" +
-      "\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\"W\n" +
-      "\016RecordedAnswer\022\016\n\006status\030\001 \001(\r\022\024\n\014conte" +
-      "nt_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\tbody_kept" +
-      "\030\004 \001(\010\"]\n\017ClaimCompletion\022\013\n\003key\030\001 \001(\014\022\017" +
-      "\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003 \001(\0132\034.radish" +
-      "thread.RecordedAnswer\",\n\014ClaimRelease\022\013\n" +
-      "\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"^\n\017Evacuatio" +
-      "nOrder\022\014\n\004zone\030\001 \001(\t\022\020\n\010evacuate\030\002 \001(\010\022\024" +
-      "\n\014requested_by\030\003 \001(\t\022\025\n\rknown_version\030\004 " +
-      "\001(\004\"s\n\016ZoneEvacuation\022\014\n\004zone\030\001 \001(\t\022\021\n\te" +
-      "vacuated\030\002 \001(\010\022\024\n\014requested_by\030\003 \001(\t\022\031\n\021" +
-      "ordered_at_millis\030\004 \001(\004\022\017\n\007version\030\005 \001(\004" +
-      "\"K\n\013Evacuations\022\017\n\007version\030\001 \001(\004\022+\n\005zone" +
-      "s\030\002 \003(\0132\034.radishthread.ZoneEvacuation\"V\n" +
-      "\020EvacuationAnswer\022\022\n\nsuperseded\030\001 \001(\010\022.\n" +
-      "\013evacuations\030\002 \001(\0132\031.radishthread.Evacua" +
-      "tions\"\250\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001(\0162\032" +
-      ".radishthread.RulesVerdict\022\020\n\010revision\030\002" +
-      " \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted_a" +
-      "t_millis\030\004 \001(\004\022\030\n\020current_revision\030\005 \001(\004" +
-      "\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007verdi" +
-      "ct\030\001 \001(\0162\032.radishthread.ClaimVerdict\022\r\n\005" +
-      "owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\0132\034.radishthre" +
-      "ad.RecordedAnswer\"\360\001\n\017ControlSnapshot\022%\n" +
-      "\005rules\030\001 \001(\0132\026.radishthread.RuleFile\022*\n\007" +
-      "history\030\002 \003(\0132\031.radishthread.RuleHistory" +
-      "\022)\n\006claims\030\003 \003(\0132\031.radishthread.ClaimRec" +
-      "ord\022\024\n\014clock_millis\030\004 \001(\004\022\031\n\021released_at" +
-      "tempts\030\005 \003(\006\022.\n\013evacuations\030\006 \001(\0132\031.radi" +
-      "shthread.Evacuations\"a\n\013RuleHistory\022\020\n\010r" +
-      "evision\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\024\n\014submitt" +
-      "ed_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030\004 \001(\004\"" +
-      "\230\001\n\013ClaimRecord\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerpr" +
-      "int\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(" +
-      "\006\022\031\n\021claimed_at_millis\030\005 \001(\004\022,\n\006answer\030\006" +
-      " \001(\0132\034.radishthread.RecordedAnswer\"\302\002\n\016C" +
-      "ontrolRequest\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002 \001" +
-      "(\0132\025.radishthread.CommandH\000\022-\n\nread_rule" +
-      "s\030\003 \001(\0132\027.radishthread.ReadRulesH\000\022.\n\nin" +
-      "itialize\030\004 \001(\0132\030.radishthread.Initialize" +
-      "H\000\022/\n\007replace\030\005 \001(\0132\034.radishthread.Repla" +
-      "ceReplicaH\000\022/\n\013read_status\030\006 \001(\0132\030.radis" +
-      "hthread.ReadStatusH\000\0221\n\014read_history\030\007 \001" +
-      "(\0132\031.radishthread.ReadHistoryH\000B\006\n\004body\"" +
-      "1\n\tReadRules\022$\n\004part\030\001 \001(\0162\026.radishthrea" +
-      "d.RulePart\"\014\n\nReadStatus\"\034\n\013ReadHistory\022" +
-      "\r\n\005limit\030\001 \001(\r\"5\n\007History\022*\n\007entries\030\001 \003" +
-      "(\0132\031.radishthread.RuleHistory\"?\n\nInitial" +
-      "ize\0221\n\010replicas\030\001 \003(\0132\037.radishthread.Rep" +
-      "licaDescriptor\"@\n\016ReplaceReplica\022.\n\005adde" +
-      "d\030\001 \001(\0132\037.radishthread.ReplicaDescriptor" +
-      "\"3\n\tNotLeader\022\026\n\016leader_address\030\001 \001(\t\022\016\n" +
-      "\006reason\030\002 \001(\t\"\364\001\n\rControlStatus\0220\n\007repli" +
-      "ca\030\001 \001(\0132\037.radishthread.ReplicaDescripto" +
-      "r\022\014\n\004role\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_" +
-      "index\030\004 \001(\004\022\026\n\016snapshot_index\030\005 \001(\004\022\016\n\006c" +
-      "laims\030\006 \001(\004\0222\n\rconfiguration\030\007 \001(\0132\033.rad" +
-      "ishthread.Configuration\022\r\n\005group\030\010 \001(\006\022\024" +
-      "\n\014leader_known\030\t \001(\010\"\346\003\n\017ControlResponse" +
-      "\022\n\n\002id\030\001 \001(\004\022-\n\nnot_leader\030\002 \001(\0132\027.radis" +
-      "hthread.NotLeaderH\000\022*\n\005rules\030\003 \001(\0132\031.rad" +
-      "ishthread.RulesAnswerH\000\022*\n\005claim\030\004 \001(\0132\031" +
-      ".radishthread.ClaimAnswerH\000\022+\n\trule_file" +
-      "\030\005 \001(\0132\026.radishthread.RuleFileH\000\022\"\n\004done" +
-      "\030\006 \001(\0132\022.radishthread.DoneH\000\022(\n\007refused\030" +
-      "\007 \001(\0132\025.radishthread.RefusedH\000\022-\n\006status" +
-      "\030\010 \001(\0132\033.radishthread.ControlStatusH\000\022(\n" +
-      "\007history\030\t \001(\0132\025.radishthread.HistoryH\000\022" +
-      "4\n\nevacuation\030\n \001(\0132\036.radishthread.Evacu" +
-      "ationAnswerH\000\022.\n\013evacuations\030\013 \001(\0132\031.rad" +
-      "ishthread.EvacuationsB\006\n\004body\"\006\n\004Done\"\031\n" +
-      "\007Refused\022\016\n\006reason\030\001 \001(\t\"\320\001\n\010RuleFile\022\020\n" +
-      "\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010docu" +
-      "ment\030\003 \001(\014\022\032\n\022compressed_content\030\004 \001(\014\0220" +
-      "\n\ndifference\030\005 \001(\0132\034.radishthread.RuleDi" +
-      "fference\022\033\n\023compressed_document\030\006 \001(\014\022$\n" +
-      "\004part\030\007 \001(\0162\026.radishthread.RulePart\"T\n\013R" +
-      "uleRequest\022\026\n\016known_revision\030\001 \001(\004\022\027\n\017ac" +
-      "cepts_encoded\030\002 \001(\010\022\024\n\014known_digest\030\003 \001(" +
-      "\014\"Q\n\016RuleDifference\022\025\n\rbase_revision\030\001 \001" +
-      "(\004\022\016\n\006digest\030\002 \001(\014\022\030\n\020compressed_lines\030\003" +
-      " \001(\014\"8\n\tRuleLines\022+\n\006blocks\030\001 \003(\0132\033.radi" +
-      "shthread.RuleLineBlock\"E\n\rRuleLineBlock\022" +
-      "\022\n\nfirst_line\030\001 \001(\r\022\022\n\nline_count\030\002 \001(\r\022" +
-      "\014\n\004text\030\003 \001(\t\"\353\001\n\016UpstreamRecord\022\014\n\004name" +
-      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
-      "\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarna" +
-      "tion\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030\010 " +
-      "\001(\0162\033.radishthread.UpstreamState\022\016\n\006hold" +
-      "er\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\022\023\n\013cold_m" +
-      "illis\030\013 \001(\r\"\326\001\n\016InstanceRecord\022\014\n\004name\030\001" +
-      " \001(\t\022\024\n\014peer_address\030\002 \001(\t\022\036\n\026administra" +
-      "tion_address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007cont" +
-      "rol\030\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022\023\n\013incarnatio" +
-      "n\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n\007gateway\030\t \001(" +
-      "\010\022\023\n\013evacuations\030\013 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022" +
+      "mpressed\030\023 \001(\014H\000\0223\n\tallotment\030\030 \001(\0132\036.ra" +
+      "dishthread.AllotmentMessageH\000B\006\n\004body\"9\n" +
+      "\005Hello\022\020\n\010instance\030\001 \001(\t\022\017\n\007address\030\002 \001(" +
+      "\t\022\r\n\005token\030\003 \001(\t\"\037\n\014RelayRequest\022\017\n\007addr" +
+      "ess\030\001 \001(\t\"z\n\rRelayResponse\0222\n\006result\030\001 \001" +
+      "(\0162\".radishthread.RelayResponse.Result\"5" +
+      "\n\006Result\022\013\n\007UNKNOWN\020\000\022\r\n\tCONNECTED\020\001\022\017\n\013" +
+      "UNREACHABLE\020\002\"\006\n\004Ping\"\"\n\004Pong\022\032\n\022accepts" +
+      "_compressed\030\001 \001(\010\"\315\003\n\020AgreementMessage\022\r" +
+      "\n\005group\030\001 \001(\006\022\014\n\004from\030\002 \001(\006\022\n\n\002to\030\003 \001(\006\022" +
+      "\014\n\004term\030\004 \001(\004\0221\n\014vote_request\030\005 \001(\0132\031.ra" +
+      "dishthread.VoteRequestH\000\0223\n\rvote_respons" +
+      "e\030\006 \001(\0132\032.radishthread.VoteResponseH\000\0225\n" +
+      "\016append_request\030\007 \001(\0132\033.radishthread.App" +
+      "endRequestH\000\0227\n\017append_response\030\010 \001(\0132\034." +
+      "radishthread.AppendResponseH\000\022*\n\010snapsho" +
+      "t\030\t \001(\0132\026.radishthread.SnapshotH\000\0229\n\020fou" +
+      "nding_request\030\n \001(\0132\035.radishthread.Found" +
+      "ingRequestH\000\022;\n\021founding_response\030\013 \001(\0132" +
+      "\036.radishthread.FoundingResponseH\000B\006\n\004bod" +
+      "y\"F\n\013VoteRequest\022\020\n\010pre_vote\030\001 \001(\010\022\022\n\nla" +
+      "st_index\030\002 \001(\004\022\021\n\tlast_term\030\003 \001(\004\"1\n\014Vot" +
+      "eResponse\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007granted\030\002" +
+      " \001(\010\"\336\001\n\rAppendRequest\022\026\n\016previous_index" +
+      "\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022\'\n\007entries" +
+      "\030\003 \003(\0132\026.radishthread.LogEntry\022\024\n\014commit" +
+      "_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\022\032\n\022acknowled" +
+      "ged_round\030\006 \001(\004\022\036\n\021commit_age_millis\030\007 \001" +
+      "(\004H\000\210\001\001B\024\n\022_commit_age_millis\"?\n\016AppendR" +
+      "esponse\022\017\n\007success\030\001 \001(\010\022\r\n\005index\030\002 \001(\004\022" +
+      "\r\n\005round\030\003 \001(\004\"E\n\017FoundingRequest\0222\n\rcon" +
+      "figuration\030\001 \001(\0132\033.radishthread.Configur" +
+      "ation\"\022\n\020FoundingResponse\"B\n\021ReplicaDesc" +
+      "riptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\022\017\n\007" +
+      "address\030\003 \001(\t\"N\n\013Replacement\022\017\n\007removed\030" +
+      "\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radishthread.Repl" +
+      "icaDescriptor\"\243\001\n\rConfiguration\022/\n\006voter" +
+      "s\030\001 \003(\0132\037.radishthread.ReplicaDescriptor" +
+      "\0221\n\010learners\030\002 \003(\0132\037.radishthread.Replic" +
+      "aDescriptor\022.\n\013replacement\030\003 \001(\0132\031.radis" +
+      "hthread.Replacement\"\253\001\n\010LogEntry\022\r\n\005inde" +
+      "x\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022proposed_at_mil" +
+      "lis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.radishthrea" +
+      "d.CommandH\000\0224\n\rconfiguration\030\005 \001(\0132\033.rad" +
+      "ishthread.ConfigurationH\000B\006\n\004body\";\n\tHar" +
+      "dState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_for\030\002 \001(\006\022" +
+      "\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nhard_state" +
+      "\030\001 \001(\0132\027.radishthread.HardState\022\025\n\rtrunc" +
+      "ate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026.radish" +
+      "thread.LogEntry\"2\n\010LogBatch\022&\n\006frames\030\001 " +
+      "\003(\0132\026.radishthread.LogFrame\"b\n\tLogHeader" +
+      "\022(\n\010snapshot\030\001 \001(\0132\026.radishthread.Snapsh" +
+      "ot\022+\n\nhard_state\030\002 \001(\0132\027.radishthread.Ha" +
+      "rdState\"\230\001\n\010Snapshot\022\r\n\005index\030\001 \001(\004\022\014\n\004t" +
+      "erm\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(\0132\033.radis" +
+      "hthread.Configuration\022,\n\005state\030\004 \001(\0132\035.r" +
+      "adishthread.ControlSnapshot\022\r\n\005round\030\005 \001" +
+      "(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001(\006\022\020\n\010insta" +
+      "nce\030\002 \001(\t\"\212\002\n\007Command\0221\n\014submit_rules\030\001 " +
+      "\001(\0132\031.radishthread.SubmitRulesH\000\022+\n\005clai" +
+      "m\030\002 \001(\0132\032.radishthread.ClaimRequestH\000\0223\n" +
+      "\ncompletion\030\003 \001(\0132\035.radishthread.ClaimCo" +
+      "mpletionH\000\022-\n\007release\030\004 \001(\0132\032.radishthre" +
+      "ad.ClaimReleaseH\000\0223\n\nevacuation\030\005 \001(\0132\035." +
+      "radishthread.EvacuationOrderH\000B\006\n\004body\"X" +
+      "\n\013SubmitRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007conte" +
+      "nt\030\002 \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010docume" +
+      "nt\030\004 \001(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n" +
+      "\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007att" +
+      "empt\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001" +
+      " \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014" +
+      "\022\021\n\tbody_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013" +
+      "\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003" +
+      " \001(\0132\034.radishthread.RecordedAnswer\",\n\014Cl" +
+      "aimRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006" +
+      "\"^\n\017EvacuationOrder\022\014\n\004zone\030\001 \001(\t\022\020\n\010eva" +
+      "cuate\030\002 \001(\010\022\024\n\014requested_by\030\003 \001(\t\022\025\n\rkno" +
+      "wn_version\030\004 \001(\004\"s\n\016ZoneEvacuation\022\014\n\004zo" +
+      "ne\030\001 \001(\t\022\021\n\tevacuated\030\002 \001(\010\022\024\n\014requested" +
+      "_by\030\003 \001(\t\022\031\n\021ordered_at_millis\030\004 \001(\004\022\017\n\007" +
+      "version\030\005 \001(\004\"K\n\013Evacuations\022\017\n\007version\030" +
+      "\001 \001(\004\022+\n\005zones\030\002 \003(\0132\034.radishthread.Zone" +
+      "Evacuation\"V\n\020EvacuationAnswer\022\022\n\nsupers" +
+      "eded\030\001 \001(\010\022.\n\013evacuations\030\002 \001(\0132\031.radish" +
+      "thread.Evacuations\"\250\001\n\013RulesAnswer\022+\n\007ve" +
+      "rdict\030\001 \001(\0162\032.radishthread.RulesVerdict\022" +
+      "\020\n\010revision\030\002 \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022" +
+      "\032\n\022accepted_at_millis\030\004 \001(\004\022\030\n\020current_r" +
+      "evision\030\005 \001(\004\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAn" +
+      "swer\022+\n\007verdict\030\001 \001(\0162\032.radishthread.Cla" +
+      "imVerdict\022\r\n\005owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\013" +
+      "2\034.radishthread.RecordedAnswer\"\360\001\n\017Contr" +
+      "olSnapshot\022%\n\005rules\030\001 \001(\0132\026.radishthread" +
+      ".RuleFile\022*\n\007history\030\002 \003(\0132\031.radishthrea" +
+      "d.RuleHistory\022)\n\006claims\030\003 \003(\0132\031.radishth" +
+      "read.ClaimRecord\022\024\n\014clock_millis\030\004 \001(\004\022\031" +
+      "\n\021released_attempts\030\005 \003(\006\022.\n\013evacuations" +
+      "\030\006 \001(\0132\031.radishthread.Evacuations\"a\n\013Rul" +
+      "eHistory\022\020\n\010revision\030\001 \001(\004\022\016\n\006digest\030\002 \001" +
+      "(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted_at_" +
+      "millis\030\004 \001(\004\"\230\001\n\013ClaimRecord\022\013\n\003key\030\001 \001(" +
+      "\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n" +
+      "\007attempt\030\004 \001(\006\022\031\n\021claimed_at_millis\030\005 \001(" +
+      "\004\022,\n\006answer\030\006 \001(\0132\034.radishthread.Recorde" +
+      "dAnswer\"\302\002\n\016ControlRequest\022\n\n\002id\030\001 \001(\004\022(" +
+      "\n\007command\030\002 \001(\0132\025.radishthread.CommandH\000" +
+      "\022-\n\nread_rules\030\003 \001(\0132\027.radishthread.Read" +
+      "RulesH\000\022.\n\ninitialize\030\004 \001(\0132\030.radishthre" +
+      "ad.InitializeH\000\022/\n\007replace\030\005 \001(\0132\034.radis" +
+      "hthread.ReplaceReplicaH\000\022/\n\013read_status\030" +
+      "\006 \001(\0132\030.radishthread.ReadStatusH\000\0221\n\014rea" +
+      "d_history\030\007 \001(\0132\031.radishthread.ReadHisto" +
+      "ryH\000B\006\n\004body\"1\n\tReadRules\022$\n\004part\030\001 \001(\0162" +
+      "\026.radishthread.RulePart\"\014\n\nReadStatus\"\034\n" +
+      "\013ReadHistory\022\r\n\005limit\030\001 \001(\r\"5\n\007History\022*" +
+      "\n\007entries\030\001 \003(\0132\031.radishthread.RuleHisto" +
+      "ry\"?\n\nInitialize\0221\n\010replicas\030\001 \003(\0132\037.rad" +
+      "ishthread.ReplicaDescriptor\"@\n\016ReplaceRe" +
+      "plica\022.\n\005added\030\001 \001(\0132\037.radishthread.Repl" +
+      "icaDescriptor\"3\n\tNotLeader\022\026\n\016leader_add" +
+      "ress\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\364\001\n\rControlSt" +
+      "atus\0220\n\007replica\030\001 \001(\0132\037.radishthread.Rep" +
+      "licaDescriptor\022\014\n\004role\030\002 \001(\t\022\014\n\004term\030\003 \001" +
+      "(\004\022\024\n\014commit_index\030\004 \001(\004\022\026\n\016snapshot_ind" +
+      "ex\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222\n\rconfiguratio" +
+      "n\030\007 \001(\0132\033.radishthread.Configuration\022\r\n\005" +
+      "group\030\010 \001(\006\022\024\n\014leader_known\030\t \001(\010\"\346\003\n\017Co" +
+      "ntrolResponse\022\n\n\002id\030\001 \001(\004\022-\n\nnot_leader\030" +
+      "\002 \001(\0132\027.radishthread.NotLeaderH\000\022*\n\005rule" +
+      "s\030\003 \001(\0132\031.radishthread.RulesAnswerH\000\022*\n\005" +
+      "claim\030\004 \001(\0132\031.radishthread.ClaimAnswerH\000" +
+      "\022+\n\trule_file\030\005 \001(\0132\026.radishthread.RuleF" +
+      "ileH\000\022\"\n\004done\030\006 \001(\0132\022.radishthread.DoneH" +
+      "\000\022(\n\007refused\030\007 \001(\0132\025.radishthread.Refuse" +
+      "dH\000\022-\n\006status\030\010 \001(\0132\033.radishthread.Contr" +
+      "olStatusH\000\022(\n\007history\030\t \001(\0132\025.radishthre" +
+      "ad.HistoryH\000\0224\n\nevacuation\030\n \001(\0132\036.radis" +
+      "hthread.EvacuationAnswerH\000\022.\n\013evacuation" +
+      "s\030\013 \001(\0132\031.radishthread.EvacuationsB\006\n\004bo" +
+      "dy\"\006\n\004Done\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"\320\001" +
+      "\n\010RuleFile\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030" +
+      "\002 \001(\t\022\020\n\010document\030\003 \001(\014\022\032\n\022compressed_co" +
+      "ntent\030\004 \001(\014\0220\n\ndifference\030\005 \001(\0132\034.radish" +
+      "thread.RuleDifference\022\033\n\023compressed_docu" +
+      "ment\030\006 \001(\014\022$\n\004part\030\007 \001(\0162\026.radishthread." +
+      "RulePart\"T\n\013RuleRequest\022\026\n\016known_revisio" +
+      "n\030\001 \001(\004\022\027\n\017accepts_encoded\030\002 \001(\010\022\024\n\014know" +
+      "n_digest\030\003 \001(\014\"Q\n\016RuleDifference\022\025\n\rbase" +
+      "_revision\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\030\n\020compr" +
+      "essed_lines\030\003 \001(\014\"8\n\tRuleLines\022+\n\006blocks" +
+      "\030\001 \003(\0132\033.radishthread.RuleLineBlock\"E\n\rR" +
+      "uleLineBlock\022\022\n\nfirst_line\030\001 \001(\r\022\022\n\nline" +
+      "_count\030\002 \001(\r\022\014\n\004text\030\003 \001(\t\"\353\001\n\016UpstreamR" +
+      "ecord\022\014\n\004name\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007" +
+      "address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001" +
+      "(\r\022\023\n\013incarnation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(" +
+      "\004\022*\n\005state\030\010 \001(\0162\033.radishthread.Upstream" +
+      "State\022\016\n\006holder\030\t \001(\t\022\024\n\014lease_millis\030\n " +
+      "\001(\r\022\023\n\013cold_millis\030\013 \001(\r\"\361\001\n\016InstanceRec" +
+      "ord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(\t\022" +
+      "\036\n\026administration_address\030\003 \001(\t\022\014\n\004zone\030" +
+      "\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022" +
+      "\023\n\013incarnation\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n" +
+      "\007gateway\030\t \001(\010\022\023\n\013evacuations\030\013 \001(\010\022\031\n\021c" +
+      "ounts_allotments\030\030 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022" +
       "\016\n\006sender\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nhe" +
       "artbeats\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tups" +
       "treams\030\005 \003(\0132\034.radishthread.UpstreamReco" +
@@ -658,19 +700,47 @@
       "\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_fl" +
       "ight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032\n\022hed" +
       "ge_after_micros\030\006 \001(\004\022\025\n\rlimit_counted\030\007" +
-      " \001(\010\022\r\n\005relay\030\010 \001(\t\"9\n\013SlotRefusal\022\016\n\006re" +
-      "ason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 \001(\004*a" +
-      "\n\014RulesVerdict\022\035\n\031RULES_VERDICT_UNSPECIF" +
-      "IED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STA" +
-      "LE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLA" +
-      "IM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n" +
-      "\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004" +
-      "FULL\020\005*O\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022" +
-      "\026\n\022RULE_PART_REVISION\020\001\022\026\n\022RULE_PART_DOC" +
-      "UMENT\020\002*R\n\rUpstreamState\022\036\n\032UPSTREAM_STA" +
-      "TE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020" +
-      "\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthread.protocol" +
-      "P\001b\006proto3"
+      " \001(\010\022\r\n\005relay\030\010 \001(\t\"R\n\013SlotRefusal\022\016\n\006re" +
+      "ason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 \001(\004\022\027" +
+      "\n\017specific_reason\030\003 \001(\t\"\345\002\n\020AllotmentMes" +
+      "sage\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006" +
+      "number\030\003 \001(\004\022+\n\005terms\030\004 \001(\0132\034.radishthre" +
+      "ad.AllotmentTerms\022,\n\007request\030\005 \001(\0132\031.rad" +
+      "ishthread.LoanRequestH\000\022\"\n\004loan\030\006 \001(\0132\022." +
+      "radishthread.LoanH\000\022*\n\006return\030\007 \001(\0132\030.ra" +
+      "dishthread.LoanReturnH\000\0223\n\010handover\030\010 \001(" +
+      "\0132\037.radishthread.AllotmentHandoverH\000\0229\n\020" +
+      "handover_request\030\t \001(\0132\035.radishthread.Ha" +
+      "ndoverRequestH\000B\006\n\004body\"N\n\016AllotmentTerm" +
+      "s\022\020\n\010revision\030\001 \001(\004\022\033\n\023requests_per_seco" +
+      "nd\030\002 \001(\001\022\r\n\005burst\030\003 \001(\001\"\272\001\n\013LoanRequest\022" +
+      "\027\n\017accepted_number\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031" +
+      "\n\021demand_per_second\030\003 \001(\001\022\016\n\006wanted\030\004 \001(" +
+      "\001\022\033\n\023given_up_per_second\030\005 \001(\001\022\027\n\017given_" +
+      "up_millis\030\006 \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017\n\007s" +
+      "urplus\030\010 \001(\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n" +
+      "\nlender_run\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper" +
+      "_second\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\024\n" +
+      "\014valid_millis\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020" +
+      "available_millis\030\010 \001(\004\022\026\n\016lender_address" +
+      "\030\t \001(\t\"\034\n\nLoanReturn\022\016\n\006tokens\030\001 \001(\001\"J\n\021" +
+      "AllotmentHandover\022\016\n\006tokens\030\001 \001(\001\022%\n\005loa" +
+      "ns\030\002 \003(\0132\026.radishthread.OpenLoan\"\021\n\017Hand" +
+      "overRequest\"\232\001\n\010OpenLoan\022\020\n\010borrower\030\001 \001" +
+      "(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\nper_s" +
+      "econd\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\031\n\021d" +
+      "emand_per_second\030\006 \001(\001\022\030\n\020remaining_mill" +
+      "is\030\007 \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VERDIC" +
+      "T_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLIC" +
+      "T\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerd" +
+      "ict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GR" +
+      "ANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISM" +
+      "ATCH\020\004\022\010\n\004FULL\020\005*O\n\010RulePart\022\023\n\017RULE_PAR" +
+      "T_WHOLE\020\000\022\026\n\022RULE_PART_REVISION\020\001\022\026\n\022RUL" +
+      "E_PART_DOCUMENT\020\002*R\n\rUpstreamState\022\036\n\032UP" +
+      "STREAM_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n" +
+      "\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthrea" +
+      "d.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -681,7 +751,7 @@
     internal_static_radishthread_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "RelayRequest", "RelayResponse", "Evacuations", "Compressed", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Agreement", "Gossip", "Synchronization", "RuleRequest", "RuleFile", "ControlRequest", "ControlResponse", "LeaseRenewal", "Slot", "UpstreamNotice", "UpstreamNoticeReceipt", "CrashNotice", "RelayRequest", "RelayResponse", "Evacuations", "Compressed", "Allotment", "Body", });
     internal_static_radishthread_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_radishthread_Hello_fieldAccessorTable = new
@@ -1017,7 +1087,7 @@
     internal_static_radishthread_InstanceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_InstanceRecord_descriptor,
-        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", "Evacuations", });
+        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", "Evacuations", "CountsAllotments", });
     internal_static_radishthread_Gossip_descriptor =
       getDescriptor().getMessageType(57);
     internal_static_radishthread_Gossip_fieldAccessorTable = new
@@ -1131,7 +1201,55 @@
     internal_static_radishthread_SlotRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRefusal_descriptor,
-        new java.lang.String[] { "Reason", "RetryAfterMillis", });
+        new java.lang.String[] { "Reason", "RetryAfterMillis", "SpecificReason", });
+    internal_static_radishthread_AllotmentMessage_descriptor =
+      getDescriptor().getMessageType(76);
+    internal_static_radishthread_AllotmentMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_AllotmentMessage_descriptor,
+        new java.lang.String[] { "Workspace", "Run", "Number", "Terms", "Request", "Loan", "Return", "Handover", "HandoverRequest", "Body", });
+    internal_static_radishthread_AllotmentTerms_descriptor =
+      getDescriptor().getMessageType(77);
+    internal_static_radishthread_AllotmentTerms_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_AllotmentTerms_descriptor,
+        new java.lang.String[] { "Revision", "RequestsPerSecond", "Burst", });
+    internal_static_radishthread_LoanRequest_descriptor =
+      getDescriptor().getMessageType(78);
+    internal_static_radishthread_LoanRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_LoanRequest_descriptor,
+        new java.lang.String[] { "AcceptedNumber", "Held", "DemandPerSecond", "Wanted", "GivenUpPerSecond", "GivenUpMillis", "LenderRun", "Surplus", });
+    internal_static_radishthread_Loan_descriptor =
+      getDescriptor().getMessageType(79);
+    internal_static_radishthread_Loan_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_Loan_descriptor,
+        new java.lang.String[] { "Lender", "LenderRun", "Tokens", "PerSecond", "MaximumTokens", "ValidMillis", "Limited", "AvailableMillis", "LenderAddress", });
+    internal_static_radishthread_LoanReturn_descriptor =
+      getDescriptor().getMessageType(80);
+    internal_static_radishthread_LoanReturn_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_LoanReturn_descriptor,
+        new java.lang.String[] { "Tokens", });
+    internal_static_radishthread_AllotmentHandover_descriptor =
+      getDescriptor().getMessageType(81);
+    internal_static_radishthread_AllotmentHandover_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_AllotmentHandover_descriptor,
+        new java.lang.String[] { "Tokens", "Loans", });
+    internal_static_radishthread_HandoverRequest_descriptor =
+      getDescriptor().getMessageType(82);
+    internal_static_radishthread_HandoverRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_HandoverRequest_descriptor,
+        new java.lang.String[] { });
+    internal_static_radishthread_OpenLoan_descriptor =
+      getDescriptor().getMessageType(83);
+    internal_static_radishthread_OpenLoan_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_OpenLoan_descriptor,
+        new java.lang.String[] { "Borrower", "Run", "Number", "PerSecond", "MaximumTokens", "DemandPerSecond", "RemainingMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
