Correct what a review of held requests and of admission found

A held request whose caller had left, or whose route had timed out, was still admitted when it was released, and never closed in the router; it is completed now before it is admitted. The time to return after a hold counts from what is left, not from the header. A failure while one held request is released no longer loses the others.

The estimate of waits no longer learns from requests that found the queue empty, and takes the wait of those that were not served as a minimum only. Names of callers and workspaces are kept apart in the queues.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -265,6 +265,14 @@
 			schedule(Math.max(0, remainingMillis()), this::onDeadlinePassed);
 		}
 		checkCallerConnection();
+		if (isCompleted()) {
+			return;
+		}
+		// The instance may have held the request for some time.
+		if (hasDeadline() && remainingMillis() <= 0) {
+			completeUnsuccessfully("The deadline passed before the request was sent.", DEFAULT_RETRY_AFTER_MILLIS, 503);
+			return;
+		}
 		if (!this.body.needsBuffering()) {
 			onRequestReady();
 			return;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -108,6 +108,7 @@
 
 	private void checkBacklog() {
 		ServingState state = this.cluster.servingState();
+		this.startupCompleted |= state == ServingState.READY;
 		boolean ready = state == ServingState.READY && !this.refusingRequests;
 		List<ArrivedRequest> released;
 		synchronized (this.startupBacklog) {
@@ -125,18 +126,27 @@
 				.with("state", state.wireName())
 				.write();
 		}
-		released.forEach((arrived) -> {
+		released.forEach((arrived) -> release(arrived, ready, state));
+	}
+
+	// A failure must not keep the other requests from being released.
+	private void release(ArrivedRequest arrived, boolean ready, ServingState state) {
+		try {
 			if (ready) {
 				route(arrived);
 			}
 			else {
 				refuse(arrived, state);
 			}
-		});
+		}
+		catch (RuntimeException ex) {
+			eventLog.failure("request-release-failed", ex).with("request", requestId(arrived.request())).write();
+			arrived.callback().failed(ex);
+		}
 	}
 
 	private void refuse(ArrivedRequest arrived, ServingState state) {
-		long retryAfterMillis = retryAfterMillis(arrived.request(),
+		long retryAfterMillis = retryAfterMillis(arrived,
 				this.refusingRequests ? STOPPING_RETRY_AFTER_MILLIS : STARTING_RETRY_AFTER_MILLIS);
 		refuse(arrived, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503,
 				"This instance takes no new work: " + state.wireName() + ".", retryAfterMillis));
@@ -150,7 +160,7 @@
 			.findRoute(host(request), request.getMethod(), request.getHttpURI().getPath());
 		if (route.isEmpty() && !hasAllRulesInForce) {
 			refuse(arrived, Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, "The newest rules may not be known yet.",
-					retryAfterMillis(request, STARTING_RETRY_AFTER_MILLIS)));
+					retryAfterMillis(arrived, STARTING_RETRY_AFTER_MILLIS)));
 			return;
 		}
 		if (route.isEmpty()) {
@@ -160,14 +170,14 @@
 		KeyDecision keyDecision = this.context.keys()
 			.check(route.get(), request.getHeaders(), requestId(request), CallerKeys.Stage.ARRIVAL);
 		if (keyDecision.outcome().isRefusal()) {
-			refuse(arrived, toProblem(request, keyDecision.outcome()));
+			refuse(arrived, toProblem(arrived, keyDecision.outcome()));
 			return;
 		}
 		new RoutedExchange(this.context, route.get(), keyDecision, arrived).start();
 	}
 
-	private Problem toProblem(Request request, KeyOutcome outcome) {
-		long retryAfterMillis = outcome.isTemporary() ? retryAfterMillis(request, CallerKeys.RETRY_AFTER_MILLIS) : 0;
+	private Problem toProblem(ArrivedRequest arrived, KeyOutcome outcome) {
+		long retryAfterMillis = outcome.isTemporary() ? retryAfterMillis(arrived, CallerKeys.RETRY_AFTER_MILLIS) : 0;
 		return Problem.notRun(outcome.httpStatus(), outcome.title(), retryAfterMillis);
 	}
 
@@ -175,9 +185,12 @@
 		return this.context.dialect().requestId(request.getHeaders(), "unnamed");
 	}
 
-	private long retryAfterMillis(Request request, long earliestMillis) {
-		long remainingMillis = CallerTimeout.remainingMillis(this.context.dialect(), request.getHeaders())
+	private long retryAfterMillis(ArrivedRequest arrived, long earliestMillis) {
+		long elapsedMillis = TimeUnit.NANOSECONDS
+			.toMillis(this.context.time().monotonicNanos() - arrived.arrivedNanos());
+		long statedMillis = CallerTimeout.remainingMillis(this.context.dialect(), arrived.request().getHeaders())
 			.orElse(Long.MAX_VALUE);
+		long remainingMillis = Math.max(0, statedMillis - elapsedMillis);
 		return RetryAfter.delayMillis(earliestMillis, remainingMillis, this.context.nextRequestNumber());
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AdmissionControl.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AdmissionControl.java
@@ -67,7 +67,7 @@
 		if (this.queues.size() == 0) {
 			return null;
 		}
-		double waitNanos = this.waits.correct(expectedWaitNanos(request, nowNanos));
+		double waitNanos = correctedWaitNanos(request, nowNanos);
 		long retryAfterMillis = retryAfterMillis(request, (long) (waitNanos / NANOS_PER_MILLI), nowNanos);
 		if (exceedsCallerShare(request.queueName(), rule, usableSlots)) {
 			return new Refusal(request.id(), RefusalReason.CALLER_LIMIT, retryAfterMillis);
@@ -90,7 +90,7 @@
 	// leaves the slots to requests that can still meet theirs.
 	int initialRank(RoutingRequest request, long nowNanos) {
 		int rank = rank(request, nowNanos);
-		double waitNanos = this.waits.correct(expectedWaitNanos(request, nowNanos));
+		double waitNanos = correctedWaitNanos(request, nowNanos);
 		boolean late = rank < LATE_RANK_OFFSET && this.queues.size() > 0
 				&& willMissObjective(request, waitNanos, nowNanos);
 		return late ? rank + LATE_RANK_OFFSET : rank;
@@ -102,14 +102,29 @@
 		return Math.max(queued.rank(), rank(queued.request(), nowNanos));
 	}
 
+	// The next turn of a workspace without queued requests is soon, whoever arrives
+	// later.
+	private double correctedWaitNanos(RoutingRequest request, long nowNanos) {
+		double waitNanos = expectedWaitNanos(request, nowNanos);
+		boolean nextTurn = !request.workspace().isEmpty() && !this.queues.hasQueued(request);
+		return nextTurn ? waitNanos : this.waits.correct(waitNanos);
+	}
+
 	// By the position at which the request would be queued now.
 	double expectedWaitNanos(RoutingRequest request, long nowNanos) {
 		return this.throughput.expectedWaitNanos(this.queues.requestsAhead(request, rank(request, nowNanos)) + 1);
 	}
 
-	void recordWait(QueuedRequest queued, long nowNanos) {
-		if (queued.kind() == AttemptKind.FIRST && queued.rank() < LATE_RANK_OFFSET) {
-			this.waits.recordWait(queued.expectedWaitNanos(), nowNanos - queued.enqueuedNanos());
+	// A request that found the queue empty says nothing about waits.
+	void recordWait(QueuedRequest queued, boolean served, long nowNanos) {
+		boolean informative = queued.kind() == AttemptKind.FIRST && queued.rank() < LATE_RANK_OFFSET
+				&& queued.expectedWaitNanos() > 0;
+		long waitedNanos = nowNanos - queued.enqueuedNanos();
+		if (informative && served) {
+			this.waits.recordWait(queued.expectedWaitNanos(), waitedNanos);
+		}
+		else if (informative) {
+			this.waits.recordMinimumWait(queued.expectedWaitNanos(), waitedNanos);
 		}
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
@@ -94,6 +94,11 @@
 			.sum();
 	}
 
+	// Whether the workspace of the request, or its caller, has queued requests.
+	boolean hasQueued(RoutingRequest request) {
+		return this.ranks.values().stream().anyMatch((rank) -> rank.containsKey(request.queueName()));
+	}
+
 	// The number of queued requests that will be served before this one. For a request
 	// without a workspace, the turns of callers within its rank are not taken into
 	// account.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
@@ -44,10 +44,10 @@
 
 	/**
 	 * Returns the name of the queue in which the request waits for its turn.
-	 * @return the workspace, or the caller if it has none
+	 * @return a name for the workspace, or for the caller if it has none
 	 */
 	String queueName() {
-		return this.workspace.isEmpty() ? this.caller : this.workspace;
+		return this.workspace.isEmpty() ? "caller " + this.caller : "workspace " + this.workspace;
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -320,9 +320,7 @@
 			return new Refusal(request.id(), RefusalReason.NO_UPSTREAM, this.admission.retryAfterMillis(request,
 					AdmissionControl.NO_UPSTREAM_RETRY_AFTER_MILLIS, nowNanos));
 		}
-		boolean limitedByAll = this.selection.usableTrackers(nowNanos)
-			.allMatch((tracker) -> tracker.isLimited(nowNanos));
-		if (usableSlots > 0 && limitedByAll) {
+		if (usableSlots > 0 && isLimitedByAll(nowNanos)) {
 			Refusal refusal = findLimitRefusal(request, home, nowNanos);
 			if (refusal != null) {
 				return refusal;
@@ -366,7 +364,7 @@
 	private void enqueue(RoutingRequest request, AttemptKind kind, long nowNanos) {
 		long expiryNanos = Math.min(request.deadlineNanos(), nowNanos + this.rule.queueTimeout().toNanos());
 		QueuedRequest queued = new QueuedRequest(request, kind, initialRank(request, kind, nowNanos), nowNanos,
-				expiryNanos, this.admission.expectedWaitNanos(request, nowNanos));
+				expiryNanos, queuedWaitNanos(request, nowNanos));
 		if (this.crashes.isSuspected(request)) {
 			enqueueForTrial(queued);
 		}
@@ -375,11 +373,20 @@
 		}
 	}
 
+	private double queuedWaitNanos(RoutingRequest request, long nowNanos) {
+		return (this.queues.size() > 0) ? this.admission.expectedWaitNanos(request, nowNanos) : 0;
+	}
+
+	// While all upstreams have limits, these decide on the wait, not the throughput.
 	private int initialRank(RoutingRequest request, AttemptKind kind, long nowNanos) {
-		return (kind == AttemptKind.FIRST) ? this.admission.initialRank(request, nowNanos)
+		return (kind == AttemptKind.FIRST && !isLimitedByAll(nowNanos)) ? this.admission.initialRank(request, nowNanos)
 				: this.admission.rank(request, nowNanos);
 	}
 
+	private boolean isLimitedByAll(long nowNanos) {
+		return this.selection.usableTrackers(nowNanos).allMatch((tracker) -> tracker.isLimited(nowNanos));
+	}
+
 	// Without the home, several instances would run equal requests at the same time.
 	private void enqueueForTrial(QueuedRequest queued) {
 		boolean home = requireState(queued.request().id()).isRoutedByHome();
@@ -460,7 +467,7 @@
 			if (chosenUpstream.isEmpty()) {
 				return;
 			}
-			this.admission.recordWait(queued, nowNanos);
+			this.admission.recordWait(queued, true, nowNanos);
 			this.queues.removeFirst(queued);
 			dispatch(state, chosenUpstream.get(), queued.kind(), nowNanos - queued.enqueuedNanos(), nowNanos);
 			queued = this.queues.peek(minimumRank);
@@ -691,14 +698,14 @@
 			boolean mustRefuse = this.admission.willMissDeadline(queued.request(), position, nowNanos)
 					|| (rank > queued.rank() && !this.admission.hasRoomForLateRequests(usableSlots));
 			if (mustRefuse || queued.expiryNanos() <= nowNanos) {
-				this.admission.recordWait(queued, nowNanos);
+				this.admission.recordWait(queued, false, nowNanos);
 				this.queues.remove(queued);
 				this.effects.add(new Refusal(queued.request().id(), RefusalReason.QUEUE_TIMEOUT,
 						this.admission.retryAfterMillisAtPosition(queued.request(), position, nowNanos)));
 				position--;
 			}
 			else if (rankChanged) {
-				this.admission.recordWait(queued, nowNanos);
+				this.admission.recordWait(queued, false, nowNanos);
 				this.queues.remove(queued);
 				this.queues.add(new QueuedRequest(queued.request(), queued.kind(), rank, queued.enqueuedNanos(),
 						queued.expiryNanos(), queued.expectedWaitNanos()), false);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/WaitEstimate.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/WaitEstimate.java
@@ -31,6 +31,13 @@
 		}
 	}
 
+	// Records the wait of a request that was not served; it would have been longer.
+	void recordMinimumWait(double expectedNanos, double waitedNanos) {
+		if (waitedNanos > correct(expectedNanos)) {
+			recordWait(expectedNanos, waitedNanos);
+		}
+	}
+
 	double correct(double expectedNanos) {
 		return expectedNanos * (this.factor + DEVIATIONS * this.deviation);
 	}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/WorkspaceShareTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/WorkspaceShareTests.java
@@ -9,6 +9,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.radishthread.routing.RoutingEffect.Dispatch;
 import org.radishthread.routing.RoutingEffect.Refusal;
@@ -23,10 +25,6 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
-	private static final int UPSTREAMS = 10;
-
-	private static final int SLOTS = 2;
-
 	private static final long SERVICE_MILLIS = 100;
 
 	private static final long OBJECTIVE_MILLIS = 400;
@@ -52,11 +50,11 @@
 
 	private long lastRequestId;
 
-	WorkspaceShareTests() {
+	private void announceUpstreams(int upstreamCount, int slots) {
 		List<Upstream> upstreams = new ArrayList<>();
-		for (int i = 0; i < UPSTREAMS; i++) {
-			upstreams.add(new Upstream("upstream-" + i, "127.0.0.1:" + (1 + i), "zone", SLOTS, 1, true));
-			this.slotsFreeNanos.put("upstream-" + i, new long[SLOTS]);
+		for (int i = 0; i < upstreamCount; i++) {
+			upstreams.add(new Upstream("upstream-" + i, "127.0.0.1:" + (1 + i), "zone", slots, 1, true));
+			this.slotsFreeNanos.put("upstream-" + i, new long[slots]);
 		}
 		execute(this.router.updateUpstreams(upstreams, 0));
 		for (long millis = TICK_MILLIS; millis < DURATION_MILLIS + TIMEOUT_MILLIS; millis += TICK_MILLIS) {
@@ -128,8 +126,10 @@
 		// All upstreams together complete 200 requests a second.
 		private static final double CAPACITY_PER_SECOND = 200;
 
-		@Test
-		void workspacesBelowTheirShareAreServedInTime() {
+		@ParameterizedTest
+		@CsvSource({ "10, 2", "4, 5" })
+		void workspacesBelowTheirShareAreServedInTime(int upstreamCount, int slots) {
+			announceUpstreams(upstreamCount, slots);
 			for (int i = 0; i < LIGHT_WORKSPACES; i++) {
 				sendAtIntervals("light-" + i, LIGHT_PER_SECOND + 0.01 * i, 1);
 			}
@@ -150,6 +150,7 @@
 
 		@Test
 		void oneWorkspaceMayUseTheWholeServiceWhileOthersAreAlmostIdle() {
+			announceUpstreams(4, 5);
 			sendAtIntervals("busy", 150, 1);
 			sendAtIntervals("idle", 1, 1);
 			run();
