Correct what a review of evacuation and of the distribution of rules found

A group that is formed anew began with version 1, which instances that held a higher one would have dropped after an acknowledgement; an order carries the version known where it was given, and the next one is higher. The end of an evacuation is accepted for any zone. An order that is submitted again has what is left of its time.

A difference from a former revision that arrives after a newer one no longer makes the gateway ask for the whole file (the new test was not seen red). How long a confirmed revision may arrive late follows the setting of the time to apply rules. Open: the check that all control instances know evacuations looks at the known instances, not at the members of the group.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/EvacuationRegistry.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/EvacuationRegistry.java
@@ -40,7 +40,8 @@
 
 	// A repeated order keeps the operator and the time of the first one.
 	private void accept(EvacuationOrder order, ZoneEvacuation current, long clockMillis) {
-		this.version++;
+		// Instances may hold a higher version of a group that was formed before this one.
+		this.version = Math.max(this.version, order.getKnownStateVersion()) + 1;
 		boolean repeated = current.getVersion() > 0 && current.getEvacuated() == order.getEvacuate();
 		this.zones.put(order.getZone(),
 				ZoneEvacuation.newBuilder()
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/EvacuationRegistryTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/EvacuationRegistryTests.java
@@ -105,6 +105,23 @@
 
 	}
 
+	@Nested
+	class NewGroups {
+
+		@Test
+		void versionIsHigherThanThatOfTheFormerGroup() {
+			EvacuationRegistry newRegistry = new EvacuationRegistry();
+			EvacuationOrder order = EvacuationOrder.newBuilder()
+				.setZone("elgin")
+				.setEvacuate(true)
+				.setKnownVersion(5)
+				.setKnownStateVersion(5)
+				.build();
+			assertThat(newRegistry.order(order, 0).getEvacuations().getVersion()).isEqualTo(6);
+		}
+
+	}
+
 	@Nested
 	class Snapshots {
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/EvacuationOperations.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/EvacuationOperations.java
@@ -66,9 +66,12 @@
 			.setEvacuate(evacuate)
 			.setRequestedBy(requestedBy)
 			.setKnownVersion(versionOf(zone, this.cluster.evacuations()))
+			.setKnownStateVersion(this.cluster.evacuations().getVersion())
 			.build();
 		return this.cluster.upstreams().thenCompose((upstreams) -> {
-			requireKnownZone(zone, upstreams);
+			if (evacuate) {
+				requireKnownZone(zone, upstreams);
+			}
 			return submit(order, startNanos);
 		});
 	}
@@ -97,7 +100,8 @@
 	private CompletableFuture<Evacuations> submit(EvacuationOrder order, long startNanos) {
 		ControlRequest.Builder command = ControlRequest.newBuilder()
 			.setCommand(Command.newBuilder().setEvacuation(order));
-		return this.controlClient.sendToLeader(command, ORDER_TIMEOUT_MILLIS)
+		long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(this.time.monotonicNanos() - startNanos);
+		return this.controlClient.sendToLeader(command, Math.max(1, ORDER_TIMEOUT_MILLIS - elapsedMillis))
 			.thenCompose((response) -> handleAnswer(order, response, startNanos));
 	}
 
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -28,16 +28,13 @@
 	 */
 	private static final long NEARER_SOURCE_MILLIS = 250;
 
-	/**
-	 * How long the confirmation of a revision that this instance lacks is valid, in
-	 * milliseconds. It is repeated before that.
-	 */
-	private static final long CONFIRMATION_MILLIS = 2_000;
-
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final RuleFileEncoder encoder;
 
+	// Also how long the confirmation of a revision that this instance lacks is valid.
+	private final long rulesApplyMillis;
+
 	// The interval grows, so that requests do not add up while a large file is on its
 	// way through a slow link.
 	private final Backoff requestInterval;
@@ -76,6 +73,7 @@
 	 */
 	RuleExchange(boolean retaining, long rulesApplyMillis) {
 		this.encoder = new RuleFileEncoder(retaining);
+		this.rulesApplyMillis = rulesApplyMillis;
 		this.requestInterval = new Backoff(MINIMUM_REQUEST_INTERVAL_MILLIS,
 				Math.max(MINIMUM_REQUEST_INTERVAL_MILLIS, rulesApplyMillis / 2));
 	}
@@ -125,7 +123,12 @@
 			apply(RuleFileDecoder.decode(receivedRules, this.ruleFile), nowMillis);
 		}
 		catch (IllegalArgumentException ex) {
-			this.wholeRequired = true;
+			// A difference from a former revision was on its way while a newer one
+			// arrived;
+			// the next request names the rules that are held now.
+			boolean outdatedBase = receivedRules.hasDifference()
+					&& receivedRules.getDifference().getBaseRevision() < revision();
+			this.wholeRequired |= !outdatedBase;
 			this.nextRequestMillis = NEVER;
 			this.lastTransfer = new RuleTransfer(this.lastTransfer.form(), this.lastTransfer.bytes(),
 					this.lastTransfer.refusedCount() + 1);
@@ -161,7 +164,7 @@
 			return;
 		}
 		this.awaitedRevision = revision;
-		this.awaitedUntilMillis = nowMillis + CONFIRMATION_MILLIS;
+		this.awaitedUntilMillis = nowMillis + this.rulesApplyMillis;
 	}
 
 	void resetAfterFreeze() {
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeTests.java
@@ -132,6 +132,21 @@
 			assertThat(RuleExchangeTests.this.gateway.ruleFile().getContent()).isEqualTo(file(2).getContent());
 		}
 
+		@Test
+		void lateDifferenceDoesNotCostAWholeFile() {
+			RuleExchangeTests.this.control.offer(file(1), 0);
+			transfer(0);
+			RuleRequest earlyRequest = request(2, 1);
+			RuleExchangeTests.this.control.offer(file(2), 2);
+			transfer(600);
+			RuleExchangeTests.this.control.offer(file(3), 601);
+			RuleFile lateDifference = RuleExchangeTests.this.control.respond(earlyRequest).orElseThrow();
+			assertThat(lateDifference.getDifference().getBaseRevision()).isEqualTo(1);
+			assertThat(RuleExchangeTests.this.gateway.receive(lateDifference, 602)).isFalse();
+			assertThat(transfer(603).getSerializedSize()).isLessThan(MAXIMUM_DIFFERENCE_BYTES);
+			assertThat(RuleExchangeTests.this.gateway.ruleFile().getContent()).isEqualTo(file(3).getContent());
+		}
+
 		@Test
 		void baseWithAnotherDigestIsNotUsed() {
 			RuleExchangeTests.this.control.offer(file(1), 0);
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/EvacuationOrder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/EvacuationOrder.java
@@ -163,6 +163,21 @@
     return knownVersion_;
   }
 
+  public static final int KNOWN_STATE_VERSION_FIELD_NUMBER = 5;
+  private long knownStateVersion_ = 0L;
+  /**
+   * <pre>
+   * The version of all evacuations that was known there. The next one is higher also in a group that was formed anew.
+   * </pre>
+   *
+   * <code>uint64 known_state_version = 5;</code>
+   * @return The knownStateVersion.
+   */
+  @java.lang.Override
+  public long getKnownStateVersion() {
+    return knownStateVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -189,6 +204,9 @@
     if (knownVersion_ != 0L) {
       output.writeUInt64(4, knownVersion_);
     }
+    if (knownStateVersion_ != 0L) {
+      output.writeUInt64(5, knownStateVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -207,6 +225,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, knownVersion_);
     }
+    if (knownStateVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, knownStateVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -239,6 +261,8 @@
         .equals(other.getRequestedBy())) return false;
     if (getKnownVersion()
         != other.getKnownVersion()) return false;
+    if (getKnownStateVersion()
+        != other.getKnownStateVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -260,6 +284,9 @@
     hash = (37 * hash) + KNOWN_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getKnownVersion());
+    hash = (37 * hash) + KNOWN_STATE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getKnownStateVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -399,6 +426,7 @@
       evacuate_ = false;
       requestedBy_ = "";
       knownVersion_ = 0L;
+      knownStateVersion_ = 0L;
       return this;
     }
 
@@ -444,6 +472,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.knownVersion_ = knownVersion_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.knownStateVersion_ = knownStateVersion_;
+      }
     }
 
     @java.lang.Override
@@ -474,6 +505,9 @@
       if (other.getKnownVersion() != 0L) {
         setKnownVersion(other.getKnownVersion());
       }
+      if (other.getKnownStateVersion() != 0L) {
+        setKnownStateVersion(other.getKnownStateVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -518,6 +552,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              knownStateVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -770,6 +809,50 @@
       return this;
     }
 
+    private long knownStateVersion_ ;
+    /**
+     * <pre>
+     * The version of all evacuations that was known there. The next one is higher also in a group that was formed anew.
+     * </pre>
+     *
+     * <code>uint64 known_state_version = 5;</code>
+     * @return The knownStateVersion.
+     */
+    @java.lang.Override
+    public long getKnownStateVersion() {
+      return knownStateVersion_;
+    }
+    /**
+     * <pre>
+     * The version of all evacuations that was known there. The next one is higher also in a group that was formed anew.
+     * </pre>
+     *
+     * <code>uint64 known_state_version = 5;</code>
+     * @param value The knownStateVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownStateVersion(long value) {
+
+      knownStateVersion_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The version of all evacuations that was known there. The next one is higher also in a group that was formed anew.
+     * </pre>
+     *
+     * <code>uint64 known_state_version = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownStateVersion() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      knownStateVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.EvacuationOrder)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/EvacuationOrderOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/EvacuationOrderOrBuilder.java
@@ -54,4 +54,14 @@
    * @return The knownVersion.
    */
   long getKnownVersion();
+
+  /**
+   * <pre>
+   * The version of all evacuations that was known there. The next one is higher also in a group that was formed anew.
+   * </pre>
+   *
+   * <code>uint64 known_state_version = 5;</code>
+   * @return The knownStateVersion.
+   */
+  long getKnownStateVersion();
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -554,193 +554,194 @@
       "\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003" +
       " \001(\0132\034.radishthread.RecordedAnswer\",\n\014Cl" +
       "aimRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006" +
-      "\"^\n\017EvacuationOrder\022\014\n\004zone\030\001 \001(\t\022\020\n\010eva" +
+      "\"{\n\017EvacuationOrder\022\014\n\004zone\030\001 \001(\t\022\020\n\010eva" +
       "cuate\030\002 \001(\010\022\024\n\014requested_by\030\003 \001(\t\022\025\n\rkno" +
-      "wn_version\030\004 \001(\004\"s\n\016ZoneEvacuation\022\014\n\004zo" +
-      "ne\030\001 \001(\t\022\021\n\tevacuated\030\002 \001(\010\022\024\n\014requested" +
-      "_by\030\003 \001(\t\022\031\n\021ordered_at_millis\030\004 \001(\004\022\017\n\007" +
-      "version\030\005 \001(\004\"K\n\013Evacuations\022\017\n\007version\030" +
-      "\001 \001(\004\022+\n\005zones\030\002 \003(\0132\034.radishthread.Zone" +
-      "Evacuation\"V\n\020EvacuationAnswer\022\022\n\nsupers" +
-      "eded\030\001 \001(\010\022.\n\013evacuations\030\002 \001(\0132\031.radish" +
-      "thread.Evacuations\"\250\001\n\013RulesAnswer\022+\n\007ve" +
-      "rdict\030\001 \001(\0162\032.radishthread.RulesVerdict\022" +
-      "\020\n\010revision\030\002 \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022" +
-      "\032\n\022accepted_at_millis\030\004 \001(\004\022\030\n\020current_r" +
-      "evision\030\005 \001(\004\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAn" +
-      "swer\022+\n\007verdict\030\001 \001(\0162\032.radishthread.Cla" +
-      "imVerdict\022\r\n\005owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\013" +
-      "2\034.radishthread.RecordedAnswer\"\360\001\n\017Contr" +
-      "olSnapshot\022%\n\005rules\030\001 \001(\0132\026.radishthread" +
-      ".RuleFile\022*\n\007history\030\002 \003(\0132\031.radishthrea" +
-      "d.RuleHistory\022)\n\006claims\030\003 \003(\0132\031.radishth" +
-      "read.ClaimRecord\022\024\n\014clock_millis\030\004 \001(\004\022\031" +
-      "\n\021released_attempts\030\005 \003(\006\022.\n\013evacuations" +
-      "\030\006 \001(\0132\031.radishthread.Evacuations\"a\n\013Rul" +
-      "eHistory\022\020\n\010revision\030\001 \001(\004\022\016\n\006digest\030\002 \001" +
-      "(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted_at_" +
-      "millis\030\004 \001(\004\"\230\001\n\013ClaimRecord\022\013\n\003key\030\001 \001(" +
-      "\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n" +
-      "\007attempt\030\004 \001(\006\022\031\n\021claimed_at_millis\030\005 \001(" +
-      "\004\022,\n\006answer\030\006 \001(\0132\034.radishthread.Recorde" +
-      "dAnswer\"\302\002\n\016ControlRequest\022\n\n\002id\030\001 \001(\004\022(" +
-      "\n\007command\030\002 \001(\0132\025.radishthread.CommandH\000" +
-      "\022-\n\nread_rules\030\003 \001(\0132\027.radishthread.Read" +
-      "RulesH\000\022.\n\ninitialize\030\004 \001(\0132\030.radishthre" +
-      "ad.InitializeH\000\022/\n\007replace\030\005 \001(\0132\034.radis" +
-      "hthread.ReplaceReplicaH\000\022/\n\013read_status\030" +
-      "\006 \001(\0132\030.radishthread.ReadStatusH\000\0221\n\014rea" +
-      "d_history\030\007 \001(\0132\031.radishthread.ReadHisto" +
-      "ryH\000B\006\n\004body\"1\n\tReadRules\022$\n\004part\030\001 \001(\0162" +
-      "\026.radishthread.RulePart\"\014\n\nReadStatus\"\034\n" +
-      "\013ReadHistory\022\r\n\005limit\030\001 \001(\r\"5\n\007History\022*" +
-      "\n\007entries\030\001 \003(\0132\031.radishthread.RuleHisto" +
-      "ry\"?\n\nInitialize\0221\n\010replicas\030\001 \003(\0132\037.rad" +
-      "ishthread.ReplicaDescriptor\"@\n\016ReplaceRe" +
-      "plica\022.\n\005added\030\001 \001(\0132\037.radishthread.Repl" +
-      "icaDescriptor\"3\n\tNotLeader\022\026\n\016leader_add" +
-      "ress\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\364\001\n\rControlSt" +
-      "atus\0220\n\007replica\030\001 \001(\0132\037.radishthread.Rep" +
-      "licaDescriptor\022\014\n\004role\030\002 \001(\t\022\014\n\004term\030\003 \001" +
-      "(\004\022\024\n\014commit_index\030\004 \001(\004\022\026\n\016snapshot_ind" +
-      "ex\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222\n\rconfiguratio" +
-      "n\030\007 \001(\0132\033.radishthread.Configuration\022\r\n\005" +
-      "group\030\010 \001(\006\022\024\n\014leader_known\030\t \001(\010\"\346\003\n\017Co" +
-      "ntrolResponse\022\n\n\002id\030\001 \001(\004\022-\n\nnot_leader\030" +
-      "\002 \001(\0132\027.radishthread.NotLeaderH\000\022*\n\005rule" +
-      "s\030\003 \001(\0132\031.radishthread.RulesAnswerH\000\022*\n\005" +
-      "claim\030\004 \001(\0132\031.radishthread.ClaimAnswerH\000" +
-      "\022+\n\trule_file\030\005 \001(\0132\026.radishthread.RuleF" +
-      "ileH\000\022\"\n\004done\030\006 \001(\0132\022.radishthread.DoneH" +
-      "\000\022(\n\007refused\030\007 \001(\0132\025.radishthread.Refuse" +
-      "dH\000\022-\n\006status\030\010 \001(\0132\033.radishthread.Contr" +
-      "olStatusH\000\022(\n\007history\030\t \001(\0132\025.radishthre" +
-      "ad.HistoryH\000\0224\n\nevacuation\030\n \001(\0132\036.radis" +
-      "hthread.EvacuationAnswerH\000\022.\n\013evacuation" +
-      "s\030\013 \001(\0132\031.radishthread.EvacuationsB\006\n\004bo" +
-      "dy\"\006\n\004Done\"\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"\320\001" +
-      "\n\010RuleFile\022\020\n\010revision\030\001 \001(\004\022\017\n\007content\030" +
-      "\002 \001(\t\022\020\n\010document\030\003 \001(\014\022\032\n\022compressed_co" +
-      "ntent\030\004 \001(\014\0220\n\ndifference\030\005 \001(\0132\034.radish" +
-      "thread.RuleDifference\022\033\n\023compressed_docu" +
-      "ment\030\006 \001(\014\022$\n\004part\030\007 \001(\0162\026.radishthread." +
-      "RulePart\"T\n\013RuleRequest\022\026\n\016known_revisio" +
-      "n\030\001 \001(\004\022\027\n\017accepts_encoded\030\002 \001(\010\022\024\n\014know" +
-      "n_digest\030\003 \001(\014\"Q\n\016RuleDifference\022\025\n\rbase" +
-      "_revision\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\030\n\020compr" +
-      "essed_lines\030\003 \001(\014\"8\n\tRuleLines\022+\n\006blocks" +
-      "\030\001 \003(\0132\033.radishthread.RuleLineBlock\"E\n\rR" +
-      "uleLineBlock\022\022\n\nfirst_line\030\001 \001(\r\022\022\n\nline" +
-      "_count\030\002 \001(\r\022\014\n\004text\030\003 \001(\t\"\353\001\n\016UpstreamR" +
-      "ecord\022\014\n\004name\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007" +
-      "address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001" +
-      "(\r\022\023\n\013incarnation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(" +
-      "\004\022*\n\005state\030\010 \001(\0162\033.radishthread.Upstream" +
-      "State\022\016\n\006holder\030\t \001(\t\022\024\n\014lease_millis\030\n " +
-      "\001(\r\022\023\n\013cold_millis\030\013 \001(\r\"\361\001\n\016InstanceRec" +
-      "ord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(\t\022" +
-      "\036\n\026administration_address\030\003 \001(\t\022\014\n\004zone\030" +
-      "\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022" +
-      "\023\n\013incarnation\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n" +
-      "\007gateway\030\t \001(\010\022\023\n\013evacuations\030\013 \001(\010\022\031\n\021c" +
-      "ounts_allotments\030\030 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022" +
-      "\016\n\006sender\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nhe" +
-      "artbeats\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tups" +
-      "treams\030\005 \003(\0132\034.radishthread.UpstreamReco" +
-      "rd\022-\n\007records\030\006 \003(\0132\034.radishthread.Insta" +
-      "nceRecord\022\016\n\006digest\030\007 \001(\006\022\026\n\016sender_addr" +
-      "ess\030\010 \001(\t\022\023\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n" +
-      " \003(\007\022\016\n\006report\030\013 \001(\004\022\035\n\020rules_age_millis" +
-      "\030\014 \001(\004H\000\210\001\001\022\033\n\023evacuations_version\030\r \001(\004" +
-      "B\023\n\021_rules_age_millis\">\n\007Version\022\014\n\004name" +
-      "\030\001 \001(\007\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
-      "\003 \001(\004\"\200\002\n\017Synchronization\022\016\n\006sender\030\001 \001(" +
-      "\t\022$\n\005known\030\002 \003(\0132\025.radishthread.Version\022" +
-      "/\n\tupstreams\030\003 \003(\0132\034.radishthread.Upstre" +
-      "amRecord\022-\n\007records\030\004 \003(\0132\034.radishthread" +
-      ".InstanceRecord\022\016\n\006answer\030\005 \001(\010\022\026\n\016sende" +
-      "r_address\030\006 \001(\t\022\027\n\017known_instances\030\007 \003(\007" +
-      "\022\026\n\016instances_only\030\010 \001(\010\"C\n\014LeaseRenewal" +
-      "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010s" +
-      "equence\030\003 \001(\004\"L\n\016UpstreamNotice\022\n\n\002id\030\001 " +
-      "\001(\004\022.\n\010upstream\030\002 \001(\0132\034.radishthread.Ups" +
-      "treamRecord\"#\n\025UpstreamNoticeReceipt\022\n\n\002" +
-      "id\030\001 \001(\004\"\231\003\n\013SlotMessage\022\017\n\007service\030\001 \001(" +
-      "\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007reques" +
-      "t\030\004 \001(\0132\031.radishthread.SlotRequestH\000\022$\n\003" +
-      "end\030\005 \001(\0132\025.radishthread.SlotEndH\000\022(\n\005re" +
-      "try\030\006 \001(\0132\027.radishthread.SlotRetryH\000\022(\n\005" +
-      "hedge\030\007 \001(\0132\027.radishthread.SlotHedgeH\000\022(" +
-      "\n\005close\030\010 \001(\0132\027.radishthread.SlotCloseH\000" +
-      "\022*\n\006queued\030\t \001(\0132\030.radishthread.SlotQueu" +
-      "edH\000\022(\n\005grant\030\n \001(\0132\027.radishthread.SlotG" +
-      "rantH\000\022,\n\007refusal\030\013 \001(\0132\031.radishthread.S" +
-      "lotRefusalH\000B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006" +
-      "caller\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020rema" +
-      "ining_micros\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020" +
-      "objective_micros\030\005 \001(\004\022\030\n\020maximum_attemp" +
-      "ts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021" +
-      "\n\tworkspace\030\t \001(\t\"\305\001\n\nLoadReport\022\017\n\007runn" +
-      "ing\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(" +
-      "\r\022\024\n\014pace_percent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010" +
-      "\022\026\n\016refused_millis\030\006 \001(\004\022\035\n\020limit_per_se" +
-      "cond\030\007 \001(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021" +
-      "_limit_per_second\"l\n\007SlotEnd\022\020\n\010upstream" +
-      "\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.r" +
-      "adishthread.LoadReport\022\027\n\017connection_los" +
-      "t\030\004 \001(\010\"k\n\013CrashNotice\022*\n\007crashes\030\001 \003(\0132" +
-      "\031.radishthread.CrashRecord\0220\n\nclearances" +
-      "\030\002 \003(\0132\034.radishthread.CrashClearance\"g\n\013" +
-      "CrashRecord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030" +
-      "\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(" +
-      "\010\022\022\n\nage_millis\030\005 \001(\004\"4\n\016CrashClearance\022" +
-      "\016\n\006digest\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tS" +
-      "lotRetry\"\013\n\tSlotHedge\"\013\n\tSlotClose\"\014\n\nSl" +
-      "otQueued\"\250\001\n\tSlotGrant\022\020\n\010upstream\030\001 \001(\t" +
-      "\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_fl" +
-      "ight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032\n\022hed" +
-      "ge_after_micros\030\006 \001(\004\022\025\n\rlimit_counted\030\007" +
-      " \001(\010\022\r\n\005relay\030\010 \001(\t\"R\n\013SlotRefusal\022\016\n\006re" +
-      "ason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 \001(\004\022\027" +
-      "\n\017specific_reason\030\003 \001(\t\"\345\002\n\020AllotmentMes" +
-      "sage\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006" +
-      "number\030\003 \001(\004\022+\n\005terms\030\004 \001(\0132\034.radishthre" +
-      "ad.AllotmentTerms\022,\n\007request\030\005 \001(\0132\031.rad" +
-      "ishthread.LoanRequestH\000\022\"\n\004loan\030\006 \001(\0132\022." +
-      "radishthread.LoanH\000\022*\n\006return\030\007 \001(\0132\030.ra" +
-      "dishthread.LoanReturnH\000\0223\n\010handover\030\010 \001(" +
-      "\0132\037.radishthread.AllotmentHandoverH\000\0229\n\020" +
-      "handover_request\030\t \001(\0132\035.radishthread.Ha" +
-      "ndoverRequestH\000B\006\n\004body\"N\n\016AllotmentTerm" +
-      "s\022\020\n\010revision\030\001 \001(\004\022\033\n\023requests_per_seco" +
-      "nd\030\002 \001(\001\022\r\n\005burst\030\003 \001(\001\"\272\001\n\013LoanRequest\022" +
-      "\027\n\017accepted_number\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031" +
-      "\n\021demand_per_second\030\003 \001(\001\022\016\n\006wanted\030\004 \001(" +
-      "\001\022\033\n\023given_up_per_second\030\005 \001(\001\022\027\n\017given_" +
-      "up_millis\030\006 \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017\n\007s" +
-      "urplus\030\010 \001(\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n" +
-      "\nlender_run\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper" +
-      "_second\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\024\n" +
-      "\014valid_millis\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020" +
-      "available_millis\030\010 \001(\004\022\026\n\016lender_address" +
-      "\030\t \001(\t\"\034\n\nLoanReturn\022\016\n\006tokens\030\001 \001(\001\"J\n\021" +
-      "AllotmentHandover\022\016\n\006tokens\030\001 \001(\001\022%\n\005loa" +
-      "ns\030\002 \003(\0132\026.radishthread.OpenLoan\"\021\n\017Hand" +
-      "overRequest\"\232\001\n\010OpenLoan\022\020\n\010borrower\030\001 \001" +
-      "(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\nper_s" +
-      "econd\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\031\n\021d" +
-      "emand_per_second\030\006 \001(\001\022\030\n\020remaining_mill" +
-      "is\030\007 \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VERDIC" +
-      "T_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLIC" +
-      "T\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerd" +
-      "ict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GR" +
-      "ANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISM" +
-      "ATCH\020\004\022\010\n\004FULL\020\005*O\n\010RulePart\022\023\n\017RULE_PAR" +
-      "T_WHOLE\020\000\022\026\n\022RULE_PART_REVISION\020\001\022\026\n\022RUL" +
-      "E_PART_DOCUMENT\020\002*R\n\rUpstreamState\022\036\n\032UP" +
-      "STREAM_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n" +
-      "\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthrea" +
-      "d.protocolP\001b\006proto3"
+      "wn_version\030\004 \001(\004\022\033\n\023known_state_version\030" +
+      "\005 \001(\004\"s\n\016ZoneEvacuation\022\014\n\004zone\030\001 \001(\t\022\021\n" +
+      "\tevacuated\030\002 \001(\010\022\024\n\014requested_by\030\003 \001(\t\022\031" +
+      "\n\021ordered_at_millis\030\004 \001(\004\022\017\n\007version\030\005 \001" +
+      "(\004\"K\n\013Evacuations\022\017\n\007version\030\001 \001(\004\022+\n\005zo" +
+      "nes\030\002 \003(\0132\034.radishthread.ZoneEvacuation\"" +
+      "V\n\020EvacuationAnswer\022\022\n\nsuperseded\030\001 \001(\010\022" +
+      ".\n\013evacuations\030\002 \001(\0132\031.radishthread.Evac" +
+      "uations\"\250\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001(\016" +
+      "2\032.radishthread.RulesVerdict\022\020\n\010revision" +
+      "\030\002 \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted" +
+      "_at_millis\030\004 \001(\004\022\030\n\020current_revision\030\005 \001" +
+      "(\004\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007ver" +
+      "dict\030\001 \001(\0162\032.radishthread.ClaimVerdict\022\r" +
+      "\n\005owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\0132\034.radishth" +
+      "read.RecordedAnswer\"\360\001\n\017ControlSnapshot\022" +
+      "%\n\005rules\030\001 \001(\0132\026.radishthread.RuleFile\022*" +
+      "\n\007history\030\002 \003(\0132\031.radishthread.RuleHisto" +
+      "ry\022)\n\006claims\030\003 \003(\0132\031.radishthread.ClaimR" +
+      "ecord\022\024\n\014clock_millis\030\004 \001(\004\022\031\n\021released_" +
+      "attempts\030\005 \003(\006\022.\n\013evacuations\030\006 \001(\0132\031.ra" +
+      "dishthread.Evacuations\"a\n\013RuleHistory\022\020\n" +
+      "\010revision\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\024\n\014submi" +
+      "tted_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030\004 \001(" +
+      "\004\"\230\001\n\013ClaimRecord\022\013\n\003key\030\001 \001(\014\022\023\n\013finger" +
+      "print\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 " +
+      "\001(\006\022\031\n\021claimed_at_millis\030\005 \001(\004\022,\n\006answer" +
+      "\030\006 \001(\0132\034.radishthread.RecordedAnswer\"\302\002\n" +
+      "\016ControlRequest\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002" +
+      " \001(\0132\025.radishthread.CommandH\000\022-\n\nread_ru" +
+      "les\030\003 \001(\0132\027.radishthread.ReadRulesH\000\022.\n\n" +
+      "initialize\030\004 \001(\0132\030.radishthread.Initiali" +
+      "zeH\000\022/\n\007replace\030\005 \001(\0132\034.radishthread.Rep" +
+      "laceReplicaH\000\022/\n\013read_status\030\006 \001(\0132\030.rad" +
+      "ishthread.ReadStatusH\000\0221\n\014read_history\030\007" +
+      " \001(\0132\031.radishthread.ReadHistoryH\000B\006\n\004bod" +
+      "y\"1\n\tReadRules\022$\n\004part\030\001 \001(\0162\026.radishthr" +
+      "ead.RulePart\"\014\n\nReadStatus\"\034\n\013ReadHistor" +
+      "y\022\r\n\005limit\030\001 \001(\r\"5\n\007History\022*\n\007entries\030\001" +
+      " \003(\0132\031.radishthread.RuleHistory\"?\n\nIniti" +
+      "alize\0221\n\010replicas\030\001 \003(\0132\037.radishthread.R" +
+      "eplicaDescriptor\"@\n\016ReplaceReplica\022.\n\005ad" +
+      "ded\030\001 \001(\0132\037.radishthread.ReplicaDescript" +
+      "or\"3\n\tNotLeader\022\026\n\016leader_address\030\001 \001(\t\022" +
+      "\016\n\006reason\030\002 \001(\t\"\364\001\n\rControlStatus\0220\n\007rep" +
+      "lica\030\001 \001(\0132\037.radishthread.ReplicaDescrip" +
+      "tor\022\014\n\004role\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commi" +
+      "t_index\030\004 \001(\004\022\026\n\016snapshot_index\030\005 \001(\004\022\016\n" +
+      "\006claims\030\006 \001(\004\0222\n\rconfiguration\030\007 \001(\0132\033.r" +
+      "adishthread.Configuration\022\r\n\005group\030\010 \001(\006" +
+      "\022\024\n\014leader_known\030\t \001(\010\"\346\003\n\017ControlRespon" +
+      "se\022\n\n\002id\030\001 \001(\004\022-\n\nnot_leader\030\002 \001(\0132\027.rad" +
+      "ishthread.NotLeaderH\000\022*\n\005rules\030\003 \001(\0132\031.r" +
+      "adishthread.RulesAnswerH\000\022*\n\005claim\030\004 \001(\013" +
+      "2\031.radishthread.ClaimAnswerH\000\022+\n\trule_fi" +
+      "le\030\005 \001(\0132\026.radishthread.RuleFileH\000\022\"\n\004do" +
+      "ne\030\006 \001(\0132\022.radishthread.DoneH\000\022(\n\007refuse" +
+      "d\030\007 \001(\0132\025.radishthread.RefusedH\000\022-\n\006stat" +
+      "us\030\010 \001(\0132\033.radishthread.ControlStatusH\000\022" +
+      "(\n\007history\030\t \001(\0132\025.radishthread.HistoryH" +
+      "\000\0224\n\nevacuation\030\n \001(\0132\036.radishthread.Eva" +
+      "cuationAnswerH\000\022.\n\013evacuations\030\013 \001(\0132\031.r" +
+      "adishthread.EvacuationsB\006\n\004body\"\006\n\004Done\"" +
+      "\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"\320\001\n\010RuleFile\022" +
+      "\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010do" +
+      "cument\030\003 \001(\014\022\032\n\022compressed_content\030\004 \001(\014" +
+      "\0220\n\ndifference\030\005 \001(\0132\034.radishthread.Rule" +
+      "Difference\022\033\n\023compressed_document\030\006 \001(\014\022" +
+      "$\n\004part\030\007 \001(\0162\026.radishthread.RulePart\"T\n" +
+      "\013RuleRequest\022\026\n\016known_revision\030\001 \001(\004\022\027\n\017" +
+      "accepts_encoded\030\002 \001(\010\022\024\n\014known_digest\030\003 " +
+      "\001(\014\"Q\n\016RuleDifference\022\025\n\rbase_revision\030\001" +
+      " \001(\004\022\016\n\006digest\030\002 \001(\014\022\030\n\020compressed_lines" +
+      "\030\003 \001(\014\"8\n\tRuleLines\022+\n\006blocks\030\001 \003(\0132\033.ra" +
+      "dishthread.RuleLineBlock\"E\n\rRuleLineBloc" +
+      "k\022\022\n\nfirst_line\030\001 \001(\r\022\022\n\nline_count\030\002 \001(" +
+      "\r\022\014\n\004text\030\003 \001(\t\"\353\001\n\016UpstreamRecord\022\014\n\004na" +
+      "me\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001" +
+      "(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incar" +
+      "nation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030" +
+      "\010 \001(\0162\033.radishthread.UpstreamState\022\016\n\006ho" +
+      "lder\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\022\023\n\013cold" +
+      "_millis\030\013 \001(\r\"\361\001\n\016InstanceRecord\022\014\n\004name" +
+      "\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(\t\022\036\n\026administ" +
+      "ration_address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007co" +
+      "ntrol\030\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022\023\n\013incarnat" +
+      "ion\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n\007gateway\030\t " +
+      "\001(\010\022\023\n\013evacuations\030\013 \001(\010\022\031\n\021counts_allot" +
+      "ments\030\030 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022\016\n\006sender\030\001" +
+      " \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartbeats\030\003 " +
+      "\003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstreams\030\005 \003(" +
+      "\0132\034.radishthread.UpstreamRecord\022-\n\007recor" +
+      "ds\030\006 \003(\0132\034.radishthread.InstanceRecord\022\016" +
+      "\n\006digest\030\007 \001(\006\022\026\n\016sender_address\030\010 \001(\t\022\023" +
+      "\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n \003(\007\022\016\n\006rep" +
+      "ort\030\013 \001(\004\022\035\n\020rules_age_millis\030\014 \001(\004H\000\210\001\001" +
+      "\022\033\n\023evacuations_version\030\r \001(\004B\023\n\021_rules_" +
+      "age_millis\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013i" +
+      "ncarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017S" +
+      "ynchronization\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030" +
+      "\002 \003(\0132\025.radishthread.Version\022/\n\tupstream" +
+      "s\030\003 \003(\0132\034.radishthread.UpstreamRecord\022-\n" +
+      "\007records\030\004 \003(\0132\034.radishthread.InstanceRe" +
+      "cord\022\016\n\006answer\030\005 \001(\010\022\026\n\016sender_address\030\006" +
+      " \001(\t\022\027\n\017known_instances\030\007 \003(\007\022\026\n\016instanc" +
+      "es_only\030\010 \001(\010\"C\n\014LeaseRenewal\022\014\n\004name\030\001 " +
+      "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001" +
+      "(\004\"L\n\016UpstreamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upst" +
+      "ream\030\002 \001(\0132\034.radishthread.UpstreamRecord" +
+      "\"#\n\025UpstreamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\231\003" +
+      "\n\013SlotMessage\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket" +
+      "\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.r" +
+      "adishthread.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025" +
+      ".radishthread.SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027" +
+      ".radishthread.SlotRetryH\000\022(\n\005hedge\030\007 \001(\013" +
+      "2\027.radishthread.SlotHedgeH\000\022(\n\005close\030\010 \001" +
+      "(\0132\027.radishthread.SlotCloseH\000\022*\n\006queued\030" +
+      "\t \001(\0132\030.radishthread.SlotQueuedH\000\022(\n\005gra" +
+      "nt\030\n \001(\0132\027.radishthread.SlotGrantH\000\022,\n\007r" +
+      "efusal\030\013 \001(\0132\031.radishthread.SlotRefusalH" +
+      "\000B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller\030\001 \001(" +
+      "\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_micro" +
+      "s\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020objective_m" +
+      "icros\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001(\r\022\014\n" +
+      "\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\tworkspace" +
+      "\030\t \001(\t\"\305\001\n\nLoadReport\022\017\n\007running\030\001 \001(\r\022\017" +
+      "\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_p" +
+      "ercent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refused" +
+      "_millis\030\006 \001(\004\022\035\n\020limit_per_second\030\007 \001(\001H" +
+      "\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021_limit_per_" +
+      "second\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006r" +
+      "esult\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthread" +
+      ".LoadReport\022\027\n\017connection_lost\030\004 \001(\010\"k\n\013" +
+      "CrashNotice\022*\n\007crashes\030\001 \003(\0132\031.radishthr" +
+      "ead.CrashRecord\0220\n\nclearances\030\002 \003(\0132\034.ra" +
+      "dishthread.CrashClearance\"g\n\013CrashRecord" +
+      "\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013in" +
+      "carnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage_mi" +
+      "llis\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006digest\030\001" +
+      " \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetry\"\013\n" +
+      "\tSlotHedge\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\250\001" +
+      "\n\tSlotGrant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address" +
+      "\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022" +
+      "\025\n\rwaited_micros\030\005 \001(\004\022\032\n\022hedge_after_mi" +
+      "cros\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005rel" +
+      "ay\030\010 \001(\t\"R\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022" +
+      "\032\n\022retry_after_millis\030\002 \001(\004\022\027\n\017specific_" +
+      "reason\030\003 \001(\t\"\345\002\n\020AllotmentMessage\022\021\n\twor" +
+      "kspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(" +
+      "\004\022+\n\005terms\030\004 \001(\0132\034.radishthread.Allotmen" +
+      "tTerms\022,\n\007request\030\005 \001(\0132\031.radishthread.L" +
+      "oanRequestH\000\022\"\n\004loan\030\006 \001(\0132\022.radishthrea" +
+      "d.LoanH\000\022*\n\006return\030\007 \001(\0132\030.radishthread." +
+      "LoanReturnH\000\0223\n\010handover\030\010 \001(\0132\037.radisht" +
+      "hread.AllotmentHandoverH\000\0229\n\020handover_re" +
+      "quest\030\t \001(\0132\035.radishthread.HandoverReque" +
+      "stH\000B\006\n\004body\"N\n\016AllotmentTerms\022\020\n\010revisi" +
+      "on\030\001 \001(\004\022\033\n\023requests_per_second\030\002 \001(\001\022\r\n" +
+      "\005burst\030\003 \001(\001\"\272\001\n\013LoanRequest\022\027\n\017accepted" +
+      "_number\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand_pe" +
+      "r_second\030\003 \001(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023given_" +
+      "up_per_second\030\005 \001(\001\022\027\n\017given_up_millis\030\006" +
+      " \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017\n\007surplus\030\010 \001(" +
+      "\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n\nlender_run" +
+      "\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper_second\030\004 \001" +
+      "(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\024\n\014valid_mill" +
+      "is\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020available_m" +
+      "illis\030\010 \001(\004\022\026\n\016lender_address\030\t \001(\t\"\034\n\nL" +
+      "oanReturn\022\016\n\006tokens\030\001 \001(\001\"J\n\021AllotmentHa" +
+      "ndover\022\016\n\006tokens\030\001 \001(\001\022%\n\005loans\030\002 \003(\0132\026." +
+      "radishthread.OpenLoan\"\021\n\017HandoverRequest" +
+      "\"\232\001\n\010OpenLoan\022\020\n\010borrower\030\001 \001(\t\022\013\n\003run\030\002" +
+      " \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\nper_second\030\004 \001(\001" +
+      "\022\026\n\016maximum_tokens\030\005 \001(\001\022\031\n\021demand_per_s" +
+      "econd\030\006 \001(\001\022\030\n\020remaining_millis\030\007 \001(\004*a\n" +
+      "\014RulesVerdict\022\035\n\031RULES_VERDICT_UNSPECIFI" +
+      "ED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STAL" +
+      "E\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAI" +
+      "M_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004" +
+      "HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004F" +
+      "ULL\020\005*O\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026" +
+      "\n\022RULE_PART_REVISION\020\001\022\026\n\022RULE_PART_DOCU" +
+      "MENT\020\002*R\n\rUpstreamState\022\036\n\032UPSTREAM_STAT" +
+      "E_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002" +
+      "\022\010\n\004LEFT\020\003B\035\n\031org.radishthread.protocolP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -925,7 +926,7 @@
     internal_static_radishthread_EvacuationOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_EvacuationOrder_descriptor,
-        new java.lang.String[] { "Zone", "Evacuate", "RequestedBy", "KnownVersion", });
+        new java.lang.String[] { "Zone", "Evacuate", "RequestedBy", "KnownVersion", "KnownStateVersion", });
     internal_static_radishthread_ZoneEvacuation_descriptor =
       getDescriptor().getMessageType(30);
     internal_static_radishthread_ZoneEvacuation_fieldAccessorTable = new
