Do not count a withheld request against the upstream

A request that was not sent because its key had been withdrawn while the connection was established counted as a failure to connect: it could eject the upstream, closed its idle connections and took from the retry budget. It counts as cancelled now, and the caller gets the outcome of the check.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -438,9 +438,9 @@
 	@Override
 	public final void onFailure(Attempt attempt, AttemptFailure failure, Throwable cause) {
 		boolean obsolete = isObsolete(attempt);
-		completeAttempt(attempt,
-				obsolete ? AttemptCompletion.CANCELLED : AttemptCompletion.of(failure, attempt.isConnectionLost()));
-		if (!attempt.isOnNewConnection() && !attempt.hasResponseBegun()) {
+		completeAttempt(attempt, (obsolete || attempt.isWithheld()) ? AttemptCompletion.CANCELLED
+				: AttemptCompletion.of(failure, attempt.isConnectionLost()));
+		if (!attempt.isOnNewConnection() && !attempt.hasResponseBegun() && !attempt.isWithheld()) {
 			this.context.clients().closeIdleConnections(attempt.upstreamAddress());
 		}
 		if (obsolete) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -46,6 +46,8 @@
 
 	private volatile boolean requestBegun;
 
+	private volatile boolean withheld;
+
 	private volatile boolean responseBegun;
 
 	private volatile boolean streaming;
@@ -94,6 +96,13 @@
 		return this.loadReport;
 	}
 
+	// Whether this instance did not send the request, for a reason that says nothing
+	// about
+	// the upstream.
+	boolean isWithheld() {
+		return this.withheld;
+	}
+
 	void send() {
 		this.request.onRequestBegin((request) -> begin());
 		this.request.send(this);
@@ -103,6 +112,7 @@
 	// process may have been suspended meanwhile.
 	private void begin() {
 		if (!this.listener.maySend(this)) {
+			this.withheld = true;
 			abort(new GatewayException("The request may not be sent any more."));
 			return;
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -239,6 +239,14 @@
 
 	@Override
 	protected void onAttemptFailed(Attempt attempt, AttemptFailure failure) {
+		if (attempt.isWithheld()) {
+			KeyDecision keyDecision = checkKey(CallerKeys.Stage.SEND);
+			if (keyDecision.outcome().isRefusal()) {
+				completeUnsuccessfully(keyDecision.outcome().title(), retryAfterMillis(keyDecision.outcome()),
+						keyDecision.outcome().httpStatus());
+				return;
+			}
+		}
 		boolean bodyAvailable = !isBodyStreamed() || failure == AttemptFailure.NOT_SENT;
 		if (failure.allowsRetry(route().mode(), bodyAvailable)) {
 			this.router.retry(requestNumber());
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
@@ -52,8 +52,10 @@
 			.method("POST")
 			.body(new BytesRequestContent(new byte[] { 1, 2, 3 }));
 		RefusingListener listener = new RefusingListener();
-		new Attempt("i-1", address, request, new DefaultHttpDialect(), "r-1", 1_000, true, listener).send();
+		Attempt attempt = new Attempt("i-1", address, request, new DefaultHttpDialect(), "r-1", 1_000, true, listener);
+		attempt.send();
 		assertThat(listener.failure.get(5, TimeUnit.SECONDS)).isEqualTo(AttemptFailure.NOT_SENT);
+		assertThat(attempt.isWithheld()).as("says nothing about the upstream").isTrue();
 		assertThat(receivesNothing()).isTrue();
 	}
 
