--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -38,9 +38,8 @@
 
 	private static final long MAXIMUM_CONFIRMATION_INTERVAL_MILLIS = 1_600;
 
-	// The rules of a confirmed revision are received from a peer nearby. If that fails,
-	// the
-	// leader of the control group sends them.
+	// The rules of a confirmed revision are received from a peer nearby. If that
+	// fails, the leader of the control group sends them.
 	private static final int MAXIMUM_REVISION_RESPONSES = 4;
 
 	private final PeerTransport transport;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -97,8 +97,7 @@
 	}
 
 	// Whether this instance did not send the request, for a reason that says nothing
-	// about
-	// the upstream.
+	// about the upstream.
 	boolean isWithheld() {
 		return this.withheld;
 	}
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
@@ -37,8 +37,7 @@
 	}
 
 	// Guards against replicas whose states differ, because one of an earlier version
-	// skips
-	// the order.
+	// skips the order.
 	@Test
 	void evacuationsAreNotOrderedBesideAControlInstanceOfAnEarlierVersion() {
 		InstanceRecord control = InstanceRecord.newBuilder().setControl(true).setEvacuations(true).build();
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -107,9 +107,8 @@
 		}
 
 		// Guards against instances that do not start, since a bound of the platform is
-		// not
-		// an integer.
-		// A deployment that states none of the bounds of a section leaves it empty.
+		// not an integer. A deployment that states none of the bounds of a section
+		// leaves it empty.
 		@Test
 		void emptySectionHasTheDefaults() throws IOException {
 			DaemonSettings settings = read(VALID + "keys:\nallotments: {}\ncold-starts:\n");
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -207,8 +207,7 @@
 	}
 
 	// Returns the peer to which a request is due because no nearer source had the
-	// revision
-	// in time, or an empty text.
+	// revision in time, or an empty text.
 	String overdueAddress(long nowMillis) {
 		return isBehindLongerThan(NEARER_SOURCE_MILLIS, nowMillis) ? this.fartherAddress : "";
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -580,9 +580,8 @@
 		return takeEffects();
 	}
 
-	// Whether an instance returned a grant because the upstream is cold. Its duration
-	// says
-	// nothing about the upstream, and a further attempt is no retry.
+	// Whether an instance returned a grant because the upstream is cold. Its
+	// duration says nothing about the upstream, and a further attempt is no retry.
 	private static boolean isReturned(AttemptResult result, @Nullable LoadReport report) {
 		return result == AttemptResult.CANCELLED && report != null && report.coldMillis() > 0;
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/allotment/AllotmentBorrower.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/allotment/AllotmentBorrower.java
@@ -283,8 +283,7 @@
 			reportLimit(account, nowNanos);
 		}
 		// The rate of an unused loan is missed by others, for instance after the home of
-		// a
-		// service has changed.
+		// a service has changed.
 		boolean unusedRate = account.tokens.perSecond() > 0 && nowNanos - account.lastArrivalNanos > IDLE_RATE_NANOS
 				&& account.pendingNumber == 0;
 		if (unusedRate || account.isIdle(nowNanos)) {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/FullUpstreamTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/FullUpstreamTests.java
@@ -107,8 +107,7 @@
 	class Suspicions {
 
 		// A full upstream may reset the connection of the probe too. Two crashes lead to
-		// a
-		// suspicion, a third one to quarantine.
+		// a suspicion, a third one to quarantine.
 		@Test
 		void requestThatFullUpstreamsResetIsNotSuspected() {
 			List<RoutingEffect> effects = new ArrayList<>();
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
@@ -125,8 +125,7 @@
 	}
 
 	// Returns false if the rule contradicts a former line, so that the line must be
-	// parsed
-	// to give a finding.
+	// parsed to give a finding.
 	private boolean addKnownRule(int line, LineRule rule) {
 		if (rule instanceof RouteRule route) {
 			this.routes.add(route.withLine(line));
