Let an instance without rules read them from the leader at once

Since rules are distributed by peers, a gateway that started read the revision from the leader, and then waited for the next message of a peer before it asked for the content. The first read now brings the content, compressed once at the leader for all readers; instances that have rules still read the revision alone.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/RuleRegistry.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/RuleRegistry.java
@@ -1,5 +1,6 @@
 package org.radishthread.agreement;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.TreeMap;
 
@@ -30,6 +31,8 @@
 	// The document of the current rules, compressed when it was first read.
 	private RuleFile encodedDocument = RuleFile.getDefaultInstance();
 
+	private RuleFile encodedContent = RuleFile.getDefaultInstance();
+
 	private final TreeMap<Long, RuleHistory> history = new TreeMap<>();
 
 	RuleFile currentRules() {
@@ -42,10 +45,23 @@
 			case RULE_PART_REVISION ->
 				RuleFile.newBuilder().setRevision(this.currentRules.getRevision()).setPart(part).build();
 			case RULE_PART_DOCUMENT -> readDocument();
+			case RULE_PART_CONTENT -> readContent();
 			default -> this.currentRules;
 		};
 	}
 
+	private RuleFile readContent() {
+		if (this.encodedContent.getRevision() != this.currentRules.getRevision()) {
+			byte[] compressed = Compression.compress(this.currentRules.getContent().getBytes(StandardCharsets.UTF_8));
+			this.encodedContent = RuleFile.newBuilder()
+				.setRevision(this.currentRules.getRevision())
+				.setPart(RulePart.RULE_PART_CONTENT)
+				.setCompressedContent(ByteString.copyFrom(compressed))
+				.build();
+		}
+		return this.encodedContent;
+	}
+
 	private RuleFile readDocument() {
 		if (this.encodedDocument.getRevision() != this.currentRules.getRevision()) {
 			byte[] compressed = Compression.compress(this.currentRules.getDocument().toByteArray());
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/RuleRegistryTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/RuleRegistryTests.java
@@ -62,4 +62,18 @@
 			.isEqualTo(DOCUMENT.getBytes(StandardCharsets.UTF_8));
 	}
 
+	@Test
+	void contentIsReadCompressedWithoutTheDocumentAndAlwaysOfTheCurrentRevision() {
+		submit(3, DOCUMENT);
+		this.registry.readPart(RulePart.RULE_PART_CONTENT);
+		submit(4, DOCUMENT);
+		RuleFile part = this.registry.readPart(RulePart.RULE_PART_CONTENT);
+		byte[] content = this.registry.currentRules().getContent().getBytes(StandardCharsets.UTF_8);
+		assertThat(part.getRevision()).isEqualTo(4);
+		assertThat(part.getCompressedDocument().isEmpty()).isTrue();
+		assertThat(part.getDocument().isEmpty()).isTrue();
+		assertThat(Compression.decompress(part.getCompressedContent().toByteArray(), content.length))
+			.isEqualTo(content);
+	}
+
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlClient.java
@@ -109,8 +109,7 @@
 		}
 		this.confirmationPending = true;
 		this.nextConfirmationMillis = nowMillis() + this.confirmationInterval.nextMillis();
-		RulePart part = (this.revisionResponses < MAXIMUM_REVISION_RESPONSES) ? RulePart.RULE_PART_REVISION
-				: RulePart.RULE_PART_WHOLE;
+		RulePart part = nextRulePart();
 		ControlRequest.Builder request = ControlRequest.newBuilder().setReadRules(ReadRules.newBuilder().setPart(part));
 		sendToLeader(request, CONFIRMATION_TIMEOUT_MILLIS).whenComplete((response, failure) -> {
 			this.confirmationPending = false;
@@ -122,6 +121,15 @@
 		});
 	}
 
+	// An instance without rules can't serve before it has them, so that it does not wait
+	// for a peer.
+	private RulePart nextRulePart() {
+		if (this.revisionResponses >= MAXIMUM_REVISION_RESPONSES) {
+			return RulePart.RULE_PART_WHOLE;
+		}
+		return this.cluster.view().hasRules() ? RulePart.RULE_PART_REVISION : RulePart.RULE_PART_CONTENT;
+	}
+
 	/**
 	 * Sends a request to the leader of the control group. It is sent again until a
 	 * response arrives or the timeout expires.
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -109,7 +109,11 @@
 			return false;
 		}
 		apply(RuleFileDecoder.decode(offeredRules, this.ruleFile), nowMillis);
-		this.lastTransfer = new RuleTransfer(RuleTransfer.Form.LOCAL, 0, this.lastTransfer.refusedCount());
+		// Compressed rules were read from the control group, others come from the own
+		// log.
+		boolean read = !offeredRules.getCompressedContent().isEmpty();
+		this.lastTransfer = new RuleTransfer(read ? RuleTransfer.Form.COMPRESSED : RuleTransfer.Form.LOCAL,
+				read ? offeredRules.getSerializedSize() : 0, this.lastTransfer.refusedCount());
 		return true;
 	}
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -736,12 +736,12 @@
       "E\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAI" +
       "M_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004" +
       "HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004F" +
-      "ULL\020\005*O\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026" +
+      "ULL\020\005*f\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026" +
       "\n\022RULE_PART_REVISION\020\001\022\026\n\022RULE_PART_DOCU" +
-      "MENT\020\002*R\n\rUpstreamState\022\036\n\032UPSTREAM_STAT" +
-      "E_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002" +
-      "\022\010\n\004LEFT\020\003B\035\n\031org.radishthread.protocolP" +
-      "\001b\006proto3"
+      "MENT\020\002\022\025\n\021RULE_PART_CONTENT\020\003*R\n\rUpstrea" +
+      "mState\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t" +
+      "\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org" +
+      ".radishthread.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/RulePart.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/RulePart.java
@@ -35,6 +35,14 @@
    * <code>RULE_PART_DOCUMENT = 2;</code>
    */
   RULE_PART_DOCUMENT(2),
+  /**
+   * <pre>
+   * The content, compressed, for an instance that has no rules yet.
+   * </pre>
+   *
+   * <code>RULE_PART_CONTENT = 3;</code>
+   */
+  RULE_PART_CONTENT(3),
   UNRECOGNIZED(-1),
   ;
 
@@ -67,6 +75,14 @@
    * <code>RULE_PART_DOCUMENT = 2;</code>
    */
   public static final int RULE_PART_DOCUMENT_VALUE = 2;
+  /**
+   * <pre>
+   * The content, compressed, for an instance that has no rules yet.
+   * </pre>
+   *
+   * <code>RULE_PART_CONTENT = 3;</code>
+   */
+  public static final int RULE_PART_CONTENT_VALUE = 3;
 
 
   public final int getNumber() {
@@ -96,6 +112,7 @@
       case 0: return RULE_PART_WHOLE;
       case 1: return RULE_PART_REVISION;
       case 2: return RULE_PART_DOCUMENT;
+      case 3: return RULE_PART_CONTENT;
       default: return null;
     }
   }
