Tick allotments only while a workspace is limited

The tick is scheduled now when rules with a limited workspace arrive, or work of the lender or borrower is left. Found by reading; the processor time that it cost was not measured.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AllotmentService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AllotmentService.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -80,6 +81,8 @@
 
 	private volatile boolean anyLimited;
 
+	private final AtomicBoolean tickScheduled = new AtomicBoolean();
+
 	// Guarded by this.
 	private List<InstanceView> knownInstances = List.of();
 
@@ -117,7 +120,13 @@
 	public void start() {
 		this.transport.registerHandler(Envelope.BodyCase.ALLOTMENT,
 				(name, address, envelope) -> receive(address, envelope.getAllotment()));
-		this.eventLoop.scheduleWithFixedDelay(TICK_INTERVAL_MILLIS, this::tick);
+	}
+
+	// Without limited workspaces there is nothing to do at intervals.
+	private void scheduleTickIfNeeded() {
+		if ((this.anyLimited || hasWork()) && this.tickScheduled.compareAndSet(false, true)) {
+			this.eventLoop.schedule(TICK_INTERVAL_MILLIS, this::tick);
+		}
 	}
 
 	private void receive(String address, AllotmentMessage message) {
@@ -135,6 +144,7 @@
 			effects.addAll(event.apply(nowNanos));
 		}
 		effects.forEach(this::execute);
+		scheduleTickIfNeeded();
 	}
 
 	// An instance that is out of touch neither lends nor counts on others.
@@ -166,9 +176,7 @@
 
 	private void tick() {
 		this.tickCount++;
-		if (!this.anyLimited && !hasWork()) {
-			return;
-		}
+		this.tickScheduled.set(false);
 		process(this.borrower::tick);
 		if (this.tickCount % TICKS_PER_LENDER_TICK == 0) {
 			process(this.lender::tick);
@@ -293,6 +301,7 @@
 				.forEach((workspace) -> this.lender.updateTerms(workspace.name(), toTerms(workspace, updatedRules),
 						nowNanos));
 		}
+		scheduleTickIfNeeded();
 	}
 
 	@Override
