Hold requests for a third of their time while an instance starts

Routes there time out after 1 to 1.2 s, callers wait 2 to 2.5 s; a request held for three quarters of that has outlasted its route when the instance is ready, and its caller has no time to come back. A third leaves time for one return, which may be held once more.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/StartupBacklog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/StartupBacklog.java
@@ -14,8 +14,10 @@
  */
 final class StartupBacklog<T> {
 
-	// The rest of its time is left for serving the request, here or elsewhere.
-	private static final double MAXIMUM_HELD_SHARE = 0.75;
+	// A caller comes back within a third of the time that is left, and may have to be
+	// held
+	// once more. The timeout of the route, which is not known yet, also counts.
+	private static final double MAXIMUM_HELD_SHARE = 1.0 / 3;
 
 	// For a request that does not state how long its caller waits.
 	private static final long DEFAULT_HOLD_MILLIS = 1_000;
