Complete a request that is refused for its key in one place

The same three values of the outcome were passed on at dispatch and after an attempt that was withheld. A comment that the formatter had broken is one line again.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -157,6 +157,10 @@
 		return context().keys().check(route(), request().getHeaders(), loggedRequestId(), stage);
 	}
 
+	private void completeRefused(KeyOutcome outcome) {
+		completeUnsuccessfully(outcome.title(), retryAfterMillis(outcome), outcome.httpStatus());
+	}
+
 	private long retryAfterMillis(KeyOutcome outcome) {
 		return outcome.isTemporary()
 				? RetryAfter.delayMillis(CallerKeys.RETRY_AFTER_MILLIS, remainingMillis(), requestNumber()) : 0;
@@ -170,8 +174,7 @@
 					AttemptCompletion.CANCELLED.result(), null);
 			// Another attempt, or its response that is about to be forwarded, goes on.
 			if (dispatch.kind() != AttemptKind.HEDGE && activeAttemptCount() == 0) {
-				completeUnsuccessfully(keyDecision.outcome().title(), retryAfterMillis(keyDecision.outcome()),
-						keyDecision.outcome().httpStatus());
+				completeRefused(keyDecision.outcome());
 			}
 			return;
 		}
@@ -242,8 +245,7 @@
 		if (attempt.isWithheld()) {
 			KeyDecision keyDecision = checkKey(CallerKeys.Stage.SEND);
 			if (keyDecision.outcome().isRefusal()) {
-				completeUnsuccessfully(keyDecision.outcome().title(), retryAfterMillis(keyDecision.outcome()),
-						keyDecision.outcome().httpStatus());
+				completeRefused(keyDecision.outcome());
 				return;
 			}
 		}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -109,8 +109,7 @@
 			return false;
 		}
 		apply(RuleFileDecoder.decode(offeredRules, this.ruleFile), nowMillis);
-		// Compressed rules were read from the control group, others come from the own
-		// log.
+		// Compressed rules were read from the control group, others come from the log.
 		boolean read = !offeredRules.getCompressedContent().isEmpty();
 		this.lastTransfer = new RuleTransfer(read ? RuleTransfer.Form.COMPRESSED : RuleTransfer.Form.LOCAL,
 				read ? offeredRules.getSerializedSize() : 0, this.lastTransfer.refusedCount());
