--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
@@ -43,6 +43,7 @@
 	void attemptFailed(Attempt attempt, AttemptFailure failure, Throwable cause) {
 		event("attempt-failed").with("upstream", attempt.upstreamName())
 			.with("outcome", failure)
+			.with("connection", attempt.isOnNewConnection() ? "new" : "pooled")
 			.with("connection-lost", attempt.isConnectionLost())
 			.with("digest", this.exchange.digest())
 			.with("cause", cause.getMessage())
@@ -52,6 +53,7 @@
 	void responseForwarded(Attempt attempt, int status, String form) {
 		event("response-forwarded").with("service", this.exchange.route().service())
 			.with("upstream", attempt.upstreamName())
+			.with("connection", attempt.isOnNewConnection() ? "new" : "pooled")
 			.with("status", status)
 			.with("form", form)
 			.with("elapsed-millis", elapsedMillis())
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RefusalReason.java
@@ -32,8 +32,7 @@
 	QUEUE_TIMEOUT(503),
 
 	/**
-	 * An attempt failed, and no other is allowed by the retry budget, the deadline or the
-	 * maximum number of attempts, or the home does not respond to the request for one.
+	 * An attempt failed, and the retry budget of the service allows no other.
 	 */
 	RETRY_BUDGET(503),
 
@@ -57,7 +56,23 @@
 	 * It could not be found out in time whether the allotment of the workspace is used
 	 * up.
 	 */
-	ALLOTMENT_UNKNOWN(503);
+	ALLOTMENT_UNKNOWN(503),
+
+	/**
+	 * An attempt failed, and the request has been sent to as many upstreams as its route
+	 * allows.
+	 */
+	ATTEMPTS_USED(503),
+
+	/**
+	 * An attempt failed, and the deadline of the request has passed.
+	 */
+	DEADLINE_PASSED(503),
+
+	/**
+	 * An attempt failed, and the home does not respond to the request for another.
+	 */
+	HOME_SILENT(503);
 
 	private final int httpStatus;
 
@@ -90,6 +105,7 @@
 		return switch (this) {
 			case ALLOTMENT -> CALLER_LIMIT;
 			case ALLOTMENT_UNKNOWN -> OVERLOAD;
+			case ATTEMPTS_USED, DEADLINE_PASSED, HOME_SILENT -> RETRY_BUDGET;
 			default -> this;
 		};
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -617,11 +617,10 @@
 		if (quarantineRefusal != null) {
 			return List.of(quarantineRefusal);
 		}
-		if (state.triedUpstreams().size() >= state.request().maximumAttempts()
-				|| nowNanos >= state.request().deadlineNanos()
-				|| (state.hasArrived() && !this.retryBudget.tryAcquire(nowNanos))) {
-			return List.of(new Refusal(requestId, RefusalReason.RETRY_BUDGET, this.admission
-				.retryAfterMillis(state.request(), AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
+		RefusalReason reason = findRetryRefusal(state, nowNanos);
+		if (reason != null) {
+			return List.of(new Refusal(requestId, reason, this.admission.retryAfterMillis(state.request(),
+					AdmissionControl.NO_BUDGET_RETRY_AFTER_MILLIS, nowNanos)));
 		}
 		boolean hasUntriedUpstream = this.selection.usableTrackers(nowNanos)
 			.anyMatch((tracker) -> state.mayUse(tracker, nowNanos)
@@ -635,6 +634,17 @@
 		return takeEffects();
 	}
 
+	// Takes a token from the retry budget if nothing else is in the way.
+	private @Nullable RefusalReason findRetryRefusal(RequestState state, long nowNanos) {
+		if (state.triedUpstreams().size() >= state.request().maximumAttempts()) {
+			return RefusalReason.ATTEMPTS_USED;
+		}
+		if (nowNanos >= state.request().deadlineNanos()) {
+			return RefusalReason.DEADLINE_PASSED;
+		}
+		return (state.hasArrived() && !this.retryBudget.tryAcquire(nowNanos)) ? RefusalReason.RETRY_BUDGET : null;
+	}
+
 	/**
 	 * Requests a second attempt in parallel to a slow one. It is dispatched only if no
 	 * request is queued, a suitable slot is free and the retry budget allows it.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -304,7 +304,7 @@
 		}
 		state.awaitsDecision = false;
 		this.effects.add(new SlotEffect.Decision(new RoutingEffect.Refusal(state.request.id(),
-				RefusalReason.RETRY_BUDGET, RESPONSE_TIMEOUT_NANOS / NANOS_PER_MILLI)));
+				RefusalReason.HOME_SILENT, RESPONSE_TIMEOUT_NANOS / NANOS_PER_MILLI)));
 	}
 
 	/**
--- a/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
@@ -36,7 +36,7 @@
 	void refusalReasonsKeepTheirWireNames() {
 		assertThat(Arrays.stream(RefusalReason.values()).map(RefusalReason::wireName)).containsExactly("no-upstream",
 				"overload", "caller-limit", "queue-timeout", "retry-budget", "quarantined", "not-home", "allotment",
-				"allotment-unknown");
+				"allotment-unknown", "attempts-used", "deadline-passed", "home-silent");
 	}
 
 	// Earlier versions fail to read names that they do not know.
