--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
@@ -38,9 +38,14 @@
 	}
 
 	private static PartitionSimulation partition(PartitionSimulation simulation, int count, boolean home) {
+		return partition(simulation, count, home, REQUEST_INTERVAL_MILLIS);
+	}
+
+	private static PartitionSimulation partition(PartitionSimulation simulation, int count, boolean home,
+			long requestIntervalMillis) {
 		List<String> gateways = simulation.gateways();
 		Set<String> partitioned = new HashSet<>(home ? gateways.subList(0, count) : gateways.subList(1, 1 + count));
-		simulation.sendRequests(0, END_MILLIS, REQUEST_INTERVAL_MILLIS);
+		simulation.sendRequests(0, END_MILLIS, requestIntervalMillis);
 		simulation.at(PARTITION_MILLIS, () -> simulation.partition(partitioned));
 		simulation.at(PARTITION_MILLIS + STABLE_MILLIS, simulation::resetTallies);
 		simulation.runUntil(END_MILLIS + 1_000);
@@ -100,6 +105,26 @@
 
 	}
 
+	@Nested
+	class ManyGateways {
+
+		// Incident 1 of brazos-rota-grown: a gateway sent too few requests of a service
+		// for its home to learn that it was partitioned, and two failures to connect
+		// used up the attempts of a request that had not run.
+		@ParameterizedTest
+		@CsvSource({ "36, 13, 24, false", "72, 13, 24, false", "36, 89, 12, false", "72, 91, 3, false",
+				"36, 13, 24, true", "36, 58, 6, true", "72, 91, 3, true" })
+		void callersAreServedThoughAGatewaySendsFewRequestsOfAService(int count, int upstreamCount,
+				long requestIntervalMillis, boolean keptConnectionsLiveOn) {
+			PartitionSimulation simulation = new PartitionSimulation(120, upstreamCount, true, count);
+			simulation.keptConnectionsLiveOn = keptConnectionsLiveOn;
+			partition(simulation, count, false, requestIntervalMillis);
+			assertThat(simulation.servedShare(true)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
+			assertThat(simulation.servedShare(false)).isGreaterThanOrEqualTo(REQUIRED_SHARE);
+		}
+
+	}
+
 	@Nested
 	class LostUpstreams {
 
