--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -21,6 +21,8 @@
 
 	private final Set<String> triedUpstreams = new HashSet<>();
 
+	private int unreachedAttempts;
+
 	// Keyed by the name of the upstream.
 	private final Map<String, AttemptStart> attemptsInFlight = new HashMap<>();
 
@@ -66,7 +68,22 @@
 	}
 
 	void recordResult(AttemptResult result) {
-		this.arrived |= result != AttemptResult.UNREACHABLE;
+		if (result == AttemptResult.UNREACHABLE) {
+			this.unreachedAttempts++;
+		}
+		else {
+			this.arrived = true;
+		}
+	}
+
+	// The number of attempts that could not connect, so that they reached no upstream.
+	int unreachedAttempts() {
+		return this.unreachedAttempts;
+	}
+
+	// The number of attempts that count against the limit of the route.
+	int countedAttempts() {
+		return this.triedUpstreams.size() - this.unreachedAttempts;
 	}
 
 	boolean isClosed() {
@@ -90,8 +107,9 @@
 	 * @param inFlight the number of attempts in flight at the upstream, with this one
 	 * @param paceFactor the pace of the upstream
 	 * @param relay the instance that relays the attempt, or {@code null} for none
+	 * @param budgeted whether the attempt was taken from the retry budget
 	 */
-	record AttemptStart(long startNanos, int inFlight, double paceFactor, @Nullable String relay) {
+	record AttemptStart(long startNanos, int inFlight, double paceFactor, @Nullable String relay, boolean budgeted) {
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -88,6 +88,13 @@
 		return true;
 	}
 
+	/**
+	 * Returns a retry or hedge that reached no upstream to the budget.
+	 */
+	public void release() {
+		add(1);
+	}
+
 	/**
 	 * Takes one hedge from the budget if that leaves the reserve for retries.
 	 * @param nowNanos the monotonic time, in nanoseconds
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -58,6 +58,10 @@
 	// After a longer time without requests, another instance may have been the home.
 	private static final long HOME_GAP_NANOS = 1_000_000_000;
 
+	// Attempts that could not connect do not count as attempts of the request. This
+	// limit keeps requests from trying all upstreams of a service that is down.
+	private static final int MAXIMUM_UNREACHED_ATTEMPTS = 5;
+
 	private ServiceRule rule;
 
 	private final ColdStartLimits coldStartLimits;
@@ -486,8 +490,8 @@
 		String relay = startOnPath(state, tracker.upstream().name(), nowNanos);
 		state.triedUpstreams().add(tracker.upstream().name());
 		state.attemptsInFlight()
-			.put(tracker.upstream().name(),
-					new AttemptStart(nowNanos, tracker.inFlight(), tracker.paceFactor(nowNanos), relay));
+			.put(tracker.upstream().name(), new AttemptStart(nowNanos, tracker.inFlight(), tracker.paceFactor(nowNanos),
+					relay, isBudgeted(state, kind)));
 		boolean mayHedge = state.request().mayRepeat() && kind != AttemptKind.HEDGE
 				&& this.throughput.meanServiceNanos() > 0;
 		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request(), nowNanos) : 0;
@@ -495,6 +499,10 @@
 				queueTimeNanos, hedgeAfterNanos, tracker.isLimited(nowNanos), relay));
 	}
 
+	private static boolean isBudgeted(RequestState state, AttemptKind kind) {
+		return kind == AttemptKind.HEDGE || (kind == AttemptKind.RETRY && state.hasArrived());
+	}
+
 	// After an attempt that could not connect, another instance is preferred also where
 	// the path is not known to be lost: successes on kept connections may hide that.
 	private @Nullable String startOnPath(RequestState state, String upstream, long nowNanos) {
@@ -566,6 +574,9 @@
 		else {
 			tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
 			state.recordResult(result);
+			if (result == AttemptResult.UNREACHABLE && attemptStart.budgeted()) {
+				this.retryBudget.release();
+			}
 		}
 		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker, result, full,
 				nowNanos);
@@ -636,7 +647,8 @@
 
 	// Takes a token from the retry budget if nothing else is in the way.
 	private @Nullable RefusalReason findRetryRefusal(RequestState state, long nowNanos) {
-		if (state.triedUpstreams().size() >= state.request().maximumAttempts()) {
+		if (state.countedAttempts() >= state.request().maximumAttempts()
+				|| state.unreachedAttempts() >= MAXIMUM_UNREACHED_ATTEMPTS) {
 			return RefusalReason.ATTEMPTS_USED;
 		}
 		if (nowNanos >= state.request().deadlineNanos()) {
@@ -655,8 +667,9 @@
 	public List<RoutingEffect> hedge(long requestId, long nowNanos) {
 		RequestState state = this.requests.get(requestId);
 		if (state == null || state.isClosed() || state.attemptsInFlight().isEmpty()
-				|| state.triedUpstreams().size() >= Math.min(2, state.request().maximumAttempts())
-				|| this.queues.size() > 0 || this.crashes.crashesUnder(state.request()) > 0) {
+				|| state.countedAttempts() >= Math.min(2, state.request().maximumAttempts())
+				|| state.unreachedAttempts() >= MAXIMUM_UNREACHED_ATTEMPTS || this.queues.size() > 0
+				|| this.crashes.crashesUnder(state.request()) > 0) {
 			return List.of();
 		}
 		Optional<UpstreamTracker> chosenUpstream = this.selection.chooseUncontended(state, nowNanos)
