--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -508,7 +508,7 @@
 	private @Nullable String startOnPath(RequestState state, String upstream, long nowNanos) {
 		String origin = state.request().origin();
 		boolean usable = this.paths.isUsable(origin, upstream, nowNanos);
-		boolean couldNotConnect = !state.hasArrived() && !state.triedUpstreams().isEmpty();
+		boolean couldNotConnect = !state.hasArrived() && state.unreachedAttempts() > 0;
 		String relay = (usable && !couldNotConnect) ? null : this.paths.findRelay(origin, upstream, nowNanos);
 		if (relay != null) {
 			this.paths.recordRelayStart(relay, nowNanos);
