--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -203,6 +203,7 @@
 			if (report != null) {
 				slotEnd.setLoad(toMessage(report));
 			}
+			state.arrived |= result != AttemptResult.UNREACHABLE;
 			send(state, newMessage(state).setEnd(slotEnd));
 		}
 		return takeEffects();
@@ -298,7 +299,7 @@
 	}
 
 	private void handleHomeTimeout(RequestState state) {
-		if (!state.retryRequested) {
+		if (!state.retryRequested || !state.arrived) {
 			abandonHome(state);
 			return;
 		}
@@ -348,6 +349,9 @@
 
 		private boolean retryRequested;
 
+		// Whether an attempt may have arrived at an upstream.
+		private boolean arrived;
+
 		private int unacknowledgedRequests;
 
 		private long lastRequestNanos;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -136,4 +136,36 @@
 
 	}
 
+	@Nested
+	class SilentHomes {
+
+		private static final long LATER_NANOS = 500_000_000;
+
+		private List<SlotEffect> retryAfter(AttemptResult result) {
+			requestSlot();
+			receive(grant("upstream-1"));
+			SlotRequesterTests.this.requester.completeAttempt(7, "upstream-1", result, null);
+			SlotRequesterTests.this.requester.retry(7, 2_000_000);
+			return SlotRequesterTests.this.requester.tick(LATER_NANOS);
+		}
+
+		// Incident 1 of brazos-rota-grown: a request that had reached nothing was refused
+		// with most of its time left, because its home did not respond to the retry.
+		@Test
+		void requestThatReachedNothingIsRoutedWithoutTheHome() {
+			assertThat(retryAfter(AttemptResult.UNREACHABLE)).anyMatch(SlotEffect.HomeUnavailable.class::isInstance);
+		}
+
+		// The retry budget is known to the home only.
+		@Test
+		void requestThatMayHaveArrivedIsRefused() {
+			assertThat(retryAfter(AttemptResult.SHED)).singleElement()
+				.isInstanceOfSatisfying(SlotEffect.Decision.class,
+						(decision) -> assertThat(decision.routingEffect()).isInstanceOfSatisfying(
+								RoutingEffect.Refusal.class,
+								(refusal) -> assertThat(refusal.reason()).isEqualTo(RefusalReason.HOME_SILENT)));
+		}
+
+	}
+
 }
