--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -29,6 +29,7 @@
 import org.radishthread.daemon.gateway.GatewayContext;
 import org.radishthread.daemon.gateway.GatewayServer;
 import org.radishthread.daemon.gateway.HttpDialect;
+import org.radishthread.daemon.gateway.ReachabilityMonitor;
 import org.radishthread.daemon.gateway.ReadinessHandler;
 import org.radishthread.daemon.gateway.RoutingService;
 import org.radishthread.daemon.gateway.SlotService;
@@ -92,8 +93,14 @@
 
 	@Provides
 	@Singleton
-	static UpstreamClients upstreamClients(DaemonSettings settings) {
-		return new UpstreamClients(new RelayHandshake(settings));
+	static ReachabilityMonitor reachabilityMonitor(DaemonSettings settings, TimeSource time) {
+		return new ReachabilityMonitor(settings.instance(), time);
+	}
+
+	@Provides
+	@Singleton
+	static UpstreamClients upstreamClients(DaemonSettings settings, ReachabilityMonitor reachability) {
+		return new UpstreamClients(new RelayHandshake(settings), reachability);
 	}
 
 	@Provides
@@ -119,8 +126,9 @@
 	@Provides
 	@Singleton
 	static RoutingService routingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
-			AllotmentService allotments, CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
-		return new RoutingService(settings, clients, dialect, allotments, crashExchange, time, meters);
+			AllotmentService allotments, CrashExchange crashExchange, ReachabilityMonitor reachability, TimeSource time,
+			MeterRegistry meters) {
+		return new RoutingService(settings, clients, dialect, allotments, crashExchange, reachability, time, meters);
 	}
 
 	@Provides
@@ -146,8 +154,8 @@
 	@Provides
 	@Singleton
 	static SlotService slotService(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
-			RoutingService routing, TimeSource time) {
-		return new SlotService(settings, transport, cluster, routing, time);
+			RoutingService routing, ReachabilityMonitor reachability, TimeSource time) {
+		return new SlotService(settings, transport, cluster, routing, reachability, time);
 	}
 
 	@Provides
@@ -171,9 +179,10 @@
 	static Kernel kernel(DaemonSettings settings, PeerTransport transport, ClusterService cluster,
 			ControlClient controlClient, RuleOperations ruleOperations, EvacuationOperations evacuationOperations,
 			UpstreamClients clients, RoutingService routing, SlotService slots, AllotmentService allotments,
-			CrashExchange crashExchange, GatewayContext gatewayContext, Optional<DaemonExtension> extension,
-			TimeSource time, PrometheusMeterRegistry meters) {
+			CrashExchange crashExchange, ReachabilityMonitor reachability, GatewayContext gatewayContext,
+			Optional<DaemonExtension> extension, TimeSource time, PrometheusMeterRegistry meters) {
 		Kernel kernel = new Kernel();
+		transport.setUpstreamListener(reachability);
 		kernel.register(transport);
 		cluster.addListener(routing);
 		if (settings.isControl()) {
@@ -202,6 +211,7 @@
 				.createService(new ExtensionContext(settings, cluster, ruleOperations, evacuationOperations)))
 			.ifPresent(kernel::register);
 		if (settings.isGateway()) {
+			kernel.register(reachability);
 			kernel.register(clients);
 			kernel.register(routing);
 			kernel.register(slots);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -218,6 +218,12 @@
 		this.allotments.acquire(request, () -> admitAllotted(request, true), this::executeRefusal);
 	}
 
+	// What an instance, or this one if the address is empty, tells of its connections to
+	// the upstreams of the service.
+	void recordReachability(String peerAddress, boolean partitioned) {
+		process((nowNanos) -> this.router.recordReachability(peerAddress, partitioned, nowNanos));
+	}
+
 	// Routes a request whose home is unavailable.
 	void admitWithoutHome(RoutingRequest request, RoutingCallback callback) {
 		this.callbacks.put(request.id(), callback);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -65,6 +65,8 @@
 
 	private final UpstreamProber prober;
 
+	private final ReachabilityMonitor reachability;
+
 	private final Map<String, LocalRequestRouter> routers = new ConcurrentHashMap<>();
 
 	private final UpstreamConstraints constraints = new UpstreamConstraints();
@@ -89,13 +91,16 @@
 	private volatile KeyCheck keyCheck;
 
 	public RoutingService(DaemonSettings settings, UpstreamClients clients, HttpDialect dialect,
-			AllotmentService allotments, CrashExchange crashExchange, TimeSource time, MeterRegistry meters) {
+			AllotmentService allotments, CrashExchange crashExchange, ReachabilityMonitor reachability, TimeSource time,
+			MeterRegistry meters) {
 		this.settings = settings;
 		this.keyCheck = new KeyCheck(RuleSet.EMPTY, keyLimits());
 		this.allotments = allotments;
 		this.crashExchange = crashExchange;
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
+		this.reachability = reachability;
+		reachability.addListener((service, partitioned) -> router(service).recordReachability("", partitioned));
 		this.movedRequests = meters.counter("radishthread.evacuation.moved.requests");
 		Gauge.builder("radishthread.zones.evacuated", () -> this.evacuatedZones.size()).register(meters);
 		meters.gauge("radishthread.upstreams.cold", this, RoutingService::countColdUpstreams);
@@ -161,6 +166,11 @@
 				this.settings, this.allotments, this.crashExchange, this.time, this.prober, this.eventLoop));
 	}
 
+	// Whether this instance can open connections to the upstreams of a service.
+	boolean isPartitioned(String service) {
+		return this.reachability.isPartitioned(service);
+	}
+
 	// Returns the refusal of a request that is quarantined, or null.
 	RoutingEffect.@Nullable Refusal findQuarantine(RoutingRequest request) {
 		long quarantineNanos = this.crashExchange.history()
@@ -209,6 +219,7 @@
 
 	@Override
 	public void upstreamsChanged(List<UpstreamRecord> upstreams) {
+		this.reachability.updateUpstreams(upstreams);
 		synchronized (this.constraints) {
 			this.constraints.updateUpstreams(upstreams.stream().map(RoutingService::toUpstream).toList(),
 					this.time.monotonicNanos());
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -69,6 +69,7 @@
 	}
 
 	void receive(String address, SlotMessage message) {
+		recordReachability(address, message);
 		RequestKey key = new RequestKey(address, message.getRun(), message.getTicket());
 		if (message.hasRequest()) {
 			admit(key, message);
@@ -88,6 +89,15 @@
 		}
 	}
 
+	private void recordReachability(String address, SlotMessage message) {
+		boolean known = message.getReachability() == SlotMessage.Reachability.PARTITIONED
+				|| message.getReachability() == SlotMessage.Reachability.REACHABLE;
+		if (known && !message.hasEnd() && !message.hasClose()) {
+			this.routing.router(message.getService())
+				.recordReachability(address, message.getReachability() == SlotMessage.Reachability.PARTITIONED);
+		}
+	}
+
 	private void admit(RequestKey key, SlotMessage message) {
 		RemoteRequest existingRequest = this.remoteRequests.get(key);
 		if (existingRequest != null) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -62,13 +62,14 @@
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
 	public SlotService(DaemonSettings settings, PeerTransport transport, ClusterService cluster, RoutingService routing,
-			TimeSource time) {
+			ReachabilityMonitor reachability, TimeSource time) {
 		this.transport = transport;
 		this.time = time;
 		this.routing = routing;
 		this.homes = new HomeDirectory(cluster, time);
 		this.requester = new SlotRequester(ThreadLocalRandom.current().nextLong(), settings.zone());
 		this.granter = new SlotGranter(settings.peerAddress().toString(), routing, cluster, time, this::send);
+		reachability.addListener(this::reportReachability);
 	}
 
 	@Override
@@ -83,6 +84,20 @@
 		this.eventLoop.scheduleWithFixedDelay(EXPIRY_CHECK_INTERVAL_MILLIS, this.granter::closeExpired);
 	}
 
+	// Tells the home at once, so that it chooses other relays.
+	private void reportReachability(String service, boolean partitioned) {
+		this.homes.candidateHomes(service)
+			.stream()
+			.findFirst()
+			.filter((home) -> !home.local())
+			.ifPresent((home) -> send(home.peerAddress(),
+					SlotMessage.newBuilder().setService(service).setReachability(reachability(partitioned)).build()));
+	}
+
+	private static SlotMessage.Reachability reachability(boolean partitioned) {
+		return partitioned ? SlotMessage.Reachability.PARTITIONED : SlotMessage.Reachability.REACHABLE;
+	}
+
 	private void receive(String address, SlotMessage message) {
 		switch (message.getBodyCase()) {
 			case GRANT, REFUSAL, QUEUED -> process((nowNanos) -> this.requester.receive(address, message, nowNanos));
@@ -158,7 +173,8 @@
 
 	private void execute(SlotEffect effect) {
 		if (effect instanceof SlotEffect.Send send) {
-			send(send.homeAddress(), send.message());
+			boolean partitioned = this.routing.isPartitioned(send.message().getService());
+			send(send.homeAddress(), send.message().toBuilder().setReachability(reachability(partitioned)).build());
 		}
 		else if (effect instanceof SlotEffect.Decision decision) {
 			executeDecision(decision.routingEffect());
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 import org.radishthread.daemon.peer.RelayHandshake;
+import org.radishthread.daemon.peer.UpstreamConnectionListener;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.kernel.Service;
 
@@ -42,12 +43,14 @@
 
 	private final Set<String> knownRelays = ConcurrentHashMap.newKeySet();
 
-	private final HttpClient pooledClient = new HttpClient(transport());
+	private final HttpClient pooledClient;
 
-	private final HttpClient singleUseClient = new HttpClient(transport());
+	private final HttpClient singleUseClient;
 
-	public UpstreamClients(RelayHandshake relayHandshake) {
+	public UpstreamClients(RelayHandshake relayHandshake, UpstreamConnectionListener listener) {
 		this.relayHandshake = relayHandshake;
+		this.pooledClient = new HttpClient(transport(listener));
+		this.singleUseClient = new HttpClient(transport(listener));
 	}
 
 	@Override
@@ -61,8 +64,8 @@
 		configure(this.singleUseClient, "upstream-new", 1);
 	}
 
-	private static HttpClientTransportOverHTTP transport() {
-		UpstreamConnector connector = new UpstreamConnector();
+	private static HttpClientTransportOverHTTP transport(UpstreamConnectionListener listener) {
+		UpstreamConnector connector = new UpstreamConnector(listener);
 		connector.setSelectors(1);
 		return new HttpClientTransportOverHTTP(connector);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
@@ -32,7 +32,7 @@
 
 	private final Counter probeCounter;
 
-	private final ExecutorService executor = Executors.newCachedThreadPool((task) -> {
+	private static final ExecutorService executor = Executors.newCachedThreadPool((task) -> {
 		Thread thread = new Thread(task, "probe");
 		thread.setDaemon(true);
 		return thread;
@@ -46,8 +46,12 @@
 
 	CompletableFuture<Boolean> probeReachability(Upstream upstream) {
 		this.probeCounter.increment();
-		return CompletableFuture.supplyAsync(() -> isReachable(NetworkAddress.parse(upstream.address())),
-				this.executor);
+		return connect(NetworkAddress.parse(upstream.address()));
+	}
+
+	// Tells whether a connection can be opened.
+	static CompletableFuture<Boolean> connect(NetworkAddress address) {
+		return CompletableFuture.supplyAsync(() -> isReachable(address), executor);
 	}
 
 	private static boolean isReachable(NetworkAddress address) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/InboundPeerHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/InboundPeerHandler.java
@@ -25,11 +25,14 @@
 
 	private final PeerMessageHandler messageHandler;
 
+	private final UpstreamConnectionListener upstreamListener;
+
 	private @Nullable Hello peerHello;
 
-	InboundPeerHandler(String token, PeerMessageHandler messageHandler) {
+	InboundPeerHandler(String token, PeerMessageHandler messageHandler, UpstreamConnectionListener upstreamListener) {
 		this.token = token;
 		this.messageHandler = messageHandler;
+		this.upstreamListener = upstreamListener;
 	}
 
 	void install(ChannelPipeline pipeline) {
@@ -48,7 +51,7 @@
 			context.writeAndFlush(Envelope.newBuilder().setPong(Pong.newBuilder().setAcceptsCompressed(true)).build());
 		}
 		else if (envelope.hasRelayRequest()) {
-			RelayedConnection.open(context.channel(), envelope.getRelayRequest().getAddress());
+			RelayedConnection.open(context.channel(), envelope.getRelayRequest().getAddress(), this.upstreamListener);
 		}
 		else {
 			this.messageHandler.receive(sender.getInstance(), sender.getAddress(), decompress(envelope));
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
@@ -65,6 +65,8 @@
 
 	private final Counter sentMessages;
 
+	private UpstreamConnectionListener upstreamListener = UpstreamConnectionListener.NONE;
+
 	private @Nullable Channel serverChannel;
 
 	public PeerTransport(DaemonSettings settings, MeterRegistry meters) {
@@ -89,6 +91,15 @@
 		this.handlers.put(type, handler);
 	}
 
+	/**
+	 * Sets the listener for the connections that this instance opens as a relay. To be
+	 * called before {@link #start()}.
+	 * @param listener the listener
+	 */
+	public void setUpstreamListener(UpstreamConnectionListener listener) {
+		this.upstreamListener = listener;
+	}
+
 	@Override
 	public void start() {
 		NetworkAddress address = this.settings.peerAddress();
@@ -100,7 +111,8 @@
 				@Override
 				protected void initChannel(SocketChannel channel) {
 					PeerTransport.this.inboundChannels.add(channel);
-					new InboundPeerHandler(PeerTransport.this.settings.secrets().peer(), PeerTransport.this::dispatch)
+					new InboundPeerHandler(PeerTransport.this.settings.secrets().peer(), PeerTransport.this::dispatch,
+							PeerTransport.this.upstreamListener)
 						.install(channel.pipeline());
 				}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/RelayedConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/RelayedConnection.java
@@ -33,9 +33,14 @@
 	 * Connects to an upstream for a peer.
 	 * @param peer the connection of the peer, which has been authenticated
 	 * @param upstreamAddress the address of the upstream
+	 * @param listener the receiver of the result
 	 */
-	static void open(Channel peer, String upstreamAddress) {
+	static void open(Channel peer, String upstreamAddress, UpstreamConnectionListener listener) {
 		NetworkAddress address = NetworkAddress.parse(upstreamAddress);
+		if (!listener.mayRelay(upstreamAddress)) {
+			refuse(peer);
+			return;
+		}
 		peer.config().setAutoRead(false);
 		new Bootstrap().group(peer.eventLoop())
 			.channel(NioSocketChannel.class)
@@ -45,6 +50,7 @@
 			.handler(new ForwardingHandler(peer))
 			.connect(address.host(), address.port())
 			.addListener((ChannelFutureListener) (connected) -> {
+				listener.connectionCompleted(upstreamAddress, connected.isSuccess());
 				boolean success = connected.isSuccess() && peer.isActive();
 				eventLog.debug("relay-opened").with("address", upstreamAddress).with("connected", success).write();
 				if (success) {
@@ -52,11 +58,15 @@
 				}
 				else {
 					connected.channel().close();
-					peer.writeAndFlush(RelayHandshake.response(false)).addListener(ChannelFutureListener.CLOSE);
+					refuse(peer);
 				}
 			});
 	}
 
+	private static void refuse(Channel peer) {
+		peer.writeAndFlush(RelayHandshake.response(false)).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	private static void startForwarding(Channel peer, Channel upstream) {
 		peer.writeAndFlush(RelayHandshake.response(true)).addListener((ChannelFutureListener) (written) -> {
 			if (!written.isSuccess()) {
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
@@ -24,6 +24,7 @@
 
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.peer.RelayHandshake;
+import org.radishthread.daemon.peer.UpstreamConnectionListener;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.daemon.settings.SettingsReader;
 import org.radishthread.kernel.NetworkAddress;
@@ -56,7 +57,7 @@
 		DaemonSettings settings = settings("0123456789abcdef");
 		this.transport = new PeerTransport(settings, new SimpleMeterRegistry());
 		this.transport.start();
-		this.clients = new UpstreamClients(new RelayHandshake(settings));
+		this.clients = new UpstreamClients(new RelayHandshake(settings), UpstreamConnectionListener.NONE);
 		this.clients.start();
 	}
 
@@ -158,7 +159,8 @@
 
 	@Test
 	void instanceWithoutTheTokenIsNotConnected() throws Exception {
-		UpstreamClients strangers = new UpstreamClients(new RelayHandshake(settings("another token 123456")));
+		UpstreamClients strangers = new UpstreamClients(new RelayHandshake(settings("another token 123456")),
+				UpstreamConnectionListener.NONE);
 		strangers.start();
 		try (ServerSocket upstream = startUpstream(0, new byte[1], false)) {
 			Request request = strangers
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/peer/InboundPeerHandlerProperties.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/peer/InboundPeerHandlerProperties.java
@@ -29,7 +29,8 @@
 
 	private EmbeddedChannel open() {
 		EmbeddedChannel channel = new EmbeddedChannel();
-		new InboundPeerHandler(TOKEN, (name, address, envelope) -> this.receivedMessages.add(envelope))
+		new InboundPeerHandler(TOKEN, (name, address, envelope) -> this.receivedMessages.add(envelope),
+				UpstreamConnectionListener.NONE)
 			.install(channel.pipeline());
 		return channel;
 	}
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -665,7 +665,7 @@
       "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001" +
       "(\004\"L\n\016UpstreamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upst" +
       "ream\030\002 \001(\0132\034.radishthread.UpstreamRecord" +
-      "\"#\n\025UpstreamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\231\003" +
+      "\"#\n\025UpstreamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\224\004" +
       "\n\013SlotMessage\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket" +
       "\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.r" +
       "adishthread.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025" +
@@ -676,72 +676,75 @@
       "\t \001(\0132\030.radishthread.SlotQueuedH\000\022(\n\005gra" +
       "nt\030\n \001(\0132\027.radishthread.SlotGrantH\000\022,\n\007r" +
       "efusal\030\013 \001(\0132\031.radishthread.SlotRefusalH" +
-      "\000B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller\030\001 \001(" +
-      "\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_micro" +
-      "s\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020objective_m" +
-      "icros\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001(\r\022\014\n" +
-      "\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\tworkspace" +
-      "\030\t \001(\t\"\305\001\n\nLoadReport\022\017\n\007running\030\001 \001(\r\022\017" +
-      "\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_p" +
-      "ercent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refused" +
-      "_millis\030\006 \001(\004\022\035\n\020limit_per_second\030\007 \001(\001H" +
-      "\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021_limit_per_" +
-      "second\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006r" +
-      "esult\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthread" +
-      ".LoadReport\022\027\n\017connection_lost\030\004 \001(\010\"k\n\013" +
-      "CrashNotice\022*\n\007crashes\030\001 \003(\0132\031.radishthr" +
-      "ead.CrashRecord\0220\n\nclearances\030\002 \003(\0132\034.ra" +
-      "dishthread.CrashClearance\"g\n\013CrashRecord" +
-      "\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013in" +
-      "carnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage_mi" +
-      "llis\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006digest\030\001" +
-      " \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetry\"\013\n" +
-      "\tSlotHedge\"\013\n\tSlotClose\"\014\n\nSlotQueued\"\250\001" +
-      "\n\tSlotGrant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address" +
-      "\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022" +
-      "\025\n\rwaited_micros\030\005 \001(\004\022\032\n\022hedge_after_mi" +
-      "cros\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005rel" +
-      "ay\030\010 \001(\t\"R\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022" +
-      "\032\n\022retry_after_millis\030\002 \001(\004\022\027\n\017specific_" +
-      "reason\030\003 \001(\t\"\345\002\n\020AllotmentMessage\022\021\n\twor" +
-      "kspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(" +
-      "\004\022+\n\005terms\030\004 \001(\0132\034.radishthread.Allotmen" +
-      "tTerms\022,\n\007request\030\005 \001(\0132\031.radishthread.L" +
-      "oanRequestH\000\022\"\n\004loan\030\006 \001(\0132\022.radishthrea" +
-      "d.LoanH\000\022*\n\006return\030\007 \001(\0132\030.radishthread." +
-      "LoanReturnH\000\0223\n\010handover\030\010 \001(\0132\037.radisht" +
-      "hread.AllotmentHandoverH\000\0229\n\020handover_re" +
-      "quest\030\t \001(\0132\035.radishthread.HandoverReque" +
-      "stH\000B\006\n\004body\"N\n\016AllotmentTerms\022\020\n\010revisi" +
-      "on\030\001 \001(\004\022\033\n\023requests_per_second\030\002 \001(\001\022\r\n" +
-      "\005burst\030\003 \001(\001\"\272\001\n\013LoanRequest\022\027\n\017accepted" +
-      "_number\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand_pe" +
-      "r_second\030\003 \001(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023given_" +
-      "up_per_second\030\005 \001(\001\022\027\n\017given_up_millis\030\006" +
-      " \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017\n\007surplus\030\010 \001(" +
-      "\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n\nlender_run" +
-      "\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper_second\030\004 \001" +
-      "(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\024\n\014valid_mill" +
-      "is\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020available_m" +
-      "illis\030\010 \001(\004\022\026\n\016lender_address\030\t \001(\t\"\034\n\nL" +
-      "oanReturn\022\016\n\006tokens\030\001 \001(\001\"J\n\021AllotmentHa" +
-      "ndover\022\016\n\006tokens\030\001 \001(\001\022%\n\005loans\030\002 \003(\0132\026." +
-      "radishthread.OpenLoan\"\021\n\017HandoverRequest" +
-      "\"\232\001\n\010OpenLoan\022\020\n\010borrower\030\001 \001(\t\022\013\n\003run\030\002" +
-      " \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\nper_second\030\004 \001(\001" +
-      "\022\026\n\016maximum_tokens\030\005 \001(\001\022\031\n\021demand_per_s" +
-      "econd\030\006 \001(\001\022\030\n\020remaining_millis\030\007 \001(\004*a\n" +
-      "\014RulesVerdict\022\035\n\031RULES_VERDICT_UNSPECIFI" +
-      "ED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STAL" +
-      "E\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAI" +
-      "M_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004" +
-      "HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004F" +
-      "ULL\020\005*f\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026" +
-      "\n\022RULE_PART_REVISION\020\001\022\026\n\022RULE_PART_DOCU" +
-      "MENT\020\002\022\025\n\021RULE_PART_CONTENT\020\003*R\n\rUpstrea" +
-      "mState\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t" +
-      "\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org" +
-      ".radishthread.protocolP\001b\006proto3"
+      "\000\022<\n\014reachability\030\014 \001(\0162&.radishthread.S" +
+      "lotMessage.Reachability\";\n\014Reachability\022" +
+      "\013\n\007UNKNOWN\020\000\022\r\n\tREACHABLE\020\001\022\017\n\013PARTITION" +
+      "ED\020\002B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller\030\001" +
+      " \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_mi" +
+      "cros\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020objectiv" +
+      "e_micros\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001(\r" +
+      "\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\tworksp" +
+      "ace\030\t \001(\t\"\305\001\n\nLoadReport\022\017\n\007running\030\001 \001(" +
+      "\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pac" +
+      "e_percent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refu" +
+      "sed_millis\030\006 \001(\004\022\035\n\020limit_per_second\030\007 \001" +
+      "(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021_limit_p" +
+      "er_second\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016" +
+      "\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthr" +
+      "ead.LoadReport\022\027\n\017connection_lost\030\004 \001(\010\"" +
+      "k\n\013CrashNotice\022*\n\007crashes\030\001 \003(\0132\031.radish" +
+      "thread.CrashRecord\0220\n\nclearances\030\002 \003(\0132\034" +
+      ".radishthread.CrashClearance\"g\n\013CrashRec" +
+      "ord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n" +
+      "\013incarnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage" +
+      "_millis\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006diges" +
+      "t\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetry" +
+      "\"\013\n\tSlotHedge\"\013\n\tSlotClose\"\014\n\nSlotQueued" +
+      "\"\250\001\n\tSlotGrant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007addr" +
+      "ess\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001" +
+      "(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032\n\022hedge_after" +
+      "_micros\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005" +
+      "relay\030\010 \001(\t\"R\n\013SlotRefusal\022\016\n\006reason\030\001 \001" +
+      "(\t\022\032\n\022retry_after_millis\030\002 \001(\004\022\027\n\017specif" +
+      "ic_reason\030\003 \001(\t\"\345\002\n\020AllotmentMessage\022\021\n\t" +
+      "workspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003" +
+      " \001(\004\022+\n\005terms\030\004 \001(\0132\034.radishthread.Allot" +
+      "mentTerms\022,\n\007request\030\005 \001(\0132\031.radishthrea" +
+      "d.LoanRequestH\000\022\"\n\004loan\030\006 \001(\0132\022.radishth" +
+      "read.LoanH\000\022*\n\006return\030\007 \001(\0132\030.radishthre" +
+      "ad.LoanReturnH\000\0223\n\010handover\030\010 \001(\0132\037.radi" +
+      "shthread.AllotmentHandoverH\000\0229\n\020handover" +
+      "_request\030\t \001(\0132\035.radishthread.HandoverRe" +
+      "questH\000B\006\n\004body\"N\n\016AllotmentTerms\022\020\n\010rev" +
+      "ision\030\001 \001(\004\022\033\n\023requests_per_second\030\002 \001(\001" +
+      "\022\r\n\005burst\030\003 \001(\001\"\272\001\n\013LoanRequest\022\027\n\017accep" +
+      "ted_number\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand" +
+      "_per_second\030\003 \001(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023giv" +
+      "en_up_per_second\030\005 \001(\001\022\027\n\017given_up_milli" +
+      "s\030\006 \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017\n\007surplus\030\010" +
+      " \001(\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n\nlender_" +
+      "run\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper_second\030" +
+      "\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\024\n\014valid_m" +
+      "illis\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020availabl" +
+      "e_millis\030\010 \001(\004\022\026\n\016lender_address\030\t \001(\t\"\034" +
+      "\n\nLoanReturn\022\016\n\006tokens\030\001 \001(\001\"J\n\021Allotmen" +
+      "tHandover\022\016\n\006tokens\030\001 \001(\001\022%\n\005loans\030\002 \003(\013" +
+      "2\026.radishthread.OpenLoan\"\021\n\017HandoverRequ" +
+      "est\"\232\001\n\010OpenLoan\022\020\n\010borrower\030\001 \001(\t\022\013\n\003ru" +
+      "n\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\nper_second\030\004 " +
+      "\001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\031\n\021demand_pe" +
+      "r_second\030\006 \001(\001\022\030\n\020remaining_millis\030\007 \001(\004" +
+      "*a\n\014RulesVerdict\022\035\n\031RULES_VERDICT_UNSPEC" +
+      "IFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005S" +
+      "TALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031C" +
+      "LAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022" +
+      "\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010" +
+      "\n\004FULL\020\005*f\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020" +
+      "\000\022\026\n\022RULE_PART_REVISION\020\001\022\026\n\022RULE_PART_D" +
+      "OCUMENT\020\002\022\025\n\021RULE_PART_CONTENT\020\003*R\n\rUpst" +
+      "reamState\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020" +
+      "\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031" +
+      "org.radishthread.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1130,7 +1133,7 @@
     internal_static_radishthread_SlotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotMessage_descriptor,
-        new java.lang.String[] { "Service", "Ticket", "Run", "Request", "End", "Retry", "Hedge", "Close", "Queued", "Grant", "Refusal", "Body", });
+        new java.lang.String[] { "Service", "Ticket", "Run", "Request", "End", "Retry", "Hedge", "Close", "Queued", "Grant", "Refusal", "Reachability", "Body", });
     internal_static_radishthread_SlotRequest_descriptor =
       getDescriptor().getMessageType(64);
     internal_static_radishthread_SlotRequest_fieldAccessorTable = new
--- a/radishthread-routing/src/main/java/org/radishthread/routing/FailureAttribution.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/FailureAttribution.java
@@ -115,6 +115,14 @@
 		}
 	}
 
+	// Instances that turn out to be partitioned may have ejected upstreams.
+	void recordReport(String origin, boolean partitioned, long nowNanos) {
+		if (this.paths.recordReport(origin, partitioned, nowNanos)) {
+			this.effects.accept(new PartitionChanged(origin, partitioned));
+			List.copyOf(this.unreachableUpstreams).forEach((upstream) -> endEjectionIfUnfounded(upstream, nowNanos));
+		}
+	}
+
 	private boolean mayAskSecondOpinion(String upstream, long nowNanos) {
 		Long askedNanos = this.secondOpinionNanos.get(upstream);
 		if (askedNanos != null && nowNanos - askedNanos < SECOND_OPINION_INTERVAL_NANOS) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -299,6 +299,22 @@
 		return takeEffects();
 	}
 
+	/**
+	 * Records what an instance reports of its own connections to the upstreams of the
+	 * service, see {@link UpstreamReachability}.
+	 * @param origin the peer address of the instance, or empty for this instance
+	 * @param partitioned whether it reaches none of them
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the change, and the requests to dispatch
+	 */
+	public List<RoutingEffect> recordReachability(String origin, boolean partitioned, long nowNanos) {
+		this.attribution.recordReport(origin, partitioned, nowNanos);
+		if (!this.effects.isEmpty()) {
+			dispatchQueued(nowNanos);
+		}
+		return takeEffects();
+	}
+
 	private void recordHomeAdmission(long nowNanos) {
 		if (nowNanos - this.lastHomeAdmissionNanos > HOME_GAP_NANOS) {
 			this.trackers.values().forEach((tracker) -> tracker.coldLimit().restart(nowNanos));
@@ -666,10 +682,10 @@
 	 */
 	public List<RoutingEffect> hedge(long requestId, long nowNanos) {
 		RequestState state = this.requests.get(requestId);
-		if (state == null || state.isClosed() || state.attemptsInFlight().isEmpty()
-				|| state.countedAttempts() >= Math.min(2, state.request().maximumAttempts())
-				|| state.unreachedAttempts() >= MAXIMUM_UNREACHED_ATTEMPTS || this.queues.size() > 0
-				|| this.crashes.crashesUnder(state.request()) > 0) {
+		if (state == null || !mayHedge(state)) {
+			return List.of();
+		}
+		if (this.queues.size() > 0) {
 			return List.of();
 		}
 		Optional<UpstreamTracker> chosenUpstream = this.selection.chooseUncontended(state, nowNanos)
@@ -681,6 +697,13 @@
 		return takeEffects();
 	}
 
+	private boolean mayHedge(RequestState state) {
+		return !state.isClosed() && !state.attemptsInFlight().isEmpty()
+				&& state.countedAttempts() < Math.min(2, state.request().maximumAttempts())
+				&& state.unreachedAttempts() < MAXIMUM_UNREACHED_ATTEMPTS
+				&& this.crashes.crashesUnder(state.request()) == 0;
+	}
+
 	/**
 	 * Closes a request because its caller has received a response or has disconnected.
 	 * Its attempts in flight occupy their slots until they complete.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
@@ -14,8 +14,9 @@
  * connect belongs to the path between one instance, the origin of the attempt, and one
  * upstream; an upstream is unreachable only if several instances agree. An instance that
  * reaches no upstream is partitioned: its failures say nothing about upstreams, and its
- * requests are relayed by other instances. Points in time are monotonic, in nanoseconds.
- * Not safe for concurrent use.
+ * requests are relayed by other instances. Instances report that themselves, see
+ * {@link UpstreamReachability}; besides, it is inferred from failures. Points in time are
+ * monotonic, in nanoseconds. Not safe for concurrent use.
  */
 final class UpstreamPaths {
 
@@ -44,7 +45,8 @@
 	private final Map<String, Long> lastReachedNanos = new HashMap<>();
 
 	void recordRequest(String origin, long nowNanos) {
-		this.origins.values().removeIf((state) -> !state.isActive(nowNanos) && state.relayedAttempts == 0);
+		this.origins.entrySet()
+			.removeIf((entry) -> !entry.getKey().equals(HOME) && entry.getValue().isForgotten(nowNanos));
 		origin(origin).lastRequestNanos = nowNanos;
 	}
 
@@ -73,7 +75,7 @@
 		}
 		state.partition = new Block();
 		state.partition.extend(nowNanos);
-		return true;
+		return !state.reportedPartition;
 	}
 
 	/**
@@ -98,16 +100,37 @@
 		else {
 			state.blocks.remove(upstream);
 		}
-		return partitioned;
+		return partitioned && !state.reportedPartition;
+	}
+
+	/**
+	 * Records what an instance reports of its own connections.
+	 * @param origin the instance
+	 * @param partitioned whether it reaches no upstream
+	 * @param nowNanos the current time
+	 * @return whether that changes what is known of it
+	 */
+	boolean recordReport(String origin, boolean partitioned, long nowNanos) {
+		Origin reporting = origin(origin);
+		reporting.lastReportNanos = nowNanos;
+		if (reporting.reportedPartition == partitioned) {
+			return false;
+		}
+		boolean partitionedBefore = reporting.isCut();
+		reporting.reportedPartition = partitioned;
+		if (!partitioned) {
+			reporting.partition = null;
+			reporting.failedSinceSuccess.clear();
+			reporting.blocks.clear();
+		}
+		return partitionedBefore != partitioned;
 	}
 
 	// If no instance reaches an upstream, the upstreams are lost, not the paths.
 	boolean isPartitioned(String origin, long nowNanos) {
 		Origin state = this.origins.get(origin);
-		return state != null && state.partition != null
-				&& this.origins.values()
-					.stream()
-					.anyMatch((other) -> other.partition == null && other.isActive(nowNanos));
+		return state != null && state.isCut()
+				&& this.origins.values().stream().anyMatch((other) -> !other.isCut() && other.isActive(nowNanos));
 	}
 
 	// Whether an attempt may be made on the path; after a failure one attempt at a time,
@@ -117,6 +140,10 @@
 		if (state == null) {
 			return true;
 		}
+		if (state.reportedPartition && isPartitioned(origin, nowNanos)) {
+			// The instance finds the end of its partition by probes.
+			return false;
+		}
 		Block block = (state.partition != null) ? state.partition : state.blocks.get(upstream);
 		return block == null || !block.isActive(nowNanos);
 	}
@@ -148,11 +175,21 @@
 			boolean fails = block != null && block.failedNanos > reachedNanos;
 			active += (state.isActive(nowNanos) || fails) ? 1 : 0;
 			failing += fails ? 1 : 0;
-			failingOthers += (fails && state.partition == null) ? 1 : 0;
+			failingOthers += (fails && !state.isCut()) ? 1 : 0;
 		}
 		return failingOthers >= AGREEING_ORIGINS || (failing > 0 && failing == active);
 	}
 
+	// Whether an instance is known that can relay an attempt.
+	boolean hasRelay(String origin, String upstream, long nowNanos) {
+		for (Map.Entry<String, Origin> entry : this.origins.entrySet()) {
+			if (!entry.getKey().equals(origin) && entry.getValue().canRelay(upstream, nowNanos)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	/**
 	 * Finds an instance that can relay an attempt. Attempts are spread evenly over the
 	 * instances.
@@ -193,6 +230,8 @@
 
 		private long lastRequestNanos = Long.MIN_VALUE / 2;
 
+		private long lastReportNanos = Long.MIN_VALUE / 2;
+
 		private long lastRelayNanos = Long.MIN_VALUE / 2;
 
 		private int relayedAttempts;
@@ -202,15 +241,30 @@
 
 		private final Set<String> failedSinceSuccess = new HashSet<>();
 
-		// Present while the instance is partitioned.
+		// Present while failures show that the instance is partitioned.
 		private @Nullable Block partition;
 
+		private boolean reportedPartition;
+
+		private boolean isCut() {
+			return this.reportedPartition || this.partition != null;
+		}
+
 		private boolean isActive(long nowNanos) {
 			return nowNanos - this.lastRequestNanos < ACTIVE_PERIOD_NANOS;
 		}
 
+		private boolean isForgotten(long nowNanos) {
+			return !isActive(nowNanos) && this.relayedAttempts == 0
+					&& nowNanos - this.lastReportNanos >= ACTIVE_PERIOD_NANOS;
+		}
+
 		private boolean canRelay(String upstream, long nowNanos) {
-			return isActive(nowNanos) && this.partition == null && !this.blocks.containsKey(upstream);
+			return isActive(nowNanos) && mayReach(upstream);
+		}
+
+		private boolean mayReach(String upstream) {
+			return !isCut() && !this.blocks.containsKey(upstream);
 		}
 
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
@@ -56,7 +56,7 @@
 	boolean canReach(RoutingRequest request, UpstreamTracker tracker, long nowNanos) {
 		String upstream = tracker.upstream().name();
 		return this.paths.isUsable(request.origin(), upstream, nowNanos)
-				|| this.paths.findRelay(request.origin(), upstream, nowNanos) != null;
+				|| this.paths.hasRelay(request.origin(), upstream, nowNanos);
 	}
 
 	Stream<UpstreamTracker> usableTrackers(long nowNanos) {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionSimulation.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionSimulation.java
@@ -17,7 +17,8 @@
 
 /**
  * Simulates in virtual time a service whose home grants slots to gateways of which some
- * are partitioned from all upstreams. Messages between gateways arrive.
+ * are partitioned from all upstreams. Messages between gateways arrive. Each gateway
+ * reports whether it can open connections.
  */
 final class PartitionSimulation {
 
@@ -37,7 +38,16 @@
 
 	private static final long TICK_MILLIS = 10;
 
-	private final ServiceRouter router = new ServiceRouter(ServiceRule.defaults("rotaboard"), "bastrop", 16, 0);
+	private static final long PROBE_CHECK_MILLIS = 100;
+
+	private static final String SERVICE = "rotaboard";
+
+	private final ServiceRouter router = new ServiceRouter(ServiceRule.defaults(SERVICE), "bastrop", 16, 0);
+
+	// Keyed by the gateway.
+	private final Map<String, UpstreamReachability> reachabilities = new HashMap<>();
+
+	private final Map<String, String> upstreamsByAddress = new HashMap<>();
 
 	private final List<String> gateways = new ArrayList<>();
 
@@ -80,7 +90,16 @@
 			upstreams.add(new Upstream("upstream-" + i, "127.0.0.1:" + (1 + i), "zone-" + i % 4, SLOTS, 1, true));
 		}
 		execute(this.router.updateUpstreams(upstreams, 0));
+		upstreams.forEach((upstream) -> this.upstreamsByAddress.put(upstream.address(), upstream.name()));
+		Map<String, String> services = new HashMap<>();
+		this.upstreamsByAddress.keySet().forEach((address) -> services.put(address, SERVICE));
+		for (String gateway : this.gateways) {
+			UpstreamReachability reachability = new UpstreamReachability(gateway.hashCode());
+			reachability.updateUpstreams(services);
+			this.reachabilities.put(gateway, reachability);
+		}
 		schedule(TICK_MILLIS, this::tick);
+		schedule(PROBE_CHECK_MILLIS, this::probe);
 	}
 
 	List<String> gateways() {
@@ -154,6 +173,31 @@
 		schedule(TICK_MILLIS, this::tick);
 	}
 
+	private void probe() {
+		this.reachabilities.forEach((gateway, reachability) -> {
+			for (String address : reachability.dueProbes(nowNanos())) {
+				connect(gateway, address, () -> {
+				}, () -> {
+				});
+			}
+		});
+		schedule(PROBE_CHECK_MILLIS, this::probe);
+	}
+
+	private void connect(String gateway, String address, Runnable opened, Runnable failed) {
+		boolean reachable = isReachable(gateway, this.upstreamsByAddress.get(address));
+		schedule(reachable ? NETWORK_MILLIS : failureMillis(gateway), () -> {
+			this.reachabilities.get(gateway).recordConnection(address, reachable);
+			report(gateway);
+			(reachable ? opened : failed).run();
+		});
+	}
+
+	private void report(String gateway) {
+		execute(this.router.recordReachability(gateway, this.reachabilities.get(gateway).isPartitioned(SERVICE),
+				nowNanos()));
+	}
+
 	private void send() {
 		long id = ++this.lastRequestId;
 		String gateway = this.gateways.get(this.random.nextInt(this.gateways.size()));
@@ -195,16 +239,17 @@
 		String gateway = (dispatch.relay() != null) ? dispatch.relay() : request.origin();
 		this.relayedAttempts += (dispatch.relay() != null) ? 1 : 0;
 		boolean onKeptConnection = this.keptConnectionsLiveOn && request.mayRepeat()
-				&& dispatch.kind() == AttemptKind.FIRST;
-		if (onKeptConnection || isReachable(gateway, dispatch.upstream().name())) {
+				&& dispatch.kind() == AttemptKind.FIRST && dispatch.relay() == null;
+		if (onKeptConnection) {
 			schedule(SERVICE_MILLIS + NETWORK_MILLIS, () -> complete(dispatch, request));
 			return;
 		}
-		schedule(failureMillis(gateway), () -> {
-			execute(this.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(),
-					AttemptResult.UNREACHABLE, nowNanos()));
-			execute(this.router.retry(dispatch.requestId(), nowNanos()));
-		});
+		connect(gateway, dispatch.upstream().address(),
+				() -> schedule(SERVICE_MILLIS, () -> complete(dispatch, request)), () -> {
+					execute(this.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(),
+							AttemptResult.UNREACHABLE, nowNanos()));
+					execute(this.router.retry(dispatch.requestId(), nowNanos()));
+				});
 	}
 
 	private void complete(Dispatch dispatch, RoutingRequest request) {
