--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -21,6 +21,9 @@
 
 	private final Set<String> triedUpstreams = new HashSet<>();
 
+	// The instances that relayed an attempt.
+	private final Set<String> triedRelays = new HashSet<>();
+
 	private int unreachedAttempts;
 
 	// Keyed by the name of the upstream.
@@ -51,6 +54,10 @@
 		return this.triedUpstreams;
 	}
 
+	Set<String> triedRelays() {
+		return this.triedRelays;
+	}
+
 	Map<String, AttemptStart> attemptsInFlight() {
 		return this.attemptsInFlight;
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -525,8 +525,10 @@
 		String origin = state.request().origin();
 		boolean usable = this.paths.isUsable(origin, upstream, nowNanos);
 		boolean couldNotConnect = !state.hasArrived() && state.unreachedAttempts() > 0;
-		String relay = (usable && !couldNotConnect) ? null : this.paths.findRelay(origin, upstream, nowNanos);
+		String relay = (usable && !couldNotConnect) ? null
+				: this.paths.findRelay(origin, upstream, state.triedRelays(), nowNanos);
 		if (relay != null) {
+			state.triedRelays().add(relay);
 			this.paths.recordRelayStart(relay, nowNanos);
 		}
 		else if (usable) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
@@ -38,6 +38,10 @@
 
 	private static final int AGREEING_ORIGINS = 2;
 
+	// An instance that reached an upstream within this time is preferred as a relay to
+	// one of which it is not known whether it still does.
+	private static final long PROVEN_PERIOD_NANOS = 1_000_000_000L;
+
 	// Keyed by the peer address of the instance.
 	private final Map<String, Origin> origins = new LinkedHashMap<>();
 
@@ -91,6 +95,7 @@
 		if (state == null) {
 			return false;
 		}
+		state.lastReachedNanos = nowNanos;
 		boolean partitioned = state.partition != null;
 		state.failedSinceSuccess.clear();
 		state.partition = null;
@@ -191,18 +196,22 @@
 	}
 
 	/**
-	 * Finds an instance that can relay an attempt. Attempts are spread evenly over the
-	 * instances.
+	 * Finds an instance that can relay an attempt: if possible one that has not relayed
+	 * the request yet, and then one that has reached an upstream lately. Attempts are
+	 * spread evenly over the instances.
 	 * @param origin the instance that received the request
 	 * @param upstream the name of the upstream
+	 * @param triedRelays the instances that relayed the request
 	 * @param nowNanos the current time
 	 * @return the peer address of the instance, or {@code null} if there is none
 	 */
-	@Nullable String findRelay(String origin, String upstream, long nowNanos) {
+	@Nullable String findRelay(String origin, String upstream, Set<String> triedRelays, long nowNanos) {
 		return this.origins.entrySet()
 			.stream()
 			.filter((entry) -> !entry.getKey().equals(origin) && entry.getValue().canRelay(upstream, nowNanos))
-			.min(Comparator.comparingInt((Map.Entry<String, Origin> entry) -> entry.getValue().relayedAttempts)
+			.min(Comparator.comparing((Map.Entry<String, Origin> entry) -> triedRelays.contains(entry.getKey()))
+				.thenComparing((entry) -> !entry.getValue().isProven(nowNanos))
+				.thenComparingInt((entry) -> entry.getValue().relayedAttempts)
 				.thenComparingLong((entry) -> entry.getValue().lastRelayNanos))
 			.map(Map.Entry::getKey)
 			.orElse(null);
@@ -232,6 +241,8 @@
 
 		private long lastReportNanos = Long.MIN_VALUE / 2;
 
+		private long lastReachedNanos = Long.MIN_VALUE / 2;
+
 		private long lastRelayNanos = Long.MIN_VALUE / 2;
 
 		private int relayedAttempts;
@@ -267,6 +278,10 @@
 			return !isCut() && !this.blocks.containsKey(upstream);
 		}
 
+		private boolean isProven(long nowNanos) {
+			return nowNanos - this.lastReachedNanos < PROVEN_PERIOD_NANOS && this.failedSinceSuccess.isEmpty();
+		}
+
 	}
 
 	private static final class Block {
