--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -36,14 +36,7 @@
 	// The candidates in order of rank, the home first. This instance is among them unless
 	// it is leaving.
 	List<HomeCandidate> candidateHomes(String service) {
-		List<InstanceView> instances = this.cluster.view().instances();
-		Ranking currentRanking = this.ranking;
-		if (currentRanking.instances() != instances) {
-			currentRanking = new Ranking(instances, new ConcurrentHashMap<>());
-			this.ranking = currentRanking;
-		}
-		List<HomeCandidate> candidates = currentRanking.candidatesByService()
-			.computeIfAbsent(service, (name) -> rank(name, instances));
+		List<HomeCandidate> candidates = rankedInstances(service);
 		long nowMillis = this.time.monotonicMillis();
 		if (this.suspectedUntilMillis.isEmpty()) {
 			return candidates;
@@ -53,6 +46,24 @@
 			.toList();
 	}
 
+	// The peer addresses of all other gateways, also of those that were unavailable.
+	List<String> otherInstances(String service) {
+		return rankedInstances(service).stream()
+			.filter((candidate) -> !candidate.local())
+			.map(HomeCandidate::peerAddress)
+			.toList();
+	}
+
+	private List<HomeCandidate> rankedInstances(String service) {
+		List<InstanceView> instances = this.cluster.view().instances();
+		Ranking currentRanking = this.ranking;
+		if (currentRanking.instances() != instances) {
+			currentRanking = new Ranking(instances, new ConcurrentHashMap<>());
+			this.ranking = currentRanking;
+		}
+		return currentRanking.candidatesByService().computeIfAbsent(service, (name) -> rank(name, instances));
+	}
+
 	private List<HomeCandidate> rank(String service, List<InstanceView> instances) {
 		Map<String, InstanceRecord> liveGateways = new ConcurrentHashMap<>();
 		for (InstanceView view : instances) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
@@ -32,7 +32,7 @@
 	public void admit(RoutingRequest request, RoutingCallback callback) {
 		List<HomeCandidate> candidates = this.slots.homes().candidateHomes(this.service);
 		if (candidates.isEmpty()) {
-			localRouter().admitWithoutHome(request, callback);
+			this.slots.admitWithoutHome(request, this.service, callback);
 			return;
 		}
 		if (candidates.get(0).local()) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -224,8 +224,11 @@
 		process((nowNanos) -> this.router.recordReachability(peerAddress, partitioned, nowNanos));
 	}
 
-	// Routes a request whose home is unavailable.
-	void admitWithoutHome(RoutingRequest request, RoutingCallback callback) {
+	// Routes a request whose home is unavailable. The other instances may relay it.
+	void admitWithoutHome(RoutingRequest request, List<String> otherInstances, RoutingCallback callback) {
+		synchronized (this.router) {
+			this.router.updateInstances(otherInstances);
+		}
 		this.callbacks.put(request.id(), callback);
 		this.allotments.acquire(request, () -> admitAllotted(request, false), this::executeRefusal);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -210,10 +210,14 @@
 		this.homes.suspect(homeUnavailable.homeAddress());
 		RoutingCallback callback = this.callbacks.remove(homeUnavailable.request().id());
 		if (callback != null) {
-			localRouter(homeUnavailable.service()).admitWithoutHome(homeUnavailable.request(), callback);
+			admitWithoutHome(homeUnavailable.request(), homeUnavailable.service(), callback);
 		}
 	}
 
+	void admitWithoutHome(RoutingRequest request, String service, RoutingCallback callback) {
+		localRouter(service).admitWithoutHome(request, this.homes.otherInstances(service), callback);
+	}
+
 	@Override
 	public void stop() {
 		this.eventLoop.stop();
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -315,6 +315,15 @@
 		return takeEffects();
 	}
 
+	/**
+	 * Sets the instances that may relay attempts although they send no requests of the
+	 * service.
+	 * @param peerAddresses the peer addresses of the other gateways
+	 */
+	public void updateInstances(List<String> peerAddresses) {
+		this.paths.updateInstances(peerAddresses);
+	}
+
 	private void recordHomeAdmission(long nowNanos) {
 		if (nowNanos - this.lastHomeAdmissionNanos > HOME_GAP_NANOS) {
 			this.trackers.values().forEach((tracker) -> tracker.coldLimit().restart(nowNanos));
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -48,6 +49,14 @@
 	// The last time at which any instance reached the upstream, by its name.
 	private final Map<String, Long> lastReachedNanos = new HashMap<>();
 
+	// The peer addresses of other instances, which may relay although they send no
+	// requests of the service.
+	private List<String> instances = List.of();
+
+	void updateInstances(List<String> peerAddresses) {
+		this.instances = peerAddresses;
+	}
+
 	void recordRequest(String origin, long nowNanos) {
 		this.origins.entrySet()
 			.removeIf((entry) -> !entry.getKey().equals(HOME) && entry.getValue().isForgotten(nowNanos));
@@ -131,11 +140,22 @@
 		return partitionedBefore != partitioned;
 	}
 
-	// If no instance reaches an upstream, the upstreams are lost, not the paths.
+	// If no instance reaches an upstream, the upstreams are lost, not the paths. An
+	// instance that knows of no requests of others can't tell.
 	boolean isPartitioned(String origin, long nowNanos) {
 		Origin state = this.origins.get(origin);
-		return state != null && state.isCut()
-				&& this.origins.values().stream().anyMatch((other) -> !other.isCut() && other.isActive(nowNanos));
+		if (state == null || !state.isCut()) {
+			return false;
+		}
+		boolean othersActive = false;
+		for (Map.Entry<String, Origin> other : this.origins.entrySet()) {
+			boolean active = !other.getKey().equals(origin) && other.getValue().isActive(nowNanos);
+			if (active && !other.getValue().isCut()) {
+				return true;
+			}
+			othersActive |= active;
+		}
+		return !othersActive && !this.instances.isEmpty();
 	}
 
 	// Whether an attempt may be made on the path; after a failure one attempt at a time,
@@ -192,7 +212,7 @@
 				return true;
 			}
 		}
-		return false;
+		return findInactiveRelay(origin, upstream, Set.of()) != null;
 	}
 
 	/**
@@ -214,9 +234,23 @@
 				.thenComparingInt((entry) -> entry.getValue().relayedAttempts)
 				.thenComparingLong((entry) -> entry.getValue().lastRelayNanos))
 			.map(Map.Entry::getKey)
+			.orElseGet(() -> findInactiveRelay(origin, upstream, triedRelays));
+	}
+
+	private @Nullable String findInactiveRelay(String origin, String upstream, Set<String> triedRelays) {
+		return this.instances.stream()
+			.filter((instance) -> !instance.equals(origin))
+			.filter((instance) -> !this.origins.containsKey(instance) || this.origins.get(instance).mayReach(upstream))
+			.min(Comparator.comparing((String instance) -> triedRelays.contains(instance))
+				.thenComparingInt(this::relayedAttempts))
 			.orElse(null);
 	}
 
+	private int relayedAttempts(String instance) {
+		Origin state = this.origins.get(instance);
+		return (state != null) ? state.relayedAttempts : 0;
+	}
+
 	void recordRelayStart(String relay, long nowNanos) {
 		Origin state = origin(relay);
 		state.relayedAttempts++;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/RelayChoiceTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/RelayChoiceTests.java
@@ -105,4 +105,24 @@
 
 	}
 
+	@Nested
+	class WithoutTheHome {
+
+		// Incident 1 of brazos-rota-grown: a partitioned gateway whose home was
+		// unavailable had no relay.
+		@Test
+		void attemptsOfAPartitionedGatewayAreRelayed() {
+			RelayChoiceTests.this.router.updateInstances(List.of("gateway-1", "gateway-2"));
+			RelayChoiceTests.this.router.recordReachability(UpstreamPaths.HOME, true, 0);
+			assertThat(admit(UpstreamPaths.HOME, false, 0).relay()).isIn("gateway-1", "gateway-2");
+		}
+
+		@Test
+		void attemptsOfOtherGatewaysAreSentDirectly() {
+			RelayChoiceTests.this.router.updateInstances(List.of("gateway-1", "gateway-2"));
+			assertThat(admit(UpstreamPaths.HOME, false, 0).relay()).isNull();
+		}
+
+	}
+
 }
