--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -201,12 +201,14 @@
 	}
 
 	// Asks again at intervals, because a hedge that was refused for lack of a slot or of
-	// budget may be granted later.
+	// budget may be granted later, and one that was granted may fail to connect.
 	private void hedge() {
-		if (isCompleted() || activeAttemptCount() != 1) {
+		if (isCompleted()) {
 			return;
 		}
-		this.router.hedge(requestNumber());
+		if (activeAttemptCount() == 1) {
+			this.router.hedge(requestNumber());
+		}
 		schedule(HEDGE_RETRY_INTERVAL_MILLIS, this::hedge);
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -686,7 +686,8 @@
 
 	/**
 	 * Requests a second attempt in parallel to a slow one. It is dispatched only if no
-	 * request is queued, a suitable slot is free and the retry budget allows it.
+	 * request is queued, a suitable slot is free and the retry budget allows it; if the
+	 * first attempt is lost with the path of its instance, like a retry.
 	 * @param requestId the identifier of the request
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 * @return its dispatch, or nothing
@@ -696,12 +697,15 @@
 		if (state == null || !mayHedge(state)) {
 			return List.of();
 		}
-		if (this.queues.size() > 0) {
+		boolean lost = isAttemptLost(state, nowNanos);
+		if (this.queues.size() > 0 && !lost) {
 			return List.of();
 		}
-		Optional<UpstreamTracker> chosenUpstream = this.selection.chooseUncontended(state, nowNanos)
-			.or(() -> this.selection.chooseForStuckAttempt(state, nowNanos));
-		if (chosenUpstream.isEmpty() || !this.retryBudget.tryAcquireForHedge(nowNanos)) {
+		Optional<UpstreamTracker> chosenUpstream = lost ? this.selection.chooseFreeSlot(state, nowNanos)
+				: this.selection.chooseUncontended(state, nowNanos)
+					.or(() -> this.selection.chooseForStuckAttempt(state, nowNanos));
+		if (chosenUpstream.isEmpty()
+				|| !(lost ? this.retryBudget.tryAcquire(nowNanos) : this.retryBudget.tryAcquireForHedge(nowNanos))) {
 			return List.of();
 		}
 		dispatch(state, chosenUpstream.get(), AttemptKind.HEDGE, 0, nowNanos);
@@ -715,6 +719,13 @@
 				&& this.crashes.crashesUnder(state.request()) == 0;
 	}
 
+	// Whether the instance that made the attempt has been partitioned meanwhile, so that
+	// no response can be expected.
+	private boolean isAttemptLost(RequestState state, long nowNanos) {
+		return this.paths.isPartitioned(state.request().origin(), nowNanos)
+				&& state.attemptsInFlight().values().stream().allMatch((attempt) -> attempt.relay() == null);
+	}
+
 	/**
 	 * Closes a request because its caller has received a response or has disconnected.
 	 * Its attempts in flight occupy their slots until they complete.
--- a/radishthread-routing/src/test/java/org/radishthread/routing/HedgePathTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/HedgePathTests.java
@@ -58,4 +58,33 @@
 		assertThat(hedge(2, 510 * NANOS_PER_MILLI).relay()).isEqualTo(UpstreamPaths.HOME);
 	}
 
+	// Incident 1 of brazos-rota-grown: requests on connections that had gone silent
+	// waited
+	// until their deadline, because other hedges had used up the budget for hedges.
+	@Test
+	void attemptOfAPartitionedGatewayIsRepeatedLikeAFailedOne() {
+		long requestId = 10;
+		long nowNanos = 100 * NANOS_PER_MILLI;
+		while (hasHedge(requestId, nowNanos)) {
+			requestId++;
+			nowNanos += NANOS_PER_MILLI;
+		}
+		this.router.recordReachability(GATEWAY, true, nowNanos);
+		assertThat(hedge(requestId, nowNanos).relay()).isEqualTo(UpstreamPaths.HOME);
+	}
+
+	// Hedges a request, and completes both attempts if that is allowed.
+	private boolean hasHedge(long requestId, long nowNanos) {
+		String upstream = admit(requestId, GATEWAY, nowNanos).upstream().name();
+		List<RoutingEffect> effects = this.router.hedge(requestId, nowNanos);
+		if (effects.isEmpty()) {
+			return false;
+		}
+		String hedgedUpstream = ((Dispatch) effects.get(0)).upstream().name();
+		this.router.completeAttempt(requestId, upstream, AttemptResult.SUCCESS, nowNanos);
+		this.router.completeAttempt(requestId, hedgedUpstream, AttemptResult.SUCCESS, nowNanos);
+		this.router.close(requestId);
+		return true;
+	}
+
 }
