--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -129,12 +129,13 @@
 
 	@Override
 	public void onHeaders(Response response) {
-		this.loadReport = this.dialect.loadReport(response.getStatus(), response.getHeaders());
 		String echoedRequestId = this.dialect.echoedRequestId(response.getHeaders());
 		if (echoedRequestId != null && !echoedRequestId.equals(this.requestId)) {
 			abort(new GatewayException("The response belongs to another request: '" + echoedRequestId + "'."));
+			return;
 		}
-		else if (!isEndDetectable(response)) {
+		this.loadReport = this.dialect.loadReport(response.getStatus(), response.getHeaders());
+		if (!isEndDetectable(response)) {
 			abort(new GatewayException(
 					"The response has neither Content-Length nor Transfer-Encoding, so its end cannot be detected."));
 		}
@@ -168,6 +169,19 @@
 		}
 	}
 
+	// On a connection that was used before, a response without an id may be a copy of an
+	// earlier one.
+	private void completeNotRun(Response response) {
+		boolean named = this.requestId != null
+				&& this.requestId.equals(this.dialect.echoedRequestId(response.getHeaders()));
+		if (named || this.useNewConnection) {
+			this.listener.onNotRun(this, response, this.bufferedBody.toByteArray());
+			return;
+		}
+		this.listener.onFailure(this, AttemptFailure.REPORTED_NOT_RUN_WITHOUT_ID,
+				new GatewayException("The upstream did not run a request, but does not name this one."));
+	}
+
 	private boolean isForwardable(Response response) {
 		return this.dialect.isForwardable(this.requestId, response.getStatus(), response.getHeaders());
 	}
@@ -198,7 +212,7 @@
 					result.getFailure());
 		}
 		else if (this.dialect.hasNotRun(result.getResponse().getStatus(), result.getResponse().getHeaders())) {
-			this.listener.onNotRun(this, result.getResponse(), this.bufferedBody.toByteArray());
+			completeNotRun(result.getResponse());
 		}
 		else if (!isForwardable(result.getResponse())) {
 			this.listener.onFailure(this, AttemptFailure.NO_COMPLETE_RESPONSE,
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptCompletion.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptCompletion.java
@@ -39,7 +39,7 @@
 	UNREACHABLE(AttemptResult.UNREACHABLE),
 
 	/**
-	 * The upstream declined the request without running it.
+	 * The upstream responded that it declined the request without running it.
 	 */
 	SHED(AttemptResult.SHED),
 
@@ -70,7 +70,7 @@
 	static AttemptCompletion of(AttemptFailure failure, boolean connectionLost) {
 		return switch (failure) {
 			case NOT_SENT -> UNREACHABLE;
-			case REPORTED_NOT_RUN -> SHED;
+			case REPORTED_NOT_RUN, REPORTED_NOT_RUN_WITHOUT_ID -> SHED;
 			case NO_COMPLETE_RESPONSE -> connectionLost ? CONNECTION_LOST : FAILED;
 		};
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptFailure.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptFailure.java
@@ -32,6 +32,19 @@
 
 	},
 
+	/**
+	 * The upstream reported that it did not run a request, but not which one; on a
+	 * connection that was used before, the report may be about an earlier one.
+	 */
+	REPORTED_NOT_RUN_WITHOUT_ID {
+
+		@Override
+		public boolean hasNotRun() {
+			return false;
+		}
+
+	},
+
 	/**
 	 * The request was sent at least in part, and no complete response arrived; it is
 	 * unknown whether it ran.
