--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -209,6 +209,11 @@
 		return this.completed;
 	}
 
+	// Whether an attempt may have been run by an upstream.
+	protected final synchronized boolean mayHaveRun() {
+		return this.mayHaveRun;
+	}
+
 	protected final String caller() {
 		String callerHeader = this.request.getHeaders().get(this.context.settings().limits().callerHeader());
 		return (callerHeader != null) ? callerHeader : Request.getRemoteAddr(this.request);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -219,7 +219,8 @@
 
 	@Override
 	public void onRefusal(RoutingEffect.Refusal refusal) {
-		completeUnsuccessfully("Not sent: " + refusal.reason().wireName() + allotmentText(refusal) + ".",
+		String prefix = mayHaveRun() ? "Not sent again: " : "Not sent: ";
+		completeUnsuccessfully(prefix + refusal.reason().wireName() + allotmentText(refusal) + ".",
 				refusal.retryAfterMillis(), refusal.reason().httpStatus());
 	}
 
