--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -244,7 +244,7 @@
 		if (effects.upstreams() != null) {
 			List<UpstreamRecord> upstreams = effects.upstreams();
 			eventLog.information("upstreams-changed").with("count", upstreams.size()).write();
-			this.listeners.forEach((listener) -> listener.upstreamsChanged(upstreams));
+			this.listeners.forEach((listener) -> notifyOfUpstreams(listener, upstreams));
 		}
 		if (effects.rules() != null) {
 			RuleFile rules = effects.rules();
@@ -257,6 +257,20 @@
 		}
 	}
 
+	// A listener that fails must not keep others from the list, or the rules that came
+	// with
+	// it from being applied.
+	private static void notifyOfUpstreams(ClusterListener listener, List<UpstreamRecord> upstreams) {
+		try {
+			listener.upstreamsChanged(upstreams);
+		}
+		catch (RuntimeException ex) {
+			eventLog.failure("upstream-listener-failed", ex)
+				.with("listener", listener.getClass().getSimpleName())
+				.write();
+		}
+	}
+
 	private void logOutdatedEvacuations() {
 		boolean outdated = this.evacuations.getVersion() > 0
 				&& evacuationsAgeMillis() > this.settings.limits().evacuationApplyMillis();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -24,13 +24,11 @@
 import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
-import org.radishthread.protocol.UpstreamState;
 import org.radishthread.protocol.ZoneEvacuation;
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
-import org.radishthread.routing.Upstream;
 import org.radishthread.routing.UpstreamConstraints;
 import org.radishthread.rules.IncrementalRuleParser;
 import org.radishthread.rules.KeyCheck;
@@ -73,6 +71,9 @@
 
 	private final EventLoop eventLoop = new EventLoop("routing");
 
+	// Accessed on the thread that publishes upstreams only.
+	private final UpstreamDecoder upstreamDecoder = new UpstreamDecoder();
+
 	private final Map<Integer, AtomicLong> splitCounters = new ConcurrentHashMap<>();
 
 	private final long splitOffset = ThreadLocalRandom.current().nextInt(1 << 16);
@@ -218,17 +219,18 @@
 	}
 
 	@Override
-	public void upstreamsChanged(List<UpstreamRecord> upstreams) {
+	public void upstreamsChanged(List<UpstreamRecord> records) {
+		List<UpstreamRecord> upstreams = this.upstreamDecoder.selectValid(records);
 		this.reachability.updateUpstreams(upstreams);
 		synchronized (this.constraints) {
-			this.constraints.updateUpstreams(upstreams.stream().map(RoutingService::toUpstream).toList(),
+			this.constraints.updateUpstreams(upstreams.stream().map(UpstreamDecoder::toUpstream).toList(),
 					this.time.monotonicNanos());
 		}
 		upstreams.forEach((upstream) -> router(upstream.getService()));
 		this.routers.forEach((service,
 				router) -> router.updateUpstreams(upstreams.stream()
 					.filter((upstream) -> upstream.getService().equals(service))
-					.map(RoutingService::toUpstream)
+					.map(UpstreamDecoder::toUpstream)
 					.toList(), this.evacuatedZones));
 	}
 
@@ -246,12 +248,6 @@
 		this.routers.values().forEach((router) -> router.updateEvacuatedZones(zones));
 	}
 
-	private static Upstream toUpstream(UpstreamRecord upstream) {
-		return new Upstream(upstream.getName(), upstream.getAddress(), upstream.getZone(), upstream.getSlots(),
-				upstream.getIncarnation(), upstream.getState() == UpstreamState.READY, upstream.getSequence(),
-				Integer.toUnsignedLong(upstream.getColdMillis()));
-	}
-
 	@Override
 	public void rulesChanged(RuleFile file) {
 		try {
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamDecoder.java
@@ -0,0 +1,70 @@
+package org.radishthread.daemon.gateway;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.radishthread.kernel.EventLog;
+import org.radishthread.membership.Announcement;
+import org.radishthread.protocol.UpstreamRecord;
+import org.radishthread.protocol.UpstreamState;
+import org.radishthread.routing.Upstream;
+
+/**
+ * Decodes the records of announced upstreams, which come from files and from instances of
+ * other versions. A record with an invalid value is logged once and left out; the others
+ * hold. Not safe for concurrent use.
+ */
+final class UpstreamDecoder {
+
+	private static final EventLog eventLog = EventLog.of(UpstreamDecoder.class);
+
+	private Set<UpstreamRecord> invalidRecords = Set.of();
+
+	/**
+	 * Selects the records without invalid values.
+	 * @param records the records of all upstreams
+	 * @return the valid ones, in the same order
+	 */
+	List<UpstreamRecord> selectValid(List<UpstreamRecord> records) {
+		Set<UpstreamRecord> currentlyInvalid = new HashSet<>();
+		List<UpstreamRecord> validRecords = records.stream()
+			.filter((record) -> isValid(record, currentlyInvalid))
+			.toList();
+		this.invalidRecords = currentlyInvalid;
+		return validRecords;
+	}
+
+	private boolean isValid(UpstreamRecord record, Set<UpstreamRecord> currentlyInvalid) {
+		try {
+			// Checks all values.
+			new Announcement(record.getName(), record.getService(), record.getAddress(), record.getZone(),
+					record.getSlots(), record.getIncarnation(), record.getSequence(), record.getState(),
+					Announcement.MAXIMUM_LEASE_MILLIS, record.getColdMillis());
+			return true;
+		}
+		catch (IllegalArgumentException ex) {
+			currentlyInvalid.add(record);
+			if (!this.invalidRecords.contains(record)) {
+				eventLog.failure("upstream-record-invalid", ex)
+					.with("upstream", record.getName())
+					.with("service", record.getService())
+					.with("address", record.getAddress())
+					.write();
+			}
+			return false;
+		}
+	}
+
+	/**
+	 * Decodes a valid record.
+	 * @param record the record
+	 * @return the upstream
+	 */
+	static Upstream toUpstream(UpstreamRecord record) {
+		return new Upstream(record.getName(), record.getAddress(), record.getZone(), record.getSlots(),
+				record.getIncarnation(), record.getState() == UpstreamState.READY, record.getSequence(),
+				Integer.toUnsignedLong(record.getColdMillis()));
+	}
+
+}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Announcement.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Announcement.java
@@ -1,6 +1,7 @@
 package org.radishthread.membership;
 
 import org.radishthread.kernel.Assert;
+import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.protocol.UpstreamState;
 
 /**
@@ -33,14 +34,20 @@
 	 */
 	public static final int MAXIMUM_COLD_MILLIS = 600_000;
 
+	// Leaves room for the numbers of a withdrawal, which are greater.
+	private static final long MAXIMUM_NUMBER = Long.MAX_VALUE / 2;
+
 	public Announcement {
 		Assert.hasText(name, "Name of an upstream must not be empty.");
 		Assert.isTrue(name.length() <= 128, "Name of an upstream must not exceed 128 characters.");
 		Assert.isTrue(service.matches("[a-z0-9][a-z0-9-]{0,62}"), "Service '" + service + "' is not a valid name.");
 		Assert.isTrue(zone.length() <= 64, "Availability zone must not exceed 64 characters.");
 		Assert.isTrue(slots > 0 && slots <= 10_000, "Slots " + slots + " must be from 1 to 10000.");
-		Assert.isTrue(incarnation > 0, "Incarnation " + incarnation + " must be positive.");
-		Assert.isTrue(sequence > 0, "Sequence " + sequence + " must be positive.");
+		Assert.isTrue(NetworkAddress.parse(address).port() > 0, "Port of address " + address + " must not be 0.");
+		Assert.isTrue(incarnation > 0 && incarnation <= MAXIMUM_NUMBER,
+				"Incarnation " + incarnation + " must be from 1 to " + MAXIMUM_NUMBER + ".");
+		Assert.isTrue(sequence > 0 && sequence <= MAXIMUM_NUMBER,
+				"Sequence " + sequence + " must be from 1 to " + MAXIMUM_NUMBER + ".");
 		Assert.isTrue(leaseMillis >= 500 && leaseMillis <= MAXIMUM_LEASE_MILLIS,
 				"Lease " + leaseMillis + " ms must be from 500 to " + MAXIMUM_LEASE_MILLIS + ".");
 		Assert.isTrue(coldMillis >= 0 && coldMillis <= MAXIMUM_COLD_MILLIS,
