--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -1,5 +1,7 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -46,12 +48,17 @@
 			.toList();
 	}
 
-	// The peer addresses of all other gateways, also of those that were unavailable.
+	// The peer addresses of all other gateways, also of those that were unavailable. Each
+	// instance gets them in another order, so that they do not all use the same relay.
 	List<String> otherInstances(String service) {
-		return rankedInstances(service).stream()
-			.filter((candidate) -> !candidate.local())
-			.map(HomeCandidate::peerAddress)
-			.toList();
+		List<String> addresses = new ArrayList<>();
+		for (HomeCandidate candidate : rankedInstances(service)) {
+			if (!candidate.local()) {
+				addresses.add(candidate.peerAddress());
+			}
+		}
+		Collections.rotate(addresses, this.cluster.replica().getInstance().hashCode());
+		return addresses;
 	}
 
 	private List<HomeCandidate> rankedInstances(String service) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
@@ -77,6 +77,7 @@
 	 */
 	boolean recordFailure(String origin, String upstream, int upstreamCount, long nowNanos) {
 		Origin state = origin(origin);
+		state.lastEvidenceNanos = nowNanos;
 		state.blocks.computeIfAbsent(upstream, (name) -> new Block()).extend(nowNanos);
 		state.failedSinceSuccess.add(upstream);
 		if (state.partition != null) {
@@ -105,6 +106,7 @@
 			return false;
 		}
 		state.lastReachedNanos = nowNanos;
+		state.lastEvidenceNanos = nowNanos;
 		boolean partitioned = state.partition != null;
 		state.failedSinceSuccess.clear();
 		state.partition = null;
@@ -126,7 +128,7 @@
 	 */
 	boolean recordReport(String origin, boolean partitioned, long nowNanos) {
 		Origin reporting = origin(origin);
-		reporting.lastReportNanos = nowNanos;
+		reporting.lastEvidenceNanos = nowNanos;
 		if (reporting.reportedPartition == partitioned) {
 			return false;
 		}
@@ -212,7 +214,7 @@
 				return true;
 			}
 		}
-		return findInactiveRelay(origin, upstream, Set.of()) != null;
+		return findInactiveRelay(origin, upstream, Set.of(), nowNanos) != null;
 	}
 
 	/**
@@ -234,18 +236,29 @@
 				.thenComparingInt((entry) -> entry.getValue().relayedAttempts)
 				.thenComparingLong((entry) -> entry.getValue().lastRelayNanos))
 			.map(Map.Entry::getKey)
-			.orElseGet(() -> findInactiveRelay(origin, upstream, triedRelays));
+			.orElseGet(() -> findInactiveRelay(origin, upstream, triedRelays, nowNanos));
 	}
 
-	private @Nullable String findInactiveRelay(String origin, String upstream, Set<String> triedRelays) {
+	private @Nullable String findInactiveRelay(String origin, String upstream, Set<String> triedRelays, long nowNanos) {
 		return this.instances.stream()
 			.filter((instance) -> !instance.equals(origin))
 			.filter((instance) -> !this.origins.containsKey(instance) || this.origins.get(instance).mayReach(upstream))
 			.min(Comparator.comparing((String instance) -> triedRelays.contains(instance))
+				.thenComparing((instance) -> !isProven(instance, nowNanos))
+				.thenComparing((instance) -> hasFailed(instance))
 				.thenComparingInt(this::relayedAttempts))
 			.orElse(null);
 	}
 
+	private boolean isProven(String instance, long nowNanos) {
+		return this.origins.containsKey(instance) && this.origins.get(instance).isProven(nowNanos);
+	}
+
+	// Whether the last attempts through the instance reached no upstream.
+	private boolean hasFailed(String instance) {
+		return this.origins.containsKey(instance) && !this.origins.get(instance).failedSinceSuccess.isEmpty();
+	}
+
 	private int relayedAttempts(String instance) {
 		Origin state = this.origins.get(instance);
 		return (state != null) ? state.relayedAttempts : 0;
@@ -273,7 +286,8 @@
 
 		private long lastRequestNanos = Long.MIN_VALUE / 2;
 
-		private long lastReportNanos = Long.MIN_VALUE / 2;
+		// The time of the latest report, success or failure.
+		private long lastEvidenceNanos = Long.MIN_VALUE / 2;
 
 		private long lastReachedNanos = Long.MIN_VALUE / 2;
 
@@ -301,7 +315,7 @@
 
 		private boolean isForgotten(long nowNanos) {
 			return !isActive(nowNanos) && this.relayedAttempts == 0
-					&& nowNanos - this.lastReportNanos >= ACTIVE_PERIOD_NANOS;
+					&& nowNanos - this.lastEvidenceNanos >= ACTIVE_PERIOD_NANOS;
 		}
 
 		private boolean canRelay(String upstream, long nowNanos) {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/RelayChoiceTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/RelayChoiceTests.java
@@ -117,6 +117,35 @@
 			assertThat(admit(UpstreamPaths.HOME, false, 0).relay()).isIn("gateway-1", "gateway-2");
 		}
 
+		// Incident 1 of brazos-rota-grown: at full size 1,235 attempts in nine seconds
+		// went
+		// to relays that could not reach the upstream either.
+		@Test
+		void relayThatFailedComesLastForOtherRequestsToo() {
+			RelayChoiceTests.this.router
+				.updateInstances(List.of("gateway-1", "gateway-2", "gateway-3", "gateway-4", "gateway-5"));
+			RelayChoiceTests.this.router.recordReachability(UpstreamPaths.HOME, true, 0);
+			Dispatch dispatch = admit(UpstreamPaths.HOME, false, 0);
+			String failedRelay = dispatch.relay();
+			complete(dispatch, AttemptResult.UNREACHABLE, 0);
+			String provenRelay = ((Dispatch) RelayChoiceTests.this.router.retry(dispatch.requestId(), 0).get(0))
+				.relay();
+			assertThat(provenRelay).isNotEqualTo(failedRelay);
+			assertThat(admit(UpstreamPaths.HOME, false, NANOS_PER_SECOND / 10).relay()).isNotEqualTo(failedRelay);
+		}
+
+		@Test
+		void relayThatReachedAnUpstreamIsUsedAgain() {
+			RelayChoiceTests.this.router.updateInstances(List.of("gateway-1", "gateway-2", "gateway-3"));
+			RelayChoiceTests.this.router.recordReachability(UpstreamPaths.HOME, true, 0);
+			admit(UpstreamPaths.HOME, false, 0);
+			Dispatch dispatch = admit(UpstreamPaths.HOME, false, 0);
+			complete(dispatch, AttemptResult.SUCCESS, 0);
+			for (int i = 0; i < 3; i++) {
+				assertThat(admit(UpstreamPaths.HOME, false, NANOS_PER_SECOND / 10).relay()).isEqualTo(dispatch.relay());
+			}
+		}
+
 		@Test
 		void attemptsOfOtherGatewaysAreSentDirectly() {
 			RelayChoiceTests.this.router.updateInstances(List.of("gateway-1", "gateway-2"));
