--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -596,7 +596,13 @@
 			tracker.rateLimit().clear();
 		}
 		if (isReturned(result, report)) {
-			tracker.recordReturn();
+			tracker.recordWithoutLatency();
+		}
+		else if (result == AttemptResult.CANCELLED && attemptStart.relay() == null
+				&& this.paths.isPartitioned(state.request().origin(), nowNanos)) {
+			// The time that it took is that of the lost path.
+			tracker.recordWithoutLatency();
+			state.recordResult(result);
 		}
 		else {
 			tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -399,8 +399,8 @@
 		}
 	}
 
-	// The attempt was not made.
-	void recordReturn() {
+	// The attempt was not made, or its duration says nothing about the upstream.
+	void recordWithoutLatency() {
 		this.inFlight--;
 	}
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/PartitionedGatewayTests.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import org.radishthread.rules.ServiceRule;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -125,6 +127,45 @@
 
 	}
 
+	@Nested
+	class SilentConnections {
+
+		private static final String PARTITIONED = "gateway-1";
+
+		private static final long NANOS_PER_MILLI = 1_000_000;
+
+		// Attempts of a partitioned gateway on connections that had gone silent made the
+		// upstreams look slow to all gateways.
+		@Test
+		void timeOfAnAttemptOnALostPathIsNotTakenForThatOfTheUpstream() {
+			ServiceRouter router = new ServiceRouter(ServiceRule.defaults("service"), "zone-0", 16, 0);
+			router.updateUpstreams(List.of(new Upstream("upstream-0", "127.0.0.1:1", "zone-0", 3, 1, true)), 0);
+			long nowNanos = 0;
+			for (int id = 1; id <= 10; id++) {
+				admit(router, id, "gateway-2", nowNanos);
+				nowNanos += 100 * NANOS_PER_MILLI;
+				router.completeAttempt(id, "upstream-0", AttemptResult.SUCCESS, nowNanos);
+			}
+			for (int id = 11; id <= 13; id++) {
+				admit(router, id, PARTITIONED, nowNanos);
+			}
+			router.recordReachability(PARTITIONED, true, nowNanos);
+			nowNanos += 2_000 * NANOS_PER_MILLI;
+			for (int id = 11; id <= 13; id++) {
+				router.completeAttempt(id, "upstream-0", AttemptResult.CANCELLED, nowNanos);
+			}
+			// Would be refused as too late if the upstream were expected to take longer.
+			assertThat(admit(router, 14, "gateway-2", nowNanos)).singleElement()
+				.isInstanceOf(RoutingEffect.Dispatch.class);
+		}
+
+		private List<RoutingEffect> admit(ServiceRouter router, long id, String origin, long nowNanos) {
+			return router.admit(new RoutingRequest(id, "caller-" + id, false, nowNanos + 300 * NANOS_PER_MILLI, "",
+					Urgency.NORMAL, 2, origin), nowNanos);
+		}
+
+	}
+
 	@Nested
 	class LostUpstreams {
 
