--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -257,9 +257,8 @@
 		}
 	}
 
-	// A listener that fails must not keep others from the list, or the rules that came
-	// with
-	// it from being applied.
+	// A listener that fails must not keep the list from others, nor the rules that come
+	// with it from being applied.
 	private static void notifyOfUpstreams(ClusterListener listener, List<UpstreamRecord> upstreams) {
 		try {
 			listener.upstreamsChanged(upstreams);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReachabilityMonitor.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReachabilityMonitor.java
@@ -1,5 +1,7 @@
 package org.radishthread.daemon.gateway;
 
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -76,7 +78,7 @@
 	void updateUpstreams(List<UpstreamRecord> upstreams) {
 		Map<String, String> serviceByAddress = upstreams.stream()
 			.filter((upstream) -> upstream.getState() == UpstreamState.READY)
-			.collect(Collectors.toMap(UpstreamRecord::getAddress, UpstreamRecord::getService,
+			.collect(Collectors.toMap((upstream) -> canonicalAddress(upstream.getAddress()), UpstreamRecord::getService,
 					(first, second) -> second));
 		process(() -> this.reachability.updateUpstreams(serviceByAddress));
 	}
@@ -87,13 +89,24 @@
 			return true;
 		}
 		synchronized (this.reachability) {
-			return !this.reachability.isPartitionedFrom(address);
+			return !this.reachability.isPartitionedFrom(canonicalAddress(address));
 		}
 	}
 
 	@Override
 	public void connectionCompleted(String address, boolean opened) {
-		process(() -> this.reachability.recordConnection(address, opened));
+		process(() -> this.reachability.recordConnection(canonicalAddress(address), opened));
+	}
+
+	// An IPv6 number can be written in several ways.
+	private static String canonicalAddress(String address) {
+		NetworkAddress parsed = NetworkAddress.parse(address);
+		try {
+			return new NetworkAddress(InetAddress.getByName(parsed.host()).getHostAddress(), parsed.port()).toString();
+		}
+		catch (UnknownHostException ex) {
+			throw new IllegalArgumentException("Address '" + address + "' must name an IP number.", ex);
+		}
 	}
 
 	private void process(Runnable event) {
