--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReachabilityMonitor.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReachabilityMonitor.java
@@ -100,6 +100,9 @@
 
 	// An IPv6 number can be written in several ways.
 	private static String canonicalAddress(String address) {
+		if (!address.startsWith("[")) {
+			return address;
+		}
 		NetworkAddress parsed = NetworkAddress.parse(address);
 		try {
 			return new NetworkAddress(InetAddress.getByName(parsed.host()).getHostAddress(), parsed.port()).toString();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamDecoder.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamDecoder.java
@@ -1,5 +1,6 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -19,6 +20,9 @@
 
 	private static final EventLog eventLog = EventLog.of(UpstreamDecoder.class);
 
+	// The records of the previous list, most of which come again.
+	private Set<UpstreamRecord> validRecords = Set.of();
+
 	private Set<UpstreamRecord> invalidRecords = Set.of();
 
 	/**
@@ -28,14 +32,21 @@
 	 */
 	List<UpstreamRecord> selectValid(List<UpstreamRecord> records) {
 		Set<UpstreamRecord> currentlyInvalid = new HashSet<>();
-		List<UpstreamRecord> validRecords = records.stream()
-			.filter((record) -> isValid(record, currentlyInvalid))
-			.toList();
+		List<UpstreamRecord> currentlyValid = new ArrayList<>();
+		for (UpstreamRecord record : records) {
+			if (this.validRecords.contains(record) || isValid(record)) {
+				currentlyValid.add(record);
+			}
+			else {
+				currentlyInvalid.add(record);
+			}
+		}
+		this.validRecords = new HashSet<>(currentlyValid);
 		this.invalidRecords = currentlyInvalid;
-		return validRecords;
+		return currentlyValid;
 	}
 
-	private boolean isValid(UpstreamRecord record, Set<UpstreamRecord> currentlyInvalid) {
+	private boolean isValid(UpstreamRecord record) {
 		try {
 			// Checks all values.
 			new Announcement(record.getName(), record.getService(), record.getAddress(), record.getZone(),
@@ -44,7 +55,6 @@
 			return true;
 		}
 		catch (IllegalArgumentException ex) {
-			currentlyInvalid.add(record);
 			if (!this.invalidRecords.contains(record)) {
 				eventLog.failure("upstream-record-invalid", ex)
 					.with("upstream", record.getName())
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/NetworkAddress.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/NetworkAddress.java
@@ -2,7 +2,6 @@
 
 import java.net.InetAddress;
 import java.net.UnknownHostException;
-import java.util.Arrays;
 
 /**
  * An IP address and a TCP port.
@@ -18,6 +17,8 @@
 
 	private static final int MAXIMUM_BYTE = 255;
 
+	private static final int MAXIMUM_BYTE_DIGITS = 3;
+
 	public NetworkAddress {
 		Assert.hasText(host, "Host of an address must not be empty.");
 		Assert.isTrue(port >= 0 && port <= MAXIMUM_PORT, "Port " + port + " must be from 0 to 65535.");
@@ -44,18 +45,43 @@
 		}
 	}
 
+	// Without regular expressions, because each instance reads many addresses while it
+	// starts.
 	private static boolean isIpNumber(String text) {
-		return text.matches("[0-9a-fA-F:.]*:[0-9a-fA-F:.]*") ? isIpVersion6Number(text) : isIpVersion4Number(text);
+		return (text.indexOf(':') >= 0) ? isIpVersion6Number(text) : isIpVersion4Number(text);
 	}
 
 	private static boolean isIpVersion4Number(String text) {
-		String[] parts = text.split("[.]", -1);
-		return parts.length == IP_VERSION_4_BYTES && Arrays.stream(parts)
-			.allMatch((part) -> part.matches("[0-9]{1,3}") && Integer.parseInt(part) <= MAXIMUM_BYTE);
+		int completeBytes = 0;
+		int begin = 0;
+		for (int end = text.indexOf('.'); end >= 0; end = text.indexOf('.', begin)) {
+			if (!isByte(text, begin, end)) {
+				return false;
+			}
+			completeBytes++;
+			begin = end + 1;
+		}
+		return completeBytes == IP_VERSION_4_BYTES - 1 && isByte(text, begin, text.length());
 	}
 
-	// In brackets the text is never looked up as a name.
+	private static boolean isByte(String text, int begin, int end) {
+		int value = 0;
+		for (int i = begin; i < end; i++) {
+			char digit = text.charAt(i);
+			if (digit < '0' || digit > '9') {
+				return false;
+			}
+			value = 10 * value + digit - '0';
+		}
+		return end > begin && end - begin <= MAXIMUM_BYTE_DIGITS && value <= MAXIMUM_BYTE;
+	}
+
+	// In brackets the text is never looked up as a name. The name of an interface is not
+	// part of a number.
 	private static boolean isIpVersion6Number(String text) {
+		if (text.indexOf('%') >= 0) {
+			return false;
+		}
 		try {
 			InetAddress.getByName('[' + text + ']');
 			return true;
--- a/radishthread-kernel/src/test/java/org/radishthread/kernel/NetworkAddressTests.java
+++ b/radishthread-kernel/src/test/java/org/radishthread/kernel/NetworkAddressTests.java
@@ -21,8 +21,8 @@
 	// An entry of another writer named an address that no connection can be opened to.
 	@ParameterizedTest
 	@ValueSource(strings = { "999.1.1.1:80", "....:80", "1.2.3:80", "1.2.3.4.5:80", "1.2.3.4444:80", "[:::::]:80",
-			"[1::2::3]:80", "[12345::]:80", "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:99999999999", "10.0.0.1:",
-			"10.0.0.1", "nowhere:80", ":80", "" })
+			"[1::2::3]:80", "[12345::]:80", "[fe80::1%eth0]:80", "1..2.3:80", ".1.2.3:80", "1.2.3.:80", "1.2.3.+4:80",
+			"10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:99999999999", "10.0.0.1:", "10.0.0.1", "nowhere:80", ":80", "" })
 	void otherTextsAreRejected(String text) {
 		assertThatThrownBy(() -> NetworkAddress.parse(text)).isInstanceOf(IllegalArgumentException.class);
 	}
