--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamDecoder.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamDecoder.java
@@ -1,7 +1,9 @@
 package org.radishthread.daemon.gateway;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Set;
 
@@ -20,10 +22,12 @@
 
 	private static final EventLog eventLog = EventLog.of(UpstreamDecoder.class);
 
-	// The records of the previous list, most of which come again.
-	private Set<UpstreamRecord> validRecords = Set.of();
+	// The valid records of the previous list, most of which come again. Compared by
+	// identity, because the hash code of a message loads the descriptors of all messages.
+	private Set<UpstreamRecord> validRecords = Collections.newSetFromMap(new IdentityHashMap<>());
 
-	private Set<UpstreamRecord> invalidRecords = Set.of();
+	// The names of the upstreams whose record in the previous list was invalid.
+	private Set<String> invalidNames = Set.of();
 
 	/**
 	 * Selects the records without invalid values.
@@ -31,19 +35,21 @@
 	 * @return the valid ones, in the same order
 	 */
 	List<UpstreamRecord> selectValid(List<UpstreamRecord> records) {
-		Set<UpstreamRecord> currentlyInvalid = new HashSet<>();
-		List<UpstreamRecord> currentlyValid = new ArrayList<>();
+		Set<String> currentlyInvalidNames = new HashSet<>();
+		Set<UpstreamRecord> currentlyValid = Collections.newSetFromMap(new IdentityHashMap<>());
+		List<UpstreamRecord> selectedRecords = new ArrayList<>();
 		for (UpstreamRecord record : records) {
 			if (this.validRecords.contains(record) || isValid(record)) {
 				currentlyValid.add(record);
+				selectedRecords.add(record);
 			}
 			else {
-				currentlyInvalid.add(record);
+				currentlyInvalidNames.add(record.getName());
 			}
 		}
-		this.validRecords = new HashSet<>(currentlyValid);
-		this.invalidRecords = currentlyInvalid;
-		return currentlyValid;
+		this.validRecords = currentlyValid;
+		this.invalidNames = currentlyInvalidNames;
+		return selectedRecords;
 	}
 
 	private boolean isValid(UpstreamRecord record) {
@@ -55,7 +61,7 @@
 			return true;
 		}
 		catch (IllegalArgumentException ex) {
-			if (!this.invalidRecords.contains(record)) {
+			if (!this.invalidNames.contains(record.getName())) {
 				eventLog.failure("upstream-record-invalid", ex)
 					.with("upstream", record.getName())
 					.with("service", record.getService())
