--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPaths.java
@@ -132,7 +132,7 @@
 		if (reporting.reportedPartition == partitioned) {
 			return false;
 		}
-		boolean partitionedBefore = reporting.isCut();
+		boolean partitionedBefore = reporting.isPartitioned();
 		reporting.reportedPartition = partitioned;
 		if (!partitioned) {
 			reporting.partition = null;
@@ -146,13 +146,13 @@
 	// instance that knows of no requests of others can't tell.
 	boolean isPartitioned(String origin, long nowNanos) {
 		Origin state = this.origins.get(origin);
-		if (state == null || !state.isCut()) {
+		if (state == null || !state.isPartitioned()) {
 			return false;
 		}
 		boolean othersActive = false;
 		for (Map.Entry<String, Origin> other : this.origins.entrySet()) {
 			boolean active = !other.getKey().equals(origin) && other.getValue().isActive(nowNanos);
-			if (active && !other.getValue().isCut()) {
+			if (active && !other.getValue().isPartitioned()) {
 				return true;
 			}
 			othersActive |= active;
@@ -202,7 +202,7 @@
 			boolean fails = block != null && block.failedNanos > reachedNanos;
 			active += (state.isActive(nowNanos) || fails) ? 1 : 0;
 			failing += fails ? 1 : 0;
-			failingOthers += (fails && !state.isCut()) ? 1 : 0;
+			failingOthers += (fails && !state.isPartitioned()) ? 1 : 0;
 		}
 		return failingOthers >= AGREEING_ORIGINS || (failing > 0 && failing == active);
 	}
@@ -305,7 +305,7 @@
 
 		private boolean reportedPartition;
 
-		private boolean isCut() {
+		private boolean isPartitioned() {
 			return this.reportedPartition || this.partition != null;
 		}
 
@@ -323,7 +323,7 @@
 		}
 
 		private boolean mayReach(String upstream) {
-			return !isCut() && !this.blocks.containsKey(upstream);
+			return !isPartitioned() && !this.blocks.containsKey(upstream);
 		}
 
 		private boolean isProven(long nowNanos) {
