--- a/review/standin/EndlessHead.java
+++ b/review/standin/EndlessHead.java
@@ -25,8 +25,13 @@
 
 	private static final int SLACK_MILLIS = 500;
 
+	// Occupies three quarters of the slots, so that each target gets its share.
+	private static final int WORK_MILLIS = 210;
+
 	private static final int MINIMUM_UNANSWERED = 8;
 
+	private static final AtomicInteger endlessHeads = new AtomicInteger();
+
 	private static volatile boolean troubled;
 
 	private EndlessHead() {
@@ -53,6 +58,9 @@
 		long endedMillis = Traffic.nowMillis();
 		record.write("all targets are sound again");
 		Thread.sleep(RECOVERY_MILLIS + 5_000);
+		if (trouble && endlessHeads.get() == 0) {
+			throw new IllegalStateException("The faulty target began 0 heads without end, at least 1 was expected.");
+		}
 		boolean held = judge(record, traffic.stop(), endedMillis + RECOVERY_MILLIS);
 		for (String gateway : deployment.gateways()) {
 			record.write("%s: process alive %s, ready %s", gateway, deployment.isAlive(gateway),
@@ -62,7 +70,7 @@
 	}
 
 	private static boolean answer(Server server, Server.Request request, Socket socket) throws IOException {
-		Server.sleep(40);
+		Server.sleep(WORK_MILLIS);
 		Server.answer(socket, request, ("answer to " + request.id()).getBytes(StandardCharsets.ISO_8859_1));
 		return true;
 	}
@@ -74,6 +82,7 @@
 			if (!troubled || answers.incrementAndGet() % ANSWERS_PER_ENDLESS_HEAD != 0) {
 				return answer(server, request, socket);
 			}
+			endlessHeads.incrementAndGet();
 			record.write("target %s begins a head without end for %s", server.id, request.id());
 			long bytes = 0;
 			try {
