--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -192,7 +192,10 @@
 	void signal(String node, String name) throws Exception {
 		this.record.write("signal %s to %s", name, node);
 		long pid = this.processes.get(node).pid();
-		new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor();
+		int status = new ProcessBuilder("bash", "-c", "kill -" + name + ' ' + pid).start().waitFor();
+		if (status != 0) {
+			throw new IllegalStateException("kill -" + name + " of " + node + " ended with " + status + ", 0 was expected.");
+		}
 	}
 
 	boolean isAlive(String node) {
