Open the log of a control replica again after a failed write

Cause: ControlService ended its thread at the first AgreementException and nothing started the replica again. Ruled out: a log that stays unusable (there is no second failure) and elections that fail (the terms hardly change).

ControlReplicaDriver now owns the replica. After a failed write it drops the replica and sends nothing that depends on the write, since the content of the disk is unknown; after a pause, which grows while the disk refuses, it reads the log again, writes it to a new file and goes on as a follower, as after a restart. Requests in between are redirected at once. Related: FileLogStorage appends nothing to a file whose write failed, and syncs what it loads, because a process that was killed may have left entries that were written but not synced.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaOutput.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplicaOutput.java
@@ -36,4 +36,17 @@
 	 */
 	void publishEvacuations(Evacuations evacuations);
 
+	/**
+	 * Notifies that a write to the log failed, so that the replica was closed.
+	 * @param failure the failure of the write, or of an attempt to open the log again
+	 * @param retryMillis the time until the log is opened again, in milliseconds
+	 */
+	void logClosed(AgreementException failure, long retryMillis);
+
+	/**
+	 * Notifies that the log was opened again after a failed write, and that the replica
+	 * is a follower of its group with what was stored.
+	 */
+	void logReopened();
+
 }
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/FileLogStorage.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/FileLogStorage.java
@@ -1,6 +1,7 @@
 package org.radishthread.agreement;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -38,17 +39,26 @@
 
 	private final Path folder;
 
+	private final DiskSync diskSync;
+
 	private long generation;
 
+	// Null if no file is open: before the log is loaded, and in an empty folder.
 	private @Nullable FileChannel channel;
 
 	public FileLogStorage(Path folder) {
+		this(folder, FileChannel::force);
+	}
+
+	FileLogStorage(Path folder, DiskSync diskSync) {
 		this.folder = folder;
+		this.diskSync = diskSync;
 	}
 
 	@Override
 	public StoredLog load() {
 		try {
+			closeChannel();
 			Files.createDirectories(this.folder);
 			deleteTemporaryFiles();
 			Optional<Path> newestFile = generationFiles().max(Comparator.comparingLong(FileLogStorage::generationOf));
@@ -59,7 +69,7 @@
 			deleteOlderGenerations();
 			return read(newestFile.get());
 		}
-		catch (IOException ex) {
+		catch (IOException | UncheckedIOException ex) {
 			throw new AgreementException("Log in folder " + this.folder + " cannot be read.", ex);
 		}
 	}
@@ -105,8 +115,11 @@
 				.with("truncated-bytes", bytes.length - frames.validBytes())
 				.write();
 			openChannel.truncate(frames.validBytes());
-			openChannel.force(true);
 		}
+		// A process that was killed may have written frames, or renamed the file,
+		// without a sync.
+		this.diskSync.force(openChannel, true);
+		syncFolder();
 		openChannel.position(frames.validBytes());
 		return decode(file, frames.payloads());
 	}
@@ -146,9 +159,10 @@
 		}
 		try {
 			writeFully(openChannel, LogFrames.encode(LogBatch.newBuilder().addAllFrames(frames).build().toByteArray()));
-			openChannel.force(false);
+			this.diskSync.force(openChannel, false);
 		}
 		catch (IOException ex) {
+			closeAfterFailure(ex);
 			throw new AgreementException("Log in folder " + this.folder + " cannot be written.", ex);
 		}
 	}
@@ -158,8 +172,10 @@
 		Path newFile = this.folder.resolve(FILE_NAME_PREFIX + (this.generation + 1));
 		Path temporaryFile = this.folder.resolve(FILE_NAME_PREFIX + (this.generation + 1) + TEMPORARY_SUFFIX);
 		try {
+			closeChannel();
 			FileChannel openChannel = FileChannel.open(temporaryFile, StandardOpenOption.CREATE,
 					StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING);
+			this.channel = openChannel;
 			LogHeader header = LogHeader.newBuilder()
 				.setSnapshot(content.snapshot())
 				.setHardState(content.hardState())
@@ -167,29 +183,21 @@
 			writeFully(openChannel, LogFrames.encode(header.toByteArray()));
 			LogFrame entries = LogFrame.newBuilder().addAllEntries(content.entries()).build();
 			writeFully(openChannel, LogFrames.encode(LogBatch.newBuilder().addFrames(entries).build().toByteArray()));
-			openChannel.force(true);
+			this.diskSync.force(openChannel, true);
 			Files.move(temporaryFile, newFile, StandardCopyOption.ATOMIC_MOVE);
 			syncFolder();
-			switchToNextGeneration(openChannel);
+			this.generation++;
+			deleteOlderGenerations();
 		}
-		catch (IOException ex) {
+		catch (IOException | UncheckedIOException ex) {
+			closeAfterFailure(ex);
 			throw new AgreementException("Log file " + newFile + " cannot be written.", ex);
 		}
 	}
 
-	private void switchToNextGeneration(FileChannel openChannel) throws IOException {
-		FileChannel previousChannel = this.channel;
-		this.channel = openChannel;
-		this.generation++;
-		if (previousChannel != null) {
-			previousChannel.close();
-		}
-		deleteOlderGenerations();
-	}
-
 	private void syncFolder() throws IOException {
 		try (FileChannel folderChannel = FileChannel.open(this.folder, StandardOpenOption.READ)) {
-			folderChannel.force(true);
+			this.diskSync.force(folderChannel, true);
 		}
 	}
 
@@ -199,18 +207,48 @@
 		}
 	}
 
-	@Override
-	public void close() {
+	// After a failed write nothing may be appended before the log is loaded again.
+	private void closeAfterFailure(Exception failure) {
+		try {
+			closeChannel();
+		}
+		catch (IOException ex) {
+			failure.addSuppressed(ex);
+		}
+	}
+
+	private void closeChannel() throws IOException {
 		FileChannel openChannel = this.channel;
-		if (openChannel == null) {
-			return;
+		this.channel = null;
+		if (openChannel != null) {
+			openChannel.close();
 		}
+	}
+
+	@Override
+	public void close() {
 		try {
-			openChannel.close();
+			closeChannel();
 		}
 		catch (IOException ex) {
 			throw new AgreementException("Log in folder " + this.folder + " cannot be closed.", ex);
 		}
 	}
 
+	/**
+	 * Makes the content of a file, or the names in a folder, durable.
+	 */
+	@FunctionalInterface
+	interface DiskSync {
+
+		/**
+		 * Returns when everything that was written before is on disk.
+		 * @param channel a channel of the file or folder
+		 * @param metadata whether attributes such as times must be durable too
+		 * @throws IOException if the disk refuses
+		 */
+		void force(FileChannel channel, boolean metadata) throws IOException;
+
+	}
+
 }
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/AgreementProperties.java
@@ -17,10 +17,10 @@
 /**
  * Runs randomized fault histories on the control group, checked by
  * {@link AgreementChecker}: messages are dropped, delayed, reordered and duplicated,
- * links are cut in one or both directions, and instances crash before or after a write,
- * freeze, lose their disk and are replaced, while operators submit rules concurrently and
- * requests are claimed. At no step does an instance take its rules for newer than they
- * are known to be.
+ * links are cut in one or both directions, disks refuse writes or syncs for a time, and
+ * instances crash before or after a write, freeze, lose their disk and are replaced,
+ * while operators submit rules concurrently and requests are claimed. At no step does an
+ * instance take its rules for newer than they are known to be.
  */
 class AgreementProperties {
 
@@ -28,6 +28,8 @@
 
 	private static final FakeLogStorage.CrashPoint[] CRASH_POINTS = FakeLogStorage.CrashPoint.values();
 
+	private static final FakeLogStorage.Refusal[] REFUSALS = FakeLogStorage.Refusal.values();
+
 	@Property(tries = 3_000, seed = "20261203", shrinking = ShrinkingMode.OFF)
 	void groupOfThreeStaysConsistentUnderFaults(
 			@ForAll("historiesOfThreeInstances") ActionChain<FakeControlCluster> history) {
@@ -73,6 +75,8 @@
 			.withAction(5, action("restore links", (cluster, number) -> cluster.restoreLinks()))
 			.withAction(5, action("crash",
 					(cluster, number) -> cluster.crash(cluster.pickInstance(number / 3), CRASH_POINTS[number % 3])))
+			.withAction(6, action("refuse writes",
+					(cluster, number) -> cluster.refuseWrites(cluster.pickInstance(number / 3), REFUSALS[number % 3])))
 			.withAction(6, action("crash and restart", (cluster, number) -> cluster.crashAndRestart(number % size)))
 			.withAction(8, action("restart", (cluster, number) -> cluster.restart(number % size)))
 			.withAction(3, action("freeze", (cluster, number) -> cluster.setFrozen(cluster.pickInstance(number), true)))
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
@@ -84,8 +84,7 @@
 
 	void run(long durationMillis) {
 		for (long endMillis = this.nowMillis + durationMillis; this.nowMillis < endMillis; this.nowMillis += 10) {
-			this.instances
-				.forEach((instance) -> instance.step((replica) -> replica.tick(this.nowMillis), this.nowMillis));
+			this.instances.forEach((instance) -> instance.tick(this.nowMillis));
 			deliverMessages();
 		}
 	}
@@ -131,7 +130,7 @@
 				default -> deliver(message);
 			}
 		}
-		this.instances.forEach((instance) -> instance.step((replica) -> replica.tick(this.nowMillis), this.nowMillis));
+		this.instances.forEach((instance) -> instance.tick(this.nowMillis));
 		this.nowMillis += this.random.nextInt(60);
 		checkResponses();
 	}
@@ -170,6 +169,10 @@
 		}
 	}
 
+	void refuseWrites(int index, FakeLogStorage.Refusal refusal) {
+		this.instances.get(index).storage.refuse(refusal);
+	}
+
 	void setFrozen(int index, boolean frozen) {
 		this.instances.get(index).frozen = frozen;
 	}
@@ -322,6 +325,7 @@
 		restoreLinks();
 		for (int i = 0; i < this.instances.size(); i++) {
 			setFrozen(i, false);
+			refuseWrites(i, FakeLogStorage.Refusal.NONE);
 			crash(i, FakeLogStorage.CrashPoint.NONE);
 			restart(i);
 		}
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlInstance.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlInstance.java
@@ -43,10 +43,10 @@
 	// The evacuations that were published last since the start.
 	Evacuations publishedEvacuations = Evacuations.getDefaultInstance();
 
-	private @Nullable ControlReplica replica;
-
 	private @Nullable ControlReplicaDriver driver;
 
+	private long publishedRevision;
+
 	FakeControlInstance(String name, long replicaId, ElectionTimeoutSource electionTimeouts,
 			Consumer<AgreementMessage> messageListener, BiConsumer<FakeControlInstance, RuleFile> rulesListener,
 			Consumer<ControlResponse> responseListener, Consumer<Replica> stepListener) {
@@ -68,7 +68,7 @@
 	}
 
 	boolean isRunning() {
-		return this.replica != null;
+		return this.driver != null;
 	}
 
 	boolean isActive() {
@@ -82,15 +82,13 @@
 		this.frozen = false;
 		this.publishedEvacuations = Evacuations.getDefaultInstance();
 		this.storage.crashAtNextWrite(FakeLogStorage.CrashPoint.NONE);
-		ControlReplica newReplica = new ControlReplica(descriptor(), SETTINGS, CLAIM_LIMITS, this.electionTimeouts,
-				this.storage.load());
-		this.replica = newReplica;
-		this.driver = new ControlReplicaDriver(newReplica, this.storage, this);
-		step((replica) -> replica.tick(nowMillis), nowMillis);
+		this.publishedRevision = 0;
+		this.driver = new ControlReplicaDriver((storedLog) -> new ControlReplica(descriptor(), SETTINGS, CLAIM_LIMITS,
+				this.electionTimeouts, storedLog), this.storage, this);
+		tick(nowMillis);
 	}
 
 	void crash() {
-		this.replica = null;
 		this.driver = null;
 	}
 
@@ -100,28 +98,35 @@
 		this.replicaId = newReplicaId;
 	}
 
+	void tick(long nowMillis) {
+		run((currentDriver) -> currentDriver.tick(nowMillis), nowMillis);
+	}
+
 	void step(Consumer<ControlReplica> event, long nowMillis) {
-		ControlReplica currentReplica = this.replica;
+		run((currentDriver) -> currentDriver.withReplica(event), nowMillis);
+	}
+
+	void handleRequest(ControlRequest request, long nowMillis) {
+		run((currentDriver) -> currentDriver.handleRequest("client", request, nowMillis, nowMillis), nowMillis);
+	}
+
+	private void run(Consumer<ControlReplicaDriver> event, long nowMillis) {
 		ControlReplicaDriver currentDriver = this.driver;
-		if (currentReplica == null || currentDriver == null || this.frozen) {
+		if (currentDriver == null || this.frozen) {
 			return;
 		}
 		try {
-			event.accept(currentReplica);
+			event.accept(currentDriver);
 			currentDriver.flush(nowMillis);
-			this.stepListener.accept(currentReplica.replica());
+			currentDriver.withReplica((replica) -> this.stepListener.accept(replica.replica()));
 		}
-		catch (AgreementException ex) {
+		catch (FakeLogStorage.SimulatedCrashException ex) {
 			crash();
 		}
 	}
 
-	void handleRequest(ControlRequest request, long nowMillis) {
-		step((replica) -> replica.handleRequest("client", request, nowMillis, nowMillis), nowMillis);
-	}
-
 	@Nullable ControlReplica replica() {
-		return this.replica;
+		return (this.driver != null) ? this.driver.replica() : null;
 	}
 
 	@Override
@@ -136,7 +141,11 @@
 
 	@Override
 	public void publishRules(RuleFile rules) {
-		this.rulesListener.accept(this, rules);
+		// A replica whose log was opened again publishes what it had published before.
+		if (rules.getRevision() > this.publishedRevision) {
+			this.publishedRevision = rules.getRevision();
+			this.rulesListener.accept(this, rules);
+		}
 	}
 
 	@Override
@@ -144,6 +153,16 @@
 		this.publishedEvacuations = evacuations;
 	}
 
+	@Override
+	public void logClosed(AgreementException failure, long retryMillis) {
+		// The driver opens the log again.
+	}
+
+	@Override
+	public void logReopened() {
+		// The driver goes on with the replica.
+	}
+
 	@Override
 	public String toString() {
 		return this.name;
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeLogStorage.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeLogStorage.java
@@ -9,7 +9,7 @@
 
 /**
  * In-memory {@link LogStorage} that can simulate a crash directly before or after a write
- * becomes durable.
+ * becomes durable, and a disk that refuses writes.
  */
 final class FakeLogStorage implements LogStorage {
 
@@ -17,6 +17,8 @@
 
 	private CrashPoint crashPoint = CrashPoint.NONE;
 
+	private Refusal refusal = Refusal.NONE;
+
 	int writeCount;
 
 	int bytesWritten;
@@ -47,12 +49,18 @@
 
 	private void write(StoredLog newContent) {
 		if (this.crashPoint == CrashPoint.BEFORE_WRITE) {
-			throw new AgreementException("The instance crashed before the write was durable.");
+			throw new SimulatedCrashException("The instance crashed before the write was durable.");
+		}
+		if (this.refusal == Refusal.OF_WRITES) {
+			throw new AgreementException("The disk refused a write.");
 		}
 		this.content = newContent;
 		this.writeCount++;
+		if (this.refusal == Refusal.OF_SYNCS) {
+			throw new AgreementException("The disk refused a sync.");
+		}
 		if (this.crashPoint == CrashPoint.AFTER_WRITE) {
-			throw new AgreementException("The instance crashed after the write was durable.");
+			throw new SimulatedCrashException("The instance crashed after the write was durable.");
 		}
 	}
 
@@ -60,10 +68,34 @@
 		this.crashPoint = newCrashPoint;
 	}
 
+	void refuse(Refusal newRefusal) {
+		this.refusal = newRefusal;
+	}
+
 	enum CrashPoint {
 
 		NONE, BEFORE_WRITE, AFTER_WRITE
 
 	}
 
+	/**
+	 * What a faulty disk refuses. Content whose sync was refused may be read later.
+	 */
+	enum Refusal {
+
+		NONE, OF_WRITES, OF_SYNCS
+
+	}
+
+	/**
+	 * Ends an instance that crashes during a write.
+	 */
+	static final class SimulatedCrashException extends RuntimeException {
+
+		private SimulatedCrashException(String message) {
+			super(message);
+		}
+
+	}
+
 }
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupCommitExperimentMain.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupCommitExperimentMain.java
@@ -136,9 +136,11 @@
 			this.nodes = nodes;
 			this.maximumBatchSize = maximumBatchSize;
 			this.storage = new FileLogStorage(folder.resolve("node-" + id));
-			this.replica = new ControlReplica(descriptor(), ReplicaSettings.DEFAULTS, LIMITS,
-					(minimum) -> minimum + ThreadLocalRandom.current().nextLong(minimum), this.storage.load());
-			this.driver = new ControlReplicaDriver(this.replica, countWrites(this.storage), this);
+			this.driver = new ControlReplicaDriver(
+					(storedLog) -> new ControlReplica(descriptor(), ReplicaSettings.DEFAULTS, LIMITS,
+							(minimum) -> minimum + ThreadLocalRandom.current().nextLong(minimum), storedLog),
+					countWrites(this.storage), this);
+			this.replica = this.driver.replica();
 		}
 
 		private LogStorage countWrites(FileLogStorage delegate) {
@@ -223,6 +225,16 @@
 			// The experiment submits no rules.
 		}
 
+		@Override
+		public void logClosed(AgreementException failure, long retryMillis) {
+			throw failure;
+		}
+
+		@Override
+		public void logReopened() {
+			// A failed write ends the experiment.
+		}
+
 		@Override
 		public void publishEvacuations(Evacuations evacuations) {
 			// The experiment evacuates no zones.
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/RecoveryCostMain.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/RecoveryCostMain.java
@@ -41,11 +41,12 @@
 		Path folder = Files.createTempDirectory(Path.of("target"), "recovery");
 		long memoryBytesBefore = usedMemoryBytes();
 		try (FileLogStorage storage = new FileLogStorage(folder)) {
-			storage.load();
 			FakeControlInstance instance = newInstance();
-			ControlReplica replica = new ControlReplica(instance.descriptor(), ReplicaSettings.DEFAULTS,
-					ClaimLimits.DEFAULTS, (minimum) -> minimum, StoredLog.EMPTY);
-			ControlReplicaDriver driver = new ControlReplicaDriver(replica, storage, instance);
+			ControlReplicaDriver driver = new ControlReplicaDriver(
+					(storedLog) -> new ControlReplica(instance.descriptor(), ReplicaSettings.DEFAULTS,
+							ClaimLimits.DEFAULTS, (minimum) -> minimum, storedLog),
+					storage, instance);
+			ControlReplica replica = driver.replica();
 			AtomicLong nowMillis = new AtomicLong();
 			replica.handleRequest("client",
 					ControlRequest.newBuilder()
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.agreement.AgreementException;
 import org.radishthread.agreement.ClaimLimits;
 import org.radishthread.agreement.ControlReplica;
@@ -16,6 +19,7 @@
 import org.radishthread.agreement.IdentityFile;
 import org.radishthread.agreement.Leadership;
 import org.radishthread.agreement.ReplicaSettings;
+import org.radishthread.agreement.StoredLog;
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
@@ -31,7 +35,8 @@
 
 /**
  * Runs this instance's replica of the control group. A dedicated thread processes queued
- * events in batches; the events of a batch share one synced write (group commit).
+ * events in batches; the events of a batch share one synced write (group commit). While
+ * the log cannot be written, the replica takes no part in the group.
  */
 public final class ControlService implements Service, ControlReplicaOutput {
 
@@ -58,18 +63,16 @@
 	private final TimeSource time;
 
 	// Bounded to protect the memory; senders repeat messages that are dropped.
-	private final LinkedBlockingQueue<Consumer<ControlReplica>> events = new LinkedBlockingQueue<>(100_000);
+	private final LinkedBlockingQueue<Consumer<ControlReplicaDriver>> events = new LinkedBlockingQueue<>(100_000);
 
 	private final FileLogStorage storage;
 
-	private final ControlReplica replica;
-
 	private final ControlReplicaDriver driver;
 
 	private final Thread thread;
 
-	// Accessed by the thread of this service only.
-	private Leadership loggedLeadership;
+	// Accessed by the thread of this service only. Null while the log cannot be written.
+	private @Nullable Leadership loggedLeadership;
 
 	// Accessed by the thread of this service only.
 	private long publishedCurrentAtMillis = Freshness.UNKNOWN;
@@ -82,14 +85,16 @@
 		this.cluster = cluster;
 		this.time = time;
 		this.storage = new FileLogStorage(settings.dataFolder().resolve("control"));
-		this.replica = new ControlReplica(cluster.replica(), ReplicaSettings.DEFAULTS, ClaimLimits.DEFAULTS,
-				(minimum) -> minimum + ThreadLocalRandom.current().nextLong(minimum), this.storage.load());
-		this.driver = new ControlReplicaDriver(this.replica, this.storage, this);
-		this.loggedLeadership = this.replica.leadership();
+		this.driver = new ControlReplicaDriver(this::createReplica, this.storage, this);
 		this.thread = new Thread(this::run, "control");
 		this.thread.setDaemon(true);
 	}
 
+	private ControlReplica createReplica(StoredLog storedLog) {
+		return new ControlReplica(this.cluster.replica(), ReplicaSettings.DEFAULTS, ClaimLimits.DEFAULTS,
+				(minimum) -> minimum + ThreadLocalRandom.current().nextLong(minimum), storedLog);
+	}
+
 	/**
 	 * Reads the identifier of the replica from the data folder of an instance, or creates
 	 * it if the folder has none.
@@ -111,15 +116,16 @@
 
 	@Override
 	public void start() {
-		this.transport.registerHandler(Envelope.BodyCase.AGREEMENT, (name, address,
-				envelope) -> enqueue((replica) -> replica.receive(envelope.getAgreement(), nowMillis())));
+		this.transport.registerHandler(Envelope.BodyCase.AGREEMENT,
+				(name, address, envelope) -> enqueue((replicaDriver) -> replicaDriver
+					.withReplica((replica) -> replica.receive(envelope.getAgreement(), nowMillis()))));
 		this.transport.registerHandler(Envelope.BodyCase.CONTROL_REQUEST,
-				(name, address, envelope) -> enqueue((replica) -> replica.handleRequest(address,
+				(name, address, envelope) -> enqueue((replicaDriver) -> replicaDriver.handleRequest(address,
 						envelope.getControlRequest(), nowMillis(), this.time.wallClockMillis())));
 		this.thread.start();
 	}
 
-	private void enqueue(Consumer<ControlReplica> event) {
+	private void enqueue(Consumer<ControlReplicaDriver> event) {
 		if (!this.events.offer(event)) {
 			eventLog.warning("control-event-dropped").with("queued", this.events.size()).write();
 		}
@@ -138,58 +144,61 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		catch (AgreementException ex) {
-			// After a failed write the state on disk is unknown, so the replica stops.
-			eventLog.failure("control-stopped", ex).with("instance", this.settings.instance()).write();
-		}
 		finally {
 			this.storage.close();
 		}
 	}
 
 	private void processBatch() throws InterruptedException {
-		List<Consumer<ControlReplica>> batch = new ArrayList<>();
-		Consumer<ControlReplica> firstEvent = this.events.poll(TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		List<Consumer<ControlReplicaDriver>> batch = new ArrayList<>();
+		Consumer<ControlReplicaDriver> firstEvent = this.events.poll(TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		if (firstEvent != null) {
 			batch.add(firstEvent);
 			this.events.drainTo(batch, MAXIMUM_BATCH_SIZE);
 		}
-		this.replica.tick(nowMillis());
-		batch.forEach((event) -> event.accept(this.replica));
+		this.driver.tick(nowMillis());
+		batch.forEach((event) -> event.accept(this.driver));
 		this.driver.flush(nowMillis());
-		publishRulesFreshness();
-		logLeadership();
+		this.driver.withReplica((replica) -> {
+			publishRulesFreshness(replica);
+			logLeadership(replica);
+		});
 	}
 
 	// To be called after committed rules were published.
-	private void publishRulesFreshness() {
-		long currentAtMillis = this.replica.rulesCurrentAtMillis();
+	private void publishRulesFreshness(ControlReplica replica) {
+		long currentAtMillis = replica.rulesCurrentAtMillis();
 		if (currentAtMillis - this.publishedCurrentAtMillis >= FRESHNESS_INTERVAL_MILLIS) {
 			this.publishedCurrentAtMillis = currentAtMillis;
 			this.cluster.recordRulesCurrent(currentAtMillis);
 		}
 	}
 
-	private void logLeadership() {
-		Leadership currentLeadership = this.replica.leadership();
-		if (currentLeadership.equals(this.loggedLeadership)) {
+	private void logLeadership(ControlReplica replica) {
+		Leadership currentLeadership = replica.leadership();
+		Leadership previousLeadership = this.loggedLeadership;
+		if (currentLeadership.equals(previousLeadership)) {
+			return;
+		}
+		this.loggedLeadership = currentLeadership;
+		if (previousLeadership == null) {
 			return;
 		}
 		eventLog.information("leadership-changed")
 			.with("instance", this.settings.instance())
-			.with("from", this.loggedLeadership.role().wireName())
+			.with("from", previousLeadership.role().wireName())
 			.with("role", currentLeadership.role().wireName())
 			.with("term", currentLeadership.term())
 			.with("leader", Long.toHexString(currentLeadership.leaderId()))
-			.with("commit-index", this.replica.status(nowMillis()).getCommitIndex())
+			.with("commit-index", replica.status(nowMillis()).getCommitIndex())
 			.write();
-		this.loggedLeadership = currentLeadership;
 	}
 
 	@Override
 	public void send(AgreementMessage message) {
 		this.cluster.findReplicaAddress(message.getTo())
-			.or(() -> this.replica.addressOf(message.getTo()))
+			.or(() -> Optional.ofNullable(this.driver.replica())
+				.flatMap((replica) -> replica.addressOf(message.getTo())))
 			.ifPresent((address) -> this.transport.send(address, Envelope.newBuilder().setAgreement(message).build()));
 	}
 
@@ -208,6 +217,20 @@
 		this.cluster.offerEvacuations(evacuations);
 	}
 
+	@Override
+	public void logClosed(AgreementException failure, long retryMillis) {
+		this.loggedLeadership = null;
+		eventLog.failure("control-log-closed", failure)
+			.with("instance", this.settings.instance())
+			.with("retry-millis", retryMillis)
+			.write();
+	}
+
+	@Override
+	public void logReopened() {
+		eventLog.information("control-log-reopened").with("instance", this.settings.instance()).write();
+	}
+
 	@Override
 	public void stop() {
 		this.stopRequested = true;
