End the process when one of its threads ends by an exception

Nothing noticed that a thread had ended: the uncaught exception was printed, and the executor of an EventLoop kept an Error to itself and cancelled the periodic task that had thrown it.

FatalErrorHandler is the default uncaught exception handler of the daemon: it logs process-ended-by-error and ends the process without shutdown hooks, which may need the missing thread. EventLoop passes the errors of its tasks to it; exceptions are logged as before, and the loop goes on. The pools of the HTTP servers, the HTTP clients and the peer transport keep or replace their threads and are left as they are.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonMain.java
@@ -96,6 +96,8 @@
 	}
 
 	private int run(DaemonSettings settings, Path settingsFile) throws InterruptedException {
+		Thread.setDefaultUncaughtExceptionHandler(
+				new FatalErrorHandler(EXIT_FAILURE, (exitCode) -> Runtime.getRuntime().halt(exitCode)));
 		Kernel kernel;
 		try {
 			DaemonComponent component = DaggerDaemonComponent.factory().create(settings);
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/EventLoop.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/EventLoop.java
@@ -7,8 +7,9 @@
 
 /**
  * Runs tasks one after another on a dedicated thread, so that an object that is used only
- * by these tasks needs no lock. An exception thrown by a task is logged. Tasks can be
- * submitted by any thread.
+ * by these tasks needs no lock. An exception thrown by a task is logged, and the loop
+ * goes on; an {@link Error} is passed to the uncaught exception handler of the thread.
+ * Tasks can be submitted by any thread.
  */
 public final class EventLoop {
 
@@ -71,6 +72,12 @@
 		catch (RuntimeException ex) {
 			eventLog.failure("task-failed", ex).with("loop", this.name).write();
 		}
+		catch (Error ex) {
+			// The executor would keep it to itself, and cancel a periodic task.
+			Thread thread = Thread.currentThread();
+			thread.getUncaughtExceptionHandler().uncaughtException(thread, ex);
+			throw ex;
+		}
 	}
 
 	/**
