--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -34,6 +34,7 @@
 import org.radishthread.daemon.gateway.RoutingService;
 import org.radishthread.daemon.gateway.SlotService;
 import org.radishthread.daemon.gateway.UpstreamClients;
+import org.radishthread.daemon.http.BufferBudget;
 import org.radishthread.daemon.http.HttpServer;
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.peer.RelayHandshake;
@@ -165,13 +166,21 @@
 		return new CallerKeys(cluster, routing, dialect, time, meters);
 	}
 
+	@Provides
+	@Singleton
+	static BufferBudget bufferBudget(MeterRegistry meters) {
+		BufferBudget buffers = BufferBudget.ofHeap();
+		meters.gauge("radishthread.buffered.bytes", buffers, BufferBudget::reservedBytes);
+		return buffers;
+	}
+
 	@Provides
 	@Singleton
 	static GatewayContext gatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients,
-			ControlClient controlClient, SlotService slots, CallerKeys keys, HttpDialect dialect, TimeSource time,
-			MeterRegistry meters) {
+			ControlClient controlClient, SlotService slots, CallerKeys keys, HttpDialect dialect, BufferBudget buffers,
+			TimeSource time, MeterRegistry meters) {
 		return new GatewayContext(settings, routing, clients, new ClaimService(settings, controlClient), slots, keys,
-				dialect, time, meters);
+				dialect, buffers, time, meters);
 	}
 
 	@Provides
@@ -180,7 +189,8 @@
 			ControlClient controlClient, RuleOperations ruleOperations, EvacuationOperations evacuationOperations,
 			UpstreamClients clients, RoutingService routing, SlotService slots, AllotmentService allotments,
 			CrashExchange crashExchange, ReachabilityMonitor reachability, GatewayContext gatewayContext,
-			Optional<DaemonExtension> extension, TimeSource time, PrometheusMeterRegistry meters) {
+			Optional<DaemonExtension> extension, BufferBudget buffers, TimeSource time,
+			PrometheusMeterRegistry meters) {
 		Kernel kernel = new Kernel();
 		transport.setUpstreamListener(reachability);
 		kernel.register(transport);
@@ -200,7 +210,7 @@
 		}
 		kernel.register(new HttpServer("administration", settings.administrationAddress(), ADMINISTRATION_THREADS,
 				new AdministrationHandler(settings.secrets(), cluster, controlClient, ruleOperations,
-						evacuationOperations, new MetricsPage(meters))));
+						evacuationOperations, buffers, new MetricsPage(meters))));
 		NetworkAddress readinessAddress = settings.readinessAddress();
 		if (readinessAddress != null) {
 			kernel.register(
@@ -208,7 +218,7 @@
 		}
 		extension
 			.flatMap((loadedExtension) -> loadedExtension
-				.createService(new ExtensionContext(settings, cluster, ruleOperations, evacuationOperations)))
+				.createService(new ExtensionContext(settings, cluster, ruleOperations, evacuationOperations, buffers)))
 			.ifPresent(kernel::register);
 		if (settings.isGateway()) {
 			kernel.register(reachability);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
@@ -9,7 +9,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -23,6 +22,10 @@
 import org.radishthread.daemon.control.EvacuationOperations;
 import org.radishthread.daemon.control.RuleOperations;
 import org.radishthread.daemon.control.UnknownZoneException;
+import org.radishthread.daemon.http.BodyReader;
+import org.radishthread.daemon.http.BodyTooLargeException;
+import org.radishthread.daemon.http.BufferBudget;
+import org.radishthread.daemon.http.BufferBudgetException;
 import org.radishthread.daemon.settings.Secrets;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.membership.ServingState;
@@ -50,14 +53,17 @@
 
 	private final AnnouncementRequests announcementRequests;
 
+	private final BufferBudget buffers;
+
 	private final MetricsPage metricsPage;
 
 	public AdministrationHandler(Secrets secrets, ClusterService cluster, ControlClient controlClient,
-			RuleOperations rules, EvacuationOperations evacuations, MetricsPage metricsPage) {
+			RuleOperations rules, EvacuationOperations evacuations, BufferBudget buffers, MetricsPage metricsPage) {
 		this.secrets = secrets;
 		this.cluster = cluster;
 		this.operatorRequests = new OperatorRequests(cluster, controlClient, rules, evacuations);
 		this.announcementRequests = new AnnouncementRequests(cluster);
+		this.buffers = buffers;
 		this.metricsPage = metricsPage;
 	}
 
@@ -109,11 +115,14 @@
 					errorResponse(401, "A valid token is expected in 'Authorization: Bearer TOKEN'."));
 			return;
 		}
-		Content.Source.asByteArrayAsync(request, maximumBytes)
+		BufferBudget.Reservation reservation = this.buffers.newReservation();
+		BodyReader.read(request, maximumBytes, reservation)
 			.thenApply((bytes) -> new String(bytes, StandardCharsets.UTF_8))
 			.thenCompose((body) -> authorizedHandler.apply(body))
-			.whenComplete((result, failure) -> write(response, callback,
-					(failure != null) ? toErrorResponse(failure) : result));
+			.whenComplete((result, failure) -> {
+				reservation.release();
+				write(response, callback, (failure != null) ? toErrorResponse(failure) : result);
+			});
 	}
 
 	private JsonResponse toErrorResponse(Throwable failure) {
@@ -123,7 +132,10 @@
 			return errorResponse(504, cause.getMessage() + " It is unknown whether the request took effect;"
 					+ " send the same request again.");
 		}
-		if (cause instanceof UnconfirmedChangeException) {
+		if (cause instanceof BodyTooLargeException) {
+			return errorResponse(413, cause.getMessage());
+		}
+		if (cause instanceof UnconfirmedChangeException || cause instanceof BufferBudgetException) {
 			return errorResponse(503, cause.getMessage() + " Send the same request again.");
 		}
 		if (cause instanceof UnknownZoneException) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/extension/ExtensionContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/extension/ExtensionContext.java
@@ -3,6 +3,7 @@
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.control.EvacuationOperations;
 import org.radishthread.daemon.control.RuleOperations;
+import org.radishthread.daemon.http.BufferBudget;
 import org.radishthread.daemon.settings.DaemonSettings;
 
 /**
@@ -12,7 +13,8 @@
  * @param cluster accepts announcements of upstreams
  * @param rules submits rules and reads the current ones
  * @param evacuations submits orders to evacuate availability zones
+ * @param buffers limits the bodies that are held in memory
  */
 public record ExtensionContext(DaemonSettings settings, ClusterService cluster, RuleOperations rules,
-		EvacuationOperations evacuations) {
+		EvacuationOperations evacuations, BufferBudget buffers) {
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -16,6 +16,8 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.daemon.http.BufferBudget;
+import org.radishthread.daemon.http.BufferBudgetException;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.rules.KeyDecision;
@@ -65,6 +67,8 @@
 
 	private final List<ScheduledFuture<?>> timers = new ArrayList<>();
 
+	private final BufferBudget.Reservation buffers;
+
 	private final CallerBody body;
 
 	private final ExchangeLog log;
@@ -73,6 +77,9 @@
 
 	private @Nullable Attempt selectedAttempt;
 
+	// Whether the response of the selected attempt is streamed to the caller.
+	private boolean streaming;
+
 	private volatile @Nullable BufferedResponse bufferedServerError;
 
 	private boolean mayHaveRun;
@@ -86,8 +93,10 @@
 		this.keyDecision = keyDecision;
 		this.request = arrived.request();
 		this.response = arrived.response();
-		this.callback = arrived.callback();
-		this.body = new CallerBody(this.request, route.mode(), context.settings().limits().requestBufferBytes());
+		this.buffers = context.buffers().newReservation();
+		this.callback = Callback.from(arrived.callback(), this.buffers::release);
+		this.body = new CallerBody(this.request, route.mode(), context.settings().limits().requestBufferBytes(),
+				this.buffers);
 		this.requestNumber = context.nextRequestNumber();
 		this.rulesRevision = context.routing().revision();
 		this.startedNanos = arrived.arrivedNanos();
@@ -266,10 +275,7 @@
 
 	final void start() {
 		this.request.addFailureListener(this::onCallerDisconnected);
-		if (hasDeadline()) {
-			schedule(Math.max(0, remainingMillis()), this::onDeadlinePassed);
-		}
-		checkCallerConnection();
+		watchDeadlineAndCaller();
 		if (isCompleted()) {
 			return;
 		}
@@ -284,17 +290,32 @@
 		}
 		this.body.buffer().whenComplete((bytes, failure) -> {
 			if (failure != null) {
-				completeWithProblem(Problem.notRun(413,
-						"The request body was not received whole, or exceeds "
-								+ this.context.settings().limits().requestBufferBytes()
-								+ " bytes; mark the route as upload for larger ones.",
-						0));
+				completeWithProblem(bodyProblem(failure));
 				return;
 			}
 			onRequestReady();
 		});
 	}
 
+	private void watchDeadlineAndCaller() {
+		if (hasDeadline()) {
+			schedule(Math.max(0, remainingMillis()), this::onDeadlinePassed);
+		}
+		checkCallerConnection();
+	}
+
+	private Problem bodyProblem(Throwable failure) {
+		if (failure instanceof BufferBudgetException) {
+			return Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, String.valueOf(failure.getMessage()),
+					DEFAULT_RETRY_AFTER_MILLIS);
+		}
+		return Problem.notRun(413,
+				"The request body was not received whole, or exceeds "
+						+ this.context.settings().limits().requestBufferBytes()
+						+ " bytes; mark the route as upload for larger ones.",
+				0);
+	}
+
 	// Polls, because Jetty reads nothing from the connection during a request.
 	private void checkCallerConnection() {
 		if (isCompleted()) {
@@ -408,16 +429,27 @@
 
 	@Override
 	public final boolean tryStartStreaming(Attempt attempt, org.eclipse.jetty.client.Response upstreamResponse) {
-		if (!trySelect(attempt)) {
-			return false;
+		synchronized (this) {
+			if (!trySelect(attempt)) {
+				return false;
+			}
+			this.streaming = true;
 		}
+		// No hedge is needed any more. The deadline still applies, because the rest of
+		// the response may never arrive.
 		cancelTimers();
+		watchDeadlineAndCaller();
 		abortOtherAttempts(attempt);
 		copyResponseHead(upstreamResponse);
 		onResponseSelected(upstreamResponse, null);
 		return true;
 	}
 
+	@Override
+	public final boolean tryReserveBuffer(int bytes) {
+		return this.buffers.tryReserve(bytes);
+	}
+
 	@Override
 	public final void onStreamedBytes(byte[] bytes, Runnable demander) {
 		this.response.write(false, ByteBuffer.wrap(bytes), Callback.from(demander, this::onCallerDisconnected));
@@ -428,6 +460,7 @@
 		completeAttempt(attempt, complete ? AttemptCompletion.COMPLETE_RESPONSE
 				: AttemptCompletion.of(AttemptFailure.NO_COMPLETE_RESPONSE, attempt.isConnectionLost()));
 		if (!tryComplete()) {
+			closeIfCompleted();
 			return;
 		}
 		this.log.responseForwarded(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
@@ -511,7 +544,7 @@
 	 */
 	protected final void completeUnsuccessfully(String title, long retryAfterMillis, int status) {
 		BufferedResponse serverError = this.bufferedServerError;
-		if (serverError != null) {
+		if (serverError != null && !isStreaming()) {
 			// The upstream's own error response is more specific than a problem response.
 			forwardBufferedResponse(serverError.attempt(), serverError.response(), serverError.content());
 			return;
@@ -535,13 +568,24 @@
 	}
 
 	protected final void completeWithProblem(Problem problem) {
-		if (tryComplete()) {
-			this.log.problemResponse(problem);
-			abortOtherAttempts(null);
+		if (!tryComplete()) {
+			return;
+		}
+		this.log.problemResponse(problem);
+		abortOtherAttempts(null);
+		if (isStreaming()) {
+			// Closes the connection, so that the caller detects the truncated response.
+			this.callback.failed(new GatewayException(problem.title()));
+		}
+		else {
 			problem.write(this.context.dialect(), this.response, this.callback);
 		}
 	}
 
+	private synchronized boolean isStreaming() {
+		return this.streaming;
+	}
+
 	/**
 	 * Completes the request with a response that is written by this instance.
 	 * @param writer writes the response
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -20,9 +20,10 @@
 
 /**
  * Sends a request to one upstream and reports the result to an {@link AttemptListener}.
- * The response is buffered until it is complete; if it exceeds the buffer limit, it is
- * streamed with the listener's consent. An attempt fails if the response belongs to
- * another request, or if its end cannot be distinguished from a lost connection.
+ * The response is buffered until it is complete; if it exceeds the buffer limit, or the
+ * memory for buffers is used up, it is streamed with the listener's consent. An attempt
+ * fails if the response belongs to another request, or if its end cannot be distinguished
+ * from a lost connection.
  */
 final class Attempt implements Response.Listener {
 
@@ -156,8 +157,10 @@
 			this.listener.onStreamedBytes(bytes, demander);
 			return;
 		}
+		boolean withinLimit = this.bufferedBody.size() + bytes.length <= this.maximumBufferedBytes;
+		boolean buffered = withinLimit && this.listener.tryReserveBuffer(bytes.length);
 		this.bufferedBody.writeBytes(bytes);
-		if (this.bufferedBody.size() <= this.maximumBufferedBytes) {
+		if (buffered) {
 			demander.run();
 		}
 		else if (tryStartStreaming(response)) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
@@ -36,7 +36,14 @@
 	void onNotRun(Attempt attempt, Response response, byte[] body);
 
 	/**
-	 * Decides whether a response that exceeds the buffer limit is streamed to the caller.
+	 * Decides whether a part of a response may be buffered.
+	 * @param bytes the size of the part
+	 * @return whether this instance has memory for it
+	 */
+	boolean tryReserveBuffer(int bytes);
+
+	/**
+	 * Decides whether a response that is not buffered is streamed to the caller.
 	 * @param attempt the attempt
 	 * @param response status and headers
 	 * @return whether to stream the response; if not, the attempt is aborted
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerBody.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerBody.java
@@ -1,14 +1,20 @@
 package org.radishthread.daemon.gateway;
 
+import java.io.ByteArrayInputStream;
 import java.util.concurrent.CompletableFuture;
 
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.ContentSourceRequestContent;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.ByteBufferPool;
+import org.eclipse.jetty.io.content.InputStreamContentSource;
 import org.eclipse.jetty.server.Request;
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.daemon.http.BodyReader;
+import org.radishthread.daemon.http.BodyTooLargeException;
+import org.radishthread.daemon.http.BufferBudget;
+import org.radishthread.daemon.http.BufferBudgetException;
 import org.radishthread.rules.RouteMode;
 
 /**
@@ -17,12 +23,18 @@
  */
 final class CallerBody {
 
-	private final Request request;
+	private static final int PIECE_BYTES = 16 * 1_024;
 
-	private final RouteMode mode;
+	private final Request request;
 
 	private final int maximumBufferedBytes;
 
+	private final BufferBudget.Reservation reservation;
+
+	private final boolean streamed;
+
+	private long reservedBytes;
+
 	private volatile byte @Nullable [] bytes;
 
 	/**
@@ -30,11 +42,27 @@
 	 * @param request the request of the caller
 	 * @param mode the delivery mode of its route
 	 * @param maximumBufferedBytes the size up to which the body is buffered
+	 * @param reservation reserves the bytes that are buffered
 	 */
-	CallerBody(Request request, RouteMode mode, int maximumBufferedBytes) {
+	CallerBody(Request request, RouteMode mode, int maximumBufferedBytes, BufferBudget.Reservation reservation) {
 		this.request = request;
-		this.mode = mode;
 		this.maximumBufferedBytes = maximumBufferedBytes;
+		this.reservation = reservation;
+		this.streamed = mode.isBodyStreamed() && !(fitsBuffer() && tryReserve());
+	}
+
+	private boolean fitsBuffer() {
+		return this.request.getLength() >= 0 && this.request.getLength() <= this.maximumBufferedBytes;
+	}
+
+	// Reserves a stated length at once, so that a body that has begun to arrive is not
+	// refused for lack of memory.
+	private boolean tryReserve() {
+		if (!this.reservation.tryReserve(this.request.getLength())) {
+			return false;
+		}
+		this.reservedBytes = this.request.getLength();
+		return true;
 	}
 
 	/**
@@ -49,13 +77,11 @@
 	/**
 	 * Returns whether the body is forwarded as it arrives, so that it can be sent only
 	 * once. A small body of an upload is buffered instead, so that it can be sent again
-	 * after an upstream declined the request.
+	 * after an upstream declined the request, unless the memory for buffers is used up.
 	 * @return whether the body is streamed
 	 */
 	boolean isStreamed() {
-		long length = this.request.getLength();
-		boolean fitsBuffer = length >= 0 && length <= this.maximumBufferedBytes;
-		return this.mode.isBodyStreamed() && !fitsBuffer;
+		return this.streamed;
 	}
 
 	/**
@@ -80,10 +106,16 @@
 
 	/**
 	 * Buffers the body.
-	 * @return the bytes, or a failure if the body is not received whole or too large
+	 * @return the bytes, or a failure of {@link BodyReader}
 	 */
 	CompletableFuture<byte[]> buffer() {
-		return Content.Source.asByteArrayAsync(this.request, this.maximumBufferedBytes)
+		if (this.request.getLength() > this.maximumBufferedBytes) {
+			return CompletableFuture.failedFuture(new BodyTooLargeException(this.maximumBufferedBytes));
+		}
+		if (this.request.getLength() > this.reservedBytes && !tryReserve()) {
+			return CompletableFuture.failedFuture(new BufferBudgetException());
+		}
+		return BodyReader.read(this.request, this.maximumBufferedBytes, this.reservation, this.reservedBytes)
 			.whenComplete((content, failure) -> this.bytes = content);
 	}
 
@@ -97,7 +129,32 @@
 			return new ContentSourceRequestContent(this.request, contentType);
 		}
 		byte[] content = this.bytes;
-		return (content != null) ? new BytesRequestContent(contentType, content) : null;
+		if (content == null) {
+			return null;
+		}
+		return (content.length <= PIECE_BYTES) ? new BytesRequestContent(contentType, content)
+				: new ContentSourceRequestContent(new PiecewiseSource(content), contentType);
+	}
+
+	/**
+	 * Copies a body piece by piece while it is sent. The HTTP client keeps what a
+	 * connection sent last until the connection is removed, which would be the whole
+	 * body.
+	 */
+	private static final class PiecewiseSource extends InputStreamContentSource {
+
+		private final long length;
+
+		private PiecewiseSource(byte[] content) {
+			super(new ByteArrayInputStream(content), new ByteBufferPool.Sized(null, false, PIECE_BYTES));
+			this.length = content.length;
+		}
+
+		@Override
+		public long getLength() {
+			return this.length;
+		}
+
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
@@ -11,6 +11,8 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
 
+import org.radishthread.daemon.http.BufferBudget;
+
 /**
  * Connection of a caller that can be checked for a close by the caller while a request is
  * in progress. Jetty does not read from an HTTP/1.1 connection during that time and would
@@ -26,10 +28,20 @@
 
 	private ByteBuffer readAhead = BufferUtil.allocate(INITIAL_READ_AHEAD_BYTES);
 
+	private final BufferBudget.Reservation reservation;
+
 	private boolean closedByCaller;
 
-	CallerEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+	CallerEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler,
+			BufferBudget.Reservation reservation) {
 		super(channel, selector, key, scheduler);
+		this.reservation = reservation;
+	}
+
+	@Override
+	public void onClose(Throwable cause) {
+		this.reservation.release();
+		super.onClose(cause);
 	}
 
 	/**
@@ -59,9 +71,10 @@
 	}
 
 	private boolean hasSpace() {
-		if (this.readAhead.remaining() == this.readAhead.capacity()) {
-			this.readAhead = BufferUtil.ensureCapacity(this.readAhead,
-					Math.min(MAXIMUM_READ_AHEAD_BYTES, 2 * this.readAhead.capacity()));
+		int capacity = this.readAhead.capacity();
+		int newCapacity = Math.min(MAXIMUM_READ_AHEAD_BYTES, 2 * capacity);
+		if (this.readAhead.remaining() == capacity && this.reservation.tryReserve(newCapacity - capacity)) {
+			this.readAhead = BufferUtil.ensureCapacity(this.readAhead, newCapacity);
 		}
 		return this.readAhead.remaining() < this.readAhead.capacity();
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
@@ -10,6 +10,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 
+import org.radishthread.daemon.http.BufferBudget;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.TimeSource;
 
@@ -32,6 +33,8 @@
 
 	private final HttpDialect dialect;
 
+	private final BufferBudget buffers;
+
 	private final TimeSource time;
 
 	private final MeterRegistry meters;
@@ -43,7 +46,8 @@
 	private final ScheduledThreadPoolExecutor scheduler;
 
 	public GatewayContext(DaemonSettings settings, RoutingService routing, UpstreamClients clients, ClaimService claims,
-			SlotService slots, CallerKeys keys, HttpDialect dialect, TimeSource time, MeterRegistry meters) {
+			SlotService slots, CallerKeys keys, HttpDialect dialect, BufferBudget buffers, TimeSource time,
+			MeterRegistry meters) {
 		this.settings = settings;
 		this.routing = routing;
 		this.clients = clients;
@@ -51,6 +55,7 @@
 		this.slots = slots;
 		this.keys = keys;
 		this.dialect = dialect;
+		this.buffers = buffers;
 		this.time = time;
 		this.meters = meters;
 		this.scheduler = new ScheduledThreadPoolExecutor(1, (task) -> {
@@ -85,6 +90,10 @@
 		return this.dialect;
 	}
 
+	BufferBudget buffers() {
+		return this.buffers;
+	}
+
 	RequestRouter router(String service) {
 		return new HomeRequestRouter(service, this.slots);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -70,7 +70,8 @@
 			@Override
 			protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector,
 					SelectionKey key) {
-				SocketChannelEndPoint endPoint = new CallerEndPoint(channel, selector, key, getScheduler());
+				SocketChannelEndPoint endPoint = new CallerEndPoint(channel, selector, key, getScheduler(),
+						context.buffers().newReservation());
 				endPoint.setIdleTimeout(getIdleTimeout());
 				return endPoint;
 			}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -37,6 +37,9 @@
 
 	private static final long CONNECTION_IDLE_TIMEOUT_MILLIS = 30_000;
 
+	// As for the requests of callers. Also limits trailers.
+	private static final int MAXIMUM_RESPONSE_HEADER_BYTES = 64 * 1_024;
+
 	private static final int MAXIMUM_THREADS = 16;
 
 	private final RelayHandshake relayHandshake;
@@ -78,6 +81,7 @@
 		client.setFollowRedirects(false);
 		client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
 		client.setIdleTimeout(CONNECTION_IDLE_TIMEOUT_MILLIS);
+		client.setMaxResponseHeadersSize(MAXIMUM_RESPONSE_HEADER_BYTES);
 		client.setUserAgentField(null);
 		client.setHttpCookieStore(new HttpCookieStore.Empty());
 		client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_UPSTREAM);
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BodyReader.java
@@ -0,0 +1,112 @@
+package org.radishthread.daemon.http;
+
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
+
+import org.eclipse.jetty.io.Content;
+
+/**
+ * Reads the body of a request into memory, as far as its size and a {@link BufferBudget}
+ * allow. Not safe for concurrent use: the source calls it on one thread at a time.
+ */
+public final class BodyReader implements Runnable {
+
+	private final Content.Source source;
+
+	private final int maximumBytes;
+
+	private final BufferBudget.Reservation reservation;
+
+	private final long reservedBytes;
+
+	// Has the stated length of the body, if bytes were reserved for it, so that the body
+	// is not copied.
+	private byte[] buffer;
+
+	private int size;
+
+	private final CompletableFuture<byte[]> result = new CompletableFuture<>();
+
+	private BodyReader(Content.Source source, int maximumBytes, BufferBudget.Reservation reservation,
+			long reservedBytes) {
+		this.source = source;
+		this.maximumBytes = maximumBytes;
+		this.reservation = reservation;
+		this.reservedBytes = reservedBytes;
+		this.buffer = new byte[(int) Math.min(maximumBytes, reservedBytes)];
+	}
+
+	/**
+	 * Reads a body.
+	 * @param source the source of the body
+	 * @param maximumBytes the maximum size of the body
+	 * @param reservation reserves the bytes; to be released by the caller
+	 * @return the body, or a failure: {@link BodyTooLargeException},
+	 * {@link BufferBudgetException}, or the reason why it did not arrive whole
+	 */
+	public static CompletableFuture<byte[]> read(Content.Source source, int maximumBytes,
+			BufferBudget.Reservation reservation) {
+		return read(source, maximumBytes, reservation, 0);
+	}
+
+	/**
+	 * Reads a body for which bytes were reserved before.
+	 * @param source the source of the body
+	 * @param maximumBytes the maximum size of the body
+	 * @param reservation reserves the bytes beyond those; to be released by the caller
+	 * @param reservedBytes the bytes that were reserved before
+	 * @return the body, or a failure as for the other method
+	 */
+	public static CompletableFuture<byte[]> read(Content.Source source, int maximumBytes,
+			BufferBudget.Reservation reservation, long reservedBytes) {
+		BodyReader reader = new BodyReader(source, maximumBytes, reservation, reservedBytes);
+		reader.run();
+		return reader.result;
+	}
+
+	@Override
+	public void run() {
+		while (!this.result.isDone()) {
+			Content.Chunk chunk = this.source.read();
+			if (chunk == null) {
+				this.source.demand(this);
+				return;
+			}
+			if (Content.Chunk.isFailure(chunk)) {
+				this.result.completeExceptionally(chunk.getFailure());
+				return;
+			}
+			append(chunk);
+			chunk.release();
+			if (chunk.isLast()) {
+				// Has no effect after a failure.
+				this.result
+					.complete((this.size == this.buffer.length) ? this.buffer : Arrays.copyOf(this.buffer, this.size));
+			}
+		}
+	}
+
+	private void append(Content.Chunk chunk) {
+		long newSize = this.size + (long) chunk.remaining();
+		long bytesToReserve = newSize - Math.max(this.size, this.reservedBytes);
+		if (newSize > this.maximumBytes) {
+			this.result.completeExceptionally(new BodyTooLargeException(this.maximumBytes));
+		}
+		else if (bytesToReserve > 0 && !this.reservation.tryReserve(bytesToReserve)) {
+			this.result.completeExceptionally(new BufferBudgetException());
+		}
+		else {
+			ensureCapacity((int) newSize);
+			chunk.getByteBuffer().get(this.buffer, this.size, chunk.remaining());
+			this.size = (int) newSize;
+		}
+	}
+
+	private void ensureCapacity(int requiredCapacity) {
+		if (requiredCapacity > this.buffer.length) {
+			long doubledCapacity = Math.min(this.maximumBytes, 2L * this.buffer.length);
+			this.buffer = Arrays.copyOf(this.buffer, (int) Math.max(requiredCapacity, doubledCapacity));
+		}
+	}
+
+}
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
@@ -227,6 +227,11 @@
 			this.result.complete("not run");
 		}
 
+		@Override
+		public boolean tryReserveBuffer(int bytes) {
+			return true;
+		}
+
 		@Override
 		public boolean tryStartStreaming(Attempt attempt, Response response) {
 			return false;
@@ -268,6 +273,11 @@
 			this.failure.completeExceptionally(new AssertionError("A response arrived."));
 		}
 
+		@Override
+		public boolean tryReserveBuffer(int bytes) {
+			return true;
+		}
+
 		@Override
 		public boolean tryStartStreaming(Attempt attempt, Response response) {
 			return false;
