Confirm that an upstream left only once that is on disk

Cause: the withdrawal was kept in memory only. UpstreamStore wrote the upstreams that are routed to, without those that left, and some time after the confirmation; after the restart the late heartbeat was the first one of a new upstream. A control instance that was down during the withdrawal brought the upstream back from its own file in the same way. Ruled out: the order of announcements, which ignores the late one while instances run.

A control instance now confirms that an upstream drains or has left only once the record is on its disk, and it keeps the records of those that left there. Announcements that an upstream is ready do not wait for the disk, because they are repeated.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/DaemonModule.java
@@ -196,9 +196,7 @@
 		kernel.register(transport);
 		cluster.addListener(routing);
 		if (settings.isControl()) {
-			UpstreamStore store = new UpstreamStore(settings.dataFolder().resolve("control"));
-			cluster.restoreUpstreams(store.load());
-			cluster.addListener(store);
+			cluster.useUpstreamStore(new UpstreamStore(settings.dataFolder().resolve("control")));
 		}
 		kernel.register(cluster);
 		if (settings.isControl()) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
 
+import org.jspecify.annotations.Nullable;
+
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
@@ -70,6 +72,9 @@
 
 	private final ReplicaDescriptor replica;
 
+	// Null if this instance has no data folder.
+	private @Nullable UpstreamStore upstreamStore;
+
 	// Keyed by the id of the replication; accessed on the thread of the loop only.
 	private final Map<Long, List<CompletableFuture<Boolean>>> pendingReplications = new HashMap<>();
 
@@ -177,12 +182,14 @@
 	}
 
 	/**
-	 * Restores upstreams that were stored before this instance stopped. To be called
-	 * before {@link #start()}.
-	 * @param upstreams the upstreams
+	 * Restores the upstreams that were stored before this instance stopped, and stores
+	 * changes from now on. To be called before {@link #start()}.
+	 * @param store the store
 	 */
-	public void restoreUpstreams(List<UpstreamRecord> upstreams) {
-		this.membership.restore(upstreams, nowMillis());
+	public void useUpstreamStore(UpstreamStore store) {
+		this.upstreamStore = store;
+		this.membership.useUpstreamStore();
+		this.membership.restore(store.load(), nowMillis());
 	}
 
 	/**
@@ -241,6 +248,10 @@
 		effects.messages().forEach((message) -> this.transport.send(message.address(), message.envelope()));
 		effects.replicationResults().forEach(this::completeReplication);
 		logRefusedRules();
+		if (effects.upstreamsToStore() != null && this.upstreamStore != null) {
+			this.upstreamStore.save(effects.upstreamsToStore(), (change) -> this.loop
+				.execute(() -> process(() -> this.membership.recordUpstreamsStored(change, nowMillis()))));
+		}
 		if (effects.upstreams() != null) {
 			List<UpstreamRecord> upstreams = effects.upstreams();
 			eventLog.information("upstreams-changed").with("count", upstreams.size()).write();
--- a/radishthread-membership/src/main/java/org/radishthread/membership/AnnouncementReplication.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/AnnouncementReplication.java
@@ -17,7 +17,9 @@
  * when a majority of control instances stores the record and every live instance stores
  * it or had {@link #LIVE_CONFIRMATION_TIMEOUT_MILLIS} to confirm it. The record then
  * survives the immediate loss of the instance that replicated it, because the instances
- * that store it propagate it by gossip.
+ * that store it propagate it by gossip. A record that an upstream accepts no requests
+ * also survives a restart of all instances, because they confirm it only once it is on
+ * disk.
  */
 final class AnnouncementReplication {
 
@@ -49,8 +51,14 @@
 
 	private final List<ReplicationResult> results = new ArrayList<>();
 
+	private final UpstreamDurability durability;
+
 	private long lastId;
 
+	AnnouncementReplication(UpstreamDurability durability) {
+		this.durability = durability;
+	}
+
 	// Returns the id of the replication, which is an existing one if a replication of the
 	// same record is not yet completed.
 	long start(UpstreamRecord upstream, long nowMillis) {
@@ -60,7 +68,8 @@
 			}
 		}
 		this.lastId++;
-		this.replications.put(this.lastId, new Replication(this.lastId, upstream, nowMillis));
+		this.replications.put(this.lastId,
+				new Replication(this.lastId, upstream, this.durability.requiredChange(upstream), nowMillis));
 		return this.lastId;
 	}
 
@@ -102,7 +111,8 @@
 			boolean allConfirmed = recipients.liveInstances()
 				.stream()
 				.allMatch((recipient) -> replication.confirmedNames.contains(recipient.name()));
-			boolean majorityConfirmed = recipients.hasControlMajority(replication.confirmedNames);
+			boolean majorityConfirmed = recipients.hasControlMajority(replication.confirmedNames,
+					this.durability.isStored(replication.requiredChange));
 			if (!replication.completed && majorityConfirmed
 					&& (allConfirmed || ageMillis >= LIVE_CONFIRMATION_TIMEOUT_MILLIS)) {
 				replication.completed = true;
@@ -136,9 +146,10 @@
 	 */
 	record Recipients(List<Recipient> liveInstances, Set<String> otherControlNames, boolean selfIsControl) {
 
-		private boolean hasControlMajority(Set<String> confirmedNames) {
+		private boolean hasControlMajority(Set<String> confirmedNames, boolean selfConfirmed) {
 			int selfCount = this.selfIsControl ? 1 : 0;
-			long confirmedCount = selfCount + this.otherControlNames.stream().filter(confirmedNames::contains).count();
+			long confirmedCount = (selfConfirmed ? selfCount : 0)
+					+ this.otherControlNames.stream().filter(confirmedNames::contains).count();
 			return 2 * confirmedCount > selfCount + this.otherControlNames.size();
 		}
 
@@ -159,6 +170,8 @@
 
 		private final UpstreamRecord upstream;
 
+		private final long requiredChange;
+
 		private final long startMillis;
 
 		private final Set<String> confirmedNames = new HashSet<>();
@@ -167,9 +180,10 @@
 
 		private boolean completed;
 
-		private Replication(long id, UpstreamRecord upstream, long startMillis) {
+		private Replication(long id, UpstreamRecord upstream, long requiredChange, long startMillis) {
 			this.id = id;
 			this.upstream = upstream;
+			this.requiredChange = requiredChange;
 			this.startMillis = startMillis;
 			this.nextSendMillis = startMillis;
 		}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -177,7 +177,8 @@
 			sendUpdate(this.lastClockReadingMillis);
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoingMessages),
-				this.upstreamsChanged ? upstreams() : null, this.rules.drainChanged() ? this.rules.ruleFile() : null,
+				this.upstreamsChanged ? upstreams() : null, this.upstreamsChanged ? this.upstreams.snapshot() : null,
+				this.rules.drainChanged() ? this.rules.ruleFile() : null,
 				this.evacuationsChanged ? this.evacuations.evacuations() : null, this.upstreams.drainResults(),
 				this.resumedFromFreeze, this.reports.drainSilentAddresses(),
 				this.urgentRoundPending || this.updatePending);
@@ -693,15 +694,35 @@
 	}
 
 	/**
-	 * Stores an upstream record that another instance replicates, and confirms it.
+	 * Merges an upstream record that another instance replicates, and confirms it once it
+	 * is stored.
 	 * @param notice the message
 	 * @param senderAddress the peer address of the instance
 	 * @param nowMillis the monotonic time, in milliseconds
 	 */
 	public void receive(UpstreamNotice notice, String senderAddress, long nowMillis) {
-		this.upstreams.merge(notice.getUpstream(), nowMillis);
-		send(senderAddress, Envelope.newBuilder()
-			.setUpstreamNoticeReceipt(UpstreamNoticeReceipt.newBuilder().setId(notice.getId())));
+		Envelope receipt = Envelope.newBuilder()
+			.setUpstreamNoticeReceipt(UpstreamNoticeReceipt.newBuilder().setId(notice.getId()))
+			.build();
+		this.upstreams.mergeReplicated(notice.getUpstream(), new OutgoingMessage(senderAddress, receipt), nowMillis);
+	}
+
+	/**
+	 * States that this instance stores the upstream records of
+	 * {@link MembershipEffects#upstreamsToStore()} on disk. A record that an upstream
+	 * accepts no requests is then confirmed only after {@link #recordUpstreamsStored}.
+	 */
+	public void useUpstreamStore() {
+		this.upstreams.useStore();
+	}
+
+	/**
+	 * Records that upstream records are on disk.
+	 * @param change the number of the latest change that the records contain
+	 * @param nowMillis the monotonic time, in milliseconds
+	 */
+	public void recordUpstreamsStored(long change, long nowMillis) {
+		this.upstreams.recordStored(change, recipients(nowMillis), nowMillis);
 	}
 
 	/**
--- a/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
@@ -13,6 +13,8 @@
  *
  * @param messages the messages to send to peers
  * @param upstreams all upstreams that have not left, or null if they did not change
+ * @param upstreamsToStore the records to store on disk, or null if they did not change or
+ * this instance has no store
  * @param rules the rules that were applied, or null if none were
  * @param evacuations the evacuations of availability zones that were applied, or null if
  * none were
@@ -24,6 +26,7 @@
  * @param roundPending whether changes wait to be sent by a later call
  */
 public record MembershipEffects(List<OutgoingMessage> messages, @Nullable List<UpstreamRecord> upstreams,
-		@Nullable RuleFile rules, @Nullable Evacuations evacuations, List<ReplicationResult> replicationResults,
-		boolean resumedFromFreeze, List<String> silentAddresses, boolean roundPending) {
+		@Nullable UpstreamSnapshot upstreamsToStore, @Nullable RuleFile rules, @Nullable Evacuations evacuations,
+		List<ReplicationResult> replicationResults, boolean resumedFromFreeze, List<String> silentAddresses,
+		boolean roundPending) {
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
@@ -28,7 +28,9 @@
 
 	private final UpstreamTable table;
 
-	private final AnnouncementReplication replication = new AnnouncementReplication();
+	private final UpstreamDurability durability = new UpstreamDurability();
+
+	private final AnnouncementReplication replication = new AnnouncementReplication(this.durability);
 
 	private final List<OutgoingMessage> outgoingMessages = new ArrayList<>();
 
@@ -155,11 +157,47 @@
 		UpstreamRecord formerRecord = (storedEntry != null) ? storedEntry.upstream : null;
 		boolean newer = this.table.merge(receivedRecord, nowMillis);
 		if (newer) {
-			this.changes.add(UpstreamChange.of(formerRecord, receivedRecord));
+			addChange(UpstreamChange.of(formerRecord, receivedRecord));
 		}
 		return newer;
 	}
 
+	private void addChange(UpstreamChange change) {
+		this.changes.add(change);
+		this.durability.recordChange();
+	}
+
+	// Merges a record that another instance replicates. The confirmation is sent once
+	// the record is stored.
+	void mergeReplicated(UpstreamRecord receivedRecord, OutgoingMessage confirmation, long nowMillis) {
+		merge(receivedRecord, nowMillis);
+		long requiredChange = this.durability.requiredChange(receivedRecord);
+		if (this.durability.isStored(requiredChange)) {
+			this.outgoingMessages.add(confirmation);
+		}
+		else {
+			this.durability.hold(requiredChange, confirmation);
+		}
+	}
+
+	void useStore() {
+		this.durability.useStore();
+	}
+
+	void recordStored(long change, AnnouncementReplication.Recipients recipients, long nowMillis) {
+		this.outgoingMessages.addAll(this.durability.recordStored(change));
+		completeReplications(recipients, nowMillis);
+	}
+
+	// What this instance must store, or null if it has no store.
+	@Nullable UpstreamSnapshot snapshot() {
+		if (!this.durability.isStoreInUse()) {
+			return null;
+		}
+		return new UpstreamSnapshot(this.durability.lastChange(),
+				this.table.entries().stream().map((entry) -> entry.upstream).toList());
+	}
+
 	void renew(LeaseRenewal renewal, long nowMillis) {
 		this.table.renew(renewal.getName(), renewal.getIncarnation(), renewal.getSequence(), nowMillis);
 	}
@@ -171,7 +209,7 @@
 	// Returns whether any lease expired.
 	boolean expireLeases(long nowMillis, Predicate<String> holderLive) {
 		List<UpstreamRecord> expiredRecords = this.table.expireLeases(nowMillis, holderLive);
-		expiredRecords.forEach((expiredRecord) -> this.changes.add(new UpstreamChange(expiredRecord, false)));
+		expiredRecords.forEach((expiredRecord) -> addChange(new UpstreamChange(expiredRecord, false)));
 		return !expiredRecords.isEmpty();
 	}
 
--- a/radishthread-membership/src/test/java/org/radishthread/membership/AnnouncementReplicationTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/AnnouncementReplicationTests.java
@@ -23,7 +23,7 @@
 
 	private static final Recipients NONE_LIVE = new Recipients(List.of(), Set.of("control-2", "control-3"), true);
 
-	private final AnnouncementReplication replication = new AnnouncementReplication();
+	private final AnnouncementReplication replication = new AnnouncementReplication(new UpstreamDurability());
 
 	private final UpstreamRecord upstream = UpstreamRecord.newBuilder().setName("upstream-1").build();
 
