--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlReplica.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,12 +37,6 @@
 
 	private static final long MINIMUM_BYTES_BETWEEN_SNAPSHOTS = 256 * 1024;
 
-	// Longer than a restart or an election takes, so that neither
-	// leads to a replacement.
-	private static final long MINIMUM_SILENCE_BEFORE_REPLACEMENT_MILLIS = 8_000;
-
-	private static final int MAXIMUM_VOTERS = 7;
-
 	private final ReplicaDescriptor self;
 
 	private final ReplicaSettings settings;
@@ -60,7 +55,7 @@
 
 	private final Map<Long, PendingRead> pendingReads = new HashMap<>();
 
-	private final List<PendingRequest> pendingReplacements = new ArrayList<>();
+	private final List<PendingReplacement> pendingReplacements = new ArrayList<>();
 
 	private final Set<Long> unacknowledgedBootstrapIds = new HashSet<>();
 
@@ -229,62 +224,59 @@
 			case READ_HISTORY -> reply(pendingRequest, ControlResponse.newBuilder()
 				.setHistory(History.newBuilder()
 					.addAllEntries(this.stateMachine.rules().latestRevisions(request.getReadHistory().getLimit()))));
-			default -> replaceReplica(pendingRequest, request.getReplace().getAdded(), nowMillis);
+			default -> addReplica(pendingRequest, request.getReplace().getAdded(), nowMillis);
 		}
 	}
 
-	private void replaceReplica(PendingRequest pendingRequest, ReplicaDescriptor newReplica, long nowMillis) {
+	// Adds a replica as a learner. The replica becomes a voter when the group needs one.
+	private void addReplica(PendingRequest pendingRequest, ReplicaDescriptor newReplica, long nowMillis) {
 		Configuration configuration = this.replica.log().configuration();
-		if (ConfigurationChange.contains(configuration.getVotersList(), newReplica.getId())
-				&& !configuration.hasReplacement()) {
+		PendingReplacement pendingReplacement = new PendingReplacement(pendingRequest, newReplica.getId());
+		if (ConfigurationChange.contains(configuration.getLearnersList(), newReplica.getId())
+				|| isReplacing(configuration, newReplica.getId())) {
+			this.pendingReplacements.add(pendingReplacement);
+			completeReplacements(this.replica.log().configurationAt(this.replica.commitIndex()));
+			return;
+		}
+		if (ConfigurationChange.contains(configuration.getVotersList(), newReplica.getId())) {
 			refuse(pendingRequest, "Replica " + Long.toHexString(newReplica.getId()) + " of instance '"
 					+ newReplica.getInstance()
 					+ "' is a member already; nothing was changed. If its disk was just lost, ask again in a moment.");
 			return;
 		}
-		if (configuration.hasReplacement() && configuration.getReplacement().getAdded().getId() == newReplica.getId()) {
-			this.pendingReplacements.add(pendingRequest);
-			return;
-		}
-		Optional<ReplicaDescriptor> replicaToReplace = findReplicaToReplace(newReplica, configuration, nowMillis);
-		if (replicaToReplace.isEmpty()) {
-			refuse(pendingRequest, "No control replica of instance '" + newReplica.getInstance()
-					+ "' exists to be replaced, and " + "the group has its greatest size.");
-		}
-		else if (configuration.hasReplacement() || !this.replica.canChangeConfiguration()) {
-			refuse(pendingRequest, "Another replacement is in progress; wait until it is done.");
-		}
-		else {
-			this.pendingReplacements.add(pendingRequest);
-			this.replica.beginReplacement(replicaToReplace.get().getId(), newReplica, nowMillis);
-		}
-	}
-
-	// Selects the previous replica of the same instance, else an unresponsive
-	// voter. Returns a descriptor with id zero, which stands for no replica, if the
-	// group may grow instead.
-	private Optional<ReplicaDescriptor> findReplicaToReplace(ReplicaDescriptor newReplica, Configuration configuration,
-			long nowMillis) {
 		Optional<ReplicaDescriptor> previousReplica = configuration.getVotersList()
 			.stream()
 			.filter((voter) -> voter.getInstance().equals(newReplica.getInstance()))
 			.findFirst();
-		Optional<ReplicaDescriptor> unresponsiveReplica = configuration.getVotersList()
-			.stream()
-			.filter((voter) -> this.replica.isUnresponsiveSince(voter.getId(),
-					nowMillis - MINIMUM_SILENCE_BEFORE_REPLACEMENT_MILLIS))
-			.findFirst();
-		boolean canGrow = configuration.getVotersCount() < MAXIMUM_VOTERS;
-		return previousReplica.or(() -> unresponsiveReplica)
-			.or(() -> canGrow ? Optional.of(ReplicaDescriptor.getDefaultInstance()) : Optional.empty());
+		if (!this.replica.canChangeConfiguration()
+				|| (previousReplica.isPresent() && isReplacingOther(configuration, newReplica))) {
+			refuse(pendingRequest, "Another change of the group is in progress; wait until it is done.");
+			return;
+		}
+		this.pendingReplacements.add(pendingReplacement);
+		previousReplica.ifPresentOrElse((voter) -> this.replica.beginReplacement(voter.getId(), newReplica, nowMillis),
+				() -> this.replica.addLearner(newReplica, nowMillis));
+	}
+
+	private static boolean isReplacing(Configuration configuration, long addedId) {
+		return configuration.hasReplacement() && configuration.getReplacement().getAdded().getId() == addedId;
+	}
+
+	// A disk that is lost again during its replacement is replaced once more.
+	private static boolean isReplacingOther(Configuration configuration, ReplicaDescriptor newReplica) {
+		return configuration.hasReplacement()
+				&& !configuration.getReplacement().getAdded().getInstance().equals(newReplica.getInstance());
 	}
 
 	private void initialize(PendingRequest pendingRequest, Initialize request, long nowMillis) {
-		Configuration configuration = Configuration.newBuilder().addAllVoters(request.getReplicasList()).build();
+		Configuration configuration = Configuration.newBuilder()
+			.addAllVoters(request.getReplicasList())
+			.setFoundingVoters(request.getReplicasCount())
+			.build();
 		if (role() != ReplicaRole.UNFOUNDED) {
-			boolean sameConfiguration = this.replica.log().snapshot().getConfiguration().equals(configuration)
-					|| this.replica.log().configuration().equals(configuration);
-			if (!sameConfiguration) {
+			boolean sameVoters = hasVoters(this.replica.log().snapshot().getConfiguration(), configuration)
+					|| hasVoters(this.replica.log().configuration(), configuration);
+			if (!sameVoters) {
 				refuse(pendingRequest, "This instance already belongs to a control group; nothing was changed.");
 				return;
 			}
@@ -305,6 +297,10 @@
 		tick(nowMillis);
 	}
 
+	private static boolean hasVoters(Configuration groupConfiguration, Configuration expectedConfiguration) {
+		return groupConfiguration.getVotersList().equals(expectedConfiguration.getVotersList());
+	}
+
 	private void recordBootstrapAcknowledgement(long replicaId) {
 		this.unacknowledgedBootstrapIds.remove(replicaId);
 		if (this.unacknowledgedBootstrapIds.isEmpty() && this.pendingBootstrap != null) {
@@ -392,13 +388,19 @@
 		}
 	}
 
-	private void completeReplacements(Configuration configuration) {
-		if (configuration.hasReplacement()) {
-			return;
+	// A replica that is added without replacing a lost disk stands by as a learner.
+	private void completeReplacements(Configuration committedConfiguration) {
+		Iterator<PendingReplacement> iterator = this.pendingReplacements.iterator();
+		while (iterator.hasNext()) {
+			PendingReplacement pendingReplacement = iterator.next();
+			long addedId = pendingReplacement.addedId();
+			boolean member = ConfigurationChange.contains(committedConfiguration.getVotersList(), addedId)
+					|| ConfigurationChange.contains(committedConfiguration.getLearnersList(), addedId);
+			if (member && !isReplacing(committedConfiguration, addedId)) {
+				iterator.remove();
+				reply(pendingReplacement.request(), ControlResponse.newBuilder().setDone(Done.getDefaultInstance()));
+			}
 		}
-		this.pendingReplacements.forEach((pendingRequest) -> reply(pendingRequest,
-				ControlResponse.newBuilder().setDone(Done.getDefaultInstance())));
-		this.pendingReplacements.clear();
 	}
 
 	private void completeRead(long token) {
@@ -418,7 +420,7 @@
 		this.pendingCommands.clear();
 		this.pendingReads.values().forEach((pendingRead) -> replyNotLeader(pendingRead.request()));
 		this.pendingReads.clear();
-		this.pendingReplacements.forEach(this::replyNotLeader);
+		this.pendingReplacements.forEach((pendingReplacement) -> replyNotLeader(pendingReplacement.request()));
 		this.pendingReplacements.clear();
 	}
 
@@ -462,6 +464,9 @@
 	private record PendingRead(PendingRequest request, RulePart part) {
 	}
 
+	private record PendingReplacement(PendingRequest request, long addedId) {
+	}
+
 	private record PendingCommand(PendingRequest request, long term) {
 	}
 
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/GroupFormation.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/GroupFormation.java
@@ -32,16 +32,11 @@
 	static final long PARTIAL_BOOTSTRAP_DELAY_MILLIS = 6_000;
 
 	/**
-	 * The time that an instance without a group waits for its bootstrap before it
-	 * requests to join, and the interval between requests to join, in milliseconds.
+	 * The time that an instance of a new system waits for the bootstrap of the group
+	 * before it requests to join, and the interval between requests to join, in
+	 * milliseconds.
 	 */
-	static final long JOIN_INTERVAL_MILLIS = 2_000;
-
-	/**
-	 * The time without a leader after which a member requests to join again, in case it
-	 * was removed from the group, in milliseconds. It covers several elections.
-	 */
-	static final long LEADER_LOSS_TIMEOUT_MILLIS = 6_000;
+	static final long JOIN_INTERVAL_MILLIS = 1_000;
 
 	private final ReplicaDescriptor self;
 
@@ -49,6 +44,10 @@
 
 	private final boolean bootstrapAllowed;
 
+	// The time without a leader after which a member requests to join again, because it
+	// may have been replaced while it was frozen or cut off.
+	private final long leaderLossTimeoutMillis;
+
 	private long startMillis = Long.MIN_VALUE;
 
 	private long lastMembershipChangeMillis;
@@ -65,11 +64,13 @@
 	 * @param seeds the peer addresses of the seeds; all instances of a system that starts
 	 * for the first time must have the same ones
 	 * @param bootstrapAllowed whether no group existed when this instance first started
+	 * @param group how many losses the group bears
 	 */
-	public GroupFormation(ReplicaDescriptor self, List<String> seeds, boolean bootstrapAllowed) {
+	public GroupFormation(ReplicaDescriptor self, List<String> seeds, boolean bootstrapAllowed, GroupSettings group) {
 		this.self = self;
 		this.seeds = List.copyOf(seeds);
 		this.bootstrapAllowed = bootstrapAllowed;
+		this.leaderLossTimeoutMillis = group.silenceBeforeReplacementMillis();
 	}
 
 	/**
@@ -82,7 +83,8 @@
 		if (this.startMillis == Long.MIN_VALUE) {
 			this.startMillis = nowMillis;
 			this.lastLeaderSeenMillis = nowMillis;
-			this.nextJoinMillis = nowMillis + JOIN_INTERVAL_MILLIS;
+			// A successor joins at once, so that the group bears the next loss soon.
+			this.nextJoinMillis = this.bootstrapAllowed ? nowMillis + JOIN_INTERVAL_MILLIS : nowMillis;
 		}
 		trackMembership(observation, nowMillis);
 		if (observation.isMember() && observation.hasLeader()) {
@@ -92,7 +94,7 @@
 		if (!observation.isMember() && shouldBootstrap(observation, nowMillis)) {
 			return Optional.of(new BootstrapGroup(observation.controlReplicas()));
 		}
-		boolean leaderLost = nowMillis - this.lastLeaderSeenMillis >= LEADER_LOSS_TIMEOUT_MILLIS;
+		boolean leaderLost = nowMillis - this.lastLeaderSeenMillis >= this.leaderLossTimeoutMillis;
 		if (nowMillis < this.nextJoinMillis || (observation.isMember() && !leaderLost)) {
 			return Optional.empty();
 		}
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/Replica.java
@@ -487,16 +487,18 @@
 		return appendEntry(LogEntry.newBuilder().setProposedAtMillis(wallClockMillis).setCommand(command));
 	}
 
-	// Starts to replace a voter by a new replica, or only to add the new replica if
-	// the id of the removed one is zero.
+	// Starts to replace a voter whose disk is lost by a new replica.
 	void beginReplacement(long removedId, ReplicaDescriptor newReplica, long nowMillis) {
-		Configuration newConfiguration = ConfigurationChange.beginReplacement(this.log.configuration(), removedId,
-				newReplica);
-		changeConfiguration(newConfiguration, nowMillis);
+		changeConfiguration(ConfigurationChange.beginReplacement(this.log.configuration(), removedId, newReplica),
+				nowMillis);
 	}
 
-	boolean isUnresponsiveSince(long id, long sinceMillis) {
-		return id != this.id && !this.followers.respondedSince(id, sinceMillis);
+	void addLearner(ReplicaDescriptor newReplica, long nowMillis) {
+		changeConfiguration(ConfigurationChange.addLearner(this.log.configuration(), newReplica), nowMillis);
+	}
+
+	private boolean isSilentFor(long id, long millis, long nowMillis) {
+		return id != this.id && !this.followers.respondedSince(id, nowMillis - millis);
 	}
 
 	boolean hasLeader(long nowMillis) {
@@ -511,10 +513,34 @@
 		if (!canChangeConfiguration()) {
 			return;
 		}
-		ConfigurationChange.nextConfiguration(this.log.configuration(), (id) -> isCaughtUp(id, nowMillis))
+		GroupSettings group = this.settings.group();
+		Configuration configuration = this.log.configuration();
+		ConfigurationChange
+			.nextConfiguration(configuration, group.targetVoters(configuration), replicaStates(group, nowMillis))
 			.ifPresent((newConfiguration) -> changeConfiguration(newConfiguration, nowMillis));
 	}
 
+	private ConfigurationChange.ReplicaStates replicaStates(GroupSettings group, long nowMillis) {
+		return new ConfigurationChange.ReplicaStates() {
+
+			@Override
+			public boolean isCaughtUp(long id) {
+				return Replica.this.isCaughtUp(id, nowMillis);
+			}
+
+			@Override
+			public boolean isLost(long id) {
+				return isSilentFor(id, group.silenceBeforeReplacementMillis(), nowMillis);
+			}
+
+			@Override
+			public boolean isForgotten(long id) {
+				return isSilentFor(id, group.silenceBeforeForgettingMillis(), nowMillis);
+			}
+
+		};
+	}
+
 	private boolean isCaughtUp(long id, long nowMillis) {
 		return this.followers.matchIndex(id) >= this.commitIndex && respondedRecently(id, nowMillis);
 	}
--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ReplicaSettings.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ReplicaSettings.java
@@ -13,15 +13,16 @@
  * @param maximumEntriesPerAppend the maximum number of entries in one append request
  * @param entriesBetweenSnapshots the number of applied entries after which a snapshot is
  * taken, plus one for each rule revision and claim that the snapshot contains
+ * @param group how many losses the group bears
  */
 public record ReplicaSettings(long heartbeatIntervalMillis, long electionTimeoutMillis, int maximumEntriesPerAppend,
-		int entriesBetweenSnapshots) {
+		int entriesBetweenSnapshots, GroupSettings group) {
 
 	/**
 	 * Settings for instances in several availability zones with a few milliseconds of
 	 * network latency between them.
 	 */
-	public static final ReplicaSettings DEFAULTS = new ReplicaSettings(125, 500, 256, 512);
+	public static final ReplicaSettings DEFAULTS = new ReplicaSettings(125, 500, 256, 512, GroupSettings.DEFAULTS);
 
 	public ReplicaSettings {
 		Assert.isTrue(heartbeatIntervalMillis > 0,
@@ -30,4 +31,14 @@
 				"Election timeout " + electionTimeoutMillis + " ms must be longer than two heartbeat intervals.");
 	}
 
+	/**
+	 * Returns these settings with other group settings.
+	 * @param newGroup the group settings
+	 * @return the settings
+	 */
+	public ReplicaSettings withGroup(GroupSettings newGroup) {
+		return new ReplicaSettings(this.heartbeatIntervalMillis, this.electionTimeoutMillis,
+				this.maximumEntriesPerAppend, this.entriesBetweenSnapshots, newGroup);
+	}
+
 }
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlReplicaTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlReplicaTests.java
@@ -167,13 +167,20 @@
 
 		@Test
 		void newInstanceReplacesUnresponsiveVoter() {
+			FakeControlCluster cluster = ControlReplicaTests.this.cluster;
 			int leaderIndex = leaderIndex();
 			int unresponsiveIndex = (leaderIndex + 1) % 3;
-			long replicaId = ControlReplicaTests.this.cluster.instances.get(unresponsiveIndex).descriptor().getId();
-			ControlReplicaTests.this.cluster.isolate(unresponsiveIndex);
-			ControlReplicaTests.this.cluster.run(10_000);
-			requestJoin(leaderIndex);
-			assertThat(removedVoterId(leaderIndex)).isEqualTo(replicaId);
+			long replicaId = cluster.instances.get(unresponsiveIndex).descriptor().getId();
+			cluster.isolate(unresponsiveIndex);
+			FakeControlInstance newInstance = cluster.addInstance();
+			newInstance.start(cluster.nowMillis());
+			cluster.requestJoin(newInstance);
+			cluster.run(2 * FakeControlInstance.CATCH_UP_MILLIS);
+			assertThat(cluster.instances.get(leaderIndex).replica().status(0).getConfiguration().getVotersList())
+				.extracting(ReplicaDescriptor::getId)
+				.hasSize(3)
+				.contains(newInstance.replicaId)
+				.doesNotContain(replicaId);
 		}
 
 	}
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlCluster.java
@@ -59,9 +59,7 @@
 	FakeControlCluster(int size, long seed) {
 		this.random = new Random(seed);
 		for (int i = 0; i < size; i++) {
-			this.instances.add(new FakeControlInstance("control-" + i, ++this.lastReplicaId,
-					(minimum) -> minimum + this.random.nextInt((int) minimum), this.messagesInTransit::add,
-					this.checker::recordAppliedRules, this.responses::add, this.checker::checkReplica));
+			addInstance();
 		}
 		this.instances.forEach((instance) -> instance.start(this.nowMillis));
 		Initialize.Builder initialize = Initialize.newBuilder();
@@ -70,6 +68,30 @@
 		run(1_000);
 	}
 
+	// Adds an instance with an empty disk, which is not started.
+	FakeControlInstance addInstance() {
+		FakeControlInstance instance = new FakeControlInstance("control-" + this.instances.size(), ++this.lastReplicaId,
+				(minimum) -> minimum + this.random.nextInt((int) minimum), this.messagesInTransit::add,
+				this.checker::recordAppliedRules, this.responses::add, this.checker::checkReplica);
+		this.instances.add(instance);
+		return instance;
+	}
+
+	long nowMillis() {
+		return this.nowMillis;
+	}
+
+	long nextReplicaId() {
+		return ++this.lastReplicaId;
+	}
+
+	void requestJoin(FakeControlInstance instance) {
+		for (int receiver = 0; receiver < this.instances.size(); receiver++) {
+			sendRequest(receiver, ControlRequest.newBuilder()
+				.setReplace(ReplaceReplica.newBuilder().setAdded(instance.descriptor())));
+		}
+	}
+
 	// Selects the leader for even numbers, because faults of the leader have the
 	// largest effect, and any instance otherwise.
 	int pickInstance(int randomNumber) {
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlInstance.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FakeControlInstance.java
@@ -18,7 +18,11 @@
  */
 final class FakeControlInstance implements ControlReplicaOutput {
 
-	private static final ReplicaSettings SETTINGS = new ReplicaSettings(50, 200, 1, 6);
+	static final long CATCH_UP_MILLIS = 2_000;
+
+	static final GroupSettings GROUP_SETTINGS = new GroupSettings(1, CATCH_UP_MILLIS);
+
+	private static final ReplicaSettings SETTINGS = new ReplicaSettings(50, 200, 1, 6, GROUP_SETTINGS);
 
 	static final ClaimLimits CLAIM_LIMITS = new ClaimLimits(3_600_000, 1_000, 100, 10_000);
 
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupFormationTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupFormationTests.java
@@ -40,7 +40,8 @@
 	@Nested
 	class Bootstrap {
 
-		private final GroupFormation bootstrapSeed = new GroupFormation(replica(1), SEEDS, true);
+		private final GroupFormation bootstrapSeed = new GroupFormation(replica(1), SEEDS, true,
+				GroupSettings.DEFAULTS);
 
 		@Test
 		void lowestSeedBootstrapsWithAllDiscoveredReplicasOnceStable() {
@@ -55,7 +56,7 @@
 		@Test
 		void otherInstancesNeverBootstrap() {
 			for (int number : new int[] { 2, 3, 4 }) {
-				GroupFormation formation = new GroupFormation(replica(number), SEEDS, true);
+				GroupFormation formation = new GroupFormation(replica(number), SEEDS, true, GroupSettings.DEFAULTS);
 				for (long nowMillis = 0; nowMillis < 20_000; nowMillis += 250) {
 					assertThat(formation.nextAction(observationWithoutGroup(THREE_SEEDS), nowMillis))
 						.isNotEqualTo(Optional.of(new BootstrapGroup(THREE_SEEDS)));
@@ -73,7 +74,7 @@
 
 		@Test
 		void instanceWithLostDiskNeverBootstraps() {
-			GroupFormation instanceWithLostDisk = new GroupFormation(replica(1), SEEDS, false);
+			GroupFormation instanceWithLostDisk = new GroupFormation(replica(1), SEEDS, false, GroupSettings.DEFAULTS);
 			Optional<MembershipAction> lastAction = Optional.empty();
 			for (long nowMillis = 0; nowMillis <= 10_000; nowMillis += 250) {
 				Optional<MembershipAction> action = instanceWithLostDisk
@@ -89,7 +90,8 @@
 	@Nested
 	class Joining {
 
-		private final GroupFormation lateInstance = new GroupFormation(replica(4), SEEDS, false);
+		private final GroupFormation lateInstance = new GroupFormation(replica(4), SEEDS, false,
+				GroupSettings.DEFAULTS);
 
 		@Test
 		void instanceWithoutGroupRequestsToJoinPeriodically() {
@@ -109,9 +111,11 @@
 		void memberRequestsToJoinOnlyAfterLeaderLossTimeout() {
 			Observation leaderLost = new Observation(true, false, THREE_SEEDS);
 			this.lateInstance.nextAction(new Observation(true, true, THREE_SEEDS), 0);
-			assertThat(this.lateInstance.nextAction(leaderLost, GroupFormation.LEADER_LOSS_TIMEOUT_MILLIS - 1))
+			assertThat(this.lateInstance.nextAction(leaderLost,
+					GroupSettings.DEFAULTS.silenceBeforeReplacementMillis() - 1))
 				.isEmpty();
-			assertThat(this.lateInstance.nextAction(leaderLost, GroupFormation.LEADER_LOSS_TIMEOUT_MILLIS))
+			assertThat(
+					this.lateInstance.nextAction(leaderLost, GroupSettings.DEFAULTS.silenceBeforeReplacementMillis()))
 				.contains(new JoinGroup(replica(4)));
 		}
 
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/ReplicaTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/ReplicaTests.java
@@ -25,7 +25,7 @@
 
 	private static final long GROUP_ID = 9;
 
-	private static final ReplicaSettings SETTINGS = new ReplicaSettings(50, 200, 1, 1_000);
+	private static final ReplicaSettings SETTINGS = new ReplicaSettings(50, 200, 1, 1_000, GroupSettings.DEFAULTS);
 
 	private static StoredLog storedLog(HardState hardState, List<LogEntry> entries) {
 		Configuration.Builder configuration = Configuration.newBuilder();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/ControlService.java
@@ -91,8 +91,8 @@
 	}
 
 	private ControlReplica createReplica(StoredLog storedLog) {
-		return new ControlReplica(this.cluster.replica(), ReplicaSettings.DEFAULTS, ClaimLimits.DEFAULTS,
-				(minimum) -> minimum + ThreadLocalRandom.current().nextLong(minimum), storedLog);
+		return new ControlReplica(this.cluster.replica(), ReplicaSettings.DEFAULTS.withGroup(this.settings.group()),
+				ClaimLimits.DEFAULTS, (minimum) -> minimum + ThreadLocalRandom.current().nextLong(minimum), storedLog);
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/FormationService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/FormationService.java
@@ -69,7 +69,7 @@
 		this.cluster = cluster;
 		this.controlClient = controlClient;
 		this.time = time;
-		this.formation = new GroupFormation(cluster.replica(), settings.seeds(), persistFirstStart());
+		this.formation = new GroupFormation(cluster.replica(), settings.seeds(), persistFirstStart(), settings.group());
 	}
 
 	// An instance that restarts before it bootstrapped the group must still know that
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -6,6 +6,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.agreement.GroupSettings;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AllotmentLimits;
 import org.radishthread.routing.RouterSettings;
@@ -27,6 +28,7 @@
  * @param dataFolder the folder for persistent state, used with the control role
  * @param secrets the tokens for authentication
  * @param bootstrap how the control group is created
+ * @param group how many losses the control group bears
  * @param extension the extension in use, or {@code null} for none
  * @param limits size limits and timeouts
  * @param routerSettings the settings of the routers
@@ -35,7 +37,7 @@
  */
 public record DaemonSettings(String instance, String zone, Set<Role> roles, @Nullable NetworkAddress callerAddress,
 		@Nullable NetworkAddress readinessAddress, NetworkAddress administrationAddress, NetworkAddress peerAddress,
-		List<String> seeds, Path dataFolder, Secrets secrets, Bootstrap bootstrap,
+		List<String> seeds, Path dataFolder, Secrets secrets, Bootstrap bootstrap, GroupSettings group,
 		@Nullable ExtensionSettings extension, Limits limits, RouterSettings routerSettings, KeySettings keys,
 		AllotmentLimits allotmentLimits) {
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.radishthread.agreement.GroupSettings;
 import org.radishthread.daemon.settings.DaemonSettings.KeySettings;
 import org.radishthread.kernel.Findings;
 import org.radishthread.kernel.FindingsException;
@@ -103,13 +104,14 @@
 				readColdStartLimits(root.getSection("cold-starts")));
 		limitsSection.rejectUnknownKeys();
 		DaemonSettings.Bootstrap bootstrap = readBootstrap(root.getSection("founding"));
+		GroupSettings group = readGroup(root.getSection("group"));
 		DaemonSettings.ExtensionSettings extension = root.has("extension")
 				? new DaemonSettings.ExtensionSettings(readName(root, "extension"), extensionAddress) : null;
 		KeySettings keys = readKeys(root.getSection("keys"));
 		AllotmentLimits allotmentLimits = readAllotmentLimits(root.getSection("allotments"));
 		root.rejectUnknownKeys();
 		return new DaemonSettings(instance, zone, roles, callerAddress, readinessAddress, administrationAddress,
-				peerAddress, seeds, dataFolder, secrets, bootstrap, extension, limits, routerSettings, keys,
+				peerAddress, seeds, dataFolder, secrets, bootstrap, group, extension, limits, routerSettings, keys,
 				allotmentLimits);
 	}
 
@@ -152,6 +154,17 @@
 		return bootstrap;
 	}
 
+	private static GroupSettings readGroup(SettingsNode node) {
+		GroupSettings defaults = GroupSettings.DEFAULTS;
+		double catchUpSeconds = node.getNumber("catch-up-seconds",
+				(double) defaults.catchUpMillis() / MILLIS_PER_SECOND, 1, 3_600);
+		GroupSettings group = new GroupSettings(
+				(int) node.getLong("tolerated-losses", defaults.toleratedLosses(), 0, 100),
+				Math.round(catchUpSeconds * MILLIS_PER_SECOND));
+		node.rejectUnknownKeys();
+		return group;
+	}
+
 	private static List<String> readSeeds(SettingsNode root) {
 		List<String> seeds = new ArrayList<>();
 		// Zero keeps the port of each seed; any other value replaces it.
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.radishthread.agreement.GroupSettings;
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.routing.ColdStartLimits;
 import org.radishthread.routing.RetryLimits;
@@ -111,11 +112,18 @@
 		// leaves it empty.
 		@Test
 		void emptySectionHasTheDefaults() throws IOException {
-			DaemonSettings settings = read(VALID + "keys:\nallotments: {}\ncold-starts:\n");
+			DaemonSettings settings = read(VALID + "keys:\nallotments: {}\ncold-starts:\ngroup:\n");
+			assertThat(settings.group()).isEqualTo(GroupSettings.DEFAULTS);
 			assertThat(settings.keys()).isEqualTo(read(VALID).keys());
 			assertThat(settings.routerSettings().coldStartLimits()).isEqualTo(ColdStartLimits.DEFAULTS);
 		}
 
+		@Test
+		void groupSettingsAreRead() throws IOException {
+			DaemonSettings settings = read(VALID + "group: {tolerated-losses: 2, catch-up-seconds: 4.5}\n");
+			assertThat(settings.group()).isEqualTo(new GroupSettings(2, 4_500));
+		}
+
 		@Test
 		void boundsMayBeFractions() throws IOException {
 			DaemonSettings settings = read(VALID + "retries: {ratio: 0.2, slack: 24.43, window-seconds: 7.5}\n"
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -515,236 +515,237 @@
       "riptor\022\n\n\002id\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\022\017\n\007" +
       "address\030\003 \001(\t\"N\n\013Replacement\022\017\n\007removed\030" +
       "\001 \001(\006\022.\n\005added\030\002 \001(\0132\037.radishthread.Repl" +
-      "icaDescriptor\"\243\001\n\rConfiguration\022/\n\006voter" +
+      "icaDescriptor\"\274\001\n\rConfiguration\022/\n\006voter" +
       "s\030\001 \003(\0132\037.radishthread.ReplicaDescriptor" +
       "\0221\n\010learners\030\002 \003(\0132\037.radishthread.Replic" +
       "aDescriptor\022.\n\013replacement\030\003 \001(\0132\031.radis" +
-      "hthread.Replacement\"\253\001\n\010LogEntry\022\r\n\005inde" +
-      "x\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\032\n\022proposed_at_mil" +
-      "lis\030\003 \001(\004\022(\n\007command\030\004 \001(\0132\025.radishthrea" +
-      "d.CommandH\000\0224\n\rconfiguration\030\005 \001(\0132\033.rad" +
-      "ishthread.ConfigurationH\000B\006\n\004body\";\n\tHar" +
-      "dState\022\014\n\004term\030\001 \001(\004\022\021\n\tvoted_for\030\002 \001(\006\022" +
-      "\r\n\005group\030\003 \001(\006\"w\n\010LogFrame\022+\n\nhard_state" +
-      "\030\001 \001(\0132\027.radishthread.HardState\022\025\n\rtrunc" +
-      "ate_from\030\002 \001(\004\022\'\n\007entries\030\003 \003(\0132\026.radish" +
-      "thread.LogEntry\"2\n\010LogBatch\022&\n\006frames\030\001 " +
-      "\003(\0132\026.radishthread.LogFrame\"b\n\tLogHeader" +
-      "\022(\n\010snapshot\030\001 \001(\0132\026.radishthread.Snapsh" +
-      "ot\022+\n\nhard_state\030\002 \001(\0132\027.radishthread.Ha" +
-      "rdState\"\230\001\n\010Snapshot\022\r\n\005index\030\001 \001(\004\022\014\n\004t" +
-      "erm\030\002 \001(\004\0222\n\rconfiguration\030\003 \001(\0132\033.radis" +
-      "hthread.Configuration\022,\n\005state\030\004 \001(\0132\035.r" +
-      "adishthread.ControlSnapshot\022\r\n\005round\030\005 \001" +
-      "(\004\"-\n\010Identity\022\017\n\007replica\030\001 \001(\006\022\020\n\010insta" +
-      "nce\030\002 \001(\t\"\212\002\n\007Command\0221\n\014submit_rules\030\001 " +
-      "\001(\0132\031.radishthread.SubmitRulesH\000\022+\n\005clai" +
-      "m\030\002 \001(\0132\032.radishthread.ClaimRequestH\000\0223\n" +
-      "\ncompletion\030\003 \001(\0132\035.radishthread.ClaimCo" +
-      "mpletionH\000\022-\n\007release\030\004 \001(\0132\032.radishthre" +
-      "ad.ClaimReleaseH\000\0223\n\nevacuation\030\005 \001(\0132\035." +
-      "radishthread.EvacuationOrderH\000B\006\n\004body\"X" +
-      "\n\013SubmitRules\022\020\n\010revision\030\001 \001(\004\022\017\n\007conte" +
-      "nt\030\002 \001(\t\022\024\n\014submitted_by\030\003 \001(\t\022\020\n\010docume" +
-      "nt\030\004 \001(\014\"P\n\014ClaimRequest\022\013\n\003key\030\001 \001(\014\022\023\n" +
-      "\013fingerprint\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007att" +
-      "empt\030\004 \001(\006\"W\n\016RecordedAnswer\022\016\n\006status\030\001" +
-      " \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014" +
-      "\022\021\n\tbody_kept\030\004 \001(\010\"]\n\017ClaimCompletion\022\013" +
-      "\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\022,\n\006answer\030\003" +
-      " \001(\0132\034.radishthread.RecordedAnswer\",\n\014Cl" +
-      "aimRelease\022\013\n\003key\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006" +
-      "\"{\n\017EvacuationOrder\022\014\n\004zone\030\001 \001(\t\022\020\n\010eva" +
-      "cuate\030\002 \001(\010\022\024\n\014requested_by\030\003 \001(\t\022\025\n\rkno" +
-      "wn_version\030\004 \001(\004\022\033\n\023known_state_version\030" +
-      "\005 \001(\004\"s\n\016ZoneEvacuation\022\014\n\004zone\030\001 \001(\t\022\021\n" +
-      "\tevacuated\030\002 \001(\010\022\024\n\014requested_by\030\003 \001(\t\022\031" +
-      "\n\021ordered_at_millis\030\004 \001(\004\022\017\n\007version\030\005 \001" +
-      "(\004\"K\n\013Evacuations\022\017\n\007version\030\001 \001(\004\022+\n\005zo" +
-      "nes\030\002 \003(\0132\034.radishthread.ZoneEvacuation\"" +
-      "V\n\020EvacuationAnswer\022\022\n\nsuperseded\030\001 \001(\010\022" +
-      ".\n\013evacuations\030\002 \001(\0132\031.radishthread.Evac" +
-      "uations\"\250\001\n\013RulesAnswer\022+\n\007verdict\030\001 \001(\016" +
-      "2\032.radishthread.RulesVerdict\022\020\n\010revision" +
-      "\030\002 \001(\004\022\024\n\014submitted_by\030\003 \001(\t\022\032\n\022accepted" +
-      "_at_millis\030\004 \001(\004\022\030\n\020current_revision\030\005 \001" +
-      "(\004\022\016\n\006digest\030\006 \001(\014\"w\n\013ClaimAnswer\022+\n\007ver" +
-      "dict\030\001 \001(\0162\032.radishthread.ClaimVerdict\022\r" +
-      "\n\005owner\030\002 \001(\t\022,\n\006answer\030\003 \001(\0132\034.radishth" +
-      "read.RecordedAnswer\"\360\001\n\017ControlSnapshot\022" +
-      "%\n\005rules\030\001 \001(\0132\026.radishthread.RuleFile\022*" +
-      "\n\007history\030\002 \003(\0132\031.radishthread.RuleHisto" +
-      "ry\022)\n\006claims\030\003 \003(\0132\031.radishthread.ClaimR" +
-      "ecord\022\024\n\014clock_millis\030\004 \001(\004\022\031\n\021released_" +
-      "attempts\030\005 \003(\006\022.\n\013evacuations\030\006 \001(\0132\031.ra" +
-      "dishthread.Evacuations\"a\n\013RuleHistory\022\020\n" +
-      "\010revision\030\001 \001(\004\022\016\n\006digest\030\002 \001(\014\022\024\n\014submi" +
+      "hthread.Replacement\022\027\n\017founding_voters\030\004" +
+      " \001(\r\"\253\001\n\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term" +
+      "\030\002 \001(\004\022\032\n\022proposed_at_millis\030\003 \001(\004\022(\n\007co" +
+      "mmand\030\004 \001(\0132\025.radishthread.CommandH\000\0224\n\r" +
+      "configuration\030\005 \001(\0132\033.radishthread.Confi" +
+      "gurationH\000B\006\n\004body\";\n\tHardState\022\014\n\004term\030" +
+      "\001 \001(\004\022\021\n\tvoted_for\030\002 \001(\006\022\r\n\005group\030\003 \001(\006\"" +
+      "w\n\010LogFrame\022+\n\nhard_state\030\001 \001(\0132\027.radish" +
+      "thread.HardState\022\025\n\rtruncate_from\030\002 \001(\004\022" +
+      "\'\n\007entries\030\003 \003(\0132\026.radishthread.LogEntry" +
+      "\"2\n\010LogBatch\022&\n\006frames\030\001 \003(\0132\026.radishthr" +
+      "ead.LogFrame\"b\n\tLogHeader\022(\n\010snapshot\030\001 " +
+      "\001(\0132\026.radishthread.Snapshot\022+\n\nhard_stat" +
+      "e\030\002 \001(\0132\027.radishthread.HardState\"\230\001\n\010Sna" +
+      "pshot\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\0222\n\rco" +
+      "nfiguration\030\003 \001(\0132\033.radishthread.Configu" +
+      "ration\022,\n\005state\030\004 \001(\0132\035.radishthread.Con" +
+      "trolSnapshot\022\r\n\005round\030\005 \001(\004\"-\n\010Identity\022" +
+      "\017\n\007replica\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\"\212\002\n\007C" +
+      "ommand\0221\n\014submit_rules\030\001 \001(\0132\031.radishthr" +
+      "ead.SubmitRulesH\000\022+\n\005claim\030\002 \001(\0132\032.radis" +
+      "hthread.ClaimRequestH\000\0223\n\ncompletion\030\003 \001" +
+      "(\0132\035.radishthread.ClaimCompletionH\000\022-\n\007r" +
+      "elease\030\004 \001(\0132\032.radishthread.ClaimRelease" +
+      "H\000\0223\n\nevacuation\030\005 \001(\0132\035.radishthread.Ev" +
+      "acuationOrderH\000B\006\n\004body\"X\n\013SubmitRules\022\020" +
+      "\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\024\n\014sub" +
+      "mitted_by\030\003 \001(\t\022\020\n\010document\030\004 \001(\014\"P\n\014Cla" +
+      "imRequest\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 " +
+      "\001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\"W\n\016R" +
+      "ecordedAnswer\022\016\n\006status\030\001 \001(\r\022\024\n\014content" +
+      "_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\tbody_kept\030\004" +
+      " \001(\010\"]\n\017ClaimCompletion\022\013\n\003key\030\001 \001(\014\022\017\n\007" +
+      "attempt\030\002 \001(\006\022,\n\006answer\030\003 \001(\0132\034.radishth" +
+      "read.RecordedAnswer\",\n\014ClaimRelease\022\013\n\003k" +
+      "ey\030\001 \001(\014\022\017\n\007attempt\030\002 \001(\006\"{\n\017EvacuationO" +
+      "rder\022\014\n\004zone\030\001 \001(\t\022\020\n\010evacuate\030\002 \001(\010\022\024\n\014" +
+      "requested_by\030\003 \001(\t\022\025\n\rknown_version\030\004 \001(" +
+      "\004\022\033\n\023known_state_version\030\005 \001(\004\"s\n\016ZoneEv" +
+      "acuation\022\014\n\004zone\030\001 \001(\t\022\021\n\tevacuated\030\002 \001(" +
+      "\010\022\024\n\014requested_by\030\003 \001(\t\022\031\n\021ordered_at_mi" +
+      "llis\030\004 \001(\004\022\017\n\007version\030\005 \001(\004\"K\n\013Evacuatio" +
+      "ns\022\017\n\007version\030\001 \001(\004\022+\n\005zones\030\002 \003(\0132\034.rad" +
+      "ishthread.ZoneEvacuation\"V\n\020EvacuationAn" +
+      "swer\022\022\n\nsuperseded\030\001 \001(\010\022.\n\013evacuations\030" +
+      "\002 \001(\0132\031.radishthread.Evacuations\"\250\001\n\013Rul" +
+      "esAnswer\022+\n\007verdict\030\001 \001(\0162\032.radishthread" +
+      ".RulesVerdict\022\020\n\010revision\030\002 \001(\004\022\024\n\014submi" +
       "tted_by\030\003 \001(\t\022\032\n\022accepted_at_millis\030\004 \001(" +
-      "\004\"\230\001\n\013ClaimRecord\022\013\n\003key\030\001 \001(\014\022\023\n\013finger" +
-      "print\030\002 \001(\014\022\r\n\005owner\030\003 \001(\t\022\017\n\007attempt\030\004 " +
-      "\001(\006\022\031\n\021claimed_at_millis\030\005 \001(\004\022,\n\006answer" +
-      "\030\006 \001(\0132\034.radishthread.RecordedAnswer\"\302\002\n" +
-      "\016ControlRequest\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002" +
-      " \001(\0132\025.radishthread.CommandH\000\022-\n\nread_ru" +
-      "les\030\003 \001(\0132\027.radishthread.ReadRulesH\000\022.\n\n" +
-      "initialize\030\004 \001(\0132\030.radishthread.Initiali" +
-      "zeH\000\022/\n\007replace\030\005 \001(\0132\034.radishthread.Rep" +
-      "laceReplicaH\000\022/\n\013read_status\030\006 \001(\0132\030.rad" +
-      "ishthread.ReadStatusH\000\0221\n\014read_history\030\007" +
-      " \001(\0132\031.radishthread.ReadHistoryH\000B\006\n\004bod" +
-      "y\"1\n\tReadRules\022$\n\004part\030\001 \001(\0162\026.radishthr" +
-      "ead.RulePart\"\014\n\nReadStatus\"\034\n\013ReadHistor" +
-      "y\022\r\n\005limit\030\001 \001(\r\"5\n\007History\022*\n\007entries\030\001" +
-      " \003(\0132\031.radishthread.RuleHistory\"?\n\nIniti" +
-      "alize\0221\n\010replicas\030\001 \003(\0132\037.radishthread.R" +
-      "eplicaDescriptor\"@\n\016ReplaceReplica\022.\n\005ad" +
-      "ded\030\001 \001(\0132\037.radishthread.ReplicaDescript" +
-      "or\"3\n\tNotLeader\022\026\n\016leader_address\030\001 \001(\t\022" +
-      "\016\n\006reason\030\002 \001(\t\"\364\001\n\rControlStatus\0220\n\007rep" +
-      "lica\030\001 \001(\0132\037.radishthread.ReplicaDescrip" +
-      "tor\022\014\n\004role\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commi" +
-      "t_index\030\004 \001(\004\022\026\n\016snapshot_index\030\005 \001(\004\022\016\n" +
-      "\006claims\030\006 \001(\004\0222\n\rconfiguration\030\007 \001(\0132\033.r" +
-      "adishthread.Configuration\022\r\n\005group\030\010 \001(\006" +
-      "\022\024\n\014leader_known\030\t \001(\010\"\346\003\n\017ControlRespon" +
-      "se\022\n\n\002id\030\001 \001(\004\022-\n\nnot_leader\030\002 \001(\0132\027.rad" +
-      "ishthread.NotLeaderH\000\022*\n\005rules\030\003 \001(\0132\031.r" +
-      "adishthread.RulesAnswerH\000\022*\n\005claim\030\004 \001(\013" +
-      "2\031.radishthread.ClaimAnswerH\000\022+\n\trule_fi" +
-      "le\030\005 \001(\0132\026.radishthread.RuleFileH\000\022\"\n\004do" +
-      "ne\030\006 \001(\0132\022.radishthread.DoneH\000\022(\n\007refuse" +
-      "d\030\007 \001(\0132\025.radishthread.RefusedH\000\022-\n\006stat" +
-      "us\030\010 \001(\0132\033.radishthread.ControlStatusH\000\022" +
-      "(\n\007history\030\t \001(\0132\025.radishthread.HistoryH" +
-      "\000\0224\n\nevacuation\030\n \001(\0132\036.radishthread.Eva" +
-      "cuationAnswerH\000\022.\n\013evacuations\030\013 \001(\0132\031.r" +
-      "adishthread.EvacuationsB\006\n\004body\"\006\n\004Done\"" +
-      "\031\n\007Refused\022\016\n\006reason\030\001 \001(\t\"\320\001\n\010RuleFile\022" +
-      "\020\n\010revision\030\001 \001(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010do" +
-      "cument\030\003 \001(\014\022\032\n\022compressed_content\030\004 \001(\014" +
-      "\0220\n\ndifference\030\005 \001(\0132\034.radishthread.Rule" +
-      "Difference\022\033\n\023compressed_document\030\006 \001(\014\022" +
-      "$\n\004part\030\007 \001(\0162\026.radishthread.RulePart\"T\n" +
-      "\013RuleRequest\022\026\n\016known_revision\030\001 \001(\004\022\027\n\017" +
-      "accepts_encoded\030\002 \001(\010\022\024\n\014known_digest\030\003 " +
-      "\001(\014\"Q\n\016RuleDifference\022\025\n\rbase_revision\030\001" +
-      " \001(\004\022\016\n\006digest\030\002 \001(\014\022\030\n\020compressed_lines" +
-      "\030\003 \001(\014\"8\n\tRuleLines\022+\n\006blocks\030\001 \003(\0132\033.ra" +
-      "dishthread.RuleLineBlock\"E\n\rRuleLineBloc" +
-      "k\022\022\n\nfirst_line\030\001 \001(\r\022\022\n\nline_count\030\002 \001(" +
-      "\r\022\014\n\004text\030\003 \001(\t\"\353\001\n\016UpstreamRecord\022\014\n\004na" +
-      "me\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001" +
-      "(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incar" +
-      "nation\030\006 \001(\004\022\020\n\010sequence\030\007 \001(\004\022*\n\005state\030" +
-      "\010 \001(\0162\033.radishthread.UpstreamState\022\016\n\006ho" +
-      "lder\030\t \001(\t\022\024\n\014lease_millis\030\n \001(\r\022\023\n\013cold" +
-      "_millis\030\013 \001(\r\"\361\001\n\016InstanceRecord\022\014\n\004name" +
-      "\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(\t\022\036\n\026administ" +
-      "ration_address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007co" +
-      "ntrol\030\005 \001(\010\022\017\n\007replica\030\006 \001(\006\022\023\n\013incarnat" +
-      "ion\030\007 \001(\004\022\017\n\007leaving\030\010 \001(\010\022\017\n\007gateway\030\t " +
-      "\001(\010\022\023\n\013evacuations\030\013 \001(\010\022\031\n\021counts_allot" +
-      "ments\030\030 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022\016\n\006sender\030\001" +
-      " \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartbeats\030\003 " +
-      "\003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstreams\030\005 \003(" +
-      "\0132\034.radishthread.UpstreamRecord\022-\n\007recor" +
-      "ds\030\006 \003(\0132\034.radishthread.InstanceRecord\022\016" +
-      "\n\006digest\030\007 \001(\006\022\026\n\016sender_address\030\010 \001(\t\022\023" +
-      "\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n \003(\007\022\016\n\006rep" +
-      "ort\030\013 \001(\004\022\035\n\020rules_age_millis\030\014 \001(\004H\000\210\001\001" +
-      "\022\033\n\023evacuations_version\030\r \001(\004B\023\n\021_rules_" +
-      "age_millis\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013i" +
-      "ncarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017S" +
-      "ynchronization\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030" +
-      "\002 \003(\0132\025.radishthread.Version\022/\n\tupstream" +
-      "s\030\003 \003(\0132\034.radishthread.UpstreamRecord\022-\n" +
-      "\007records\030\004 \003(\0132\034.radishthread.InstanceRe" +
-      "cord\022\016\n\006answer\030\005 \001(\010\022\026\n\016sender_address\030\006" +
-      " \001(\t\022\027\n\017known_instances\030\007 \003(\007\022\026\n\016instanc" +
-      "es_only\030\010 \001(\010\"C\n\014LeaseRenewal\022\014\n\004name\030\001 " +
-      "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001" +
-      "(\004\"L\n\016UpstreamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upst" +
-      "ream\030\002 \001(\0132\034.radishthread.UpstreamRecord" +
-      "\"#\n\025UpstreamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\224\004" +
-      "\n\013SlotMessage\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket" +
-      "\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.r" +
-      "adishthread.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025" +
-      ".radishthread.SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027" +
-      ".radishthread.SlotRetryH\000\022(\n\005hedge\030\007 \001(\013" +
-      "2\027.radishthread.SlotHedgeH\000\022(\n\005close\030\010 \001" +
-      "(\0132\027.radishthread.SlotCloseH\000\022*\n\006queued\030" +
-      "\t \001(\0132\030.radishthread.SlotQueuedH\000\022(\n\005gra" +
-      "nt\030\n \001(\0132\027.radishthread.SlotGrantH\000\022,\n\007r" +
-      "efusal\030\013 \001(\0132\031.radishthread.SlotRefusalH" +
-      "\000\022<\n\014reachability\030\014 \001(\0162&.radishthread.S" +
-      "lotMessage.Reachability\";\n\014Reachability\022" +
-      "\013\n\007UNKNOWN\020\000\022\r\n\tREACHABLE\020\001\022\017\n\013PARTITION" +
-      "ED\020\002B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller\030\001" +
-      " \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_mi" +
-      "cros\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020objectiv" +
-      "e_micros\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001(\r" +
-      "\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\tworksp" +
-      "ace\030\t \001(\t\"\305\001\n\nLoadReport\022\017\n\007running\030\001 \001(" +
-      "\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pac" +
-      "e_percent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refu" +
-      "sed_millis\030\006 \001(\004\022\035\n\020limit_per_second\030\007 \001" +
-      "(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004B\023\n\021_limit_p" +
-      "er_second\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022\016" +
-      "\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishthr" +
-      "ead.LoadReport\022\027\n\017connection_lost\030\004 \001(\010\"" +
-      "k\n\013CrashNotice\022*\n\007crashes\030\001 \003(\0132\031.radish" +
-      "thread.CrashRecord\0220\n\nclearances\030\002 \003(\0132\034" +
-      ".radishthread.CrashClearance\"g\n\013CrashRec" +
-      "ord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n" +
-      "\013incarnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage" +
-      "_millis\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006diges" +
-      "t\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetry" +
-      "\"\013\n\tSlotHedge\"\013\n\tSlotClose\"\014\n\nSlotQueued" +
-      "\"\250\001\n\tSlotGrant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007addr" +
-      "ess\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001" +
-      "(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032\n\022hedge_after" +
-      "_micros\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005" +
-      "relay\030\010 \001(\t\"R\n\013SlotRefusal\022\016\n\006reason\030\001 \001" +
-      "(\t\022\032\n\022retry_after_millis\030\002 \001(\004\022\027\n\017specif" +
-      "ic_reason\030\003 \001(\t\"\345\002\n\020AllotmentMessage\022\021\n\t" +
-      "workspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003" +
-      " \001(\004\022+\n\005terms\030\004 \001(\0132\034.radishthread.Allot" +
-      "mentTerms\022,\n\007request\030\005 \001(\0132\031.radishthrea" +
-      "d.LoanRequestH\000\022\"\n\004loan\030\006 \001(\0132\022.radishth" +
-      "read.LoanH\000\022*\n\006return\030\007 \001(\0132\030.radishthre" +
-      "ad.LoanReturnH\000\0223\n\010handover\030\010 \001(\0132\037.radi" +
-      "shthread.AllotmentHandoverH\000\0229\n\020handover" +
-      "_request\030\t \001(\0132\035.radishthread.HandoverRe" +
-      "questH\000B\006\n\004body\"N\n\016AllotmentTerms\022\020\n\010rev" +
-      "ision\030\001 \001(\004\022\033\n\023requests_per_second\030\002 \001(\001" +
-      "\022\r\n\005burst\030\003 \001(\001\"\272\001\n\013LoanRequest\022\027\n\017accep" +
-      "ted_number\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand" +
-      "_per_second\030\003 \001(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023giv" +
-      "en_up_per_second\030\005 \001(\001\022\027\n\017given_up_milli" +
-      "s\030\006 \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017\n\007surplus\030\010" +
-      " \001(\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n\nlender_" +
-      "run\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper_second\030" +
-      "\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\024\n\014valid_m" +
-      "illis\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020availabl" +
-      "e_millis\030\010 \001(\004\022\026\n\016lender_address\030\t \001(\t\"\034" +
-      "\n\nLoanReturn\022\016\n\006tokens\030\001 \001(\001\"J\n\021Allotmen" +
-      "tHandover\022\016\n\006tokens\030\001 \001(\001\022%\n\005loans\030\002 \003(\013" +
-      "2\026.radishthread.OpenLoan\"\021\n\017HandoverRequ" +
-      "est\"\232\001\n\010OpenLoan\022\020\n\010borrower\030\001 \001(\t\022\013\n\003ru" +
-      "n\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\nper_second\030\004 " +
-      "\001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\031\n\021demand_pe" +
-      "r_second\030\006 \001(\001\022\030\n\020remaining_millis\030\007 \001(\004" +
-      "*a\n\014RulesVerdict\022\035\n\031RULES_VERDICT_UNSPEC" +
-      "IFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005S" +
-      "TALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031C" +
-      "LAIM_VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022" +
-      "\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010" +
-      "\n\004FULL\020\005*f\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020" +
-      "\000\022\026\n\022RULE_PART_REVISION\020\001\022\026\n\022RULE_PART_D" +
-      "OCUMENT\020\002\022\025\n\021RULE_PART_CONTENT\020\003*R\n\rUpst" +
-      "reamState\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020" +
-      "\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031" +
-      "org.radishthread.protocolP\001b\006proto3"
+      "\004\022\030\n\020current_revision\030\005 \001(\004\022\016\n\006digest\030\006 " +
+      "\001(\014\"w\n\013ClaimAnswer\022+\n\007verdict\030\001 \001(\0162\032.ra" +
+      "dishthread.ClaimVerdict\022\r\n\005owner\030\002 \001(\t\022," +
+      "\n\006answer\030\003 \001(\0132\034.radishthread.RecordedAn" +
+      "swer\"\360\001\n\017ControlSnapshot\022%\n\005rules\030\001 \001(\0132" +
+      "\026.radishthread.RuleFile\022*\n\007history\030\002 \003(\013" +
+      "2\031.radishthread.RuleHistory\022)\n\006claims\030\003 " +
+      "\003(\0132\031.radishthread.ClaimRecord\022\024\n\014clock_" +
+      "millis\030\004 \001(\004\022\031\n\021released_attempts\030\005 \003(\006\022" +
+      ".\n\013evacuations\030\006 \001(\0132\031.radishthread.Evac" +
+      "uations\"a\n\013RuleHistory\022\020\n\010revision\030\001 \001(\004" +
+      "\022\016\n\006digest\030\002 \001(\014\022\024\n\014submitted_by\030\003 \001(\t\022\032" +
+      "\n\022accepted_at_millis\030\004 \001(\004\"\230\001\n\013ClaimReco" +
+      "rd\022\013\n\003key\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005" +
+      "owner\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\006\022\031\n\021claimed_" +
+      "at_millis\030\005 \001(\004\022,\n\006answer\030\006 \001(\0132\034.radish" +
+      "thread.RecordedAnswer\"\302\002\n\016ControlRequest" +
+      "\022\n\n\002id\030\001 \001(\004\022(\n\007command\030\002 \001(\0132\025.radishth" +
+      "read.CommandH\000\022-\n\nread_rules\030\003 \001(\0132\027.rad" +
+      "ishthread.ReadRulesH\000\022.\n\ninitialize\030\004 \001(" +
+      "\0132\030.radishthread.InitializeH\000\022/\n\007replace" +
+      "\030\005 \001(\0132\034.radishthread.ReplaceReplicaH\000\022/" +
+      "\n\013read_status\030\006 \001(\0132\030.radishthread.ReadS" +
+      "tatusH\000\0221\n\014read_history\030\007 \001(\0132\031.radishth" +
+      "read.ReadHistoryH\000B\006\n\004body\"1\n\tReadRules\022" +
+      "$\n\004part\030\001 \001(\0162\026.radishthread.RulePart\"\014\n" +
+      "\nReadStatus\"\034\n\013ReadHistory\022\r\n\005limit\030\001 \001(" +
+      "\r\"5\n\007History\022*\n\007entries\030\001 \003(\0132\031.radishth" +
+      "read.RuleHistory\"?\n\nInitialize\0221\n\010replic" +
+      "as\030\001 \003(\0132\037.radishthread.ReplicaDescripto" +
+      "r\"@\n\016ReplaceReplica\022.\n\005added\030\001 \001(\0132\037.rad" +
+      "ishthread.ReplicaDescriptor\"3\n\tNotLeader" +
+      "\022\026\n\016leader_address\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t" +
+      "\"\364\001\n\rControlStatus\0220\n\007replica\030\001 \001(\0132\037.ra" +
+      "dishthread.ReplicaDescriptor\022\014\n\004role\030\002 \001" +
+      "(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 \001(\004\022\026" +
+      "\n\016snapshot_index\030\005 \001(\004\022\016\n\006claims\030\006 \001(\004\0222" +
+      "\n\rconfiguration\030\007 \001(\0132\033.radishthread.Con" +
+      "figuration\022\r\n\005group\030\010 \001(\006\022\024\n\014leader_know" +
+      "n\030\t \001(\010\"\346\003\n\017ControlResponse\022\n\n\002id\030\001 \001(\004\022" +
+      "-\n\nnot_leader\030\002 \001(\0132\027.radishthread.NotLe" +
+      "aderH\000\022*\n\005rules\030\003 \001(\0132\031.radishthread.Rul" +
+      "esAnswerH\000\022*\n\005claim\030\004 \001(\0132\031.radishthread" +
+      ".ClaimAnswerH\000\022+\n\trule_file\030\005 \001(\0132\026.radi" +
+      "shthread.RuleFileH\000\022\"\n\004done\030\006 \001(\0132\022.radi" +
+      "shthread.DoneH\000\022(\n\007refused\030\007 \001(\0132\025.radis" +
+      "hthread.RefusedH\000\022-\n\006status\030\010 \001(\0132\033.radi" +
+      "shthread.ControlStatusH\000\022(\n\007history\030\t \001(" +
+      "\0132\025.radishthread.HistoryH\000\0224\n\nevacuation" +
+      "\030\n \001(\0132\036.radishthread.EvacuationAnswerH\000" +
+      "\022.\n\013evacuations\030\013 \001(\0132\031.radishthread.Eva" +
+      "cuationsB\006\n\004body\"\006\n\004Done\"\031\n\007Refused\022\016\n\006r" +
+      "eason\030\001 \001(\t\"\320\001\n\010RuleFile\022\020\n\010revision\030\001 \001" +
+      "(\004\022\017\n\007content\030\002 \001(\t\022\020\n\010document\030\003 \001(\014\022\032\n" +
+      "\022compressed_content\030\004 \001(\014\0220\n\ndifference\030" +
+      "\005 \001(\0132\034.radishthread.RuleDifference\022\033\n\023c" +
+      "ompressed_document\030\006 \001(\014\022$\n\004part\030\007 \001(\0162\026" +
+      ".radishthread.RulePart\"T\n\013RuleRequest\022\026\n" +
+      "\016known_revision\030\001 \001(\004\022\027\n\017accepts_encoded" +
+      "\030\002 \001(\010\022\024\n\014known_digest\030\003 \001(\014\"Q\n\016RuleDiff" +
+      "erence\022\025\n\rbase_revision\030\001 \001(\004\022\016\n\006digest\030" +
+      "\002 \001(\014\022\030\n\020compressed_lines\030\003 \001(\014\"8\n\tRuleL" +
+      "ines\022+\n\006blocks\030\001 \003(\0132\033.radishthread.Rule" +
+      "LineBlock\"E\n\rRuleLineBlock\022\022\n\nfirst_line" +
+      "\030\001 \001(\r\022\022\n\nline_count\030\002 \001(\r\022\014\n\004text\030\003 \001(\t" +
+      "\"\353\001\n\016UpstreamRecord\022\014\n\004name\030\001 \001(\t\022\017\n\007ser" +
+      "vice\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(" +
+      "\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnation\030\006 \001(\004\022\020\n" +
+      "\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(\0162\033.radisht" +
+      "hread.UpstreamState\022\016\n\006holder\030\t \001(\t\022\024\n\014l" +
+      "ease_millis\030\n \001(\r\022\023\n\013cold_millis\030\013 \001(\r\"\361" +
+      "\001\n\016InstanceRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_" +
+      "address\030\002 \001(\t\022\036\n\026administration_address\030" +
+      "\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007" +
+      "replica\030\006 \001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007le" +
+      "aving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010\022\023\n\013evacuati" +
+      "ons\030\013 \001(\010\022\031\n\021counts_allotments\030\030 \001(\010J\004\010\n" +
+      "\020\013\"\336\002\n\006Gossip\022\016\n\006sender\030\001 \001(\t\022\021\n\tinstanc" +
+      "es\030\002 \003(\007\022\022\n\nheartbeats\030\003 \003(\004\022\021\n\trevision" +
+      "s\030\004 \003(\004\022/\n\tupstreams\030\005 \003(\0132\034.radishthrea" +
+      "d.UpstreamRecord\022-\n\007records\030\006 \003(\0132\034.radi" +
+      "shthread.InstanceRecord\022\016\n\006digest\030\007 \001(\006\022" +
+      "\026\n\016sender_address\030\010 \001(\t\022\023\n\013live_digest\030\t" +
+      " \001(\006\022\014\n\004live\030\n \003(\007\022\016\n\006report\030\013 \001(\004\022\035\n\020ru" +
+      "les_age_millis\030\014 \001(\004H\000\210\001\001\022\033\n\023evacuations" +
+      "_version\030\r \001(\004B\023\n\021_rules_age_millis\">\n\007V" +
+      "ersion\022\014\n\004name\030\001 \001(\007\022\023\n\013incarnation\030\002 \001(" +
+      "\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017Synchronization\022" +
+      "\016\n\006sender\030\001 \001(\t\022$\n\005known\030\002 \003(\0132\025.radisht" +
+      "hread.Version\022/\n\tupstreams\030\003 \003(\0132\034.radis" +
+      "hthread.UpstreamRecord\022-\n\007records\030\004 \003(\0132" +
+      "\034.radishthread.InstanceRecord\022\016\n\006answer\030" +
+      "\005 \001(\010\022\026\n\016sender_address\030\006 \001(\t\022\027\n\017known_i" +
+      "nstances\030\007 \003(\007\022\026\n\016instances_only\030\010 \001(\010\"C" +
+      "\n\014LeaseRenewal\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnat" +
+      "ion\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"L\n\016UpstreamN" +
+      "otice\022\n\n\002id\030\001 \001(\004\022.\n\010upstream\030\002 \001(\0132\034.ra" +
+      "dishthread.UpstreamRecord\"#\n\025UpstreamNot" +
+      "iceReceipt\022\n\n\002id\030\001 \001(\004\"\224\004\n\013SlotMessage\022\017" +
+      "\n\007service\030\001 \001(\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030\003" +
+      " \001(\006\022,\n\007request\030\004 \001(\0132\031.radishthread.Slo" +
+      "tRequestH\000\022$\n\003end\030\005 \001(\0132\025.radishthread.S" +
+      "lotEndH\000\022(\n\005retry\030\006 \001(\0132\027.radishthread.S" +
+      "lotRetryH\000\022(\n\005hedge\030\007 \001(\0132\027.radishthread" +
+      ".SlotHedgeH\000\022(\n\005close\030\010 \001(\0132\027.radishthre" +
+      "ad.SlotCloseH\000\022*\n\006queued\030\t \001(\0132\030.radisht" +
+      "hread.SlotQueuedH\000\022(\n\005grant\030\n \001(\0132\027.radi" +
+      "shthread.SlotGrantH\000\022,\n\007refusal\030\013 \001(\0132\031." +
+      "radishthread.SlotRefusalH\000\022<\n\014reachabili" +
+      "ty\030\014 \001(\0162&.radishthread.SlotMessage.Reac" +
+      "hability\";\n\014Reachability\022\013\n\007UNKNOWN\020\000\022\r\n" +
+      "\tREACHABLE\020\001\022\017\n\013PARTITIONED\020\002B\006\n\004body\"\302\001" +
+      "\n\013SlotRequest\022\016\n\006caller\030\001 \001(\t\022\022\n\nmay_rep" +
+      "eat\030\002 \001(\010\022\030\n\020remaining_micros\030\003 \001(\004\022\020\n\010p" +
+      "riority\030\004 \001(\r\022\030\n\020objective_micros\030\005 \001(\004\022" +
+      "\030\n\020maximum_attempts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\022" +
+      "\016\n\006digest\030\010 \001(\t\022\021\n\tworkspace\030\t \001(\t\"\305\001\n\nL" +
+      "oadReport\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 " +
+      "\001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_percent\030\004 \001(\r" +
+      "\022\017\n\007leaving\030\005 \001(\010\022\026\n\016refused_millis\030\006 \001(" +
+      "\004\022\035\n\020limit_per_second\030\007 \001(\001H\000\210\001\001\022\023\n\013cold" +
+      "_millis\030\010 \001(\004B\023\n\021_limit_per_second\"l\n\007Sl" +
+      "otEnd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022" +
+      "&\n\004load\030\003 \001(\0132\030.radishthread.LoadReport\022" +
+      "\027\n\017connection_lost\030\004 \001(\010\"k\n\013CrashNotice\022" +
+      "*\n\007crashes\030\001 \003(\0132\031.radishthread.CrashRec" +
+      "ord\0220\n\nclearances\030\002 \003(\0132\034.radishthread.C" +
+      "rashClearance\"g\n\013CrashRecord\022\016\n\006digest\030\001" +
+      " \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030\003 " +
+      "\001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\"4" +
+      "\n\016CrashClearance\022\016\n\006digest\030\001 \001(\t\022\022\n\nage_" +
+      "millis\030\002 \001(\004\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\013" +
+      "\n\tSlotClose\"\014\n\nSlotQueued\"\250\001\n\tSlotGrant\022" +
+      "\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004ki" +
+      "nd\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rwaited_mi" +
+      "cros\030\005 \001(\004\022\032\n\022hedge_after_micros\030\006 \001(\004\022\025" +
+      "\n\rlimit_counted\030\007 \001(\010\022\r\n\005relay\030\010 \001(\t\"R\n\013" +
+      "SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retry_aft" +
+      "er_millis\030\002 \001(\004\022\027\n\017specific_reason\030\003 \001(\t" +
+      "\"\345\002\n\020AllotmentMessage\022\021\n\tworkspace\030\001 \001(\t" +
+      "\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022+\n\005terms\030\004" +
+      " \001(\0132\034.radishthread.AllotmentTerms\022,\n\007re" +
+      "quest\030\005 \001(\0132\031.radishthread.LoanRequestH\000" +
+      "\022\"\n\004loan\030\006 \001(\0132\022.radishthread.LoanH\000\022*\n\006" +
+      "return\030\007 \001(\0132\030.radishthread.LoanReturnH\000" +
+      "\0223\n\010handover\030\010 \001(\0132\037.radishthread.Allotm" +
+      "entHandoverH\000\0229\n\020handover_request\030\t \001(\0132" +
+      "\035.radishthread.HandoverRequestH\000B\006\n\004body" +
+      "\"N\n\016AllotmentTerms\022\020\n\010revision\030\001 \001(\004\022\033\n\023" +
+      "requests_per_second\030\002 \001(\001\022\r\n\005burst\030\003 \001(\001" +
+      "\"\272\001\n\013LoanRequest\022\027\n\017accepted_number\030\001 \001(" +
+      "\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand_per_second\030\003 \001" +
+      "(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023given_up_per_secon" +
+      "d\030\005 \001(\001\022\027\n\017given_up_millis\030\006 \001(\004\022\022\n\nlend" +
+      "er_run\030\007 \001(\006\022\017\n\007surplus\030\010 \001(\001\"\277\001\n\004Loan\022\016" +
+      "\n\006lender\030\001 \001(\010\022\022\n\nlender_run\030\002 \001(\006\022\016\n\006to" +
+      "kens\030\003 \001(\001\022\022\n\nper_second\030\004 \001(\001\022\026\n\016maximu" +
+      "m_tokens\030\005 \001(\001\022\024\n\014valid_millis\030\006 \001(\004\022\017\n\007" +
+      "limited\030\007 \001(\010\022\030\n\020available_millis\030\010 \001(\004\022" +
+      "\026\n\016lender_address\030\t \001(\t\"\034\n\nLoanReturn\022\016\n" +
+      "\006tokens\030\001 \001(\001\"J\n\021AllotmentHandover\022\016\n\006to" +
+      "kens\030\001 \001(\001\022%\n\005loans\030\002 \003(\0132\026.radishthread" +
+      ".OpenLoan\"\021\n\017HandoverRequest\"\232\001\n\010OpenLoa" +
+      "n\022\020\n\010borrower\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006numb" +
+      "er\030\003 \001(\004\022\022\n\nper_second\030\004 \001(\001\022\026\n\016maximum_" +
+      "tokens\030\005 \001(\001\022\031\n\021demand_per_second\030\006 \001(\001\022" +
+      "\030\n\020remaining_millis\030\007 \001(\004*a\n\014RulesVerdic" +
+      "t\022\035\n\031RULES_VERDICT_UNSPECIFIED\020\000\022\014\n\010ACCE" +
+      "PTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVAL" +
+      "ID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UN" +
+      "SPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCO" +
+      "MPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*f\n\010Rul" +
+      "ePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026\n\022RULE_PART_" +
+      "REVISION\020\001\022\026\n\022RULE_PART_DOCUMENT\020\002\022\025\n\021RU" +
+      "LE_PART_CONTENT\020\003*R\n\rUpstreamState\022\036\n\032UP" +
+      "STREAM_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n" +
+      "\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radishthrea" +
+      "d.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -845,7 +846,7 @@
     internal_static_radishthread_Configuration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Configuration_descriptor,
-        new java.lang.String[] { "Voters", "Learners", "Replacement", });
+        new java.lang.String[] { "Voters", "Learners", "Replacement", "FoundingVoters", });
     internal_static_radishthread_LogEntry_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_radishthread_LogEntry_fieldAccessorTable = new
