End each open request before a planned stop ends the process

Callers of a gateway that stops got the 500 of the server library for requests that were still open 0.7 s before the end of the grace period: also for requests that waited for a slot and were never passed on, which they could have repeated, and for some whose answer would have come in time.

Cause: the end of the process was no deadline of the requests. From SIGTERM on it is one: the router takes no request that it expects to end later, upstreams are told the shorter time, and at that deadline each open request is completed, as not run (503) if it was never passed on and as unknown (502) otherwise. 0.3 s instead of 0.7 s are left for these answers and for the end of the process.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -61,6 +61,7 @@
 
 	private final long timeoutMillis;
 
+	// The end of the timeout, or the end of this instance if that comes first.
 	private final long deadlineNanos;
 
 	private final List<Attempt> attempts = new ArrayList<>();
@@ -94,7 +95,7 @@
 		this.request = arrived.request();
 		this.response = arrived.response();
 		this.buffers = context.buffers().newReservation();
-		this.callback = Callback.from(arrived.callback(), this.buffers::release);
+		this.callback = Callback.from(arrived.callback(), this::onResponseWritten);
 		this.body = new CallerBody(this.request, route.mode(), context.settings().limits().requestBufferBytes(),
 				this.buffers);
 		this.requestNumber = context.nextRequestNumber();
@@ -102,7 +103,8 @@
 		this.startedNanos = arrived.arrivedNanos();
 		this.callerTimeoutMillis = CallerTimeout.remainingMillis(context.dialect(), this.request.getHeaders());
 		this.timeoutMillis = timeoutMillis();
-		this.deadlineNanos = this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis);
+		this.deadlineNanos = context.openExchanges()
+			.limit(this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis));
 		this.log = new ExchangeLog(this);
 	}
 
@@ -273,8 +275,32 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.deadlineNanos - this.context.time().monotonicNanos());
 	}
 
+	private void onResponseWritten() {
+		this.buffers.release();
+		this.context.openExchanges().remove(this);
+	}
+
+	/**
+	 * Ends the request at a time at which this instance stops, if it is not completed
+	 * before.
+	 * @param nanos the monotonic time, in nanoseconds
+	 */
+	final void endAt(long nanos) {
+		long delayNanos = Math.max(0, nanos - this.context.time().monotonicNanos());
+		schedule(TimeUnit.NANOSECONDS.toMillis(delayNanos), this::onInstanceStopping);
+	}
+
+	private void onInstanceStopping() {
+		synchronized (this) {
+			this.mayHaveRun |= !this.attempts.isEmpty();
+		}
+		completeUnsuccessfully("This instance stops.", GatewayHandler.STOPPING_RETRY_AFTER_MILLIS,
+				HttpStatus.SERVICE_UNAVAILABLE_503);
+	}
+
 	final void start() {
 		this.request.addFailureListener(this::onCallerDisconnected);
+		this.context.openExchanges().add(this);
 		watchDeadlineAndCaller();
 		if (isCompleted()) {
 			return;
@@ -299,7 +325,8 @@
 
 	private void watchDeadlineAndCaller() {
 		if (hasDeadline()) {
-			schedule(Math.max(0, remainingMillis()), this::onDeadlinePassed);
+			long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(elapsedNanos());
+			schedule(Math.max(0, this.timeoutMillis - elapsedMillis), this::onDeadlinePassed);
 		}
 		checkCallerConnection();
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayContext.java
@@ -39,6 +39,8 @@
 
 	private final MeterRegistry meters;
 
+	private final OpenExchanges openExchanges = new OpenExchanges();
+
 	private final AtomicLong lastRequestNumber = new AtomicLong();
 
 	private final Map<String, Timer> latencyTimers = new ConcurrentHashMap<>();
@@ -94,6 +96,10 @@
 		return this.buffers;
 	}
 
+	OpenExchanges openExchanges() {
+		return this.openExchanges;
+	}
+
 	RequestRouter router(String service) {
 		return new HomeRequestRouter(service, this.slots);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayHandler.java
@@ -31,7 +31,7 @@
 	private static final EventLog eventLog = EventLog.of(GatewayHandler.class);
 
 	// Short, because other instances can serve the retry at once.
-	private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
+	static final long STOPPING_RETRY_AFTER_MILLIS = 100;
 
 	// About the time until a starting instance has received rules and upstreams.
 	private static final long STARTING_RETRY_AFTER_MILLIS = 500;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -23,7 +23,8 @@
 /**
  * HTTP server for callers. On stop it reports that it is no longer ready, closes its port
  * after the shutdown delay, refuses new requests on open connections, and waits for the
- * requests in progress until the shutdown timeout.
+ * requests in progress until the shutdown timeout. Each of them gets a response: one that
+ * is still in progress then is ended, and its caller is told whether it may have run.
  */
 public final class GatewayServer implements Service {
 
@@ -38,6 +39,10 @@
 
 	private static final long DRAIN_CHECK_INTERVAL_MILLIS = 20;
 
+	// The time to write the responses of the requests that were ended. A part of the time
+	// that the settings leave between the shutdown timeout and the end of the process.
+	private static final long FINAL_RESPONSES_MILLIS = 200;
+
 	private static final int MAXIMUM_REQUEST_HEADER_BYTES = 64 * 1024;
 
 	private static final int MAXIMUM_THREADS = 32;
@@ -46,6 +51,8 @@
 
 	private final ClusterService cluster;
 
+	private final GatewayContext context;
+
 	private final GatewayHandler handler;
 
 	private final Server server;
@@ -55,6 +62,7 @@
 	public GatewayServer(DaemonSettings settings, GatewayContext context, ClusterService cluster) {
 		this.settings = settings;
 		this.cluster = cluster;
+		this.context = context;
 		this.handler = new GatewayHandler(context, cluster);
 		QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, 4);
 		threads.setName("caller");
@@ -106,11 +114,17 @@
 	@Override
 	public void stop() {
 		this.cluster.leave();
+		long timeoutMillis = this.settings.limits().shutdownTimeoutMillis();
+		long endNanos = this.context.time().monotonicNanos()
+				+ TimeUnit.MILLISECONDS.toNanos(this.settings.limits().shutdownDelayMillis() + timeoutMillis);
+		if (timeoutMillis > 0) {
+			this.context.openExchanges().stopAt(endNanos);
+		}
 		try {
 			TimeUnit.MILLISECONDS.sleep(this.settings.limits().shutdownDelayMillis());
 			this.handler.refuseNewRequests();
 			this.connector.shutdown();
-			awaitOpenRequests();
+			awaitOpenRequests(endNanos);
 			this.server.stop();
 		}
 		catch (InterruptedException ex) {
@@ -121,14 +135,17 @@
 		}
 	}
 
-	private void awaitOpenRequests() throws InterruptedException {
-		long timeoutMillis = this.settings.limits().shutdownTimeoutMillis();
-		long deadlineMillis = (timeoutMillis == 0) ? Long.MAX_VALUE : System.currentTimeMillis() + timeoutMillis;
+	private void awaitOpenRequests(long endNanos) throws InterruptedException {
 		eventLog.information("draining").with("open-requests", this.handler.openRequestCount()).write();
-		while (this.handler.openRequestCount() > 0 && System.currentTimeMillis() < deadlineMillis) {
+		while (this.handler.openRequestCount() > 0 && !isTimeOver(endNanos)) {
 			TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_INTERVAL_MILLIS);
 		}
 		eventLog.information("drained").with("open-requests", this.handler.openRequestCount()).write();
 	}
 
+	private boolean isTimeOver(long endNanos) {
+		return this.settings.limits().shutdownTimeoutMillis() > 0 && this.context.time().monotonicNanos()
+				- endNanos > TimeUnit.MILLISECONDS.toNanos(FINAL_RESPONSES_MILLIS);
+	}
+
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -39,7 +39,7 @@
 	private static final double BYTES_PER_PROBE = 600;
 
 	// The time that a process needs to stop once no request is open, in milliseconds.
-	private static final long STOP_MILLIS = 700;
+	private static final long STOP_MILLIS = 300;
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
