Forward path and query as they were received

Cause: the HTTP client parses the path of a request as a URI reference, in which what follows two slashes is an authority. Ruled out: the server for callers, which logs the whole path. RawPathRequest sends path and query character by character, for direct and relayed attempts and for probes.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -10,6 +10,7 @@
 
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -370,9 +371,10 @@
 	 */
 	protected final boolean sendAttempt(String upstream, NetworkAddress address, String kind, boolean useNewConnection,
 			KeyDecision currentKeyDecision, @Nullable String relay) {
+		String pathAndQuery = receivedPathAndQuery();
 		org.eclipse.jetty.client.Request attemptRequest = (relay != null)
-				? this.context.clients().relayedRequest(address, useNewConnection, relay)
-				: this.context.clients().request(address, useNewConnection);
+				? this.context.clients().relayedRequest(address, useNewConnection, pathAndQuery, relay)
+				: this.context.clients().request(address, useNewConnection, pathAndQuery);
 		HttpDialect dialect = this.context.dialect();
 		String requestId = dialect.requestId(this.request.getHeaders(),
 				this.context.settings().instance() + '-' + this.requestNumber + '-' + kind);
@@ -394,11 +396,17 @@
 		return true;
 	}
 
+	// A fragment has no place in a request, but what is sent is what was received.
+	private String receivedPathAndQuery() {
+		HttpURI uri = this.request.getHttpURI();
+		return (uri.getFragment() != null) ? uri.getPathQuery() + '#' + uri.getFragment() : uri.getPathQuery();
+	}
+
 	private void prepareRequest(org.eclipse.jetty.client.Request attemptRequest, KeyDecision currentKeyDecision,
 			HttpDialect.AttemptDetails details) {
 		boolean includeWorkspaceHeaders = !this.keyDecision.outcome().replacesCallerHeaders()
 				&& !currentKeyDecision.outcome().replacesCallerHeaders();
-		attemptRequest.method(this.request.getMethod()).path(this.request.getHttpURI().getPathQuery());
+		attemptRequest.method(this.request.getMethod());
 		attemptRequest.headers((headers) -> {
 			EndToEndHeaders.copyRequestHeaders(this.context.dialect(), includeWorkspaceHeaders,
 					this.request.getHeaders(), headers);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -106,19 +106,19 @@
 		return pool;
 	}
 
-	Request request(NetworkAddress address, boolean useNewConnection) {
+	Request request(NetworkAddress address, boolean useNewConnection, String pathAndQuery) {
 		HttpClient client = useNewConnection ? this.singleUseClient : this.pooledClient;
-		return client.newRequest(address.host(), address.port());
+		return new RawPathRequest(client, address, pathAndQuery);
 	}
 
 	// Connects through another instance, named by its peer address.
-	Request relayedRequest(NetworkAddress address, boolean useNewConnection, String relay) {
+	Request relayedRequest(NetworkAddress address, boolean useNewConnection, String pathAndQuery, String relay) {
 		if (this.knownRelays.add(relay)) {
 			for (HttpClient client : List.of(this.pooledClient, this.singleUseClient)) {
 				client.getProxyConfiguration().addProxy(new RelayProxy(relay, this.relayHandshake));
 			}
 		}
-		return request(address, useNewConnection).tag(relay);
+		return request(address, useNewConnection, pathAndQuery).tag(relay);
 	}
 
 	// Called when an attempt on a pooled connection completed without any response: idle
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
@@ -74,8 +74,7 @@
 	CompletableFuture<LoadReport> probePace(Upstream upstream, String path) {
 		this.probeCounter.increment();
 		CompletableFuture<LoadReport> result = new CompletableFuture<>();
-		this.clients.request(NetworkAddress.parse(upstream.address()), false)
-			.path(path)
+		this.clients.request(NetworkAddress.parse(upstream.address()), false, path)
 			.timeout(PACE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 			.onResponseHeaders((response) -> {
 				LoadReport loadReport = this.dialect.loadReport(response.getStatus(), response.getHeaders());
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/EndlessResponseTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/EndlessResponseTests.java
@@ -90,7 +90,7 @@
 		});
 		CompletableFuture<AttemptFailure> failure = new CompletableFuture<>();
 		NetworkAddress address = new NetworkAddress("127.0.0.1", this.server.getLocalPort());
-		new Attempt("i-1", address, this.clients.request(address, true), new DefaultHttpDialect(), "r-1",
+		new Attempt("i-1", address, this.clients.request(address, true, "/x"), new DefaultHttpDialect(), "r-1",
 				BUFFER_LIMIT_BYTES, true, new FailureListener(failure))
 			.send();
 		assertThat(failure.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(AttemptFailure.NO_COMPLETE_RESPONSE);
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
@@ -87,8 +87,7 @@
 	}
 
 	private Request request(int port) {
-		return this.clients.relayedRequest(new NetworkAddress("127.0.0.1", port), true, this.relay)
-			.path("/r/x")
+		return this.clients.relayedRequest(new NetworkAddress("127.0.0.1", port), true, "/r/x", this.relay)
 			.onRequestBegin((request) -> this.requestBegun.set(true))
 			.timeout(10, TimeUnit.SECONDS);
 	}
@@ -164,7 +163,7 @@
 		strangers.start();
 		try (ServerSocket upstream = startUpstream(0, new byte[1], false)) {
 			Request request = strangers
-				.relayedRequest(new NetworkAddress("127.0.0.1", upstream.getLocalPort()), true, this.relay)
+				.relayedRequest(new NetworkAddress("127.0.0.1", upstream.getLocalPort()), true, "/r/x", this.relay)
 				.timeout(10, TimeUnit.SECONDS);
 			assertThatThrownBy(request::send).isInstanceOf(ExecutionException.class);
 		}
