Reset relayed connections when the instance that relays them ends

A caller got a truncated response as a complete one if the response had no length, was relayed by another instance, and that instance ended in the middle of it: both connections were closed regularly, and the end of such a response is the end of its connection.

Relayed connections now reset on close, also when the operating system closes them at the end of the process. Only the regular end of one connection closes the other one regularly.

RelayProxyTests.endOfTheRelayIsNoCompleteResponse failed before.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/RelayedConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/RelayedConnection.java
@@ -1,5 +1,7 @@
 package org.radishthread.daemon.peer;
 
+import java.util.List;
+
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -8,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 import org.radishthread.kernel.EventLog;
@@ -16,8 +19,9 @@
 /**
  * Connects a peer that cannot reach an upstream to it. After the response to the peer,
  * the bytes of both connections are forwarded unchanged, each only as fast as the other
- * side reads them. When one of the connections ends, so does the other; a reset is passed
- * on as a reset, because the end of a response may be the end of its connection.
+ * side reads them. When one of the connections ends, so does the other. Because the end
+ * of a response may be the end of its connection, only a regular end is passed on as one:
+ * a reset, and the end of this process, reset the other connection.
  */
 final class RelayedConnection {
 
@@ -26,6 +30,12 @@
 	// As for direct connections to upstreams.
 	private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
+	// Linger time, in seconds.
+	private static final int RESET_ON_CLOSE = 0;
+
+	// Linger time; no limit for what is still to be sent.
+	private static final int REGULAR_CLOSE = -1;
+
 	private RelayedConnection() {
 	}
 
@@ -76,6 +86,12 @@
 			for (ChannelHandler handler : peer.pipeline().toMap().values()) {
 				peer.pipeline().remove(handler);
 			}
+			for (Channel channel : List.of(peer, upstream)) {
+				// The operating system then resets the connection when this process ends.
+				channel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
+				// Distinguishes the regular end of a connection from its close here.
+				channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+			}
 			peer.pipeline().addLast(new ForwardingHandler(upstream));
 			peer.read();
 			upstream.read();
@@ -106,16 +122,25 @@
 		}
 
 		@Override
-		public void channelInactive(ChannelHandlerContext context) {
-			if (this.target.isActive()) {
-				this.target.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event == ChannelInputShutdownEvent.INSTANCE) {
+				closeRegularly(this.target);
+				closeRegularly(context.channel());
 			}
 		}
 
+		private static void closeRegularly(Channel channel) {
+			channel.config().setOption(ChannelOption.SO_LINGER, REGULAR_CLOSE);
+			channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			this.target.close();
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			// A linger time of zero makes close reset the connection.
-			this.target.config().setOption(ChannelOption.SO_LINGER, 0);
 			this.target.close();
 			context.close();
 		}
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
@@ -40,6 +40,8 @@
 
 	private static final int BODY_BYTES = 3_000_000;
 
+	private static final int RESET_DELAY_MILLIS = 1_000;
+
 	@TempDir
 	private Path directory;
 
@@ -106,7 +108,7 @@
 				socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
 				socket.getOutputStream().write(responseBody);
 				if (reset) {
-					TimeUnit.MILLISECONDS.sleep(200);
+					TimeUnit.MILLISECONDS.sleep(RESET_DELAY_MILLIS);
 					socket.setSoLinger(true, 0);
 				}
 			}
@@ -148,6 +150,18 @@
 		}
 	}
 
+	// Guards against a response without a length that looks complete because the instance
+	// that relays it ended.
+	@Test
+	void endOfTheRelayIsNoCompleteResponse() throws Exception {
+		try (ServerSocket upstream = startUpstream(0, "part".getBytes(StandardCharsets.ISO_8859_1), true)) {
+			Request request = request(upstream.getLocalPort())
+				.onResponseContent((response, content) -> this.transport.stop());
+			assertThatThrownBy(request::send).isInstanceOf(ExecutionException.class)
+				.hasCauseInstanceOf(IOException.class);
+		}
+	}
+
 	@Test
 	void requestIsNotBegunIfTheRelayCannotReachTheUpstream() throws Exception {
 		int port = unusedPort();
