End a streamed response when its instance stops

A response whose streaming began after the start of a planned stop was not ended with the other requests, because the timers of the request are cancelled when its response is selected; they are scheduled again after the head was copied. Seen when the change was read again; the connection was cut at the end of the process, so that the caller saw a truncated response in both cases. EndlessResponseTests shares the listener of AttemptTests.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -301,8 +301,7 @@
 
 	final void start() {
 		this.request.addFailureListener(this::onCallerDisconnected);
-		this.context.openExchanges().add(this);
-		watchDeadlineAndCaller();
+		scheduleEnds();
 		if (isCompleted()) {
 			return;
 		}
@@ -324,7 +323,10 @@
 		});
 	}
 
-	private void watchDeadlineAndCaller() {
+	// The request ends at its deadline, when this instance stops, and when its caller has
+	// disconnected.
+	private void scheduleEnds() {
+		this.context.openExchanges().add(this);
 		if (hasDeadline()) {
 			long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(elapsedNanos());
 			schedule(Math.max(0, this.timeoutMillis - elapsedMillis), this::onDeadlinePassed);
@@ -470,13 +472,13 @@
 			}
 			this.streaming = true;
 		}
-		// No hedge is needed any more. The deadline still applies, because the rest of
-		// the response may never arrive.
+		// No hedge is needed any more.
 		cancelTimers();
-		watchDeadlineAndCaller();
 		abortOtherAttempts(attempt);
 		copyResponseHead(upstreamResponse);
 		onResponseSelected(upstreamResponse, null);
+		// The rest of the response may never arrive.
+		scheduleEnds();
 		return true;
 	}
 
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
@@ -203,9 +203,9 @@
 
 	}
 
-	private static final class RecordingListener implements AttemptListener {
+	static final class RecordingListener implements AttemptListener {
 
-		private final CompletableFuture<String> result = new CompletableFuture<>();
+		final CompletableFuture<String> result = new CompletableFuture<>();
 
 		@Override
 		public boolean maySend(Attempt attempt) {
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/EndlessResponseTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/EndlessResponseTests.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-import org.eclipse.jetty.client.Response;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,7 +16,6 @@
 
 import org.radishthread.daemon.peer.UpstreamConnectionListener;
 import org.radishthread.kernel.NetworkAddress;
-import org.radishthread.routing.AttemptFailure;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -88,60 +86,13 @@
 				throw new IllegalStateException(ex);
 			}
 		});
-		CompletableFuture<AttemptFailure> failure = new CompletableFuture<>();
+		AttemptTests.RecordingListener listener = new AttemptTests.RecordingListener();
 		NetworkAddress address = new NetworkAddress("127.0.0.1", this.server.getLocalPort());
 		new Attempt("i-1", address, this.clients.request(address, true, "/x"), new DefaultHttpDialect(), "r-1",
-				BUFFER_LIMIT_BYTES, true, new FailureListener(failure))
+				BUFFER_LIMIT_BYTES, true, listener)
 			.send();
-		assertThat(failure.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(AttemptFailure.NO_COMPLETE_RESPONSE);
+		assertThat(listener.result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("failed NO_COMPLETE_RESPONSE");
 		assertThat(sentBytes.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isLessThan(MAXIMUM_RECEIVED_BYTES);
 	}
 
-	/**
-	 * Listener that records the failure of an attempt.
-	 */
-	private record FailureListener(CompletableFuture<AttemptFailure> failure) implements AttemptListener {
-
-		@Override
-		public boolean maySend(Attempt attempt) {
-			return true;
-		}
-
-		@Override
-		public void onCompleteResponse(Attempt attempt, Response response, byte[] body) {
-			this.failure.completeExceptionally(new IllegalStateException("The response counts as complete."));
-		}
-
-		@Override
-		public void onNotRun(Attempt attempt, Response response, byte[] body) {
-			this.failure.completeExceptionally(new IllegalStateException("The request counts as not run."));
-		}
-
-		@Override
-		public boolean tryReserveBuffer(int bytes) {
-			return true;
-		}
-
-		@Override
-		public boolean tryStartStreaming(Attempt attempt, Response response) {
-			return false;
-		}
-
-		@Override
-		public void onStreamedBytes(byte[] bytes, Runnable demander) {
-			demander.run();
-		}
-
-		@Override
-		public void onStreamCompleted(Attempt attempt, boolean complete) {
-			this.failure.completeExceptionally(new IllegalStateException("The response was streamed."));
-		}
-
-		@Override
-		public void onFailure(Attempt attempt, AttemptFailure attemptFailure, Throwable cause) {
-			this.failure.complete(attemptFailure);
-		}
-
-	}
-
 }
