--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.eclipse.jetty.http.HttpFields;
@@ -67,7 +66,7 @@
 
 	private final List<Attempt> attempts = new ArrayList<>();
 
-	private final List<ScheduledFuture<?>> timers = new ArrayList<>();
+	private final ExchangeTimers timers;
 
 	private final BufferBudget.Reservation buffers;
 
@@ -106,6 +105,7 @@
 		this.timeoutMillis = timeoutMillis();
 		this.deadlineNanos = context.openExchanges()
 			.limit(this.startedNanos + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis));
+		this.timers = new ExchangeTimers(context.scheduler());
 		this.log = new ExchangeLog(this);
 	}
 
@@ -473,7 +473,7 @@
 			this.streaming = true;
 		}
 		// No hedge is needed any more.
-		cancelTimers();
+		this.timers.cancelAll();
 		abortOtherAttempts(attempt);
 		copyResponseHead(upstreamResponse);
 		onResponseSelected(upstreamResponse, null);
@@ -640,7 +640,7 @@
 			}
 			this.completed = true;
 		}
-		cancelTimers();
+		this.timers.cancelAll();
 		closeIfCompleted();
 		return true;
 	}
@@ -655,17 +655,7 @@
 	}
 
 	protected final void schedule(long millis, Runnable task) {
-		ScheduledFuture<?> timer = this.context.scheduler().schedule(task, millis, TimeUnit.MILLISECONDS);
-		synchronized (this) {
-			this.timers.add(timer);
-		}
-	}
-
-	private void cancelTimers() {
-		synchronized (this) {
-			this.timers.forEach((timer) -> timer.cancel(false));
-			this.timers.clear();
-		}
+		this.timers.schedule(millis, task);
 	}
 
 	private record BufferedResponse(Attempt attempt, org.eclipse.jetty.client.Response response, byte[] content) {
