Refuse a body beyond the memory for buffers as not run in all cases

A body without a stated length that met the end of the memory for buffers was refused with 413, which callers do not repeat, instead of 503: a dependent stage receives the failure wrapped. Seen when the change was read again. CompletionFailures.unwrap takes the place of two copies of the same expression.

UpstreamStore schedules one retry at a time while a disk refuses writes, not one for each change.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/administration/AdministrationHandler.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -27,6 +26,7 @@
 import org.radishthread.daemon.http.BufferBudget;
 import org.radishthread.daemon.http.BufferBudgetException;
 import org.radishthread.daemon.settings.Secrets;
+import org.radishthread.kernel.CompletionFailures;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.membership.ServingState;
 import org.radishthread.rules.RuleParser;
@@ -126,8 +126,7 @@
 	}
 
 	private JsonResponse toErrorResponse(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause()
-				: failure;
+		Throwable cause = CompletionFailures.unwrap(failure);
 		if (cause instanceof ControlTimeoutException) {
 			return errorResponse(504, cause.getMessage() + " It is unknown whether the request took effect;"
 					+ " send the same request again.");
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/UpstreamStore.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/UpstreamStore.java
@@ -41,6 +41,9 @@
 	// writes at most.
 	private final AtomicReference<@Nullable PendingWrite> pendingWrite = new AtomicReference<>();
 
+	// Accessed on the thread of the loop only.
+	private boolean retryScheduled;
+
 	// Accessed on the thread of the loop only.
 	private final Backoff retryDelay = new Backoff(FIRST_RETRY_MILLIS, MAXIMUM_RETRY_MILLIS);
 
@@ -76,10 +79,15 @@
 	 */
 	public void save(UpstreamSnapshot snapshot, LongConsumer onStored) {
 		this.pendingWrite.set(new PendingWrite(snapshot, onStored));
-		this.loop.execute(this::writeLatest);
+		this.loop.execute(() -> {
+			if (!this.retryScheduled) {
+				writeLatest();
+			}
+		});
 	}
 
 	private void writeLatest() {
+		this.retryScheduled = false;
 		PendingWrite write = this.pendingWrite.getAndSet(null);
 		if (write == null) {
 			return;
@@ -96,6 +104,7 @@
 			eventLog.failure("upstream-file-write-failed", ex).with("retry-millis", retryMillis).write();
 			// Later records, which contain these, may have arrived meanwhile.
 			this.pendingWrite.compareAndSet(null, write);
+			this.retryScheduled = true;
 			this.loop.schedule(retryMillis, this::writeLatest);
 		}
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -18,6 +18,7 @@
 
 import org.radishthread.daemon.http.BufferBudget;
 import org.radishthread.daemon.http.BufferBudgetException;
+import org.radishthread.kernel.CompletionFailures;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.rules.KeyDecision;
@@ -335,8 +336,8 @@
 	}
 
 	private Problem bodyProblem(Throwable failure) {
-		if (failure instanceof BufferBudgetException) {
-			return Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, String.valueOf(failure.getMessage()),
+		if (CompletionFailures.unwrap(failure) instanceof BufferBudgetException budgetFailure) {
+			return Problem.notRun(HttpStatus.SERVICE_UNAVAILABLE_503, String.valueOf(budgetFailure.getMessage()),
 					DEFAULT_RETRY_AFTER_MILLIS);
 		}
 		return Problem.notRun(413,
