--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -38,7 +38,8 @@
 	// Request and response with the headers of their packets.
 	private static final double BYTES_PER_PROBE = 600;
 
-	// The time that a process needs to stop once no request is open, in milliseconds.
+	// The time to write the responses of the requests that were ended, and to end the
+	// process, in milliseconds.
 	private static final long STOP_MILLIS = 300;
 
 	private static final long MILLIS_PER_SECOND = 1_000;
