--- a/radishthread-kernel/src/test/java/org/radishthread/kernel/EventLoopTests.java
+++ b/radishthread-kernel/src/test/java/org/radishthread/kernel/EventLoopTests.java
@@ -27,8 +27,7 @@
 	@Nested
 	class FailedTasks {
 
-		// Guards against a periodic task that ends unnoticed by an error while its
-		// process
+		// Guards against a periodic task that an error ends unnoticed while its process
 		// goes on.
 		@Test
 		void errorOfPeriodicTaskReachesTheUncaughtExceptionHandler() throws Exception {
--- a/radishthread-membership/src/test/java/org/radishthread/membership/WithdrawalDurabilityTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/WithdrawalDurabilityTests.java
@@ -182,8 +182,7 @@
 			assertThat(isUsedAnywhere()).isTrue();
 		}
 
-		// Guards against a control instance that brings a withdrawn upstream back from
-		// its
+		// Guards against a control instance that restores a withdrawn upstream from its
 		// own disk.
 		@Test
 		void instanceThatWasDownDuringTheWithdrawalLearnsOfIt() {
