Ask for the leader again once it has not responded for a second

A request goes to the leader that responded last, unless that was more than a second ago; then the own replica, which knows the present leader, is asked. A response of any instance counted, and each control instance requests its own status every 0.25 s. So the former leader was trusted for ever, and the request was sent again, elsewhere, after 0.5 s. Now only responses of the leader count.

Test before: ControlRequesterTests.lostLeaderIsNotAskedAfterAQuietTimeInWhichAnotherInstanceResponds: expected the own instance 10.0.0.1:7620 first, was 10.0.0.2:7620, the lost leader.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlRequester.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/ControlRequester.java
@@ -33,7 +33,7 @@
 
 	private String leaderAddress = "";
 
-	private long lastResponseMillis = Long.MIN_VALUE / 2;
+	private long lastLeaderResponseMillis = Long.MIN_VALUE / 2;
 
 	private String ownAddress = "";
 
@@ -77,7 +77,7 @@
 		PendingRequest pendingRequest = new PendingRequest(request.toBuilder().setId(this.lastRequestId).build(),
 				deadlineMillis);
 		this.pendingRequests.put(this.lastRequestId, pendingRequest);
-		if (!this.ownAddress.isEmpty() && nowMillis - this.lastResponseMillis > LEADER_TRUST_MILLIS) {
+		if (!this.ownAddress.isEmpty() && nowMillis - this.lastLeaderResponseMillis > LEADER_TRUST_MILLIS) {
 			this.leaderAddress = this.ownAddress;
 		}
 		send(pendingRequest, nowMillis);
@@ -142,10 +142,10 @@
 			}
 			return;
 		}
-		this.lastResponseMillis = nowMillis;
 		this.redirectDelay.reset();
 		this.pendingRequests.remove(response.getId());
 		if (pendingRequest.fixedTargetAddress.isEmpty()) {
+			this.lastLeaderResponseMillis = nowMillis;
 			this.leaderAddress = pendingRequest.targetAddress;
 		}
 		this.effects.responses().add(response);
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlRequesterTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/ControlRequesterTests.java
@@ -64,6 +64,25 @@
 		assertThat(sentTo()).containsExactly(NEW_LEADER);
 	}
 
+	// A control instance asks itself for its status all the time. Its requests still went
+	// to a lost leader first, and were answered 0.5 s later.
+	@Test
+	void lostLeaderIsNotAskedAfterAQuietTimeInWhichAnotherInstanceResponds() {
+		this.requester.setOwnAddress(OWN);
+		submit(0);
+		redirect(LOST_LEADER, 1);
+		respond(2);
+		this.requester.drain();
+		for (long millis = 250; millis < 3_000; millis += 250) {
+			this.id = this.requester.submitTo(OWN, ControlRequest.getDefaultInstance(), millis + 1_000, millis);
+			respond(millis + 1);
+		}
+		this.requester.drain();
+		assertThat(submit(3_000)).containsExactly(OWN);
+		redirect(NEW_LEADER, 3_001);
+		assertThat(sentTo()).containsExactly(NEW_LEADER);
+	}
+
 	@Test
 	void secondRedirectIsFollowedAfterADelay() {
 		submit(0);
