End the wait of an acknowledgement before its caller gives up

The wait of up to 0.6 s for live instances, here a suspended one, was counted from the acceptance, so the response came after the second without a response after which the operator moves on to other instances.

The wait now has an end that is counted from the arrival of the call (PropagationWait): 0.75 s on the platform's port. Parsing and agreement take a part of that time, and rules that are accepted later are acknowledged at once. Operators of the administration port wait for as long as the whole submission takes, as before.

Test before, with the wait counted from the acceptance: 5 of 8 cases of PropagationWaitTests fail, among them waitEndsBeforeTheCallerTurnsToAnotherInstance(580, 750) and lateAcceptanceIsAcknowledgedAtOnce.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
@@ -1,6 +1,7 @@
 package org.radishthread.daemon.control;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -41,7 +42,7 @@
 
 	private final TimeSource time;
 
-	private final long propagationTimeoutNanos;
+	private final long propagationTimeoutMillis;
 
 	/**
 	 * Creates the operations.
@@ -56,7 +57,7 @@
 		this.cluster = cluster;
 		this.controlClient = controlClient;
 		this.time = time;
-		this.propagationTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(propagationTimeoutMillis);
+		this.propagationTimeoutMillis = propagationTimeoutMillis;
 	}
 
 	/**
@@ -66,13 +67,27 @@
 	 * @return a future with the result, or with a {@link ControlTimeoutException}
 	 */
 	public CompletableFuture<RuleSubmissionResult> submit(SubmitRules rules) {
+		long acknowledgementMillis = SUBMIT_TIMEOUT_MILLIS + this.propagationTimeoutMillis;
+		return submit(rules, this.time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(acknowledgementMillis));
+	}
+
+	/**
+	 * Submits rules for a caller that asks another instance if it gets no response for a
+	 * while. Waits for live instances like {@link #submit(SubmitRules)}, but not beyond
+	 * the given time; rules that are accepted later are acknowledged at once.
+	 * @param rules the rules, in a form that the rule parser accepts
+	 * @param acknowledgementNanos the monotonic time at which accepted rules must be
+	 * acknowledged, in nanoseconds
+	 * @return a future with the result, or with a {@link ControlTimeoutException}
+	 */
+	public CompletableFuture<RuleSubmissionResult> submit(SubmitRules rules, long acknowledgementNanos) {
 		ControlRequest.Builder command = ControlRequest.newBuilder()
 			.setCommand(Command.newBuilder().setSubmitRules(rules));
 		return this.controlClient.sendToLeader(command, SUBMIT_TIMEOUT_MILLIS)
-			.thenCompose((response) -> handleDecision(response.getRules()));
+			.thenCompose((response) -> handleDecision(response.getRules(), acknowledgementNanos));
 	}
 
-	private CompletableFuture<RuleSubmissionResult> handleDecision(RulesAnswer decision) {
+	private CompletableFuture<RuleSubmissionResult> handleDecision(RulesAnswer decision, long acknowledgementNanos) {
 		eventLog.information("rules-submitted")
 			.with("revision", decision.getRevision())
 			.with("verdict", decision.getVerdict())
@@ -82,20 +97,22 @@
 			return this.cluster.rulePropagation(decision.getRevision())
 				.thenApply((propagation) -> new RuleSubmissionResult(decision, propagation));
 		}
-		return awaitPropagation(decision.getRevision(), this.time.monotonicNanos() + this.propagationTimeoutNanos)
+		PropagationWait wait = PropagationWait.startedAt(this.time.monotonicNanos(), this.propagationTimeoutMillis,
+				acknowledgementNanos);
+		return awaitPropagation(decision.getRevision(), wait)
 			.thenApply((propagation) -> new RuleSubmissionResult(decision, propagation));
 	}
 
-	private CompletableFuture<RulePropagation> awaitPropagation(long revision, long deadlineNanos) {
+	private CompletableFuture<RulePropagation> awaitPropagation(long revision, PropagationWait wait) {
 		return this.cluster.rulePropagation(revision).thenCompose((propagation) -> {
-			boolean propagated = propagation.isAppliedByMajority() && propagation.isAppliedByAllLive();
-			if (propagated || this.time.monotonicNanos() > deadlineNanos) {
+			long nowNanos = this.time.monotonicNanos();
+			if (wait.isOver(propagation, nowNanos)) {
 				return CompletableFuture.completedFuture(propagation);
 			}
-			return CompletableFuture
-				.supplyAsync(() -> revision,
-						CompletableFuture.delayedExecutor(PROPAGATION_POLL_MILLIS, TimeUnit.MILLISECONDS))
-				.thenCompose((polledRevision) -> awaitPropagation(polledRevision, deadlineNanos));
+			Executor delayedExecutor = CompletableFuture
+				.delayedExecutor(wait.nextPollNanos(PROPAGATION_POLL_MILLIS, nowNanos), TimeUnit.NANOSECONDS);
+			return CompletableFuture.supplyAsync(() -> revision, delayedExecutor)
+				.thenCompose((polledRevision) -> awaitPropagation(polledRevision, wait));
 		});
 	}
 
