Accept every name and weight that a configuration may state

Callers saw: a configuration whose services have upper-case letters, dots, underscores or more than 63 characters in their names, or whose weights are below 1e-9 or above, was refused with 400 although it is valid. Upstreams of such services could not register.

Cause: the rule file and the announcements each had their own, narrower format of names, and the rule file took at most nine digits on each side of a weight's point.

Both places now use one format, and a weight may have the digits of any finite number. So wide a range could give weights whose sum is infinite, which would send all requests to the last service: such a route is refused with a finding (weightsThatAreNotFiniteAreRejected).

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Announcement.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Announcement.java
@@ -1,9 +1,8 @@
 package org.radishthread.membership;
 
-import java.util.regex.Pattern;
-
 import org.radishthread.kernel.Assert;
 import org.radishthread.kernel.NetworkAddress;
+import org.radishthread.kernel.ServiceName;
 import org.radishthread.protocol.UpstreamState;
 
 /**
@@ -39,12 +38,10 @@
 	// Leaves room for the numbers of a withdrawal, which are greater.
 	private static final long MAXIMUM_NUMBER = Long.MAX_VALUE / 2;
 
-	private static final Pattern SERVICE_NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
-
 	public Announcement {
 		Assert.hasText(name, "Name of an upstream must not be empty.");
 		Assert.isTrue(name.length() <= 128, "Name of an upstream must not exceed 128 characters.");
-		Assert.isTrue(SERVICE_NAME.matcher(service).matches(), "Service '" + service + "' is not a valid name.");
+		Assert.isTrue(ServiceName.isValid(service), "Service '" + service + "' is not a valid name.");
 		Assert.isTrue(zone.length() <= 64, "Availability zone must not exceed 64 characters.");
 		Assert.isTrue(slots > 0 && slots <= 10_000, "Slots " + slots + " must be from 1 to 10000.");
 		Assert.isTrue(NetworkAddress.parse(address).port() > 0, "Port of address " + address + " must not be 0.");
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
@@ -22,7 +22,9 @@
 		RouteLimits limits, String requestedBy, boolean open) implements LineRule {
 
 	public RouteRule {
-		Assert.isTrue(totalWeight(split) > 0, "The weights of a route must add up to more than zero.");
+		double totalWeight = totalWeight(split);
+		Assert.isTrue(totalWeight > 0 && Double.isFinite(totalWeight),
+				"The weights of a route must add up to a finite number above zero.");
 	}
 
 	private static double totalWeight(List<WeightedService> split) {
--- a/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RuleParser.java
@@ -13,6 +13,7 @@
 
 import org.radishthread.kernel.Findings;
 import org.radishthread.kernel.FindingsException;
+import org.radishthread.kernel.ServiceName;
 
 /**
  * Parser for rule files. Reports all findings of a file together, each with its line and
@@ -27,12 +28,13 @@
 
 	private static final Pattern REQUESTER_COMMENT = Pattern.compile("\\s*asked by\\s+(\\S.*)");
 
-	private static final Pattern SERVICE_NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+	private static final Pattern SERVICE_NAME = Pattern.compile(ServiceName.REGULAR_EXPRESSION);
 
 	private static final Pattern WORKSPACE_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
 
+	// Has room for each finite number in plain digits.
 	private static final Pattern WEIGHTED_SERVICE = Pattern
-		.compile("(" + SERVICE_NAME + "):([0-9]{1,9}(?:\\.[0-9]{1,9})?)");
+		.compile("(" + SERVICE_NAME + "):([0-9]{1,309}(?:\\.[0-9]{1,340})?)");
 
 	private static final Pattern HTTP_METHOD = Pattern.compile("[A-Z]{1,16}|\\*");
 
@@ -274,7 +276,7 @@
 		List<WeightedService> split = new ArrayList<>();
 		for (String part : tokens.text(1).split(",", -1)) {
 			Matcher matcher = WEIGHTED_SERVICE.matcher(part);
-			if (!matcher.matches()) {
+			if (!matcher.matches() || Double.isInfinite(Double.parseDouble(matcher.group(2)))) {
 				this.findings.add(line, tokens.column(1), "route",
 						"Services with weights such as 'swapdesk:90,swapdesk-next:10' are expected.");
 				return List.of();
@@ -286,7 +288,7 @@
 
 	private boolean checkServiceName(int line, TokenizedLine tokens, int index) {
 		return checkToken(line, tokens, index, SERVICE_NAME,
-				"A service name of lower-case letters, digits and '-' is expected.");
+				"A service name of letters, digits, '.', '_' and '-' is expected.");
 	}
 
 	// Adds a finding unless the token exists and matches the pattern.
