Let the peer port listen at another address than the advertised one

Behind address translation an instance cannot bind to the address at which others reach it. listen.peer-bind states the address to listen at; without it the instance listens at listen.peer as before.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/PeerTransport.java
@@ -102,7 +102,7 @@
 
 	@Override
 	public void start() {
-		NetworkAddress address = this.settings.peerAddress();
+		NetworkAddress address = this.settings.peerBindAddress();
 		this.serverChannel = new ServerBootstrap().group(this.eventLoopGroup)
 			.channel(NioServerSocketChannel.class)
 			.childOption(ChannelOption.TCP_NODELAY, true)
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -24,6 +24,8 @@
  * @param administrationAddress the address on which operators, upstreams and health
  * checks connect
  * @param peerAddress the address on which other instances connect
+ * @param peerBindAddress the address at which the instance listens for other instances,
+ * which differs from the former behind address translation
  * @param seeds the peer addresses of the instances that this one contacts first
  * @param dataFolder the folder for persistent state, used with the control role
  * @param secrets the tokens for authentication
@@ -37,9 +39,9 @@
  */
 public record DaemonSettings(String instance, String zone, Set<Role> roles, @Nullable NetworkAddress callerAddress,
 		@Nullable NetworkAddress readinessAddress, NetworkAddress administrationAddress, NetworkAddress peerAddress,
-		List<String> seeds, Path dataFolder, Secrets secrets, Bootstrap bootstrap, GroupSettings group,
-		@Nullable ExtensionSettings extension, Limits limits, RouterSettings routerSettings, KeySettings keys,
-		AllotmentLimits allotmentLimits) {
+		NetworkAddress peerBindAddress, List<String> seeds, Path dataFolder, Secrets secrets, Bootstrap bootstrap,
+		GroupSettings group, @Nullable ExtensionSettings extension, Limits limits, RouterSettings routerSettings,
+		KeySettings keys, AllotmentLimits allotmentLimits) {
 
 	public boolean isGateway() {
 		return this.roles.contains(Role.GATEWAY);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -90,6 +90,7 @@
 		NetworkAddress extensionAddress = listen.has("extension") ? readAddress(listen, "extension") : null;
 		NetworkAddress administrationAddress = readAddress(listen, "administration");
 		NetworkAddress peerAddress = readAddress(listen, "peer");
+		NetworkAddress peerBindAddress = listen.has("peer-bind") ? readAddress(listen, "peer-bind") : peerAddress;
 		listen.rejectUnknownKeys();
 		List<String> seeds = readSeeds(root);
 		Path dataFolder = this.file.resolveSibling(root.getString("data", "data"));
@@ -112,8 +113,8 @@
 		AllotmentLimits allotmentLimits = readAllotmentLimits(root.getSection("allotments"));
 		root.rejectUnknownKeys();
 		return new DaemonSettings(instance, zone, roles, callerAddress, readinessAddress, administrationAddress,
-				peerAddress, seeds, dataFolder, secrets, bootstrap, group, extension, limits, routerSettings, keys,
-				allotmentLimits);
+				peerAddress, peerBindAddress, seeds, dataFolder, secrets, bootstrap, group, extension, limits,
+				routerSettings, keys, allotmentLimits);
 	}
 
 	private String readFile() {
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -72,6 +72,14 @@
 			assertThat(settings.secrets()).hasToString("Secrets[hidden]");
 		}
 
+		@Test
+		void instanceListensAtItsPeerAddressUnlessAnotherAddressIsStated() throws IOException {
+			DaemonSettings translated = read(VALID.replace("  peer:", "  peer-bind: 127.0.0.1:7081\n  peer:"));
+			assertThat(read(VALID).peerBindAddress()).hasToString("[::1]:7080");
+			assertThat(translated.peerBindAddress()).hasToString("127.0.0.1:7081");
+			assertThat(translated.peerAddress()).hasToString("[::1]:7080");
+		}
+
 		@Test
 		void rolesAreNamedInLowerCase() throws IOException {
 			String gateway = VALID.replace("[gateway, control]", "[gateway]");
