Do not let cancelled attempts rule out all upstreams for good

Cause: an attempt on a silent connection is cancelled at its deadline, or when a hedge has the response. Its duration went into the same mean as those of completed attempts, as a lower bound. When that happened at all upstreams, each of them was expected to miss the objective (or the deadline) of every request, so that none was chosen; with no new attempts the mean never changed. Requests waited for an upstream that would never come, and were refused when their time in the queue was over.

Fix: OverrunEstimate keeps the time of cancelled attempts apart from that of completed ones, and forgets it within seconds, as FailureEstimate does. While it would rule out all upstreams that a request can use, it is ignored: then there is nothing to wait for.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/EarliestCompletionPolicy.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/EarliestCompletionPolicy.java
@@ -13,10 +13,6 @@
  */
 final class EarliestCompletionPolicy implements SelectionPolicy {
 
-	// An upstream is a straggler if its expected duration exceeds this multiple
-	// of the median latency of all upstreams.
-	private static final double STRAGGLER_FACTOR = 3;
-
 	// Upstreams whose expected durations are within this factor of the shortest
 	// count as equally fast.
 	private static final double SIMILAR_DURATION_FACTOR = 1.6;
@@ -24,7 +20,7 @@
 	@Override
 	public Optional<UpstreamTracker> choose(List<UpstreamTracker> candidates, SelectionContext context) {
 		List<UpstreamTracker> withoutStragglers = candidates.stream()
-			.filter((tracker) -> !isStraggler(tracker, context))
+			.filter((tracker) -> !context.isStraggler(tracker))
 			.toList();
 		if (!withoutStragglers.isEmpty()) {
 			Optional<UpstreamTracker> fastest = chooseAmongFastest(withoutStragglers, context);
@@ -48,15 +44,10 @@
 	private static Optional<UpstreamTracker> findStragglerDueForTrial(List<UpstreamTracker> candidates,
 			SelectionContext context) {
 		return candidates.stream()
-			.filter((tracker) -> isStraggler(tracker, context) && tracker.isStragglerTrialDue(context.nowNanos()))
+			.filter((tracker) -> context.isStraggler(tracker) && tracker.isStragglerTrialDue(context.nowNanos()))
 			.findFirst();
 	}
 
-	static boolean isStraggler(UpstreamTracker tracker, SelectionContext context) {
-		return tracker.isLatencyKnown() && context.medianLatencyNanos() > 0
-				&& context.expectedDurationNanos(tracker) > STRAGGLER_FACTOR * context.medianLatencyNanos();
-	}
-
 	private static Comparator<UpstreamTracker> byZoneAndLoad(SelectionContext context) {
 		return Comparator.<UpstreamTracker>comparingInt((tracker) -> tracker.isNewAndUntried() ? 0 : 1)
 			.thenComparingInt((tracker) -> tracker.upstream().zone().equals(context.zone()) ? 0 : 1)
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
@@ -1,6 +1,5 @@
 package org.radishthread.routing;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +8,7 @@
 import java.util.stream.Stream;
 
 import org.radishthread.routing.RequestState.AttemptStart;
+import org.radishthread.routing.SelectionContext.OverrunUse;
 
 /**
  * Selects the upstream of an attempt among those of one service: those that may be used,
@@ -104,27 +104,44 @@
 	}
 
 	Optional<UpstreamTracker> choose(RequestState state, long nowNanos, Predicate<UpstreamTracker> eligible) {
-		List<UpstreamTracker> candidates = new ArrayList<>();
 		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request(), nowNanos);
-		for (UpstreamTracker tracker : this.trackers.values()) {
-			if (eligible.test(tracker) && state.mayUse(tracker, nowNanos)
-					&& canReach(state.request(), tracker, nowNanos)
-					&& nowNanos + expectedDurationNanos(tracker, nowNanos) <= latestCompletionNanos) {
-				candidates.add(tracker);
-			}
+		SelectionContext context = context(state, OverrunUse.COUNTED, nowNanos);
+		Optional<UpstreamTracker> chosen = choose(state, eligible, latestCompletionNanos, context);
+		if (chosen.isPresent() || isWorthWaiting(state, latestCompletionNanos, context)) {
+			return chosen;
 		}
-		if (candidates.isEmpty()) {
-			return Optional.empty();
-		}
-		SelectionContext context = new SelectionContext(
-				state.request().zone().isEmpty() ? this.settings.zone() : state.request().zone(), medianLatencyNanos(),
-				this.throughput.expectedWaitNanos(this.queues.size()), this.throughput.meanServiceNanos(),
-				this.contention, state.request().mayRepeat(), nowNanos);
-		return this.policy.choose(candidates, context);
+		return choose(state, eligible, latestCompletionNanos, context(state, OverrunUse.IGNORED, nowNanos));
 	}
 
-	private double expectedDurationNanos(UpstreamTracker tracker, long nowNanos) {
-		return tracker.expectedDurationNanos(this.throughput.meanServiceNanos(), this.contention, nowNanos);
+	private SelectionContext context(RequestState state, OverrunUse overrunUse, long nowNanos) {
+		return new SelectionContext(state.request().zone().isEmpty() ? this.settings.zone() : state.request().zone(),
+				medianLatencyNanos(), this.throughput.expectedWaitNanos(this.queues.size()),
+				this.throughput.meanServiceNanos(), this.contention, overrunUse, state.request().mayRepeat(), nowNanos);
+	}
+
+	private Optional<UpstreamTracker> choose(RequestState state, Predicate<UpstreamTracker> eligible,
+			long latestCompletionNanos, SelectionContext context) {
+		long nowNanos = context.nowNanos();
+		List<UpstreamTracker> candidates = this.trackers.values()
+			.stream()
+			.filter(eligible)
+			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
+			.filter((tracker) -> nowNanos + context.expectedDurationNanos(tracker) <= latestCompletionNanos)
+			.toList();
+		return candidates.isEmpty() ? Optional.empty() : this.policy.choose(candidates, context);
+	}
+
+	// Whether a slot of an upstream that is not eligible now would be of use later.
+	private boolean isWorthWaiting(RequestState state, long latestCompletionNanos, SelectionContext context) {
+		long nowNanos = context.nowNanos();
+		return usableTrackers(nowNanos)
+			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
+			.anyMatch((tracker) -> {
+				double durationNanos = tracker.idleDurationNanos(context.defaultServiceNanos(), context.overrunUse(),
+						nowNanos);
+				return nowNanos + durationNanos <= latestCompletionNanos
+						&& !context.isStraggler(tracker, durationNanos);
+			});
 	}
 
 	private double medianLatencyNanos() {
@@ -149,11 +166,12 @@
 		if (nowNanos - latestStartNanos < STUCK_ATTEMPT_FACTOR * this.admission.typicalServiceNanos()) {
 			return Optional.empty();
 		}
+		SelectionContext context = context(state, OverrunUse.COUNTED, nowNanos);
 		return this.trackers.values()
 			.stream()
 			.filter((tracker) -> tracker.hasFreeSlot(nowNanos) && !tracker.isCold(nowNanos))
 			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
-			.min(Comparator.comparingDouble((tracker) -> expectedDurationNanos(tracker, nowNanos)));
+			.min(Comparator.comparingDouble(context::expectedDurationNanos));
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.radishthread.routing.SelectionContext.OverrunUse;
+
 /**
  * Tracks one upstream of a service: its attempts in flight, latency, pace, failures and
  * ejection. Points in time are monotonic, in nanoseconds.
@@ -56,13 +58,17 @@
 
 	private final FailureEstimate failures = new FailureEstimate();
 
-	// The mean duration of an attempt, converted to the usual pace.
+	// The mean duration of a completed attempt, converted to the usual pace.
 	private double normalizedServiceNanos;
 
+	private final OverrunEstimate overrun = new OverrunEstimate();
+
 	private double meanLatencyNanos;
 
 	private int latencySamples;
 
+	private boolean tried;
+
 	private int consecutiveFailures;
 
 	private int ejections;
@@ -116,6 +122,8 @@
 		if (announcedUpstream.incarnation() > this.upstream.incarnation()) {
 			this.slowStartBeginNanos = nowNanos;
 			this.latencySamples = 0;
+			this.overrun.reset();
+			this.tried = false;
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
 			this.ejectedUntilNanos = Long.MIN_VALUE;
@@ -291,16 +299,26 @@
 
 	// The expected time until a request that is sent now has completed, including
 	// waiting at the upstream and repeated attempts after failures.
-	double expectedDurationNanos(double defaultServiceNanos, ContentionEstimate contention, long nowNanos) {
-		double serviceNanos = isLatencyKnown() ? this.normalizedServiceNanos : defaultServiceNanos;
+	double expectedDurationNanos(double defaultServiceNanos, ContentionEstimate contention, OverrunUse overrunUse,
+			long nowNanos) {
 		boolean contended = this.inFlight + 1 > ContentionEstimate.uncontendedSlots(this.upstream.slots());
-		double durationNanos = serviceNanos * this.pace.currentPace(nowNanos)
+		double durationNanos = paceDurationNanos(defaultServiceNanos, overrunUse, nowNanos)
 				* (contended ? contention.slowdownFactor() : 1);
 		int requestsAhead = Math.max(0, this.inFlight + 1 - this.upstream.slots());
 		return (durationNanos + durationNanos * requestsAhead / this.upstream.slots())
 				* this.failures.expectedAttempts(nowNanos);
 	}
 
+	// The expected duration of a request that need not wait.
+	double idleDurationNanos(double defaultServiceNanos, OverrunUse overrunUse, long nowNanos) {
+		return paceDurationNanos(defaultServiceNanos, overrunUse, nowNanos) * this.failures.expectedAttempts(nowNanos);
+	}
+
+	private double paceDurationNanos(double defaultServiceNanos, OverrunUse overrunUse, long nowNanos) {
+		double serviceNanos = isLatencyKnown() ? this.normalizedServiceNanos : defaultServiceNanos;
+		return (serviceNanos + overrunUse.nanos(this.overrun, nowNanos)) * this.pace.currentPace(nowNanos);
+	}
+
 	void recordReport(LoadReport report, String origin, long nowNanos) {
 		if (report.leaving()) {
 			this.leavingUntilNanos = nowNanos + LEAVING_PERIOD_NANOS;
@@ -342,7 +360,7 @@
 	// A new upstream without measurements must be preferred once: otherwise it
 	// might not be chosen for a long time.
 	boolean isNewAndUntried() {
-		return this.slowStartBeginNanos > 0 && this.latencySamples == 0 && this.inFlight == 0;
+		return this.slowStartBeginNanos > 0 && !this.tried && this.inFlight == 0;
 	}
 
 	boolean isStragglerTrialDue(long nowNanos) {
@@ -390,12 +408,13 @@
 			if (!isCold(nowNanos)) {
 				// Durations of a cold upstream do not hold once it is warm.
 				recordLatency(latencyNanos, paceAtStart);
+				this.overrun.recordSuccess(nowNanos);
+				this.tried = true;
 			}
 		}
 		else if (result == AttemptResult.CANCELLED) {
-			// The attempt would have taken at least the time
-			// until its cancellation.
-			recordLatency(Math.max(latencyNanos, (long) this.meanLatencyNanos), paceAtStart);
+			this.overrun.recordCancellation(latencyNanos / paceAtStart - this.normalizedServiceNanos, nowNanos);
+			this.tried = true;
 		}
 	}
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/EstimateTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/EstimateTests.java
@@ -6,8 +6,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link PaceEstimate}, {@link ContentionEstimate}, {@link ArrivalEstimate} and
- * {@link RetryBudget}.
+ * Tests for {@link PaceEstimate}, {@link OverrunEstimate}, {@link ContentionEstimate},
+ * {@link ArrivalEstimate} and {@link RetryBudget}.
  */
 class EstimateTests {
 
@@ -41,6 +41,45 @@
 
 	}
 
+	@Nested
+	class Overruns {
+
+		private static final double OBSERVED_NANOS = NANOS_PER_SECOND;
+
+		private final OverrunEstimate overrun = new OverrunEstimate();
+
+		private void cancelAttempts(int count, long nowNanos) {
+			for (int i = 0; i < count; i++) {
+				this.overrun.recordCancellation(OBSERVED_NANOS, nowNanos);
+			}
+		}
+
+		@Test
+		void cancelledAttemptsCountForASecond() {
+			cancelAttempts(10, 0);
+			assertThat(this.overrun.overrunNanos(0)).isGreaterThan(0.8 * OBSERVED_NANOS);
+			assertThat(this.overrun.overrunNanos(3 * NANOS_PER_SECOND)).isLessThan(0.1 * OBSERVED_NANOS);
+		}
+
+		@Test
+		void attemptsThatTheUpstreamCompletesTakeTheEstimateBack() {
+			cancelAttempts(10, 0);
+			for (int i = 0; i < 10; i++) {
+				this.overrun.recordSuccess(0);
+			}
+			assertThat(this.overrun.overrunNanos(0)).isLessThan(0.2 * OBSERVED_NANOS);
+		}
+
+		@Test
+		void attemptThatWasCancelledEarlyIsNoEvidence() {
+			cancelAttempts(10, 0);
+			double before = this.overrun.overrunNanos(NANOS_PER_MILLI);
+			this.overrun.recordCancellation(-NANOS_PER_MILLI, NANOS_PER_MILLI);
+			assertThat(this.overrun.overrunNanos(NANOS_PER_MILLI)).isEqualTo(before);
+		}
+
+	}
+
 	@Nested
 	class Contention {
 
