Do not take the time until a lost completion expires for that of the upstream

Cause: a home that never hears of the completion of an attempt closes its request a second after its deadline, and one whose instance abandoned it closes it when told so. It recorded the attempt as cancelled after that time: 3 s for a request with 2 s and a usual time of 160 ms, also if the grant was lost and the attempt was never made.

An instance reports the completion of each attempt before it closes the request, so the remaining ones are known to be unreported. ServiceRouter .releaseAttempt frees their slots and records no time. The same for a request that its instance closes while a grant is on its way.

SilentConnectionTests.UnreportedCompletions (virtual time), with the call that SlotGranter made before (completeAttempt, CANCELLED): Expecting ArrayList: ["upstream-3", "upstream-3"] to contain: ["upstream-0"]

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -250,6 +250,13 @@
 		process((nowNanos) -> this.router.completeAttempt(requestId, upstream, result, loadReport, nowNanos));
 	}
 
+	// Frees the slot of an attempt whose completion was not reported. It may have been
+	// made.
+	void releaseAttempt(long requestId, String upstream) {
+		this.allotments.recordResult(requestId, AttemptResult.CANCELLED);
+		process((nowNanos) -> this.router.releaseAttempt(requestId, upstream, nowNanos));
+	}
+
 	@Override
 	public void retry(long requestId) {
 		process((nowNanos) -> this.router.retry(requestId, nowNanos));
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -135,8 +135,8 @@
 
 	private void close(RequestKey key, RemoteRequest request) {
 		this.remoteRequests.remove(key);
-		RequestRouter router = this.routing.router(request.service);
-		request.cancelAttempts(router);
+		LocalRequestRouter router = this.routing.router(request.service);
+		request.releaseAttempts(router);
 		router.close(request.routingRequest.id());
 	}
 
@@ -258,13 +258,15 @@
 			}
 		}
 
-		private void cancelAttempts(RequestRouter router) {
+		// An instance reports the end of each attempt before it closes the request, so
+		// nothing is known about the ends of the remaining ones.
+		private void releaseAttempts(LocalRequestRouter router) {
 			List<String> remainingUpstreams;
 			synchronized (this) {
 				remainingUpstreams = List.copyOf(this.upstreamsInUse);
+				this.upstreamsInUse.clear();
 			}
-			remainingUpstreams.forEach((upstream) -> completeAttempt(router,
-					SlotEnd.newBuilder().setUpstream(upstream).setResult(AttemptResult.CANCELLED.name()).build()));
+			remainingUpstreams.forEach((upstream) -> router.releaseAttempt(this.routingRequest.id(), upstream));
 		}
 
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -581,9 +581,8 @@
 	public List<RoutingEffect> completeAttempt(long requestId, String upstream, AttemptResult result,
 			@Nullable LoadReport report, long nowNanos) {
 		RequestState state = requireState(requestId);
-		AttemptStart attemptStart = state.attemptsInFlight().remove(upstream);
-		UpstreamTracker tracker = this.trackers.get(upstream);
-		Assert.state(attemptStart != null && tracker != null, "Attempt at '" + upstream + "' must be in flight.");
+		UpstreamTracker tracker = requireTracker(upstream);
+		AttemptStart attemptStart = removeAttempt(state, upstream);
 		long latencyNanos = nowNanos - attemptStart.startNanos();
 		endTrial(state, tracker);
 		boolean full = tracker.isFull(nowNanos);
@@ -618,6 +617,43 @@
 					latencyNanos / attemptStart.paceFactor());
 			this.throughput.recordCompletion(latencyNanos, nowNanos);
 		}
+		return useReleasedSlot(state, nowNanos);
+	}
+
+	/**
+	 * Frees the slot of an attempt whose completion was not reported: its instance has
+	 * stopped, or messages were lost, so that the attempt may not even have been made.
+	 * The time until now says nothing about the upstream.
+	 * @param requestId the identifier of the request
+	 * @param upstream the name of the upstream
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the requests to dispatch
+	 */
+	public List<RoutingEffect> releaseAttempt(long requestId, String upstream, long nowNanos) {
+		RequestState state = requireState(requestId);
+		UpstreamTracker tracker = requireTracker(upstream);
+		AttemptStart attemptStart = removeAttempt(state, upstream);
+		endTrial(state, tracker);
+		tracker.recordWithoutLatency();
+		state.recordResult(AttemptResult.CANCELLED);
+		this.attribution.recordCompletion(state.request().origin(), attemptStart.relay(), tracker,
+				AttemptResult.CANCELLED, false, nowNanos);
+		return useReleasedSlot(state, nowNanos);
+	}
+
+	private UpstreamTracker requireTracker(String upstream) {
+		UpstreamTracker tracker = this.trackers.get(upstream);
+		Assert.state(tracker != null, "Upstream '" + upstream + "' must be known.");
+		return tracker;
+	}
+
+	private static AttemptStart removeAttempt(RequestState state, String upstream) {
+		AttemptStart attemptStart = state.attemptsInFlight().remove(upstream);
+		Assert.state(attemptStart != null, "Attempt at '" + upstream + "' must be in flight.");
+		return attemptStart;
+	}
+
+	private List<RoutingEffect> useReleasedSlot(RequestState state, long nowNanos) {
 		removeDiscardable();
 		removeIfCompleted(state);
 		dispatchQueued(nowNanos);
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SilentConnectionTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SilentConnectionTests.java
@@ -121,4 +121,34 @@
 
 	}
 
+	@Nested
+	class UnreportedCompletions {
+
+		// Seen when the messages to a home were lost: it closed the requests a second
+		// after their deadlines and took that for the time of the upstream.
+		@Test
+		void upstreamIsUsedAfterTheCompletionsOfItsAttemptsWereNotReported() {
+			serveRounds(10);
+			for (int i = 0; i < UPSTREAMS * SLOTS / 2; i++) {
+				admit(true);
+			}
+			List<Dispatch> unreported = new ArrayList<>(SilentConnectionTests.this.running);
+			unreported.removeIf((dispatch) -> !dispatch.upstream().name().equals("upstream-0"));
+			SilentConnectionTests.this.running.removeAll(unreported);
+			serveRounds((int) (3_000 / SERVICE_MILLIS));
+			for (Dispatch dispatch : unreported) {
+				start(SilentConnectionTests.this.router.releaseAttempt(dispatch.requestId(), "upstream-0",
+						SilentConnectionTests.this.nowMillis * NANOS_PER_MILLI));
+				SilentConnectionTests.this.router.close(dispatch.requestId());
+			}
+			admit(true);
+			admit(true);
+			assertThat(unreported).isNotEmpty();
+			assertThat(SilentConnectionTests.this.running).extracting((dispatch) -> dispatch.upstream().name())
+				.contains("upstream-0");
+			assertThat(SilentConnectionTests.this.router.inFlight("upstream-0")).isEqualTo(1);
+		}
+
+	}
+
 }
