Log the use of a service's slots while its requests wait or are refused

From a refusal with queue-timeout one could not tell whether the slots of the service are in use, are held by attempts whose completion is not reported, or are free at upstreams that are expected to be too slow: that took the dispatches of all requests, of which the limit of log lines drops a part under load.

The line service-load names slots, attempts in flight, queued requests, the age of the oldest attempt, the upstreams that look slow because attempts were cancelled, and the dispatches, unreported attempts and refusals since the line before. At most one line a second for each service and instance, none while requests are served at once (ServiceLoadLogTests).

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -18,6 +18,7 @@
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
+import org.radishthread.routing.ServiceLoad;
 import org.radishthread.routing.ServiceRouter;
 import org.radishthread.routing.Upstream;
 import org.radishthread.rules.ServiceRule;
@@ -49,11 +50,14 @@
 
 	private final AtomicBoolean tickScheduled = new AtomicBoolean();
 
+	private final ServiceLoadLog loadLog;
+
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
 	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, AllotmentService allotments,
 			CrashExchange crashExchange, TimeSource time, UpstreamProber prober, EventLoop eventLoop) {
 		this.service = rule.service();
+		this.loadLog = new ServiceLoadLog(this.service);
 		this.router = new ServiceRouter(rule, settings.routerSettings(), crashExchange.history(),
 				time.monotonicNanos());
 		this.allotments = allotments;
@@ -66,9 +70,17 @@
 	private void process(Function<Long, List<RoutingEffect>> event) {
 		List<RoutingEffect> effects;
 		boolean needsTick;
+		ServiceLoad load = null;
 		synchronized (this.router) {
-			effects = event.apply(this.time.monotonicNanos());
+			long nowNanos = this.time.monotonicNanos();
+			effects = event.apply(nowNanos);
 			needsTick = this.router.needsTick();
+			if (this.loadLog.tryAcquireLine(this.router.queuedRequests() > 0, nowNanos)) {
+				load = this.router.load(nowNanos);
+			}
+		}
+		if (load != null) {
+			this.loadLog.write(load);
 		}
 		if (needsTick && this.tickScheduled.compareAndSet(false, true)) {
 			this.eventLoop.schedule(TICK_INTERVAL_MILLIS, this::tick);
@@ -152,6 +164,7 @@
 	}
 
 	private void executeDispatch(RoutingEffect.Dispatch dispatch) {
+		this.loadLog.recordDispatch();
 		eventLog.information("dispatch")
 			.with("service", this.service)
 			.with("request", dispatch.requestId())
@@ -171,6 +184,7 @@
 	}
 
 	private void executeRefusal(RoutingEffect.Refusal refusal) {
+		this.loadLog.recordRefusal(refusal.reason());
 		eventLog.information("refusal")
 			.with("service", this.service)
 			.with("request", refusal.requestId())
@@ -253,6 +267,7 @@
 	// Frees the slot of an attempt whose completion was not reported. It may have been
 	// made.
 	void releaseAttempt(long requestId, String upstream) {
+		this.loadLog.recordUnreportedAttempt();
 		this.allotments.recordResult(requestId, AttemptResult.CANCELLED);
 		process((nowNanos) -> this.router.releaseAttempt(requestId, upstream, nowNanos));
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -900,6 +900,26 @@
 		return this.queues.size();
 	}
 
+	/**
+	 * Returns the use of the slots of the service.
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the load
+	 */
+	public ServiceLoad load(long nowNanos) {
+		List<UpstreamTracker> usableTrackers = this.selection.usableTrackers(nowNanos).toList();
+		long oldestStartNanos = this.requests.values()
+			.stream()
+			.flatMap((state) -> state.attemptsInFlight().values().stream())
+			.mapToLong(AttemptStart::startNanos)
+			.min()
+			.orElse(nowNanos);
+		return new ServiceLoad(usableTrackers.size(),
+				usableTrackers.stream().mapToLong((tracker) -> tracker.usableSlots(nowNanos)).sum(),
+				this.trackers.values().stream().mapToInt(UpstreamTracker::inFlight).sum(), this.queues.size(),
+				Duration.ofNanos(nowNanos - oldestStartNanos).toMillis(),
+				(int) usableTrackers.stream().filter((tracker) -> tracker.isOverrun(nowNanos)).count());
+	}
+
 	/**
 	 * Returns the number of requests that are not closed or have attempts in flight.
 	 * @return the count
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -314,6 +314,11 @@
 		return paceDurationNanos(defaultServiceNanos, overrunUse, nowNanos) * this.failures.expectedAttempts(nowNanos);
 	}
 
+	// Whether cancelled attempts more than double the expected duration.
+	boolean isOverrun(long nowNanos) {
+		return this.overrun.overrunNanos(nowNanos) > this.normalizedServiceNanos;
+	}
+
 	private double paceDurationNanos(double defaultServiceNanos, OverrunUse overrunUse, long nowNanos) {
 		double serviceNanos = isLatencyKnown() ? this.normalizedServiceNanos : defaultServiceNanos;
 		return (serviceNanos + overrunUse.nanos(this.overrun, nowNanos)) * this.pace.currentPace(nowNanos);
