Judge whether an instance responds by when its heartbeats were made

3.3 s after an instance had stopped, another one still counted it as responsive, so that an acknowledgement waited for it, up to 0.6 s. Its last heartbeats are relayed for up to 1.8 s and counted from their arrival.

A heartbeat now advances by the milliseconds since the one before, instead of by one. The difference of two heartbeats is then the time between them, so that the receiver can date a relayed one by one that came sooner (HeartbeatClock). No message changes. The heartbeats of an earlier version seem to fall behind; every four seconds their estimate starts anew, so that an acknowledgement waits for such an instance at times only. Loss and isolation are still judged by the arrival.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/InstanceTable.java
@@ -72,6 +72,7 @@
 		if (heartbeat > entry.heartbeat) {
 			entry.heartbeat = heartbeat;
 			entry.lastHeartbeatMillis = nowMillis;
+			entry.respondedMillis = entry.heartbeatClock.record(heartbeat, nowMillis);
 			entry.ruleRevision = Math.max(entry.ruleRevision, ruleRevision);
 		}
 		return true;
@@ -81,6 +82,7 @@
 	void markAllLost() {
 		for (Entry entry : this.entries.values()) {
 			entry.lastHeartbeatMillis = NEVER;
+			entry.respondedMillis = NEVER;
 			entry.addedMillis = NEVER;
 		}
 	}
@@ -130,6 +132,19 @@
 			.count();
 	}
 
+	// Counts this instance and those that made a heartbeat since then, not those that are
+	// leaving. A heartbeat that other instances relay arrives later than it was made.
+	int responsiveCount(long sinceMillis) {
+		return (int) this.entries.values()
+			.stream()
+			.filter((entry) -> !entry.instance.getLeaving() && isResponsive(entry, sinceMillis))
+			.count();
+	}
+
+	boolean isResponsive(Entry entry, long sinceMillis) {
+		return isSelf(entry) || entry.respondedMillis >= sinceMillis;
+	}
+
 	int countOthersWithConfirmedRules(long sinceMillis) {
 		return (int) this.entries.values()
 			.stream()
@@ -226,6 +241,7 @@
 			listsSelf |= listed && isSelf(entry);
 			foundCount += (listed && !isSelf(entry)) ? 1 : 0;
 			entry.lastHeartbeatMillis = listed ? nowMillis : NEVER;
+			entry.respondedMillis = entry.lastHeartbeatMillis;
 		}
 		return foundCount == liveVersions.size() - (listsSelf ? 1 : 0);
 	}
@@ -234,6 +250,7 @@
 		for (Entry entry : this.entries.values()) {
 			if (isLive(entry, sinceMillis)) {
 				entry.lastHeartbeatMillis = nowMillis;
+				entry.respondedMillis = nowMillis;
 			}
 		}
 	}
@@ -272,8 +289,14 @@
 
 		long ruleRevision;
 
+		// When the last heartbeat arrived.
 		long lastHeartbeatMillis = NEVER;
 
+		final HeartbeatClock heartbeatClock = new HeartbeatClock();
+
+		// When the last heartbeat was made, by the local clock.
+		long respondedMillis = NEVER;
+
 		long addedMillis;
 
 		Entry(int nameHash, InstanceRecord instance, long nowMillis) {
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -26,11 +26,12 @@
 /**
  * Runs the part of one instance in the membership protocol. Control instances gossip with
  * each other: in each round, an instance sends the heartbeats and rule revisions of all
- * live instances to a few peers that it selects at random. A heartbeat is a counter that
- * its instance increments in each round. Changed records are piggybacked on a few rounds.
- * A digest, a hash over the versions of all upstreams that have not left, detects records
- * that a peer missed, which an anti-entropy exchange then transfers (Demers and others,
- * "Epidemic Algorithms for Replicated Database Maintenance", 1987).
+ * live instances to a few peers that it selects at random. A heartbeat is a number that
+ * its instance advances in each round, by the milliseconds since the round before.
+ * Changed records are piggybacked on a few rounds. A digest, a hash over the versions of
+ * all upstreams that have not left, detects records that a peer missed, which an
+ * anti-entropy exchange then transfers (Demers and others, "Epidemic Algorithms for
+ * Replicated Database Maintenance", 1987).
  * <p>
  * A gateway without the control role does not gossip. It reports to two control
  * instances, which send it what has changed ({@link GatewayReports}). While all control
@@ -112,6 +113,8 @@
 
 	private long heartbeat;
 
+	private long lastHeartbeatMillis = Long.MIN_VALUE;
+
 	private long lastClockReadingMillis = Long.MIN_VALUE;
 
 	private long startMillis = Long.MIN_VALUE;
@@ -217,7 +220,7 @@
 
 	private void sendUrgentRound(long nowMillis) {
 		// Peers ignore a revision that does not come with a higher heartbeat.
-		this.heartbeat++;
+		advanceHeartbeat(nowMillis);
 		this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.revision(),
 				nowMillis);
 		if (!gossips()) {
@@ -229,6 +232,13 @@
 		this.revisedGateways.clear();
 	}
 
+	// A heartbeat advances with the clock, so that its receivers know when it was made.
+	private void advanceHeartbeat(long nowMillis) {
+		boolean first = this.lastHeartbeatMillis == Long.MIN_VALUE;
+		this.heartbeat += first ? 1 : Math.max(1, nowMillis - this.lastHeartbeatMillis);
+		this.lastHeartbeatMillis = nowMillis;
+	}
+
 	private void sendUpdate(long nowMillis) {
 		List<String> gateways = this.responses.reportingAddresses(nowMillis);
 		if (!gateways.isEmpty()) {
@@ -270,7 +280,7 @@
 		requestUpstreams(nowMillis);
 		requestOverdueRules(nowMillis);
 		if (nowMillis >= this.nextRoundMillis) {
-			this.heartbeat++;
+			advanceHeartbeat(nowMillis);
 			this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.revision(),
 					nowMillis);
 			if (!gossips()) {
@@ -933,7 +943,7 @@
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
 			long appliedRevision = isSelf ? this.rules.revision() : entry.ruleRevision;
-			if ((isSelf || entry.lastHeartbeatMillis >= sinceMillis) && appliedRevision >= revision) {
+			if (this.instances.isResponsive(entry, sinceMillis) && appliedRevision >= revision) {
 				count++;
 			}
 		}
@@ -941,13 +951,13 @@
 	}
 
 	/**
-	 * Returns the number of instances that are not leaving and of which a heartbeat
-	 * arrived just now.
+	 * Returns the number of instances that are not leaving and that made a heartbeat just
+	 * now.
 	 * @param nowMillis the monotonic time, in milliseconds
 	 * @return the number of instances, with this one
 	 */
 	public int responsiveInstanceCount(long nowMillis) {
-		return this.instances.liveCount(nowMillis - this.timing.responsivePeriodMillis());
+		return this.instances.responsiveCount(nowMillis - this.timing.responsivePeriodMillis());
 	}
 
 	/**
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RoundTiming.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RoundTiming.java
@@ -7,9 +7,10 @@
  */
 final class RoundTiming {
 
-	// Four heartbeats, and the rounds of gossip that relay them. An acknowledgement does
-	// not wait for instances that are silent for longer, because it must not come late.
-	private static final long RESPONSIVE_PERIOD_MILLIS = 2_500;
+	// Five heartbeats, made in time and relayed within some rounds of gossip. An
+	// acknowledgement does not wait for instances that are silent for longer, because it
+	// must not come late.
+	private static final long RESPONSIVE_PERIOD_MILLIS = 2_800;
 
 	private static final int HEARTBEAT_BYTES_PER_INSTANCE = 13;
 
@@ -49,7 +50,8 @@
 		return scaleToRoundInterval(this.settings.isolationTimeoutMillis());
 	}
 
-	// The time within which an instance that responds has sent a heartbeat.
+	// The time within which an instance that responds has made a heartbeat that has
+	// arrived.
 	long responsivePeriodMillis() {
 		return scaleToRoundInterval(RESPONSIVE_PERIOD_MILLIS);
 	}
--- a/radishthread-membership/src/test/java/org/radishthread/membership/AcknowledgementTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/AcknowledgementTests.java
@@ -1,5 +1,11 @@
 package org.radishthread.membership;
 
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -34,4 +40,47 @@
 		}
 	}
 
+	// Heartbeats of a stopped instance are relayed for up to 1.8 s. They counted from
+	// their arrival, so that the instance was waited for 3.3 s after it had stopped.
+	@Property(tries = 20)
+	void rulesAreAcknowledgedWhicheverInstanceIsSilent(@ForAll @LongRange(max = 100_000) long seed,
+			@ForAll("instanceNames") String silentName) {
+		SimulatedFleet fleet = new SimulatedFleet(5, 14, seed);
+		fleet.acceptRules(1);
+		fleet.run(8_000);
+		fleet.stop(silentName);
+		fleet.run(STABLE_MILLIS);
+		fleet.acceptRules(2);
+		fleet.run(ACKNOWLEDGEMENT_MILLIS);
+		for (String name : fleet.names(true)) {
+			Membership control = fleet.membership(name);
+			assertThat(control.countInstancesAtRevision(2, fleet.nowMillis)).as(name)
+				.isGreaterThanOrEqualTo(control.responsiveInstanceCount(fleet.nowMillis));
+		}
+	}
+
+	@Provide
+	Arbitrary<String> instanceNames() {
+		return Arbitraries.of("control-0", "control-2", "control-4", "gateway-3", "gateway-11");
+	}
+
+	// An acknowledgement does not wait for an instance that it does not count. Peers are
+	// selected at random, so that the heartbeats of one may stay away now and then.
+	@Property(tries = 10)
+	void runningInstancesAreResponsive(@ForAll @LongRange(max = 100_000) long seed) {
+		SimulatedFleet fleet = new SimulatedFleet(5, 14, seed);
+		fleet.acceptRules(1);
+		fleet.run(8_000);
+		int missedCount = 0;
+		int observedCount = 0;
+		for (int step = 0; step < 200; step++) {
+			fleet.run(50);
+			for (String name : fleet.names(true)) {
+				missedCount += fleet.size() - fleet.membership(name).responsiveInstanceCount(fleet.nowMillis);
+				observedCount += fleet.size();
+			}
+		}
+		assertThat(missedCount).isLessThan(observedCount / 1_000);
+	}
+
 }
