--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -36,6 +36,7 @@
 import org.radishthread.rules.RouteFinder;
 import org.radishthread.rules.RouteRule;
 import org.radishthread.rules.RuleSet;
+import org.radishthread.rules.ServiceRule;
 
 /**
  * Maintains the router of each service and finds the routes of requests. Applies changes
@@ -65,7 +66,8 @@
 
 	private final ReachabilityMonitor reachability;
 
-	private final Map<String, LocalRequestRouter> routers = new ConcurrentHashMap<>();
+	private final RouterDirectory<LocalRequestRouter> routers = new RouterDirectory<>(this::createRouter,
+			LocalRequestRouter::updateRule);
 
 	private final UpstreamConstraints constraints = new UpstreamConstraints();
 
@@ -85,8 +87,6 @@
 	// Accessed on the thread that publishes rules only.
 	private final IncrementalRuleParser ruleParser = new IncrementalRuleParser();
 
-	private volatile RuleSet rules = RuleSet.EMPTY;
-
 	private volatile RouteFinder routes = RuleSet.EMPTY.toRouteFinder();
 
 	private volatile KeyCheck keyCheck;
@@ -124,12 +124,12 @@
 
 	// The revision of the rules in force, or zero if there are none.
 	long revision() {
-		return this.rules.revision();
+		return this.routers.rules().revision();
 	}
 
 	// Whether the rules in force have workspaces.
 	boolean requiresKeys() {
-		return this.rules.requiresKeys();
+		return this.routers.rules().requiresKeys();
 	}
 
 	// The check of callers' keys by the rules in force.
@@ -163,8 +163,12 @@
 	}
 
 	LocalRequestRouter router(String service) {
-		return this.routers.computeIfAbsent(service, (name) -> new LocalRequestRouter(this.rules.serviceRule(name),
-				this.settings, this.allotments, this.crashExchange, this.time, this.prober, this.eventLoop));
+		return this.routers.router(service);
+	}
+
+	private LocalRequestRouter createRouter(ServiceRule rule) {
+		return new LocalRequestRouter(rule, this.settings, this.allotments, this.crashExchange, this.time, this.prober,
+				this.eventLoop);
 	}
 
 	// Whether this instance can open connections to the upstreams of a service.
@@ -197,7 +201,7 @@
 
 	// Returns why this instance may not send an attempt that was granted, or null.
 	@Nullable LoadReport findConstraint(String service, RoutingEffect.Dispatch dispatch) {
-		boolean coldnessMatters = this.rules.serviceRule(service).coldRequestsPerSecond() > 0;
+		boolean coldnessMatters = this.routers.rules().serviceRule(service).coldRequestsPerSecond() > 0;
 		String upstream = dispatch.upstream().name();
 		long nowNanos = this.time.monotonicNanos();
 		synchronized (this.constraints) {
@@ -245,7 +249,7 @@
 		synchronized (this.constraints) {
 			this.constraints.updateEvacuatedZones(zones);
 		}
-		this.routers.values().forEach((router) -> router.updateEvacuatedZones(zones));
+		this.routers.forEach((service, router) -> router.updateEvacuatedZones(zones));
 	}
 
 	@Override
@@ -253,10 +257,9 @@
 		try {
 			RuleSet parsedRules = this.ruleParser.parse("revision-" + file.getRevision(), file.getContent());
 			this.keyCheck = new KeyCheck(parsedRules, keyLimits());
-			this.rules = parsedRules;
 			this.allotments.updateRules(parsedRules);
 			this.routes = parsedRules.toRouteFinder();
-			this.routers.forEach((service, router) -> router.updateRule(parsedRules.serviceRule(service)));
+			this.routers.applyRules(parsedRules);
 			eventLog.information("rules-parsed")
 				.with("revision", file.getRevision())
 				.with("parsed-lines", this.ruleParser.parsedLineCount())
