--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RouterDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RouterDirectory.java
@@ -10,8 +10,8 @@
 
 /**
  * Holds the rules in force and the router of each service. A router is created when it is
- * first needed, and is told the rule of its service. Safe for use by several threads;
- * rules must be applied by one thread at a time.
+ * first needed, and is told each rule of its service that comes into force, however that
+ * coincides with its creation. Safe for use by several threads.
  *
  * @param <R> the type of the routers
  */
@@ -40,12 +40,27 @@
 	}
 
 	R router(String service) {
-		return this.routers.computeIfAbsent(service, (name) -> this.factory.apply(this.rules.serviceRule(name)));
+		R existing = this.routers.get(service);
+		if (existing != null) {
+			return existing;
+		}
+		R router = this.routers.computeIfAbsent(service, (name) -> this.factory.apply(this.rules.serviceRule(name)));
+		// Rules that came into force before the router could be found were not told to
+		// it.
+		updateRule(service, router);
+		return router;
 	}
 
 	void applyRules(RuleSet newRules) {
 		this.rules = newRules;
-		this.routers.forEach((service, router) -> this.ruleUpdate.accept(router, newRules.serviceRule(service)));
+		this.routers.forEach(this::updateRule);
+	}
+
+	// The rule is read under the lock, so that no thread replaces it by an older one.
+	private void updateRule(String service, R router) {
+		synchronized (router) {
+			this.ruleUpdate.accept(router, this.rules.serviceRule(service));
+		}
 	}
 
 	void forEach(BiConsumer<String, R> action) {
