Send the response to a claimed request once it is recorded

After 'swap i1 k1' was answered with 200, 'swap i2 k1' right behind it got 409 'The request with this key is under way, or it is unknown whether it ran.' (scenario 03, line 11, once in a run of all tests on an idle machine).

The exchange sent the completion of the claim to the control group and wrote the response without waiting for it, so that the next instance could ask the leader for the claim before the completion was committed. No change of the leader is needed for that. The response, or the end of a streamed one, is now written when the completion is committed; without a leader after 1 s, or half of the remaining time. The release of a claim was awaited already.

Scenario 03 passes once on this code; how often it failed before was not measured.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -161,6 +161,15 @@
 		task.run();
 	}
 
+	/**
+	 * Runs a task once the selected response is recorded for repeated requests, if it is
+	 * recorded at all.
+	 * @param task the task, which also runs if the record fails or takes too long
+	 */
+	protected void runOnceRecorded(Runnable task) {
+		task.run();
+	}
+
 	protected final GatewayContext context() {
 		return this.context;
 	}
@@ -456,7 +465,7 @@
 		onResponseSelected(upstreamResponse, content);
 		abortOtherAttempts(attempt);
 		copyResponseHead(upstreamResponse);
-		this.response.write(true, ByteBuffer.wrap(content), this.callback);
+		runOnceRecorded(() -> this.response.write(true, ByteBuffer.wrap(content), this.callback));
 	}
 
 	private void copyResponseHead(org.eclipse.jetty.client.Response upstreamResponse) {
@@ -503,7 +512,7 @@
 		}
 		this.log.responseForwarded(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
 		if (complete) {
-			this.response.write(true, ByteBuffer.allocate(0), this.callback);
+			runOnceRecorded(() -> this.response.write(true, ByteBuffer.allocate(0), this.callback));
 		}
 		else {
 			// Closes the connection, so that the caller detects the truncated response.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ClaimService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ClaimService.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 
@@ -29,13 +30,19 @@
 
 	private static final long RECORD_TIMEOUT_MILLIS = 60_000;
 
-	private final ControlClient control;
+	private static final long MAXIMUM_RECORD_WAIT_MILLIS = 1_000;
+
+	private final LeaderRequests leader;
 
 	private final String instance;
 
 	public ClaimService(DaemonSettings settings, ControlClient control) {
-		this.control = control;
-		this.instance = settings.instance();
+		this(settings.instance(), control::sendToLeader);
+	}
+
+	ClaimService(String instance, LeaderRequests leader) {
+		this.instance = instance;
+		this.leader = leader;
 	}
 
 	Claim newClaim(String service, String key, byte[] fingerprint) {
@@ -53,11 +60,17 @@
 			.thenApply(ControlResponse::getClaim);
 	}
 
-	CompletableFuture<ControlResponse> complete(Claim claim, RecordedAnswer response) {
+	// Records the response to a claimed request. It is sent to the caller only once the
+	// returned future ends, so that every instance then knows it, but not much later if
+	// the control group has no leader. A part of the remaining time is left for sending.
+	CompletableFuture<Void> complete(Claim claim, RecordedAnswer response, long remainingMillis) {
+		long waitMillis = Math.max(1, Math.min(MAXIMUM_RECORD_WAIT_MILLIS, remainingMillis / 2));
 		return send(Command.newBuilder()
 			.setCompletion(
 					ClaimCompletion.newBuilder().setKey(claim.key()).setAttempt(claim.token()).setAnswer(response)),
-				RECORD_TIMEOUT_MILLIS);
+				RECORD_TIMEOUT_MILLIS)
+			.orTimeout(waitMillis, TimeUnit.MILLISECONDS)
+			.handle((recorded, failure) -> null);
 	}
 
 	CompletableFuture<ControlResponse> release(Claim claim) {
@@ -68,7 +81,23 @@
 	}
 
 	private CompletableFuture<ControlResponse> send(Command.Builder command, long timeoutMillis) {
-		return this.control.sendToLeader(ControlRequest.newBuilder().setCommand(command), timeoutMillis);
+		return this.leader.send(ControlRequest.newBuilder().setCommand(command), timeoutMillis);
+	}
+
+	/**
+	 * Sends requests to the leader of the control group.
+	 */
+	@FunctionalInterface
+	interface LeaderRequests {
+
+		/**
+		 * Sends a request, again until a response arrives or the timeout expires.
+		 * @param request the request
+		 * @param timeoutMillis how long to wait for the response, in milliseconds
+		 * @return a future with the response
+		 */
+		CompletableFuture<ControlResponse> send(ControlRequest.Builder request, long timeoutMillis);
+
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -44,6 +45,9 @@
 
 	private @Nullable Claim claim;
 
+	// Ends when the selected response is recorded.
+	private volatile CompletableFuture<Void> recording = CompletableFuture.completedFuture(null);
+
 	RoutedExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision, ArrivedRequest arrived) {
 		super(context, route, keyDecision, arrived);
 		this.router = context.router(route.service());
@@ -281,7 +285,12 @@
 		if (content != null) {
 			recordedResponse.setBody(ByteString.copyFrom(content)).setBodyKept(true);
 		}
-		context().claims().complete(currentClaim, recordedResponse.build());
+		this.recording = context().claims().complete(currentClaim, recordedResponse.build(), remainingMillis());
+	}
+
+	@Override
+	protected void runOnceRecorded(Runnable task) {
+		this.recording.thenRun(task);
 	}
 
 	@Override
