Part the connections of the simulated fleet from the fleet

SimulatedConnections holds the connections of simulated instances, one for each direction, as the daemon keeps them. What is simulated stays the same, but for one point: a connection that its sender has closed, since no response to a ping arrived or since it was replaced, is not open, so it can't go silent before the next message has opened it anew. One that is silent already still counts as silent from then on if it is silenced again, as before.

--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,7 +11,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.LongFunction;
-import java.util.function.Predicate;
 
 import com.google.protobuf.ByteString;
 
@@ -60,26 +58,12 @@
 	// started and is not compiled yet.
 	private static final double PROCESSOR_MILLIS_PER_MESSAGE = 0.2;
 
-	// The time from the first message on a silent connection until its sender closes it
-	// for lack of a response to a ping.
-	private static final long SILENCE_DETECTION_MILLIS = 1_750;
-
-	// The time after which an unused connection is closed.
-	private static final long IDLE_TIMEOUT_MILLIS = 5_000;
-
 	// Two heartbeats of a leader.
 	private static final long AGREEMENT_AGE_MILLIS = 250;
 
-	private static final long UNUSED = Long.MAX_VALUE;
-
 	private final Map<String, Node> nodes = new LinkedHashMap<>();
 
-	// When the first message was lost on each silent connection, by the names of its
-	// sender and its recipient.
-	private final Map<String, Long> silentConnections = new HashMap<>();
-
-	// When each connection was last used, by the names of its sender and its recipient.
-	private final Map<String, Long> usedConnections = new HashMap<>();
+	private final SimulatedConnections connections = new SimulatedConnections();
 
 	// The names of the instances that are partitioned from all other control instances,
 	// but not from gateways.
@@ -238,7 +222,7 @@
 				this.confirmedUpstreams.add(upstream);
 			}
 		}
-		effects.silentAddresses().forEach((address) -> this.silentConnections.remove(node.name + '>' + address));
+		effects.silentAddresses().forEach((address) -> this.connections.close(node.name, address));
 		for (OutgoingMessage message : effects.messages()) {
 			int bytes = message.envelope().getSerializedSize() + PACKET_OVERHEAD_BYTES;
 			node.sentBytes += bytes;
@@ -248,7 +232,8 @@
 			double sendMillis = node.useProcessor(atMillis);
 			double sentMillis = node.occupyLink(sendMillis, bytes);
 			Node target = this.nodes.get(message.address());
-			if (target != null && !isLost(node.name, message.address()) && !isPartitioned(node, target)) {
+			boolean arrives = this.connections.send(node.name, message.address(), this.nowMillis);
+			if (target != null && arrives && !isPartitioned(node, target)) {
 				target.receivedRuleBytes += message.envelope().hasRuleFile() ? bytes : 0;
 				double receivedMillis = target.occupyLink(sentMillis + LATENCY_MILLIS, bytes);
 				target.inbox.add(new Delivery(receivedMillis, node.name, message.envelope()));
@@ -270,45 +255,19 @@
 		return !this.cutOffNames.isEmpty();
 	}
 
-	private boolean isLost(String from, String to) {
-		String connection = from + '>' + to;
-		this.usedConnections.put(connection, this.nowMillis);
-		Long firstLostMillis = this.silentConnections.get(connection);
-		if (firstLostMillis == null) {
-			return false;
-		}
-		if (firstLostMillis == UNUSED) {
-			this.silentConnections.put(connection, this.nowMillis);
-			return true;
-		}
-		if (this.nowMillis - firstLostMillis >= SILENCE_DETECTION_MILLIS) {
-			this.silentConnections.remove(connection);
-			return false;
-		}
-		return true;
-	}
-
 	// Makes all open connections from and to an instance lose messages without notice.
 	void silenceConnections(String name) {
-		silenceConnections((connection) -> connection.startsWith(name + '>') || connection.endsWith('>' + name));
+		this.connections.silence((from, to) -> from.equals(name) || to.equals(name), this.nowMillis);
 	}
 
 	// Makes all open connections from an instance lose messages without notice.
 	void silenceOutboundConnections(String name) {
-		silenceConnections((connection) -> connection.startsWith(name + '>'));
+		this.connections.silence((from, to) -> from.equals(name), this.nowMillis);
 	}
 
 	// Makes all open connections to an instance lose messages without notice.
 	void silenceInboundConnections(String name) {
-		silenceConnections((connection) -> connection.endsWith('>' + name));
-	}
-
-	private void silenceConnections(Predicate<String> filter) {
-		this.usedConnections.values().removeIf((usedMillis) -> this.nowMillis - usedMillis > IDLE_TIMEOUT_MILLIS);
-		this.usedConnections.keySet()
-			.stream()
-			.filter(filter)
-			.forEach((connection) -> this.silentConnections.put(connection, UNUSED));
+		this.connections.silence((from, to) -> to.equals(name), this.nowMillis);
 	}
 
 	// Suspends an instance. Messages to it wait until it resumes.
