Bound the time to leave a silent control instance by that to apply rules

Callers saw a request refused with 404, or served as the former revision says, 3 s after the last of several silences: a gateway that was ready still applied the former rules.

Cause: one timeout served two purposes. Silence of an open connection was taken for slowness, and only a response within 0.5 s took the growth back. An update of a control instance, which responds to no report, counted as a response, though it does not show that reports arrive.

The timeout is now half of the time to apply rules. It grows with the time that responses took, and after an instance was left while no other has responded since, but never beyond the time to apply rules less one report interval. It is checked in each tick, and the next report is sent at once, over new connections to all control instances that have not responded since the silence began.

The log line control-instance-silent names the time without a response, the timeout, the applied revision, its age, and whether a higher revision is known.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -30,6 +30,7 @@
 import org.radishthread.membership.ReplicationResult;
 import org.radishthread.membership.RuleTransfer;
 import org.radishthread.membership.ServingState;
+import org.radishthread.membership.SilentInstance;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.InstanceRecord;
@@ -241,10 +242,8 @@
 			this.transport.closeInboundConnections();
 		}
 		this.roundPending = effects.roundPending();
-		effects.silentAddresses().forEach((address) -> {
-			eventLog.warning("control-instance-silent").with("address", address).write();
-			this.transport.closeConnection(address);
-		});
+		effects.silentInstances().forEach((silentInstance) -> logSilentInstance(silentInstance, nowMillis));
+		effects.suspectAddresses().forEach(this.transport::closeConnection);
 		effects.messages().forEach((message) -> this.transport.send(message.address(), message.envelope()));
 		effects.replicationResults().forEach(this::completeReplication);
 		logRefusedRules();
@@ -334,6 +333,19 @@
 			.write();
 	}
 
+	private void logSilentInstance(SilentInstance silentInstance, long nowMillis) {
+		long currentAtMillis = this.membership.rulesCurrentAtMillis();
+		eventLog.warning("control-instance-silent")
+			.with("address", silentInstance.address())
+			.with("silent-millis", silentInstance.silentMillis())
+			.with("timeout-millis", silentInstance.timeoutMillis())
+			.with("revision", this.membership.appliedRules().getRevision())
+			.with("rules-age-millis", (currentAtMillis != Freshness.UNKNOWN) ? nowMillis - currentAtMillis : "unknown")
+			.with("behind", this.membership.isBehind())
+			.with("next", "reports go to another control instance over new connections")
+			.write();
+	}
+
 	private void logStateChange(ServingState state, long nowMillis) {
 		eventLog.information("serving-state-changed")
 			.with("from", this.view.state().wireName())
--- a/radishthread-membership/src/main/java/org/radishthread/membership/ControlSubscription.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ControlSubscription.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -18,15 +19,10 @@
  */
 final class ControlSubscription {
 
-	// Two report intervals. With the interval itself and the time to connect to another
-	// instance, a silent connection is replaced within two seconds.
-	private static final long RESPONSE_TIMEOUT_MILLIS = 1_000;
-
 	private static final long AVOIDANCE_MILLIS = 2_000;
 
-	// Each response that does not arrive doubles the time allowed for the next ones, so
-	// that overloaded instances are not sent more reports because they are slow.
-	private static final int MAXIMUM_TIMEOUT_DOUBLINGS = 3;
+	// More reports than are sent within the longest response time that matters.
+	private static final int MAXIMUM_SENT_REPORTS = 32;
 
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -36,22 +32,29 @@
 
 	private final Map<String, Contact> contacts = new HashMap<>();
 
-	private final List<String> silentAddresses = new ArrayList<>();
+	private final ResponseTimeout responseTimeout;
+
+	// When each report was sent, by its heartbeat, in ascending order.
+	private final Map<Long, Long> sentMillis = new LinkedHashMap<>();
 
 	private String primaryAddress = "";
 
 	private long lastResponseMillis = NEVER;
 
-	private int timeoutDoublings;
-
-	ControlSubscription(String selfName, String selfZone) {
+	ControlSubscription(String selfName, String selfZone, ResponseTimeout responseTimeout) {
 		this.selfNameHash = NameHash.of(selfName);
 		this.selfZone = selfZone;
+		this.responseTimeout = responseTimeout;
 	}
 
 	// Returns the peer addresses to report to, the preferred one first.
 	List<String> select(List<InstanceRecord> controlInstances, long nowMillis) {
-		avoidSilentInstances(nowMillis);
+		List<String> targets = selectTargets(controlInstances, nowMillis);
+		this.contacts.forEach((address, contact) -> contact.awaitResponseIf(targets.contains(address)));
+		return targets;
+	}
+
+	private List<String> selectTargets(List<InstanceRecord> controlInstances, long nowMillis) {
 		InstanceRecord primary = first(controlInstances, this.selfZone, true, nowMillis);
 		if (primary == null) {
 			return List.of();
@@ -64,20 +67,28 @@
 				: List.of(this.primaryAddress);
 	}
 
-	private void avoidSilentInstances(long nowMillis) {
+	// Returns the instances that did not respond in time. They are avoided from now on.
+	List<SilentInstance> leaveSilentInstances(long nowMillis) {
+		long timeoutMillis = this.responseTimeout.millis();
+		List<SilentInstance> silentInstances = new ArrayList<>();
 		this.contacts.forEach((address, contact) -> {
-			if (contact.reportedSinceMillis != NEVER
-					&& nowMillis - contact.reportedSinceMillis > responseTimeoutMillis()) {
-				this.timeoutDoublings = Math.min(MAXIMUM_TIMEOUT_DOUBLINGS, this.timeoutDoublings + 1);
+			long silentMillis = contact.silentMillis(nowMillis);
+			if (silentMillis > timeoutMillis) {
 				contact.avoidedUntilMillis = nowMillis + AVOIDANCE_MILLIS;
 				contact.reportedSinceMillis = NEVER;
-				this.silentAddresses.add(address);
+				silentInstances.add(new SilentInstance(address, silentMillis, timeoutMillis));
 			}
 		});
+		if (!silentInstances.isEmpty()) {
+			this.responseTimeout.recordSilence();
+		}
+		return silentInstances;
 	}
 
-	private long responseTimeoutMillis() {
-		return RESPONSE_TIMEOUT_MILLIS << this.timeoutDoublings;
+	// Whether a response of the instance arrived after a time.
+	boolean hasRespondedSince(String address, long sinceMillis) {
+		Contact contact = this.contacts.get(address);
+		return contact != null && contact.lastResponseMillis >= sinceMillis;
 	}
 
 	private @Nullable InstanceRecord first(List<InstanceRecord> candidates, String zone, boolean inZone,
@@ -94,21 +105,32 @@
 		return (contact != null && contact.avoidedUntilMillis > nowMillis) ? contact.avoidedUntilMillis : NEVER;
 	}
 
-	void recordReport(String address, long nowMillis) {
+	void recordReport(String address, long heartbeat, long nowMillis) {
 		Contact contact = this.contacts.computeIfAbsent(address, (key) -> new Contact());
 		if (contact.reportedSinceMillis == NEVER) {
 			contact.reportedSinceMillis = nowMillis;
 		}
+		this.sentMillis.putIfAbsent(heartbeat, nowMillis);
+		if (this.sentMillis.size() > MAXIMUM_SENT_REPORTS) {
+			this.sentMillis.remove(this.sentMillis.keySet().iterator().next());
+		}
 	}
 
-	void recordResponse(String address, boolean current, long nowMillis) {
-		Contact contact = this.contacts.computeIfAbsent(address, (key) -> new Contact());
-		if (contact.reportedSinceMillis != NEVER
-				&& nowMillis - contact.reportedSinceMillis < RESPONSE_TIMEOUT_MILLIS / 2) {
-			this.timeoutDoublings = 0;
+	void recordResponse(String address, long reportHeartbeat, boolean current, long nowMillis) {
+		Long reportedAtMillis = this.sentMillis.get(reportHeartbeat);
+		if (reportedAtMillis != null) {
+			this.responseTimeout.recordResponse(nowMillis - reportedAtMillis);
 		}
+		Contact contact = this.contacts.computeIfAbsent(address, (key) -> new Contact());
 		contact.reportedSinceMillis = NEVER;
 		contact.avoidedUntilMillis = current ? NEVER : nowMillis + AVOIDANCE_MILLIS;
+		contact.lastResponseMillis = nowMillis;
+		this.lastResponseMillis = nowMillis;
+	}
+
+	// Records a message of a control instance that responds to no report. It does not
+	// show that reports arrive.
+	void recordUpdate(long nowMillis) {
 		this.lastResponseMillis = nowMillis;
 	}
 
@@ -124,23 +146,27 @@
 	// while this process was suspended.
 	void reset() {
 		this.contacts.clear();
-	}
-
-	// The addresses of instances that did not respond since the last call. The
-	// connections to them may have lost their state on the path.
-	List<String> drainSilentAddresses() {
-		List<String> drainedAddresses = List.copyOf(this.silentAddresses);
-		this.silentAddresses.clear();
-		return drainedAddresses;
+		this.sentMillis.clear();
 	}
 
 	private static final class Contact {
 
-		// When the first report without a response was sent.
+		// When the first report after the last response was sent.
 		private long reportedSinceMillis = NEVER;
 
 		private long avoidedUntilMillis = NEVER;
 
+		private long lastResponseMillis = NEVER;
+
+		// An instance that is no longer reported to is not awaited.
+		private void awaitResponseIf(boolean target) {
+			this.reportedSinceMillis = target ? this.reportedSinceMillis : NEVER;
+		}
+
+		private long silentMillis(long nowMillis) {
+			return (this.reportedSinceMillis != NEVER) ? nowMillis - this.reportedSinceMillis : 0;
+		}
+
 	}
 
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
@@ -1,5 +1,6 @@
 package org.radishthread.membership;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -43,28 +44,56 @@
 
 	private final Backoff interval = new Backoff(MINIMUM_REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS);
 
+	// The instances that were found to be silent since they were last drained.
+	private final List<SilentInstance> silentInstances = new ArrayList<>();
+
+	// The addresses to which connections must be opened anew.
+	private final Set<String> suspectAddresses = new LinkedHashSet<>();
+
 	private long startMillis = Long.MIN_VALUE;
 
 	// Whether the last response listed the instances that this gateway counts as live.
 	private boolean viewAgreed;
 
 	GatewayReports(InstanceRecord self, InstanceTable instances, long rulesApplyMillis) {
-		this.subscription = new ControlSubscription(self.getName(), self.getZone());
+		this.subscription = new ControlSubscription(self.getName(), self.getZone(),
+				new ResponseTimeout(rulesApplyMillis, REPORT_INTERVAL_MILLIS));
 		this.instances = instances;
 		this.maximumRulesAgeMillis = rulesApplyMillis / 2;
 	}
 
 	// Returns the addresses to report to now, or an empty list if no control instance is
 	// known.
-	List<String> nextTargets(long nowMillis) {
+	List<String> nextTargets(long heartbeat, long nowMillis) {
 		if (this.startMillis == Long.MIN_VALUE) {
 			this.startMillis = nowMillis;
 		}
 		List<String> targets = this.subscription.select(this.instances.controlInstances(), nowMillis);
-		targets.forEach((address) -> this.subscription.recordReport(address, nowMillis));
+		targets.forEach((address) -> this.subscription.recordReport(address, heartbeat, nowMillis));
 		return targets;
 	}
 
+	// Returns the control instances that did not respond in time, and avoids them from
+	// now on.
+	List<SilentInstance> leaveSilentInstances(long nowMillis) {
+		List<SilentInstance> leftInstances = this.subscription.leaveSilentInstances(nowMillis);
+		for (SilentInstance leftInstance : leftInstances) {
+			this.silentInstances.add(leftInstance);
+			this.suspectAddresses.add(leftInstance.address());
+			suspectConnectionsSilentSince(nowMillis - leftInstance.silentMillis());
+		}
+		return leftInstances;
+	}
+
+	// What made a connection silent may have done so to others that are still open.
+	private void suspectConnectionsSilentSince(long sinceMillis) {
+		this.instances.controlInstances()
+			.stream()
+			.map(InstanceRecord::getPeerAddress)
+			.filter((address) -> !this.subscription.hasRespondedSince(address, sinceMillis))
+			.forEach(this.suspectAddresses::add);
+	}
+
 	long nextIntervalMillis() {
 		return this.interval.nextMillis();
 	}
@@ -107,7 +136,12 @@
 		boolean reachesMajority = 2 * response.getInstancesCount() > this.instances.controlInstances().size();
 		String address = response.getSenderAddress();
 		boolean outdated = isOutdated(response);
-		this.subscription.recordResponse(address, reachesMajority && !outdated, nowMillis);
+		if (response.getReport() != 0) {
+			this.subscription.recordResponse(address, response.getReport(), reachesMajority && !outdated, nowMillis);
+		}
+		else {
+			this.subscription.recordUpdate(nowMillis);
+		}
 		boolean authoritative = this.subscription.isPrimary(address) || this.instances.controlInstances().isEmpty();
 		if (!authoritative || !reachesMajority) {
 			return false;
@@ -128,10 +162,18 @@
 
 	// The heartbeats of other control instances show only after their timeout that the
 	// sender is partitioned from them; the age of its rules shows it at once. Updates
-	// carry no age.
+	// carry no age, and neither do responses of an instance that just started.
 	private boolean isOutdated(Gossip response) {
-		return response.getReport() != 0
-				&& !(response.hasRulesAgeMillis() && response.getRulesAgeMillis() <= this.maximumRulesAgeMillis);
+		if (response.hasRulesAgeMillis()) {
+			return response.getRulesAgeMillis() > this.maximumRulesAgeMillis;
+		}
+		return response.getReport() != 0 && hasConfirmedRules(response);
+	}
+
+	private static boolean hasConfirmedRules(Gossip response) {
+		int index = response.getInstancesList().indexOf(NameHash.of(response.getSender()));
+		return index >= 0 && index < response.getRevisionsCount()
+				&& response.getRevisions(index) != InstanceTable.UNCONFIRMED_REVISION;
 	}
 
 	/**
@@ -183,8 +225,16 @@
 		this.viewAgreed = false;
 	}
 
-	List<String> drainSilentAddresses() {
-		return this.subscription.drainSilentAddresses();
+	List<SilentInstance> drainSilentInstances() {
+		List<SilentInstance> drainedInstances = List.copyOf(this.silentInstances);
+		this.silentInstances.clear();
+		return drainedInstances;
+	}
+
+	Set<String> drainSuspectAddresses() {
+		Set<String> drainedAddresses = Set.copyOf(this.suspectAddresses);
+		this.suspectAddresses.clear();
+		return drainedAddresses;
 	}
 
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -183,7 +183,7 @@
 				this.upstreamsChanged ? upstreams() : null, this.upstreamsChanged ? this.upstreams.snapshot() : null,
 				this.rules.drainChanged() ? this.rules.ruleFile() : null,
 				this.evacuationsChanged ? this.evacuations.evacuations() : null, this.upstreams.drainResults(),
-				this.resumedFromFreeze, this.reports.drainSilentAddresses(),
+				this.resumedFromFreeze, this.reports.drainSilentInstances(), this.reports.drainSuspectAddresses(),
 				this.urgentRoundPending || this.updatePending);
 		this.outgoingMessages.clear();
 		this.upstreamsChanged = false;
@@ -279,6 +279,7 @@
 		collectUpstreamEffects();
 		requestUpstreams(nowMillis);
 		requestOverdueRules(nowMillis);
+		leaveSilentInstances(nowMillis);
 		if (nowMillis >= this.nextRoundMillis) {
 			advanceHeartbeat(nowMillis);
 			this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.revision(),
@@ -297,6 +298,12 @@
 		}
 	}
 
+	private void leaveSilentInstances(long nowMillis) {
+		if (!gossips() && !this.reports.leaveSilentInstances(nowMillis).isEmpty()) {
+			this.nextRoundMillis = nowMillis;
+		}
+	}
+
 	private long nextRoundIntervalMillis(long nowMillis) {
 		// The seeds are sent the first messages of all instances that start.
 		boolean knowsSeedsOnly = !this.self.getControl() && this.instances.entries().size() == 1;
@@ -309,7 +316,7 @@
 	private void sendReports(long nowMillis) {
 		this.rulesFreshness.recordReport(this.heartbeat, nowMillis);
 		this.evacuations.recordReport(this.heartbeat, nowMillis);
-		Set<String> targets = new LinkedHashSet<>(this.reports.nextTargets(nowMillis));
+		Set<String> targets = new LinkedHashSet<>(this.reports.nextTargets(this.heartbeat, nowMillis));
 		if (this.reports.isControlLost(nowMillis)) {
 			targets.addAll(this.selector.select(this.seeds, 1));
 			Gossip gossip = createGossip(true);
@@ -472,8 +479,11 @@
 	private void respondToReport(Gossip report, long nowMillis) {
 		Gossip.Builder response = this.responses.respond(report, this.self, this.rules.reportedRevision(),
 				this.upstreams.stateDigest(), nowMillis - this.timing.failureTimeoutMillis(), nowMillis);
-		if (this.rules.isConfirmed() && report.getHeartbeatsCount() > 0) {
-			this.rulesFreshness.describe(response, report.getHeartbeats(0), nowMillis);
+		if (report.getHeartbeatsCount() > 0) {
+			response.setReport(report.getHeartbeats(0));
+		}
+		if (this.rules.isConfirmed()) {
+			this.rulesFreshness.describe(response, nowMillis);
 		}
 		sendGossip(report.getSenderAddress(), response.build());
 	}
@@ -884,6 +894,14 @@
 		return this.rulesFreshness.currentAtMillis();
 	}
 
+	/**
+	 * Returns whether another instance told a higher revision than the applied one.
+	 * @return whether newer rules are known of
+	 */
+	public boolean isBehind() {
+		return this.rules.isBehindLongerThan(0, this.lastClockReadingMillis);
+	}
+
 	/**
 	 * Sends the applied rules to a peer that has an older revision.
 	 * @param request the request
--- a/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
@@ -1,6 +1,7 @@
 package org.radishthread.membership;
 
 import java.util.List;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -21,12 +22,13 @@
  * @param replicationResults the results of the replications that completed
  * @param resumedFromFreeze whether this process was suspended, so that open peer
  * connections may carry outdated messages and must be closed
- * @param silentAddresses the peer addresses of instances that did not respond in time, so
- * that the connections to them must be opened anew
+ * @param silentInstances the control instances that did not respond in time
+ * @param suspectAddresses the peer addresses of instances to which open connections may
+ * lose messages, so that they must be opened anew before the messages are sent
  * @param roundPending whether changes wait to be sent by a later call
  */
 public record MembershipEffects(List<OutgoingMessage> messages, @Nullable List<UpstreamRecord> upstreams,
 		@Nullable UpstreamSnapshot upstreamsToStore, @Nullable RuleFile rules, @Nullable Evacuations evacuations,
-		List<ReplicationResult> replicationResults, boolean resumedFromFreeze, List<String> silentAddresses,
-		boolean roundPending) {
+		List<ReplicationResult> replicationResults, boolean resumedFromFreeze, List<SilentInstance> silentInstances,
+		Set<String> suspectAddresses, boolean roundPending) {
 }
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RulesFreshness.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RulesFreshness.java
@@ -33,8 +33,7 @@
 		}
 	}
 
-	void describe(Gossip.Builder response, long reportHeartbeat, long nowMillis) {
-		response.setReport(reportHeartbeat);
+	void describe(Gossip.Builder response, long nowMillis) {
 		this.freshness.ageMillis(nowMillis).ifPresent(response::setRulesAgeMillis);
 	}
 
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessProperties.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessProperties.java
@@ -1,11 +1,14 @@
 package org.radishthread.membership;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
@@ -35,6 +38,10 @@
 	@Property(tries = 100)
 	void noGatewayTakesOutdatedRulesForTheNewestOnes(@ForAll @Size(min = 1, max = 3) List<Fault> faults,
 			@ForAll @IntRange(min = 0, max = 10_000) int seed) {
+		checkRules(faults, seed);
+	}
+
+	private static void checkRules(List<Fault> faults, int seed) {
 		Random random = new Random(seed);
 		SimulatedFleet fleet = new SimulatedFleet(CONTROL_COUNT, 14, seed);
 		fleet.acceptRules(1);
@@ -72,6 +79,30 @@
 		}
 	}
 
+	// Guards against a gateway that still applies the former rules 3 s after the last of
+	// several silences, because each silence doubled the time until it left a control
+	// instance.
+	@Group
+	class SilencesInSeries {
+
+		@Example
+		void three() {
+			checkRules(Collections.nCopies(3, Fault.SILENT_CONNECTIONS), 390);
+		}
+
+		@Example
+		void two() {
+			checkRules(Collections.nCopies(2, Fault.SILENT_CONNECTIONS), 7_256);
+		}
+
+		@Example
+		void twoWithPartitionedControlInstances() {
+			checkRules(List.of(Fault.PARTITIONED_CONTROL_INSTANCES, Fault.SILENT_CONNECTIONS,
+					Fault.SILENT_INBOUND_CONNECTIONS), 3_276);
+		}
+
+	}
+
 	private enum Fault {
 
 		SILENT_CONNECTIONS {
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessTests.java
@@ -20,8 +20,8 @@
 	private final RulesFreshness gateway = new RulesFreshness();
 
 	private Gossip respond(long reportHeartbeat, long nowMillis) {
-		Gossip.Builder response = Gossip.newBuilder();
-		this.control.describe(response, reportHeartbeat, nowMillis);
+		Gossip.Builder response = Gossip.newBuilder().setReport(reportHeartbeat);
+		this.control.describe(response, nowMillis);
 		return response.build();
 	}
 
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.LongFunction;
 
 import com.google.protobuf.ByteString;
@@ -86,6 +87,13 @@
 	// The envelopes sent that carry evacuations or their version.
 	long evacuationMessages;
 
+	// The time by which the messages to control instances are processed later, in the
+	// order in which they arrive.
+	IntSupplier controlDelayMillis = () -> 0;
+
+	// How often a gateway left a control instance that did not respond in time.
+	long leftInstances;
+
 	// The content of the rules by revision.
 	LongFunction<String> ruleContents = (revision) -> "content of " + revision;
 
@@ -222,7 +230,8 @@
 				this.confirmedUpstreams.add(upstream);
 			}
 		}
-		effects.silentAddresses().forEach((address) -> this.connections.close(node.name, address));
+		this.leftInstances += effects.silentInstances().size();
+		effects.suspectAddresses().forEach((address) -> this.connections.close(node.name, address));
 		for (OutgoingMessage message : effects.messages()) {
 			int bytes = message.envelope().getSerializedSize() + PACKET_OVERHEAD_BYTES;
 			node.sentBytes += bytes;
@@ -235,7 +244,8 @@
 			boolean arrives = this.connections.send(node.name, message.address(), this.nowMillis);
 			if (target != null && arrives && !isPartitioned(node, target)) {
 				target.receivedRuleBytes += message.envelope().hasRuleFile() ? bytes : 0;
-				double receivedMillis = target.occupyLink(sentMillis + LATENCY_MILLIS, bytes);
+				double receivedMillis = target.occupyLink(sentMillis + LATENCY_MILLIS, bytes)
+						+ (target.control ? this.controlDelayMillis.getAsInt() : 0);
 				target.inbox.add(new Delivery(receivedMillis, node.name, message.envelope()));
 			}
 		}
