--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupRepairProperties.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupRepairProperties.java
@@ -1,6 +1,7 @@
 package org.radishthread.agreement;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +41,10 @@
 
 	private static final int STEPS_BETWEEN_REQUESTS = 5;
 
+	private static final int MAXIMUM_EVENTS_BEFORE_FINAL_LOSS = 6;
+
+	private static final int LONGEST_RESTART_MILLIS = 1_500;
+
 	@Property(tries = 60, seed = "41", shrinking = ShrinkingMode.OFF)
 	void groupOfThreeBearsOneLossAfterTheOther(@ForAll long seed) {
 		new History(3, 1, seed).play();
@@ -50,6 +55,16 @@
 		new History(5, 2, seed).play();
 	}
 
+	@Property(tries = 40, seed = "43", shrinking = ShrinkingMode.OFF)
+	void groupOfThreeKeepsConfirmedRulesWhenAllLosePowerAndOneItsDisk(@ForAll long seed) {
+		new History(3, 1, seed).playUntilAllAreLost();
+	}
+
+	@Property(tries = 40, seed = "44", shrinking = ShrinkingMode.OFF)
+	void groupOfFiveKeepsConfirmedRulesWhenAllLosePowerAndTwoTheirDisks(@ForAll long seed) {
+		new History(5, 2, seed).playUntilAllAreLost();
+	}
+
 	/**
 	 * One random sequence of losses.
 	 */
@@ -99,6 +114,65 @@
 			}
 		}
 
+		// Plays some losses. Then, right after a confirmation, some instances lose their
+		// disks and all others their power, also those that replace lost ones.
+		private void playUntilAllAreLost() {
+			int eventCount = this.random.nextInt(MAXIMUM_EVENTS_BEFORE_FINAL_LOSS);
+			for (int event = 0; event < eventCount; event++) {
+				while (countLost() >= this.toleratedLosses) {
+					step();
+				}
+				loseOne();
+				long endMillis = now() + this.random.nextInt(LONGEST_PAUSE_MILLIS);
+				while (now() < endMillis) {
+					step();
+				}
+			}
+			confirmRevision();
+			loseAll();
+			long endMillis = now() + LONGEST_RESTART_MILLIS + STEP_MILLIS;
+			while (now() < endMillis) {
+				step();
+			}
+			assertAvailable();
+			assertAvailable();
+		}
+
+		private void confirmRevision() {
+			long acceptedRevision = this.cluster.checker.acceptedRevision;
+			long endMillis = now() + AVAILABILITY_MILLIS;
+			while (now() < endMillis && this.cluster.checker.acceptedRevision == acceptedRevision) {
+				for (int i = 0; i < this.cluster.instances.size(); i++) {
+					this.cluster.submitRules(i, 1, "rules-");
+				}
+				long attemptEndMillis = now() + STEPS_BETWEEN_REQUESTS * STEP_MILLIS;
+				while (now() < attemptEndMillis && this.cluster.checker.acceptedRevision == acceptedRevision) {
+					this.cluster.run(10);
+				}
+				if (this.cluster.checker.acceptedRevision == acceptedRevision) {
+					step();
+				}
+			}
+			assertThat(this.cluster.checker.acceptedRevision).as("accepted revision after %s", this.events)
+				.isGreaterThan(acceptedRevision);
+		}
+
+		private void loseAll() {
+			long lostDisks = this.random.nextInt(this.toleratedLosses + 1 - (int) countLost());
+			List<FakeControlInstance> shuffledMembers = new ArrayList<>(this.members);
+			Collections.shuffle(shuffledMembers, this.random);
+			for (FakeControlInstance member : shuffledMembers) {
+				if (member.replica() == null) {
+					continue;
+				}
+				boolean diskLost = lostDisks > 0 && this.lostUntilMillis.getOrDefault(member, 0L) <= now();
+				lostDisks -= diskLost ? 1 : 0;
+				this.events.add(now() + ": " + (diskLost ? "disk" : "power") + " lost " + member);
+				restart(member, this.random.nextInt(LONGEST_RESTART_MILLIS),
+						diskLost ? this.cluster.nextReplicaId() : member.replicaId);
+			}
+		}
+
 		private long now() {
 			return this.cluster.nowMillis();
 		}
