Replace the connection to a gateway whose reports were lost

Callers saw the former revision in force at a gateway 3 s after the last of several silences, although the gateway had left the silent control instance in time and reported to another one.

Cause: a response goes over a connection that the control instance opened, not over that of the report. It may be open from an earlier time, and be silent too: the gateway replaces its own connections, but the response is lost until the control instance misses the response to a ping, 1.75 s after its first lost message.

A gateway numbers its reports by its heartbeat. If some of them did not arrive at a control instance, they were lost, or the gateway had left it for another one as silent; either way the connection back to the gateway is opened anew before the response is sent. Gateways never react to that, so the replacements can't go on by themselves, and while all reports arrive, however late, nothing is replaced. No message changes.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -183,7 +183,7 @@
 				this.upstreamsChanged ? upstreams() : null, this.upstreamsChanged ? this.upstreams.snapshot() : null,
 				this.rules.drainChanged() ? this.rules.ruleFile() : null,
 				this.evacuationsChanged ? this.evacuations.evacuations() : null, this.upstreams.drainResults(),
-				this.resumedFromFreeze, this.reports.drainSilentInstances(), this.reports.drainSuspectAddresses(),
+				this.resumedFromFreeze, this.reports.drainSilentInstances(), drainSuspectAddresses(),
 				this.urgentRoundPending || this.updatePending);
 		this.outgoingMessages.clear();
 		this.upstreamsChanged = false;
@@ -192,6 +192,12 @@
 		return effects;
 	}
 
+	private Set<String> drainSuspectAddresses() {
+		Set<String> addresses = new LinkedHashSet<>(this.reports.drainSuspectAddresses());
+		addresses.addAll(this.responses.drainSuspectAddresses());
+		return addresses;
+	}
+
 	private void collectUpstreamEffects() {
 		this.outgoingMessages.addAll(this.upstreams.drainMessages());
 		for (UpstreamChange change : this.upstreams.drainChanges()) {
--- a/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.radishthread.protocol.Gossip;
 import org.radishthread.protocol.InstanceRecord;
@@ -12,7 +14,8 @@
 /**
  * The part of a control instance in the exchange with gateways that report to it: it
  * responds to each report, and sends changed upstreams and revisions to all of them at
- * once. Not thread-safe.
+ * once. Responses go over a connection that this instance opened, so reports that did not
+ * arrive make it suspect that connection too. Not thread-safe.
  */
 final class ReportResponses {
 
@@ -22,7 +25,10 @@
 	private final InstanceTable instances;
 
 	// Keyed by the peer address of the gateway.
-	private final Map<String, Long> lastReportMillis = new LinkedHashMap<>();
+	private final Map<String, LastReport> lastReports = new LinkedHashMap<>();
+
+	// The peer addresses of gateways to which connections must be opened anew.
+	private final Set<String> suspectAddresses = new LinkedHashSet<>();
 
 	private final Map<String, UpstreamRecord> changedUpstreams = new LinkedHashMap<>();
 
@@ -32,7 +38,7 @@
 
 	Gossip.Builder respond(Gossip report, InstanceRecord self, long revision, long upstreamDigest, long liveSinceMillis,
 			long nowMillis) {
-		this.lastReportMillis.put(report.getSenderAddress(), nowMillis);
+		recordReport(report, nowMillis);
 		Gossip.Builder response = createMessage(self, revision, upstreamDigest, liveSinceMillis);
 		if (report.getLiveDigest() != 0 && report.getLiveDigest() != response.getLiveDigest()) {
 			response.addAllLive(this.instances.liveVersions(liveSinceMillis));
@@ -44,6 +50,19 @@
 		return response;
 	}
 
+	// A gateway numbers its reports by its heartbeat. Those that did not arrive were
+	// lost,
+	// or sent to another instance because this one seemed silent; either way the
+	// connection to the gateway may have lost its state as well.
+	private void recordReport(Gossip report, long nowMillis) {
+		String address = report.getSenderAddress();
+		long heartbeat = (report.getHeartbeatsCount() > 0) ? report.getHeartbeats(0) : 0;
+		LastReport lastReport = this.lastReports.put(address, new LastReport(heartbeat, nowMillis));
+		if (lastReport == null || heartbeat > lastReport.heartbeat + 1) {
+			this.suspectAddresses.add(address);
+		}
+	}
+
 	private Gossip.Builder createMessage(InstanceRecord self, long revision, long upstreamDigest,
 			long liveSinceMillis) {
 		Gossip.Builder message = Gossip.newBuilder()
@@ -77,8 +96,17 @@
 
 	// The peer addresses of the gateways that report to this instance.
 	List<String> reportingAddresses(long nowMillis) {
-		this.lastReportMillis.values().removeIf((reportMillis) -> nowMillis - reportMillis > REPORTING_PERIOD_MILLIS);
-		return new ArrayList<>(this.lastReportMillis.keySet());
+		this.lastReports.values().removeIf((lastReport) -> nowMillis - lastReport.millis > REPORTING_PERIOD_MILLIS);
+		return new ArrayList<>(this.lastReports.keySet());
+	}
+
+	Set<String> drainSuspectAddresses() {
+		Set<String> drainedAddresses = Set.copyOf(this.suspectAddresses);
+		this.suspectAddresses.clear();
+		return drainedAddresses;
+	}
+
+	private record LastReport(long heartbeat, long millis) {
 	}
 
 }
--- /dev/null
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/ReportResponsesTests.java
@@ -0,0 +1,71 @@
+package org.radishthread.membership;
+
+import org.junit.jupiter.api.Test;
+
+import org.radishthread.protocol.Gossip;
+import org.radishthread.protocol.InstanceRecord;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for the connections that {@link ReportResponses} replaces.
+ */
+class ReportResponsesTests {
+
+	private static final InstanceRecord SELF = InstanceRecord.newBuilder()
+		.setName("control-0")
+		.setPeerAddress("control-0")
+		.setControl(true)
+		.build();
+
+	private static final String GATEWAY = "gateway-0";
+
+	private final ReportResponses responses = new ReportResponses(new InstanceTable(SELF.getName()));
+
+	private void report(long heartbeat, long nowMillis) {
+		Gossip report = Gossip.newBuilder()
+			.setSender(GATEWAY)
+			.setSenderAddress(GATEWAY)
+			.addHeartbeats(heartbeat)
+			.build();
+		this.responses.respond(report, SELF, 1, 0, 0, nowMillis);
+	}
+
+	// Guards against a response that is lost on a connection which went silent together
+	// with the one that the gateway has replaced.
+	@Test
+	void connectionIsReplacedWhenReportsDidNotArrive() {
+		report(7, 0);
+		this.responses.drainSuspectAddresses();
+		report(10, 1_500);
+		assertThat(this.responses.drainSuspectAddresses()).containsExactly(GATEWAY);
+		assertThat(this.responses.drainSuspectAddresses()).isEmpty();
+	}
+
+	@Test
+	void connectionIsKeptWhileAllReportsArrive() {
+		report(7, 0);
+		this.responses.drainSuspectAddresses();
+		report(8, 500);
+		report(9, 3_000);
+		assertThat(this.responses.drainSuspectAddresses()).isEmpty();
+	}
+
+	@Test
+	void delayedReportDoesNotReplaceTheConnection() {
+		report(7, 0);
+		this.responses.drainSuspectAddresses();
+		report(6, 10);
+		assertThat(this.responses.drainSuspectAddresses()).isEmpty();
+	}
+
+	@Test
+	void connectionIsReplacedWhenTheGatewayReportedElsewhere() {
+		report(7, 0);
+		this.responses.drainSuspectAddresses();
+		this.responses.reportingAddresses(5_000);
+		report(17, 5_000);
+		assertThat(this.responses.drainSuspectAddresses()).containsExactly(GATEWAY);
+	}
+
+}
