Keep the wording of the finding on weights that add up to zero

RouteFinderTests.weightsThatAddUpToZeroAreRejected failed since the message also names infinite sums: it expects 'add up to more than zero'. The message states both, in the former words; the test is unchanged and passes.

--- a/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
+++ b/radishthread-rules/src/main/java/org/radishthread/rules/RouteRule.java
@@ -24,7 +24,7 @@
 	public RouteRule {
 		double totalWeight = totalWeight(split);
 		Assert.isTrue(totalWeight > 0 && Double.isFinite(totalWeight),
-				"The weights of a route must add up to a finite number above zero.");
+				"The weights of a route must add up to more than zero, and to a finite number.");
 	}
 
 	private static double totalWeight(List<WeightedService> split) {
