--- a/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeProperties.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeProperties.java
@@ -27,10 +27,9 @@
 
 	private static final long RULES_APPLY_MILLIS = 2_000;
 
-	private final List<String> lines = new ArrayList<>(List.of("a", "b", "c", "", "d\r"));
-
 	@Property(tries = 500, seed = "5", shrinking = ShrinkingMode.OFF)
 	void contentIsThatOfTheReportedRevision(@ForAll Random random) {
+		List<String> lines = new ArrayList<>(List.of("a", "b", "c", "", "d\r"));
 		Map<Long, String> contents = new HashMap<>();
 		contents.put(0L, "");
 		// The second source retains no former revisions, the third one reads the first.
@@ -44,7 +43,7 @@
 			nowMillis += random.nextInt(600);
 			if (random.nextInt(4) == 0) {
 				revision += 1 + random.nextInt(3);
-				contents.put(revision, edit(random));
+				contents.put(revision, edit(lines, random));
 				RuleFile file = RuleFile.newBuilder().setRevision(revision).setContent(contents.get(revision)).build();
 				exchanges.get(random.nextInt(2)).offer(file, nowMillis);
 			}
@@ -109,18 +108,18 @@
 			.allSatisfy((exchange) -> assertThat(exchange.revision()).isGreaterThanOrEqualTo(newest.revision()));
 	}
 
-	private String edit(Random random) {
+	private static String edit(List<String> lines, Random random) {
 		for (int edit = random.nextInt(4); edit >= 0; edit--) {
-			int index = random.nextInt(this.lines.size());
+			int index = random.nextInt(lines.size());
 			switch (random.nextInt(5)) {
-				case 0 -> this.lines.set(index, "changed " + random.nextInt(9));
-				case 1 -> this.lines.add(index, "added " + random.nextInt(9));
-				case 2 -> this.lines.add(index, this.lines.get(random.nextInt(this.lines.size())));
-				case 3 -> Collections.rotate(this.lines, index);
-				default -> this.lines.set(index, "");
+				case 0 -> lines.set(index, "changed " + random.nextInt(9));
+				case 1 -> lines.add(index, "added " + random.nextInt(9));
+				case 2 -> lines.add(index, lines.get(random.nextInt(lines.size())));
+				case 3 -> Collections.rotate(lines, index);
+				default -> lines.set(index, "");
 			}
 		}
-		return String.join("\n", this.lines);
+		return String.join("\n", lines);
 	}
 
 	/**
