--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -258,8 +258,10 @@
 			RuleSet parsedRules = this.ruleParser.parse("revision-" + file.getRevision(), file.getContent());
 			this.keyCheck = new KeyCheck(parsedRules, keyLimits());
 			this.allotments.updateRules(parsedRules);
-			this.routes = parsedRules.toRouteFinder();
+			// The routes come last, so that each request by a new route finds its service
+			// with the rule of that revision.
 			this.routers.applyRules(parsedRules);
+			this.routes = parsedRules.toRouteFinder();
 			eventLog.information("rules-parsed")
 				.with("revision", file.getRevision())
 				.with("parsed-lines", this.ruleParser.parsedLineCount())
