Tell missed reports by the time between their heartbeats

Control instances replace the connection to a gateway of which reports did not arrive. That took a heartbeat that is more than one higher for a missed one.

A report counts as missed now if two report intervals lie between the heartbeats of two reports. Those of an instance of a former version, which counts its heartbeats, never do.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ReportResponses.java
@@ -22,6 +22,9 @@
 	// A gateway that has not reported for three intervals reports to another instance.
 	private static final long REPORTING_PERIOD_MILLIS = 3 * GatewayReports.REPORT_INTERVAL_MILLIS;
 
+	// Between two reports that were made this long after each other, another one was due.
+	private static final long MISSED_REPORT_MILLIS = 2 * GatewayReports.REPORT_INTERVAL_MILLIS;
+
 	private final InstanceTable instances;
 
 	// Keyed by the peer address of the gateway.
@@ -50,15 +53,15 @@
 		return response;
 	}
 
-	// A gateway numbers its reports by its heartbeat. Those that did not arrive were
-	// lost,
-	// or sent to another instance because this one seemed silent; either way the
-	// connection to the gateway may have lost its state as well.
+	// The heartbeats of two reports tell how long after each other they were made. Those
+	// between them that did not arrive were lost, or sent to another instance because
+	// this one seemed silent; either way the connection to the gateway may have lost its
+	// state as well.
 	private void recordReport(Gossip report, long nowMillis) {
 		String address = report.getSenderAddress();
 		long heartbeat = (report.getHeartbeatsCount() > 0) ? report.getHeartbeats(0) : 0;
 		LastReport lastReport = this.lastReports.put(address, new LastReport(heartbeat, nowMillis));
-		if (lastReport == null || heartbeat > lastReport.heartbeat + 1) {
+		if (lastReport == null || heartbeat - lastReport.heartbeat >= MISSED_REPORT_MILLIS) {
 			this.suspectAddresses.add(address);
 		}
 	}
