Remove the former log file once the name of the new one is on disk

A control instance could lose its whole log, with confirmed rules and its votes, but not its identity: if the process was killed between the renaming of a new log file and the sync of the folder, and power failed during the next start. Loading removed the former file first and synced the folder then, so that both the name of the new file and the removal were not on disk.

The newest file is now read and its name synced before the former one is removed.

Test before: FileLogStorageTests.ProcessKilledBeforeItsNewFileIsNamedOnDisk.formerFileIsKeptUntilTheNameOfTheNewOneIsSynced failed, because log-1 did not exist after a load whose second sync was refused.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/FileLogStorage.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/FileLogStorage.java
@@ -66,8 +66,10 @@
 				return StoredLog.EMPTY;
 			}
 			this.generation = generationOf(newestFile.get());
+			StoredLog storedLog = read(newestFile.get());
+			// The name of the newest file is on disk only now.
 			deleteOlderGenerations();
-			return read(newestFile.get());
+			return storedLog;
 		}
 		catch (IOException | UncheckedIOException ex) {
 			throw new AgreementException("Log in folder " + this.folder + " cannot be read.", ex);
--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/FileLogStorageTests.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/FileLogStorageTests.java
@@ -30,6 +30,8 @@
 
 	private boolean syncsRefused;
 
+	private int syncsUntilRefusal = Integer.MAX_VALUE;
+
 	private long syncedBytes;
 
 	private FileLogStorage openStorage() {
@@ -37,7 +39,7 @@
 	}
 
 	private void sync(FileChannel channel, boolean metadata) throws IOException {
-		if (this.syncsRefused) {
+		if (this.syncsRefused || this.syncsUntilRefusal-- <= 0) {
 			throw new IOException("The disk refused a sync.");
 		}
 		channel.force(metadata);
@@ -87,6 +89,31 @@
 
 	}
 
+	@Nested
+	class ProcessKilledBeforeItsNewFileIsNamedOnDisk {
+
+		// Guards against a loss of the whole log if power fails after a restart that
+		// removed the former file while the name of the new one was not on disk.
+		@Test
+		void formerFileIsKeptUntilTheNameOfTheNewOneIsSynced() {
+			try (FileLogStorage storage = openStorage()) {
+				storage.load();
+				storage.replace(FOUNDED);
+				FileLogStorageTests.this.syncsUntilRefusal = 1;
+				assertThatExceptionOfType(AgreementException.class).isThrownBy(() -> storage.replace(FOUNDED));
+			}
+			try (FileLogStorage storage = openStorage()) {
+				FileLogStorageTests.this.syncsUntilRefusal = 1;
+				assertThatExceptionOfType(AgreementException.class).isThrownBy(storage::load);
+				assertThat(FileLogStorageTests.this.folder.resolve("log-1")).exists();
+				FileLogStorageTests.this.syncsUntilRefusal = Integer.MAX_VALUE;
+				assertThat(storage.load()).isEqualTo(FOUNDED);
+				assertThat(FileLogStorageTests.this.folder.resolve("log-1")).doesNotExist();
+			}
+		}
+
+	}
+
 	@Nested
 	class FailedWrite {
 
