Sync the names of the folders that hold the log and the identity

The identity, the log and the file of upstreams are synced with the folder that holds them, but the name of that folder was not. A loss of power of all machines soon after their first start could take all these folders at once, which is a loss of all disks: each control instance would come back as a new replica and no rules would be left. Usual file systems write the name with the first sync of a file in the folder, but none has to. The marker of the first start was synced without its folder.

DurableFile.createFolders syncs the parents of the folders that it creates, and the parent of a folder that exists, because a process may have been killed after it created it. The marker is written by DurableFile.replace.

--- a/radishthread-agreement/src/main/java/org/radishthread/agreement/IdentityFile.java
+++ b/radishthread-agreement/src/main/java/org/radishthread/agreement/IdentityFile.java
@@ -34,7 +34,7 @@
 	 */
 	public long readOrCreate(String instance, LongSupplier idGenerator) {
 		try {
-			Files.createDirectories(this.folder);
+			DurableFile.createFolders(this.folder);
 			Path file = this.folder.resolve(FILE_NAME);
 			return Files.exists(file) ? read(file, instance) : create(instance, idGenerator);
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/UpstreamStore.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/UpstreamStore.java
@@ -93,7 +93,9 @@
 			return;
 		}
 		try {
-			Files.createDirectories(this.folder);
+			if (!Files.exists(this.folder)) {
+				DurableFile.createFolders(this.folder);
+			}
 			DurableFile.replace(this.folder, FILE_NAME,
 					Synchronization.newBuilder().addAllUpstreams(write.snapshot().records()).build().toByteArray());
 			this.retryDelay.reset();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/FormationService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/FormationService.java
@@ -1,10 +1,8 @@
 package org.radishthread.daemon.control;
 
 import java.io.IOException;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.List;
 
 import org.radishthread.agreement.AgreementException;
@@ -16,6 +14,7 @@
 import org.radishthread.agreement.ReplicaRole;
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.daemon.settings.DaemonSettings;
+import org.radishthread.kernel.DurableFile;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.EventLoop;
 import org.radishthread.kernel.Service;
@@ -75,13 +74,11 @@
 	// An instance that restarts before it bootstrapped the group must still know that
 	// the system is new, though its settings no longer say so; hence the marker file.
 	private boolean persistFirstStart() {
-		Path marker = this.settings.dataFolder().resolve("control").resolve(FIRST_START_MARKER);
+		Path folder = this.settings.dataFolder().resolve("control");
+		Path marker = folder.resolve(FIRST_START_MARKER);
 		try {
 			if (this.settings.bootstrap().firstStart() && !Files.exists(marker)) {
-				try (FileChannel channel = FileChannel.open(marker, StandardOpenOption.CREATE,
-						StandardOpenOption.WRITE)) {
-					channel.force(true);
-				}
+				DurableFile.replace(folder, FIRST_START_MARKER, new byte[0]);
 			}
 			return Files.exists(marker);
 		}
--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/DurableFile.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/DurableFile.java
@@ -19,6 +19,36 @@
 	private DurableFile() {
 	}
 
+	/**
+	 * Creates a folder with its parents, as far as they are missing, and returns when
+	 * their names are durable. Names that exist already may be those of a process that
+	 * stopped before they were durable, so the name of the folder itself is always
+	 * synced.
+	 * @param folder the folder
+	 * @throws IOException if a folder cannot be created
+	 */
+	public static void createFolders(Path folder) throws IOException {
+		createFolders(folder, DurableFile::syncFolder);
+	}
+
+	static void createFolders(Path folder, FolderSync folderSync) throws IOException {
+		Path parent = folder.toAbsolutePath().getParent();
+		if (parent == null) {
+			return;
+		}
+		if (!Files.exists(parent)) {
+			createFolders(parent, folderSync);
+		}
+		Files.createDirectories(folder);
+		folderSync.sync(parent);
+	}
+
+	private static void syncFolder(Path folder) throws IOException {
+		try (FileChannel folderChannel = FileChannel.open(folder, StandardOpenOption.READ)) {
+			folderChannel.force(true);
+		}
+	}
+
 	/**
 	 * Creates or replaces a file and returns when the new content is durable.
 	 * @param folder the folder, which must exist
@@ -37,9 +67,22 @@
 			channel.force(true);
 		}
 		Files.move(temporaryFile, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
-		try (FileChannel folderChannel = FileChannel.open(folder, StandardOpenOption.READ)) {
-			folderChannel.force(true);
-		}
+		syncFolder(folder);
+	}
+
+	/**
+	 * Makes the names in a folder durable.
+	 */
+	@FunctionalInterface
+	interface FolderSync {
+
+		/**
+		 * Returns when all names in a folder are on disk.
+		 * @param folder the folder
+		 * @throws IOException if the disk refuses
+		 */
+		void sync(Path folder) throws IOException;
+
 	}
 
 }
