Send a request to an upstream now and then while estimates rule out all

If a route is moved to a service whose former requests took longer than the new ones may take, none of the new ones is sent: each waits, is refused with queue-timeout or overload, and the next one as well, for good.

Cause: the expected duration at an upstream is the mean of the attempts that it completed, of whatever route. Upstreams that are expected to be late are not candidates, and the trials of stragglers are made only among candidates.

Fix: a request for which no upstream is expected to be in time, also with a free slot, is sent for trial to one that got nothing for 500 ms, so that the mean follows the requests of today.

Limit: a route with short requests beside one with long ones at the same service is still expected to take the mean of both.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/SelectionContext.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SelectionContext.java
@@ -37,7 +37,7 @@
 
 	/**
 	 * Whether the time of attempts that were cancelled without a response counts against
-	 * an upstream.
+	 * an upstream, in the order in which the uses are tried.
 	 */
 	enum OverrunUse {
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
@@ -105,12 +105,30 @@
 
 	Optional<UpstreamTracker> choose(RequestState state, long nowNanos, Predicate<UpstreamTracker> eligible) {
 		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request(), nowNanos);
-		SelectionContext context = context(state, OverrunUse.COUNTED, nowNanos);
-		Optional<UpstreamTracker> chosen = choose(state, eligible, latestCompletionNanos, context);
-		if (chosen.isPresent() || isWorthWaiting(state, latestCompletionNanos, context)) {
-			return chosen;
+		for (OverrunUse overrunUse : OverrunUse.values()) {
+			SelectionContext context = context(state, overrunUse, nowNanos);
+			Optional<UpstreamTracker> chosen = choose(state, eligible, latestCompletionNanos, context);
+			if (chosen.isPresent() || isWorthWaiting(state, latestCompletionNanos, context)) {
+				return chosen;
+			}
 		}
-		return choose(state, eligible, latestCompletionNanos, context(state, OverrunUse.IGNORED, nowNanos));
+		return chooseForTrial(state, eligible, nowNanos);
+	}
+
+	// Other requests than before may take less time. Without trials, an estimate that
+	// rules out all upstreams would never change.
+	private Optional<UpstreamTracker> chooseForTrial(RequestState state, Predicate<UpstreamTracker> eligible,
+			long nowNanos) {
+		SelectionContext context = context(state, OverrunUse.IGNORED, nowNanos);
+		return candidates(state, eligible, nowNanos).filter((tracker) -> tracker.isStragglerTrialDue(nowNanos))
+			.min(Comparator.comparingDouble(context::expectedDurationNanos));
+	}
+
+	private Stream<UpstreamTracker> candidates(RequestState state, Predicate<UpstreamTracker> eligible, long nowNanos) {
+		return this.trackers.values()
+			.stream()
+			.filter(eligible)
+			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos));
 	}
 
 	private SelectionContext context(RequestState state, OverrunUse overrunUse, long nowNanos) {
@@ -122,10 +140,7 @@
 	private Optional<UpstreamTracker> choose(RequestState state, Predicate<UpstreamTracker> eligible,
 			long latestCompletionNanos, SelectionContext context) {
 		long nowNanos = context.nowNanos();
-		List<UpstreamTracker> candidates = this.trackers.values()
-			.stream()
-			.filter(eligible)
-			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
+		List<UpstreamTracker> candidates = candidates(state, eligible, nowNanos)
 			.filter((tracker) -> nowNanos + context.expectedDurationNanos(tracker) <= latestCompletionNanos)
 			.toList();
 		return candidates.isEmpty() ? Optional.empty() : this.policy.choose(candidates, context);
