Request rules again at once when their source was left as silent

A gateway that had lost its request for rules on a silent connection waited up to 1 s (half of the time to apply rules) after it had left that control instance, before it asked another one: the interval between requests grows, so that they do not add up while a large file is on its way through a slow link, and a request that was lost counted as one under way.

The exchange now notes the peer of the last request. If that peer is left as silent, the next request is free. The interval still grows with each request, so a slow link gets no more of them than one for each control instance that is left.

Evidence: the new test of RuleExchangeTests, with a release that does nothing: nextRequestIsFreeWhenThePeerOfTheLastOneIsSilent:194 Expecting Optional to contain a value but it was empty.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -305,7 +305,11 @@
 	}
 
 	private void leaveSilentInstances(long nowMillis) {
-		if (!gossips() && !this.reports.leaveSilentInstances(nowMillis).isEmpty()) {
+		if (gossips()) {
+			return;
+		}
+		for (SilentInstance silentInstance : this.reports.leaveSilentInstances(nowMillis)) {
+			this.rules.releaseRequest(silentInstance.address());
 			this.nextRoundMillis = nowMillis;
 		}
 	}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -54,6 +54,9 @@
 
 	private long nextRequestMillis = NEVER;
 
+	// The peer that was sent the last request.
+	private String requestedAddress = "";
+
 	private long behindSinceMillis = Long.MAX_VALUE;
 
 	// A peer with a higher revision from which it is requested unless a nearer one has it
@@ -193,14 +196,15 @@
 			this.fartherAddress = peerAddress;
 			return Optional.empty();
 		}
-		return createRequest(nowMillis);
+		return createRequest(peerAddress, nowMillis);
 	}
 
-	private Optional<RuleRequest> createRequest(long nowMillis) {
+	private Optional<RuleRequest> createRequest(String peerAddress, long nowMillis) {
 		if (nowMillis < this.nextRequestMillis) {
 			return Optional.empty();
 		}
 		this.fartherAddress = "";
+		this.requestedAddress = peerAddress;
 		this.nextRequestMillis = nowMillis + this.requestInterval.nextMillis();
 		RuleRequest.Builder request = RuleRequest.newBuilder().setKnownRevision(revision()).setAcceptsEncoded(true);
 		if (revision() > 0 && !this.wholeRequired) {
@@ -216,7 +220,15 @@
 	}
 
 	Optional<RuleRequest> createOverdueRequest(long nowMillis) {
-		return createRequest(nowMillis);
+		return createRequest(this.fartherAddress, nowMillis);
+	}
+
+	// Does not await the response to the last request any longer if it was sent to a peer
+	// that was found to be silent. The interval still grows.
+	void releaseRequest(String silentAddress) {
+		if (silentAddress.equals(this.requestedAddress)) {
+			this.nextRequestMillis = NEVER;
+		}
 	}
 
 	boolean isBehindLongerThan(long durationMillis, long nowMillis) {
--- a/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RuleExchangeTests.java
@@ -182,6 +182,19 @@
 			assertThat(RuleExchangeTests.this.gateway.createRequest("control", 2, false, 1_500)).isPresent();
 		}
 
+		// Guards against a revision that comes a second late because its request was lost
+		// on
+		// a connection that the gateway has replaced meanwhile.
+		@Test
+		void nextRequestIsFreeWhenThePeerOfTheLastOneIsSilent() {
+			request(1, 0);
+			RuleExchangeTests.this.gateway.releaseRequest("other");
+			assertThat(RuleExchangeTests.this.gateway.createRequest("other", 1, false, 400)).isEmpty();
+			RuleExchangeTests.this.gateway.releaseRequest("control");
+			assertThat(RuleExchangeTests.this.gateway.createRequest("other", 1, false, 400)).isPresent();
+			assertThat(RuleExchangeTests.this.gateway.createRequest("other", 1, false, 1_300)).isEmpty();
+		}
+
 		@Test
 		void fartherPeerIsAskedOnlyWhenNoNearerOneHasTheRevisionInTime() {
 			assertThat(RuleExchangeTests.this.gateway.createRequest("far", 1, true, 0)).isEmpty();
