--- a/radishthread-membership/src/main/java/org/radishthread/membership/RoundTiming.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RoundTiming.java
@@ -10,7 +10,7 @@
 	// Five heartbeats, made in time and relayed within some rounds of gossip. An
 	// acknowledgement does not wait for instances that are silent for longer, because it
 	// must not come late.
-	private static final long RESPONSIVE_PERIOD_MILLIS = 2_800;
+	private static final long RESPONSIVE_PERIOD_MILLIS = 3_000;
 
 	private static final int HEARTBEAT_BYTES_PER_INSTANCE = 13;
 
--- a/radishthread-membership/src/test/java/org/radishthread/membership/AcknowledgementTests.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/AcknowledgementTests.java
@@ -65,22 +65,19 @@
 	}
 
 	// An acknowledgement does not wait for an instance that it does not count. Peers are
-	// selected at random, so that the heartbeats of one may stay away now and then.
+	// selected at random, so that the heartbeats of one may stay away for a while.
 	@Property(tries = 10)
 	void runningInstancesAreResponsive(@ForAll @LongRange(max = 100_000) long seed) {
 		SimulatedFleet fleet = new SimulatedFleet(5, 14, seed);
 		fleet.acceptRules(1);
 		fleet.run(8_000);
-		int missedCount = 0;
-		int observedCount = 0;
 		for (int step = 0; step < 200; step++) {
 			fleet.run(50);
 			for (String name : fleet.names(true)) {
-				missedCount += fleet.size() - fleet.membership(name).responsiveInstanceCount(fleet.nowMillis);
-				observedCount += fleet.size();
+				assertThat(fleet.membership(name).responsiveInstanceCount(fleet.nowMillis)).as(name)
+					.isEqualTo(fleet.size());
 			}
 		}
-		assertThat(missedCount).isLessThan(observedCount / 1_000);
 	}
 
 }
