Build the context of a selection only for candidates

Under overload, when no upstream is eligible, each selection built a context, which sorts the latencies of all upstreams, and looked for upstreams worth waiting for, up to eight times an event. Without candidates nothing is chosen in any case, so they are now looked for first, and once.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
@@ -104,48 +104,48 @@
 	}
 
 	Optional<UpstreamTracker> choose(RequestState state, long nowNanos, Predicate<UpstreamTracker> eligible) {
+		List<UpstreamTracker> candidates = this.trackers.values()
+			.stream()
+			.filter(eligible)
+			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos))
+			.toList();
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
 		long latestCompletionNanos = this.admission.latestUsefulCompletionNanos(state.request(), nowNanos);
 		for (OverrunUse overrunUse : OverrunUse.values()) {
 			SelectionContext context = context(state, overrunUse, nowNanos);
-			Optional<UpstreamTracker> chosen = choose(state, eligible, latestCompletionNanos, context);
+			Optional<UpstreamTracker> chosen = choose(candidates, latestCompletionNanos, context);
 			if (chosen.isPresent() || isWorthWaiting(state, latestCompletionNanos, context)) {
 				return chosen;
 			}
 		}
-		return chooseForTrial(state, eligible, nowNanos);
+		return chooseForTrial(candidates, context(state, OverrunUse.IGNORED, nowNanos));
+	}
+
+	private Optional<UpstreamTracker> choose(List<UpstreamTracker> candidates, long latestCompletionNanos,
+			SelectionContext context) {
+		List<UpstreamTracker> timelyCandidates = candidates.stream()
+			.filter((tracker) -> context.nowNanos() + context.expectedDurationNanos(tracker) <= latestCompletionNanos)
+			.toList();
+		return timelyCandidates.isEmpty() ? Optional.empty() : this.policy.choose(timelyCandidates, context);
 	}
 
 	// Other requests than before may take less time. Without trials, an estimate that
 	// rules out all upstreams would never change.
-	private Optional<UpstreamTracker> chooseForTrial(RequestState state, Predicate<UpstreamTracker> eligible,
-			long nowNanos) {
-		SelectionContext context = context(state, OverrunUse.IGNORED, nowNanos);
-		return candidates(state, eligible, nowNanos).filter((tracker) -> tracker.isStragglerTrialDue(nowNanos))
+	private static Optional<UpstreamTracker> chooseForTrial(List<UpstreamTracker> candidates,
+			SelectionContext context) {
+		return candidates.stream()
+			.filter((tracker) -> tracker.isStragglerTrialDue(context.nowNanos()))
 			.min(Comparator.comparingDouble(context::expectedDurationNanos));
 	}
 
-	private Stream<UpstreamTracker> candidates(RequestState state, Predicate<UpstreamTracker> eligible, long nowNanos) {
-		return this.trackers.values()
-			.stream()
-			.filter(eligible)
-			.filter((tracker) -> state.mayUse(tracker, nowNanos) && canReach(state.request(), tracker, nowNanos));
-	}
-
 	private SelectionContext context(RequestState state, OverrunUse overrunUse, long nowNanos) {
 		return new SelectionContext(state.request().zone().isEmpty() ? this.settings.zone() : state.request().zone(),
 				medianLatencyNanos(), this.throughput.expectedWaitNanos(this.queues.size()),
 				this.throughput.meanServiceNanos(), this.contention, overrunUse, state.request().mayRepeat(), nowNanos);
 	}
 
-	private Optional<UpstreamTracker> choose(RequestState state, Predicate<UpstreamTracker> eligible,
-			long latestCompletionNanos, SelectionContext context) {
-		long nowNanos = context.nowNanos();
-		List<UpstreamTracker> candidates = candidates(state, eligible, nowNanos)
-			.filter((tracker) -> nowNanos + context.expectedDurationNanos(tracker) <= latestCompletionNanos)
-			.toList();
-		return candidates.isEmpty() ? Optional.empty() : this.policy.choose(candidates, context);
-	}
-
 	// Whether a slot of an upstream that is not eligible now would be of use later.
 	private boolean isWorthWaiting(RequestState state, long latestCompletionNanos, SelectionContext context) {
 		long nowNanos = context.nowNanos();
