Probe the pace of an upstream again after a silence

A home stopped probing the pace of an upstream for good after 50 successive probes without a report, which takes two seconds of silence; neither a report in an ordinary response nor a new incarnation took the count back.

Such an upstream is now probed each 5 s, and any reported pace restarts the usual rate. Upstreams that never report a pace are probed as seldom.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -37,8 +37,12 @@
 	// Half of the minimum, so that differences of times do not overflow.
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
+	// After as many successive probes without a reported pace, an upstream that reports
+	// none or does not respond is probed at the longer interval.
 	private static final int MAXIMUM_PACE_PROBES_WITHOUT_REPORT = 50;
 
+	private static final long UNREPORTED_PACE_PROBE_INTERVAL_NANOS = 5_000_000_000L;
+
 	private static final long STRAGGLER_TRIAL_INTERVAL_NANOS = 500_000_000L;
 
 	// An older load report does not show whether the upstream is full.
@@ -124,6 +128,7 @@
 			this.latencySamples = 0;
 			this.overrun.reset();
 			this.tried = false;
+			this.paceProbesWithoutReport = 0;
 			this.consecutiveFailures = 0;
 			this.ejections = 0;
 			this.ejectedUntilNanos = Long.MIN_VALUE;
@@ -325,6 +330,7 @@
 	}
 
 	void recordReport(LoadReport report, String origin, long nowNanos) {
+		this.paceProbesWithoutReport = (report.pacePercent() > 0) ? 0 : this.paceProbesWithoutReport;
 		if (report.leaving()) {
 			this.leavingUntilNanos = nowNanos + LEAVING_PERIOD_NANOS;
 		}
@@ -341,13 +347,14 @@
 		}
 	}
 
-	// Returns whether both the latest load report and the latest pace probe are
-	// older than the interval, and fewer than the maximum number of successive
-	// probes brought no reported pace.
+	// Returns whether both the latest load report and the latest pace probe are older
+	// than the interval.
 	boolean isPaceProbeDue(long intervalNanos, long nowNanos) {
-		return this.paceProbesWithoutReport < MAXIMUM_PACE_PROBES_WITHOUT_REPORT
-				&& nowNanos - this.lastReportNanos >= intervalNanos
-				&& nowNanos - this.lastPaceProbeNanos >= intervalNanos;
+		boolean unreported = this.paceProbesWithoutReport >= MAXIMUM_PACE_PROBES_WITHOUT_REPORT;
+		long probeIntervalNanos = unreported ? Math.max(intervalNanos, UNREPORTED_PACE_PROBE_INTERVAL_NANOS)
+				: intervalNanos;
+		return nowNanos - this.lastReportNanos >= intervalNanos
+				&& nowNanos - this.lastPaceProbeNanos >= probeIntervalNanos;
 	}
 
 	void recordPaceProbeSent(long nowNanos) {
@@ -355,10 +362,7 @@
 		this.paceProbesWithoutReport++;
 	}
 
-	// A reported pace restarts the count of probes without one. An upstream that
-	// never reports its pace is no longer probed once the count is at its maximum.
 	void recordPaceProbe(LoadReport report, long nowNanos) {
-		this.paceProbesWithoutReport = (report.pacePercent() > 0) ? 0 : this.paceProbesWithoutReport;
 		recordReport(report, "", nowNanos);
 	}
 
