Release the slot of a request that is closed while it is granted

A home could hold a slot for good: if a request of another instance was closed by one thread between the decision of the router to dispatch it and the record of the grant by another thread, the grant was recorded for a request that no longer existed, and the report of its end found none.

OpenGrants holds the grants of a request and whether it is closed, under one lock. A grant to a closed request is released at once.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -1,9 +1,7 @@
 package org.radishthread.daemon.gateway;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
@@ -176,7 +174,7 @@
 
 		private final RoutingRequest routingRequest;
 
-		private final Set<String> upstreamsInUse = new HashSet<>();
+		private final OpenGrants openGrants = new OpenGrants();
 
 		private @Nullable SlotMessage lastMessage;
 
@@ -211,8 +209,12 @@
 		}
 
 		@Override
-		public synchronized void onDispatch(RoutingEffect.Dispatch dispatch) {
-			this.upstreamsInUse.add(dispatch.upstream().name());
+		public void onDispatch(RoutingEffect.Dispatch dispatch) {
+			if (!this.openGrants.add(dispatch.upstream().name())) {
+				SlotGranter.this.routing.router(this.service)
+					.releaseAttempt(this.routingRequest.id(), dispatch.upstream().name());
+				return;
+			}
 			send(message()
 				.setGrant(SlotGrant.newBuilder()
 					.setUpstream(dispatch.upstream().name())
@@ -247,11 +249,7 @@
 		}
 
 		private void completeAttempt(RequestRouter router, SlotEnd end) {
-			boolean inProgress;
-			synchronized (this) {
-				inProgress = this.upstreamsInUse.remove(end.getUpstream());
-			}
-			if (inProgress) {
+			if (this.openGrants.remove(end.getUpstream())) {
 				LoadReport loadReport = end.hasLoad() ? toLoadReport(end.getLoad()) : null;
 				router.completeAttempt(this.routingRequest.id(), end.getUpstream(),
 						AttemptResult.fromWireName(end.getResult(), end.getConnectionLost()), loadReport);
@@ -261,12 +259,7 @@
 		// An instance reports the end of each attempt before it closes the request, so
 		// nothing is known about the ends of the remaining ones.
 		private void releaseAttempts(LocalRequestRouter router) {
-			List<String> remainingUpstreams;
-			synchronized (this) {
-				remainingUpstreams = List.copyOf(this.upstreamsInUse);
-				this.upstreamsInUse.clear();
-			}
-			remainingUpstreams.forEach((upstream) -> router.releaseAttempt(this.routingRequest.id(), upstream));
+			this.openGrants.close().forEach((upstream) -> router.releaseAttempt(this.routingRequest.id(), upstream));
 		}
 
 	}
