Compute the time of an acknowledgement outside of the adapter

It now passes the arrival and the time that it allows, and the daemon computes the rest. PropagationWaitTests and PlatformPathTests pass.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
@@ -67,8 +67,7 @@
 	 * @return a future with the result, or with a {@link ControlTimeoutException}
 	 */
 	public CompletableFuture<RuleSubmissionResult> submit(SubmitRules rules) {
-		long acknowledgementMillis = SUBMIT_TIMEOUT_MILLIS + this.propagationTimeoutMillis;
-		return submit(rules, this.time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(acknowledgementMillis));
+		return submit(rules, this.time.monotonicNanos(), SUBMIT_TIMEOUT_MILLIS + this.propagationTimeoutMillis);
 	}
 
 	/**
@@ -76,11 +75,14 @@
 	 * while. Waits for live instances like {@link #submit(SubmitRules)}, but not beyond
 	 * the given time; rules that are accepted later are acknowledged at once.
 	 * @param rules the rules, in a form that the rule parser accepts
-	 * @param acknowledgementNanos the monotonic time at which accepted rules must be
-	 * acknowledged, in nanoseconds
+	 * @param arrivalNanos the monotonic time at which the call arrived, in nanoseconds
+	 * @param acknowledgementMillis the time after the arrival at which accepted rules
+	 * must be acknowledged, in milliseconds
 	 * @return a future with the result, or with a {@link ControlTimeoutException}
 	 */
-	public CompletableFuture<RuleSubmissionResult> submit(SubmitRules rules, long acknowledgementNanos) {
+	public CompletableFuture<RuleSubmissionResult> submit(SubmitRules rules, long arrivalNanos,
+			long acknowledgementMillis) {
+		long acknowledgementNanos = arrivalNanos + TimeUnit.MILLISECONDS.toNanos(acknowledgementMillis);
 		ControlRequest.Builder command = ControlRequest.newBuilder()
 			.setCommand(Command.newBuilder().setSubmitRules(rules));
 		return this.controlClient.sendToLeader(command, SUBMIT_TIMEOUT_MILLIS)
