Share the steps of a loss in the histories of a group, and drop a delegate

GroupRepairProperties played a loss in two places with the same lines; the property of a final loss had copied them. UpstreamTracker.recordPaceProbe had become a call of recordReport.

--- a/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupRepairProperties.java
+++ b/radishthread-agreement/src/test/java/org/radishthread/agreement/GroupRepairProperties.java
@@ -102,38 +102,36 @@
 
 		private void play() {
 			for (int event = 0; event < EVENTS; event++) {
-				while (countLost() >= this.toleratedLosses) {
-					step();
-				}
-				loseOne();
-				long endMillis = now() + this.random.nextInt(LONGEST_PAUSE_MILLIS);
-				while (now() < endMillis) {
-					step();
-				}
+				playLoss();
 				assertAvailable();
 			}
 		}
 
+		// Loses one instance as soon as the group bears it, and lets some time pass.
+		private void playLoss() {
+			while (countLost() >= this.toleratedLosses) {
+				step();
+			}
+			loseOne();
+			stepUntil(now() + this.random.nextInt(LONGEST_PAUSE_MILLIS));
+		}
+
+		private void stepUntil(long endMillis) {
+			while (now() < endMillis) {
+				step();
+			}
+		}
+
 		// Plays some losses. Then, right after a confirmation, some instances lose their
 		// disks and all others their power, also those that replace lost ones.
 		private void playUntilAllAreLost() {
 			int eventCount = this.random.nextInt(MAXIMUM_EVENTS_BEFORE_FINAL_LOSS);
 			for (int event = 0; event < eventCount; event++) {
-				while (countLost() >= this.toleratedLosses) {
-					step();
-				}
-				loseOne();
-				long endMillis = now() + this.random.nextInt(LONGEST_PAUSE_MILLIS);
-				while (now() < endMillis) {
-					step();
-				}
+				playLoss();
 			}
 			confirmRevision();
 			loseAll();
-			long endMillis = now() + LONGEST_RESTART_MILLIS + STEP_MILLIS;
-			while (now() < endMillis) {
-				step();
-			}
+			stepUntil(now() + LONGEST_RESTART_MILLIS + STEP_MILLIS);
 			assertAvailable();
 			assertAvailable();
 		}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -841,7 +841,7 @@
 	public List<RoutingEffect> recordPaceProbe(String upstream, LoadReport report, long nowNanos) {
 		UpstreamTracker tracker = this.trackers.get(upstream);
 		if (tracker != null) {
-			tracker.recordPaceProbe(report, nowNanos);
+			tracker.recordReport(report, "", nowNanos);
 			if (tracker.coldLimit().recordReport(report, nowNanos)) {
 				addColdEffect(tracker, nowNanos);
 			}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -362,10 +362,6 @@
 		this.paceProbesWithoutReport++;
 	}
 
-	void recordPaceProbe(LoadReport report, long nowNanos) {
-		recordReport(report, "", nowNanos);
-	}
-
 	// A new upstream without measurements must be preferred once: otherwise it
 	// might not be chosen for a long time.
 	boolean isNewAndUntried() {
