--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -1,6 +1,5 @@
 package org.radishthread.daemon.gateway;
 
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,9 +47,7 @@
 
 	private final Request request;
 
-	private final Response response;
-
-	private final Callback callback;
+	private final CallerResponse response;
 
 	private final long requestNumber;
 
@@ -79,9 +76,6 @@
 
 	private @Nullable Attempt selectedAttempt;
 
-	// Whether the response of the selected attempt is streamed to the caller.
-	private boolean streaming;
-
 	private volatile @Nullable BufferedResponse bufferedServerError;
 
 	private boolean mayHaveRun;
@@ -94,9 +88,9 @@
 		this.route = route;
 		this.keyDecision = keyDecision;
 		this.request = arrived.request();
-		this.response = arrived.response();
 		this.buffers = context.buffers().newReservation();
-		this.callback = Callback.from(arrived.callback(), this::onResponseWritten);
+		this.response = new CallerResponse(context.dialect(), arrived.response(),
+				Callback.from(arrived.callback(), this::onResponseWritten));
 		this.body = new CallerBody(this.request, route.mode(), context.settings().limits().requestBufferBytes(),
 				this.buffers);
 		this.requestNumber = context.nextRequestNumber();
@@ -464,28 +458,22 @@
 		this.log.responseForwarded(attempt, upstreamResponse.getStatus(), "whole");
 		onResponseSelected(upstreamResponse, content);
 		abortOtherAttempts(attempt);
-		copyResponseHead(upstreamResponse);
-		runOnceRecorded(() -> this.response.write(true, ByteBuffer.wrap(content), this.callback));
-	}
-
-	private void copyResponseHead(org.eclipse.jetty.client.Response upstreamResponse) {
-		this.response.setStatus(upstreamResponse.getStatus());
-		EndToEndHeaders.copyResponseHeaders(this.context.dialect(), upstreamResponse.getHeaders(),
-				this.response.getHeaders());
+		this.response.copyHead(upstreamResponse);
+		runOnceRecorded(() -> this.response.writeWhole(content));
 	}
 
 	@Override
 	public final boolean tryStartStreaming(Attempt attempt, org.eclipse.jetty.client.Response upstreamResponse) {
+		// At once, so that no other response is written meanwhile.
 		synchronized (this) {
 			if (!trySelect(attempt)) {
 				return false;
 			}
-			this.streaming = true;
+			this.response.beginStreaming(upstreamResponse);
 		}
 		// No hedge is needed any more.
 		this.timers.cancelAll();
 		abortOtherAttempts(attempt);
-		copyResponseHead(upstreamResponse);
 		onResponseSelected(upstreamResponse, null);
 		// The rest of the response may never arrive.
 		scheduleEnds();
@@ -499,7 +487,7 @@
 
 	@Override
 	public final void onStreamedBytes(byte[] bytes, Runnable demander) {
-		this.response.write(false, ByteBuffer.wrap(bytes), Callback.from(demander, this::onCallerDisconnected));
+		this.response.writePart(bytes, Callback.from(demander, this::onCallerDisconnected));
 	}
 
 	@Override
@@ -510,13 +498,12 @@
 			closeIfCompleted();
 			return;
 		}
-		this.log.responseForwarded(attempt, this.response.getStatus(), complete ? "streamed" : "broken");
+		this.log.responseForwarded(attempt, this.response.status(), complete ? "streamed" : "broken");
 		if (complete) {
-			runOnceRecorded(() -> this.response.write(true, ByteBuffer.allocate(0), this.callback));
+			runOnceRecorded(this.response::endStreaming);
 		}
 		else {
-			// Closes the connection, so that the caller detects the truncated response.
-			this.callback.failed(new GatewayException("The response of the upstream ended before it was complete."));
+			this.response.breakOff(new GatewayException("The response of the upstream ended before it was complete."));
 		}
 	}
 
@@ -591,7 +578,7 @@
 	 */
 	protected final void completeUnsuccessfully(String title, long retryAfterMillis, int status) {
 		BufferedResponse serverError = this.bufferedServerError;
-		if (serverError != null && !isStreaming()) {
+		if (serverError != null && !this.response.isStreaming()) {
 			// The upstream's own error response is more specific than a problem response.
 			forwardBufferedResponse(serverError.attempt(), serverError.response(), serverError.content());
 			return;
@@ -610,7 +597,7 @@
 		if (tryComplete()) {
 			this.log.callerDisconnected(cause);
 			abortOtherAttempts(null);
-			this.callback.failed(cause);
+			this.response.breakOff(cause);
 		}
 	}
 
@@ -620,26 +607,21 @@
 		}
 		this.log.problemResponse(problem);
 		abortOtherAttempts(null);
-		if (isStreaming()) {
-			// Closes the connection, so that the caller detects the truncated response.
-			this.callback.failed(new GatewayException(problem.title()));
+		if (this.response.isStreaming()) {
+			this.response.breakOff(new GatewayException(problem.title()));
 		}
 		else {
-			problem.write(this.context.dialect(), this.response, this.callback);
+			this.response.writeWhole(problem);
 		}
 	}
 
-	private synchronized boolean isStreaming() {
-		return this.streaming;
-	}
-
 	/**
 	 * Completes the request with a response that is written by this instance.
 	 * @param writer writes the response
 	 */
 	protected final void completeWithResponse(ResponseWriter writer) {
 		if (tryComplete()) {
-			writer.write(this.response, this.callback);
+			this.response.writeWhole(writer);
 		}
 	}
 
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerResponse.java
@@ -0,0 +1,82 @@
+package org.radishthread.daemon.gateway;
+
+import java.nio.ByteBuffer;
+
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Writes the response of one exchange to its caller, at once or in parts. A response that
+ * is broken off closes the connection, so that the caller detects that it is truncated.
+ * Safe for use by several threads, one after the other.
+ */
+final class CallerResponse {
+
+	private final HttpDialect dialect;
+
+	private final Response response;
+
+	private final Callback callback;
+
+	private volatile boolean streaming;
+
+	/**
+	 * Creates a writer.
+	 * @param dialect decides which headers of upstreams are forwarded
+	 * @param response the response to write to
+	 * @param callback the callback to complete when the response is written
+	 */
+	CallerResponse(HttpDialect dialect, Response response, Callback callback) {
+		this.dialect = dialect;
+		this.response = response;
+		this.callback = callback;
+	}
+
+	int status() {
+		return this.response.getStatus();
+	}
+
+	/**
+	 * Returns whether a part of the response may have been written already, so that no
+	 * other response can take its place.
+	 * @return whether {@link #beginStreaming} was called
+	 */
+	boolean isStreaming() {
+		return this.streaming;
+	}
+
+	void copyHead(org.eclipse.jetty.client.Response upstreamResponse) {
+		this.response.setStatus(upstreamResponse.getStatus());
+		EndToEndHeaders.copyResponseHeaders(this.dialect, upstreamResponse.getHeaders(), this.response.getHeaders());
+	}
+
+	void writeWhole(byte[] content) {
+		this.response.write(true, ByteBuffer.wrap(content), this.callback);
+	}
+
+	void writeWhole(AbstractExchange.ResponseWriter writer) {
+		writer.write(this.response, this.callback);
+	}
+
+	void writeWhole(Problem problem) {
+		problem.write(this.dialect, this.response, this.callback);
+	}
+
+	void beginStreaming(org.eclipse.jetty.client.Response upstreamResponse) {
+		this.streaming = true;
+		copyHead(upstreamResponse);
+	}
+
+	void writePart(byte[] bytes, Callback written) {
+		this.response.write(false, ByteBuffer.wrap(bytes), written);
+	}
+
+	void endStreaming() {
+		this.response.write(true, ByteBuffer.allocate(0), this.callback);
+	}
+
+	void breakOff(Throwable cause) {
+		this.callback.failed(cause);
+	}
+
+}
