Log how a response was framed, why it was streamed and how much arrived

The logs could not tell a body that is too long from one that is too short, nor a buffered response from a streamed one. response-forwarded names the framing of the upstream's response and its bytes; response-streamed names what was held and the protocol of the caller; attempt-failed names the bytes that had arrived. No change of behaviour.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -89,7 +89,7 @@
 		this.keyDecision = keyDecision;
 		this.request = arrived.request();
 		this.buffers = context.buffers().newReservation();
-		this.response = new CallerResponse(context.dialect(), arrived.response(),
+		this.response = new CallerResponse(context.dialect(), this.request, arrived.response(),
 				Callback.from(arrived.callback(), this::onResponseWritten));
 		this.body = new CallerBody(this.request, route.mode(), context.settings().limits().requestBufferBytes(),
 				this.buffers);
@@ -473,6 +473,7 @@
 		}
 		// No hedge is needed any more.
 		this.timers.cancelAll();
+		this.log.streamingStarted(attempt, this.response);
 		abortOtherAttempts(attempt);
 		onResponseSelected(upstreamResponse, null);
 		// The rest of the response may never arrive.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -6,8 +6,6 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
@@ -57,6 +55,10 @@
 
 	private volatile @Nullable LoadReport loadReport;
 
+	private volatile long receivedBytes;
+
+	private volatile BodyFraming framing = BodyFraming.CLOSE;
+
 	private boolean completionReported;
 
 	Attempt(String upstreamName, NetworkAddress upstreamAddress, Request request, HttpDialect dialect,
@@ -97,6 +99,22 @@
 		return this.loadReport;
 	}
 
+	/**
+	 * Returns how much of the body of the response has arrived.
+	 * @return the number of bytes
+	 */
+	long receivedBytes() {
+		return this.receivedBytes;
+	}
+
+	/**
+	 * Returns how the upstream marks the end of the body.
+	 * @return the framing; meaningful once the head of the response has arrived
+	 */
+	BodyFraming framing() {
+		return this.framing;
+	}
+
 	// Whether this instance did not send the request, for a reason that says nothing
 	// about the upstream.
 	boolean isWithheld() {
@@ -130,6 +148,7 @@
 
 	@Override
 	public void onHeaders(Response response) {
+		this.framing = BodyFraming.of(response.getHeaders());
 		String echoedRequestId = this.dialect.echoedRequestId(response.getHeaders());
 		if (echoedRequestId != null && !echoedRequestId.equals(this.requestId)) {
 			abort(new GatewayException("The response belongs to another request: '" + echoedRequestId + "'."));
@@ -143,16 +162,15 @@
 	}
 
 	private boolean isEndDetectable(Response response) {
-		HttpFields headers = response.getHeaders();
 		return this.dialect.acceptsCloseDelimitedResponses() || HttpMethod.HEAD.is(this.request.getMethod())
 				|| response.getStatus() == HttpStatus.NO_CONTENT_204
-				|| response.getStatus() == HttpStatus.NOT_MODIFIED_304 || headers.contains(HttpHeader.CONTENT_LENGTH)
-				|| headers.contains(HttpHeader.TRANSFER_ENCODING);
+				|| response.getStatus() == HttpStatus.NOT_MODIFIED_304 || this.framing != BodyFraming.CLOSE;
 	}
 
 	@Override
 	public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
 		byte[] bytes = BufferUtil.toArray(chunk.getByteBuffer());
+		this.receivedBytes += bytes.length;
 		if (this.streaming) {
 			this.listener.onStreamedBytes(bytes, demander);
 			return;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerResponse.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerResponse.java
@@ -2,6 +2,8 @@
 
 import java.nio.ByteBuffer;
 
+import org.eclipse.jetty.server.ConnectionMetaData;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -14,6 +16,8 @@
 
 	private final HttpDialect dialect;
 
+	private final Request request;
+
 	private final Response response;
 
 	private final Callback callback;
@@ -23,15 +27,27 @@
 	/**
 	 * Creates a writer.
 	 * @param dialect decides which headers of upstreams are forwarded
+	 * @param request the request of the caller
 	 * @param response the response to write to
 	 * @param callback the callback to complete when the response is written
 	 */
-	CallerResponse(HttpDialect dialect, Response response, Callback callback) {
+	CallerResponse(HttpDialect dialect, Request request, Response response, Callback callback) {
 		this.dialect = dialect;
+		this.request = request;
 		this.response = response;
 		this.callback = callback;
 	}
 
+	/**
+	 * Returns the version of HTTP that the caller speaks, and whether its connection
+	 * stays open after the response.
+	 * @return a text for the log
+	 */
+	String callerProtocol() {
+		ConnectionMetaData connection = this.request.getConnectionMetaData();
+		return connection.getHttpVersion().asString() + (connection.isPersistent() ? " kept" : " closing");
+	}
+
 	int status() {
 		return this.response.getStatus();
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
@@ -45,17 +45,28 @@
 			.with("outcome", failure)
 			.with("connection", attempt.isOnNewConnection() ? "new" : "pooled")
 			.with("connection-lost", attempt.isConnectionLost())
+			.with("received-bytes", attempt.receivedBytes())
 			.with("digest", this.exchange.digest())
 			.with("cause", cause.getMessage())
 			.write();
 	}
 
+	void streamingStarted(Attempt attempt, CallerResponse response) {
+		event("response-streamed").with("upstream", attempt.upstreamName())
+			.with("received", attempt.framing().wireName())
+			.with("held-bytes", attempt.receivedBytes())
+			.with("caller", response.callerProtocol())
+			.write();
+	}
+
 	void responseForwarded(Attempt attempt, int status, String form) {
 		event("response-forwarded").with("service", this.exchange.route().service())
 			.with("upstream", attempt.upstreamName())
 			.with("connection", attempt.isOnNewConnection() ? "new" : "pooled")
 			.with("status", status)
 			.with("form", form)
+			.with("received", attempt.framing().wireName())
+			.with("bytes", attempt.receivedBytes())
 			.with("elapsed-millis", elapsedMillis())
 			.write();
 	}
