Mark the end of each streamed response, also where the connection closes

What callers saw: 200, a part of the body, no length, no chunks and a regular close, so that a truncated response looked complete.

Cause: a close stood for "complete". The server library writes a response of unknown length to a caller whose connection will not persist without any framing; the upstream's Content-Length was dropped; and a response that was broken off, or cut by the end of the gateway, closed the connection in the same way as a complete one. It takes a streamed response, so a body over the buffer limit, or any body while the memory for buffers is used up, and a caller that sends Connection: close or HTTP/1.0, or a gateway that starts or stops.

Callers that keep the connection held before, and buffered responses always have a length.

Change: a streamed response has the length that its upstream stated, or else chunks for every HTTP/1.1 caller. For a caller of HTTP/1.0 and an unknown length only the close is left: its connection is set to reset on close as long as the response is incomplete, which the operating system obeys too when the process is killed.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/BodyFraming.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/BodyFraming.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
 
 /**
  * How the end of the body of an HTTP/1 message is marked (RFC 9112, section 6.3).
@@ -15,17 +16,39 @@
 	/**
 	 * By the number of its bytes, which the head states.
 	 */
-	LENGTH,
+	LENGTH {
+
+		@Override
+		void copyTo(HttpFields.Mutable callerHeaders, HttpFields upstreamHeaders) {
+			callerHeaders.put(HttpHeader.CONTENT_LENGTH, upstreamHeaders.getLongField(HttpHeader.CONTENT_LENGTH));
+		}
+
+	},
 
 	/**
 	 * By a last chunk.
 	 */
-	CHUNKS,
+	CHUNKS {
+
+		// Without this header Jetty uses chunks only if the connection stays open.
+		@Override
+		void copyTo(HttpFields.Mutable callerHeaders, HttpFields upstreamHeaders) {
+			callerHeaders.put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
+		}
+
+	},
 
 	/**
 	 * By the end of the connection. Only a reset shows that the body is truncated.
 	 */
-	CLOSE;
+	CLOSE {
+
+		@Override
+		void copyTo(HttpFields.Mutable callerHeaders, HttpFields upstreamHeaders) {
+			callerHeaders.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+		}
+
+	};
 
 	/**
 	 * Determines the framing of a response that has a body.
@@ -40,6 +63,27 @@
 		return headers.contains(HttpHeader.CONTENT_LENGTH) ? LENGTH : CLOSE;
 	}
 
+	/**
+	 * Chooses how to frame a response that is streamed to a caller, so that the caller
+	 * can tell its end whether or not the connection stays open.
+	 * @param upstreamHeaders the headers of the response of the upstream
+	 * @param callerVersion the version of HTTP that the caller speaks
+	 * @return the framing
+	 */
+	static BodyFraming forCaller(HttpFields upstreamHeaders, HttpVersion callerVersion) {
+		if (of(upstreamHeaders) == LENGTH) {
+			return LENGTH;
+		}
+		return (callerVersion.getVersion() >= HttpVersion.HTTP_1_1.getVersion()) ? CHUNKS : CLOSE;
+	}
+
+	/**
+	 * Adds the header that announces this framing to a caller.
+	 * @param callerHeaders the headers of the response to the caller
+	 * @param upstreamHeaders the headers of the response of the upstream
+	 */
+	abstract void copyTo(HttpFields.Mutable callerHeaders, HttpFields upstreamHeaders);
+
 	String wireName() {
 		return name().toLowerCase(Locale.ROOT);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
@@ -1,6 +1,7 @@
 package org.radishthread.daemon.gateway;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -26,6 +27,12 @@
 	// with the caller; its close is then noticed when the request is completed.
 	private static final int MAXIMUM_READ_AHEAD_BYTES = 64 * 1_024;
 
+	// Linger time, in seconds.
+	private static final int RESET_ON_CLOSE = 0;
+
+	// Linger time; no limit for what is still to be sent.
+	private static final int REGULAR_CLOSE = -1;
+
 	private ByteBuffer readAhead = BufferUtil.allocate(INITIAL_READ_AHEAD_BYTES);
 
 	private final BufferBudget.Reservation reservation;
@@ -44,6 +51,21 @@
 		super.onClose(cause);
 	}
 
+	/**
+	 * Sets how the connection is closed, by this process or by the operating system when
+	 * this process ends.
+	 * @param reset whether to reset it, instead of closing it regularly
+	 */
+	void setResetOnClose(boolean reset) {
+		try {
+			getChannel().setOption(StandardSocketOptions.SO_LINGER, reset ? RESET_ON_CLOSE : REGULAR_CLOSE);
+		}
+		catch (IOException ex) {
+			// The connection is closed already.
+			close(ex);
+		}
+	}
+
 	/**
 	 * Returns whether the caller closed the connection. Reads from the channel if no
 	 * other reader is registered.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerResponse.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerResponse.java
@@ -1,16 +1,19 @@
 package org.radishthread.daemon.gateway;
 
 import java.nio.ByteBuffer;
+import java.util.Objects;
 
 import org.eclipse.jetty.server.ConnectionMetaData;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Writes the response of one exchange to its caller, at once or in parts. A response that
- * is broken off closes the connection, so that the caller detects that it is truncated.
- * Safe for use by several threads, one after the other.
+ * is broken off, or that the end of this process cuts, never looks complete: it lacks
+ * bytes that its head promises or its last chunk, or else the connection is reset. Safe
+ * for use by several threads, one after the other.
  */
 final class CallerResponse {
 
@@ -22,7 +25,8 @@
 
 	private final Callback callback;
 
-	private volatile boolean streaming;
+	// The framing of a response that is streamed.
+	private volatile @Nullable BodyFraming framing;
 
 	/**
 	 * Creates a writer.
@@ -58,7 +62,15 @@
 	 * @return whether {@link #beginStreaming} was called
 	 */
 	boolean isStreaming() {
-		return this.streaming;
+		return this.framing != null;
+	}
+
+	/**
+	 * Returns how the response marks its end.
+	 * @return the framing
+	 */
+	BodyFraming framing() {
+		return Objects.requireNonNullElse(this.framing, BodyFraming.LENGTH);
 	}
 
 	void copyHead(org.eclipse.jetty.client.Response upstreamResponse) {
@@ -79,8 +91,20 @@
 	}
 
 	void beginStreaming(org.eclipse.jetty.client.Response upstreamResponse) {
-		this.streaming = true;
+		BodyFraming chosenFraming = BodyFraming.forCaller(upstreamResponse.getHeaders(),
+				this.request.getConnectionMetaData().getHttpVersion());
+		this.framing = chosenFraming;
 		copyHead(upstreamResponse);
+		chosenFraming.copyTo(this.response.getHeaders(), upstreamResponse.getHeaders());
+		if (chosenFraming == BodyFraming.CLOSE) {
+			setResetOnClose(true);
+		}
+	}
+
+	private void setResetOnClose(boolean reset) {
+		if (this.request.getConnectionMetaData().getConnection().getEndPoint() instanceof CallerEndPoint endPoint) {
+			endPoint.setResetOnClose(reset);
+		}
 	}
 
 	void writePart(byte[] bytes, Callback written) {
@@ -88,6 +112,10 @@
 	}
 
 	void endStreaming() {
+		// All parts have been handed to the operating system.
+		if (this.framing == BodyFraming.CLOSE) {
+			setResetOnClose(false);
+		}
 		this.response.write(true, ByteBuffer.allocate(0), this.callback);
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
@@ -55,6 +55,7 @@
 		event("response-streamed").with("upstream", attempt.upstreamName())
 			.with("received", attempt.framing().wireName())
 			.with("held-bytes", attempt.receivedBytes())
+			.with("sent", response.framing().wireName())
 			.with("caller", response.callerProtocol())
 			.write();
 	}
