Do not take a repeated response for a part of the first one

What callers saw: 200 with a body that was not the upstream's: 700 bytes, then the head and the body of the same response once more, with a length that made it look whole.

Cause: a response without a length ends with its connection, so all that the upstream sent before the close was taken for its body. Responses of other framings are not met: what follows them is no part of them.

Change: a body that ends with its connection is searched for a head that names this request and bears the upstream's seal, which no content but an upstream's own response has. If the bytes after it repeat those before it exactly, they confirm where the body ends, and the response is delivered; otherwise, and while it is streamed, the attempt failed: a repeatable request is sent elsewhere, another ends with 502. attempt-failed and response-forwarded tell it in the log.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -1,6 +1,5 @@
 package org.radishthread.daemon.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 
 import org.eclipse.jetty.client.Request;
@@ -21,7 +20,7 @@
  * The response is buffered until it is complete; if it exceeds the buffer limit, or the
  * memory for buffers is used up, it is streamed with the listener's consent. An attempt
  * fails if the response belongs to another request, or if its end cannot be distinguished
- * from a lost connection.
+ * from a lost connection or from a further response.
  */
 final class Attempt implements Response.Listener {
 
@@ -41,7 +40,7 @@
 
 	private final boolean useNewConnection;
 
-	private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+	private final ReceivedBody body;
 
 	private volatile boolean requestBegun;
 
@@ -55,10 +54,6 @@
 
 	private volatile @Nullable LoadReport loadReport;
 
-	private volatile long receivedBytes;
-
-	private volatile BodyFraming framing = BodyFraming.CLOSE;
-
 	private boolean completionReported;
 
 	Attempt(String upstreamName, NetworkAddress upstreamAddress, Request request, HttpDialect dialect,
@@ -71,6 +66,7 @@
 		this.maximumBufferedBytes = maximumBufferedBytes;
 		this.useNewConnection = useNewConnection;
 		this.listener = listener;
+		this.body = new ReceivedBody(dialect, requestId);
 	}
 
 	String upstreamName() {
@@ -104,7 +100,7 @@
 	 * @return the number of bytes
 	 */
 	long receivedBytes() {
-		return this.receivedBytes;
+		return this.body.receivedBytes();
 	}
 
 	/**
@@ -112,7 +108,15 @@
 	 * @return the framing; meaningful once the head of the response has arrived
 	 */
 	BodyFraming framing() {
-		return this.framing;
+		return this.body.framing();
+	}
+
+	/**
+	 * Returns whether the upstream sent a further response to the request after the body.
+	 * @return whether not all received bytes belong to the body
+	 */
+	boolean isRepeated() {
+		return this.body.isRepeated();
 	}
 
 	// Whether this instance did not send the request, for a reason that says nothing
@@ -148,7 +152,7 @@
 
 	@Override
 	public void onHeaders(Response response) {
-		this.framing = BodyFraming.of(response.getHeaders());
+		this.body.onHeaders(response.getHeaders());
 		String echoedRequestId = this.dialect.echoedRequestId(response.getHeaders());
 		if (echoedRequestId != null && !echoedRequestId.equals(this.requestId)) {
 			abort(new GatewayException("The response belongs to another request: '" + echoedRequestId + "'."));
@@ -164,39 +168,48 @@
 	private boolean isEndDetectable(Response response) {
 		return this.dialect.acceptsCloseDelimitedResponses() || HttpMethod.HEAD.is(this.request.getMethod())
 				|| response.getStatus() == HttpStatus.NO_CONTENT_204
-				|| response.getStatus() == HttpStatus.NOT_MODIFIED_304 || this.framing != BodyFraming.CLOSE;
+				|| response.getStatus() == HttpStatus.NOT_MODIFIED_304 || framing() != BodyFraming.CLOSE;
 	}
 
 	@Override
 	public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
 		byte[] bytes = BufferUtil.toArray(chunk.getByteBuffer());
-		this.receivedBytes += bytes.length;
+		this.body.onBytes(bytes);
 		if (this.streaming) {
+			if (this.body.containsFurtherHead()) {
+				abort(repeatedResponse());
+				return;
+			}
 			this.listener.onStreamedBytes(bytes, demander);
 			return;
 		}
-		boolean withinLimit = this.bufferedBody.size() + bytes.length <= this.maximumBufferedBytes;
+		boolean withinLimit = this.body.bufferedSize() + bytes.length <= this.maximumBufferedBytes;
 		boolean buffered = withinLimit && this.listener.tryReserveBuffer(bytes.length);
-		this.bufferedBody.writeBytes(bytes);
+		this.body.buffer(bytes);
 		if (buffered) {
 			demander.run();
 		}
 		else if (tryStartStreaming(response)) {
 			this.streaming = true;
-			this.listener.onStreamedBytes(this.bufferedBody.toByteArray(), demander);
+			this.listener.onStreamedBytes(this.body.buffered(), demander);
 		}
 		else {
 			abort(new GatewayException("The response exceeds the buffer limit and cannot be streamed to the caller."));
 		}
 	}
 
+	private static GatewayException repeatedResponse() {
+		return new GatewayException(
+				"The upstream sent a further response to this request before it closed the connection.");
+	}
+
 	// On a connection that was used before, a response without an id may be a copy of an
 	// earlier one.
 	private void completeNotRun(Response response) {
 		boolean named = this.requestId != null
 				&& this.requestId.equals(this.dialect.echoedRequestId(response.getHeaders()));
 		if (named || this.useNewConnection) {
-			this.listener.onNotRun(this, response, this.bufferedBody.toByteArray());
+			this.listener.onNotRun(this, response, this.body.buffered());
 			return;
 		}
 		this.listener.onFailure(this, AttemptFailure.REPORTED_NOT_RUN_WITHOUT_ID,
@@ -211,7 +224,8 @@
 	// it cannot be withdrawn afterwards.
 	private boolean tryStartStreaming(Response response) {
 		int status = response.getStatus();
-		return isForwardable(response) && !this.dialect.hasNotRun(status, response.getHeaders())
+		return !this.body.containsFurtherHead() && isForwardable(response)
+				&& !this.dialect.hasNotRun(status, response.getHeaders())
 				&& this.listener.tryStartStreaming(this, response);
 	}
 
@@ -225,7 +239,7 @@
 		}
 		this.connectionLost = this.requestBegun && result.getFailure() instanceof IOException;
 		if (this.streaming) {
-			this.listener.onStreamCompleted(this, result.isSucceeded());
+			this.listener.onStreamCompleted(this, result.isSucceeded() && !this.body.isRepeated());
 		}
 		else if (result.isFailed()) {
 			this.listener.onFailure(this,
@@ -241,8 +255,17 @@
 							+ " is not confirmed as the response to this request."));
 		}
 		else {
-			this.listener.onCompleteResponse(this, result.getResponse(), this.bufferedBody.toByteArray());
+			completeWhole(result.getResponse());
+		}
+	}
+
+	private void completeWhole(Response response) {
+		byte[] whole = this.body.whole();
+		if (whole != null) {
+			this.listener.onCompleteResponse(this, response, whole);
+			return;
 		}
+		this.listener.onFailure(this, AttemptFailure.NO_COMPLETE_RESPONSE, repeatedResponse());
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/DefaultHttpDialect.java
@@ -82,6 +82,11 @@
 		return false;
 	}
 
+	@Override
+	public boolean isRepeatedResponse(@Nullable String requestId, HttpFields embeddedHeaders) {
+		return requestId != null && requestId.equals(embeddedHeaders.get(RadishthreadHeader.REQUEST));
+	}
+
 	@Override
 	public boolean isReplacedRequestHeader(String name) {
 		return REPLACED_REQUEST_HEADERS.contains(name);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
@@ -68,6 +68,7 @@
 			.with("form", form)
 			.with("received", attempt.framing().wireName())
 			.with("bytes", attempt.receivedBytes())
+			.with("repeated", attempt.isRepeated())
 			.with("elapsed-millis", elapsedMillis())
 			.write();
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HttpDialect.java
@@ -96,6 +96,15 @@
 	 */
 	boolean acceptsCloseDelimitedResponses();
 
+	/**
+	 * Returns whether a head that stands in the body of a response begins a further
+	 * response to the same request, instead of being quoted by the body.
+	 * @param requestId the id of the request, or {@code null} if it has none
+	 * @param embeddedHeaders the headers of the head
+	 * @return whether only the upstream itself can have written the head
+	 */
+	boolean isRepeatedResponse(@Nullable String requestId, HttpFields embeddedHeaders);
+
 	/**
 	 * Returns whether this instance sets a request header itself and so does not forward
 	 * the caller's.
