Ask whether an upstream still exists where its close ends a response

What callers saw: 200 with a part of the body that looked complete, after the process of an upstream had ended in the middle of a response without a length.

Cause: the operating system closes the connections of a process that ends in the same way as the process does itself, so the close alone does not show that a response is complete.

Change: when a response without a length ends, the gateway opens a connection to the upstream. If it is refused, as it is once the process has ended, the attempt is lost with its connection: a repeatable request is sent elsewhere, another ends with 502, and the end counts as a crash. Every other result, and none within 100 ms, takes the response for complete, as before; so does an upstream that says that it leaves, and a relayed attempt, whose upstream this gateway may not reach. Responses with a length or chunks need no connection.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.eclipse.jetty.http.HttpFields;
@@ -486,6 +487,14 @@
 		return this.buffers.tryReserve(bytes);
 	}
 
+	// A relay passes the end of the connection on, and may be the only one to reach the
+	// upstream.
+	@Override
+	public final CompletableFuture<Boolean> isUpstreamLost(Attempt attempt) {
+		return attempt.isRelayed() ? CompletableFuture.completedFuture(false)
+				: UpstreamProber.refusesConnections(attempt.upstreamAddress());
+	}
+
 	@Override
 	public final void onStreamedBytes(byte[] bytes, Runnable demander) {
 		this.response.writePart(bytes, Callback.from(demander, this::onCallerDisconnected));
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -81,12 +81,16 @@
 		return this.useNewConnection;
 	}
 
+	boolean isRelayed() {
+		return this.request.getTag() != null;
+	}
+
 	boolean hasResponseBegun() {
 		return this.responseBegun;
 	}
 
 	// Whether the connection ended after a part of the request was sent and before the
-	// response was complete.
+	// response was complete, or may have been complete.
 	boolean isConnectionLost() {
 		return this.connectionLost;
 	}
@@ -159,16 +163,15 @@
 			return;
 		}
 		this.loadReport = this.dialect.loadReport(response.getStatus(), response.getHeaders());
-		if (!isEndDetectable(response)) {
+		if (hasBody(response) && framing() == BodyFraming.CLOSE && !this.dialect.acceptsCloseDelimitedResponses()) {
 			abort(new GatewayException(
 					"The response has neither Content-Length nor Transfer-Encoding, so its end cannot be detected."));
 		}
 	}
 
-	private boolean isEndDetectable(Response response) {
-		return this.dialect.acceptsCloseDelimitedResponses() || HttpMethod.HEAD.is(this.request.getMethod())
-				|| response.getStatus() == HttpStatus.NO_CONTENT_204
-				|| response.getStatus() == HttpStatus.NOT_MODIFIED_304 || framing() != BodyFraming.CLOSE;
+	private boolean hasBody(Response response) {
+		return !HttpMethod.HEAD.is(this.request.getMethod()) && response.getStatus() != HttpStatus.NO_CONTENT_204
+				&& response.getStatus() != HttpStatus.NOT_MODIFIED_304;
 	}
 
 	@Override
@@ -238,8 +241,28 @@
 			this.completionReported = true;
 		}
 		this.connectionLost = this.requestBegun && result.getFailure() instanceof IOException;
+		if (result.isFailed() || !mayBeCutByEndOfUpstream(result.getResponse())) {
+			complete(result);
+			return;
+		}
+		this.listener.isUpstreamLost(this).thenAccept((lost) -> {
+			this.connectionLost = lost;
+			complete(result);
+		});
+	}
+
+	// The operating system closes the connections of a process that ends. An upstream
+	// that
+	// leaves completes its responses before.
+	private boolean mayBeCutByEndOfUpstream(Response response) {
+		LoadReport report = this.loadReport;
+		return framing() == BodyFraming.CLOSE && hasBody(response) && (report == null || !report.leaving());
+	}
+
+	private void complete(Result result) {
+		boolean succeeded = result.isSucceeded() && !this.connectionLost;
 		if (this.streaming) {
-			this.listener.onStreamCompleted(this, result.isSucceeded() && !this.body.isRepeated());
+			this.listener.onStreamCompleted(this, succeeded && !this.body.isRepeated());
 		}
 		else if (result.isFailed()) {
 			this.listener.onFailure(this,
@@ -249,6 +272,10 @@
 		else if (this.dialect.hasNotRun(result.getResponse().getStatus(), result.getResponse().getHeaders())) {
 			completeNotRun(result.getResponse());
 		}
+		else if (!succeeded) {
+			this.listener.onFailure(this, AttemptFailure.NO_COMPLETE_RESPONSE,
+					new GatewayException("The upstream refuses connections, so its end may have cut the response."));
+		}
 		else if (!isForwardable(result.getResponse())) {
 			this.listener.onFailure(this, AttemptFailure.NO_COMPLETE_RESPONSE,
 					new GatewayException("The response with status " + result.getResponse().getStatus()
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptListener.java
@@ -1,5 +1,7 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.concurrent.CompletableFuture;
+
 import org.eclipse.jetty.client.Response;
 
 import org.radishthread.routing.AttemptFailure;
@@ -57,6 +59,14 @@
 	 */
 	void onStreamedBytes(byte[] bytes, Runnable demander);
 
+	/**
+	 * Finds out whether the connection of an attempt may have been closed by the end of
+	 * its upstream, instead of by the upstream.
+	 * @param attempt the attempt, whose response ended with its connection
+	 * @return whether the upstream is known to have ended; never fails
+	 */
+	CompletableFuture<Boolean> isUpstreamLost(Attempt attempt);
+
 	/**
 	 * Handles the end of a streamed response.
 	 * @param attempt the attempt
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
@@ -1,6 +1,7 @@
 package org.radishthread.daemon.gateway;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +24,11 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+	// About seventy round trips between availability zones. A response waits no longer
+	// for
+	// the result.
+	private static final int REFUSAL_TIMEOUT_MILLIS = 100;
+
 	// A pace that arrives later is out of date.
 	private static final int PACE_TIMEOUT_MILLIS = 250;
 
@@ -64,6 +70,30 @@
 		}
 	}
 
+	/**
+	 * Finds out whether an address refuses connections, as it does once the process that
+	 * listened there has ended.
+	 * @param address the address
+	 * @return whether it certainly refuses them; {@code false} also if there is no result
+	 * in time
+	 */
+	static CompletableFuture<Boolean> refusesConnections(NetworkAddress address) {
+		return CompletableFuture.supplyAsync(() -> isRefused(address), executor);
+	}
+
+	private static boolean isRefused(NetworkAddress address) {
+		try (Socket socket = new Socket()) {
+			socket.connect(new InetSocketAddress(address.host(), address.port()), REFUSAL_TIMEOUT_MILLIS);
+			return false;
+		}
+		catch (ConnectException ex) {
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	/**
 	 * Requests a load report, which states the pace of an upstream: its current service
 	 * time relative to the usual one.
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
@@ -237,6 +237,11 @@
 			return false;
 		}
 
+		@Override
+		public CompletableFuture<Boolean> isUpstreamLost(Attempt attempt) {
+			return CompletableFuture.completedFuture(false);
+		}
+
 		@Override
 		public void onStreamedBytes(byte[] bytes, Runnable demander) {
 			demander.run();
@@ -283,6 +288,11 @@
 			return false;
 		}
 
+		@Override
+		public CompletableFuture<Boolean> isUpstreamLost(Attempt attempt) {
+			return CompletableFuture.completedFuture(false);
+		}
+
 		@Override
 		public void onStreamedBytes(byte[] bytes, Runnable demander) {
 			this.failure.completeExceptionally(new AssertionError("A response arrived."));
