--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -81,6 +81,7 @@
 		return this.useNewConnection;
 	}
 
+	// Relayed requests are tagged with their relay.
 	boolean isRelayed() {
 		return this.request.getTag() != null;
 	}
@@ -251,9 +252,8 @@
 		});
 	}
 
-	// The operating system closes the connections of a process that ends. An upstream
-	// that
-	// leaves completes its responses before.
+	// The operating system closes the connections of a process that ends. A leaving
+	// upstream completes its responses before it ends.
 	private boolean mayBeCutByEndOfUpstream(Response response) {
 		LoadReport report = this.loadReport;
 		return framing() == BodyFraming.CLOSE && hasBody(response) && (report == null || !report.leaving());
