--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamProber.java
@@ -24,9 +24,7 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-	// About seventy round trips between availability zones. A response waits no longer
-	// for
-	// the result.
+	// About seventy round trips between availability zones. It delays a response.
 	private static final int REFUSAL_TIMEOUT_MILLIS = 100;
 
 	// A pace that arrives later is out of date.
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/BodyFramingTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/BodyFramingTests.java
@@ -37,9 +37,8 @@
 	class StreamedResponses {
 
 		// Guards against a truncated response that looks complete to a caller whose
-		// connection closes after it: only callers that know no chunks get a response
-		// that
-		// ends with its connection, and only if its length is unknown.
+		// connection closes after it: a response ends with its connection only if its
+		// length is unknown and the caller knows no chunks.
 		@ParameterizedTest
 		@CsvSource({ ", 7, HTTP_1_1, LENGTH", ", 7, HTTP_1_0, LENGTH", "chunked, , HTTP_1_1, CHUNKS",
 				", , HTTP_1_1, CHUNKS", "chunked, , HTTP_1_0, CLOSE", ", , HTTP_1_0, CLOSE" })
