Reset a relayed connection whose upstream has ended

What callers saw: a part of a response without a length that looked complete, if the process of the upstream ended in the middle of it and another instance relayed the request.

Evidence: RelayProxyTests.endOfTheUpstreamIsNoCompleteResponse, red before, green now. In a whole run of the tests at a load average of 20 to 28, four cases of ResponseEndTests.LostUpstreams on one gateway failed; alone at the same load 12 of 12 passed. That the gateway relayed those requests, after it had met several lost upstreams, is suspected, not shown: the logs were gone.

Change: when an upstream closes a relayed connection, the relay opens a new one. If it is refused, both relayed connections are reset, so that the gateway sees a lost connection; otherwise they are closed regularly.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -487,8 +487,7 @@
 		return this.buffers.tryReserve(bytes);
 	}
 
-	// A relay passes the end of the connection on, and may be the only one to reach the
-	// upstream.
+	// A relay finds that out by itself, and then resets the connection.
 	@Override
 	public final CompletableFuture<Boolean> isUpstreamLost(Attempt attempt) {
 		return attempt.isRelayed() ? CompletableFuture.completedFuture(false)
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/RelayedConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/RelayedConnection.java
@@ -1,5 +1,6 @@
 package org.radishthread.daemon.peer;
 
+import java.net.ConnectException;
 import java.util.List;
 
 import io.netty.bootstrap.Bootstrap;
@@ -10,8 +11,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import org.jspecify.annotations.Nullable;
 
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.NetworkAddress;
@@ -21,7 +24,8 @@
  * the bytes of both connections are forwarded unchanged, each only as fast as the other
  * side reads them. When one of the connections ends, so does the other. Because the end
  * of a response may be the end of its connection, only a regular end is passed on as one:
- * a reset, and the end of this process, reset the other connection.
+ * a reset, and the end of this process or of that of the upstream, reset the other
+ * connection.
  */
 final class RelayedConnection {
 
@@ -30,6 +34,9 @@
 	// As for direct connections to upstreams.
 	private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
+	// As for direct connections whose end is the end of a response.
+	private static final int REFUSAL_TIMEOUT_MILLIS = 100;
+
 	// Linger time, in seconds.
 	private static final int RESET_ON_CLOSE = 0;
 
@@ -57,7 +64,7 @@
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.AUTO_READ, false)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-			.handler(new ForwardingHandler(peer))
+			.handler(new UpstreamHandler(peer))
 			.connect(address.host(), address.port())
 			.addListener((ChannelFutureListener) (connected) -> {
 				listener.connectionCompleted(upstreamAddress, connected.isSuccess());
@@ -101,11 +108,11 @@
 	/**
 	 * Forwards the bytes that are read from one channel to the other.
 	 */
-	private static final class ForwardingHandler extends ChannelInboundHandlerAdapter {
+	private static class ForwardingHandler extends ChannelInboundHandlerAdapter {
 
 		private final Channel target;
 
-		private ForwardingHandler(Channel target) {
+		ForwardingHandler(Channel target) {
 			this.target = target;
 		}
 
@@ -124,11 +131,15 @@
 		@Override
 		public void userEventTriggered(ChannelHandlerContext context, Object event) {
 			if (event == ChannelInputShutdownEvent.INSTANCE) {
-				closeRegularly(this.target);
-				closeRegularly(context.channel());
+				onRegularEnd(context);
 			}
 		}
 
+		protected void onRegularEnd(ChannelHandlerContext context) {
+			closeRegularly(this.target);
+			closeRegularly(context.channel());
+		}
+
 		private static void closeRegularly(Channel channel) {
 			channel.config().setOption(ChannelOption.SO_LINGER, REGULAR_CLOSE);
 			channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -141,10 +152,49 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			resetBoth(context);
+		}
+
+		protected final void resetBoth(ChannelHandlerContext context) {
 			this.target.close();
 			context.close();
 		}
 
 	}
 
+	/**
+	 * Forwards the bytes of an upstream. The operating system closes the connections of a
+	 * process that ends regularly, so the upstream must still accept connections when one
+	 * has ended.
+	 */
+	private static final class UpstreamHandler extends ForwardingHandler {
+
+		private UpstreamHandler(Channel peer) {
+			super(peer);
+		}
+
+		@Override
+		protected void onRegularEnd(ChannelHandlerContext context) {
+			new Bootstrap().group(context.channel().eventLoop())
+				.channel(NioSocketChannel.class)
+				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, REFUSAL_TIMEOUT_MILLIS)
+				.handler(new ChannelInboundHandlerAdapter())
+				.connect(context.channel().remoteAddress())
+				.addListener((ChannelFutureListener) (connected) -> {
+					connected.channel().close();
+					if (isRefused(connected.cause())) {
+						resetBoth(context);
+					}
+					else {
+						super.onRegularEnd(context);
+					}
+				});
+		}
+
+		private static boolean isRefused(@Nullable Throwable cause) {
+			return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+		}
+
+	}
+
 }
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
@@ -1,6 +1,7 @@
 package org.radishthread.daemon.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -8,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -162,6 +164,31 @@
 		}
 	}
 
+	// Guards against a part of a response without a length that looks complete because
+	// the
+	// process of its upstream ended: the operating system closes the port and then the
+	// connection regularly.
+	@Test
+	void endOfTheUpstreamIsNoCompleteResponse() throws Exception {
+		try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			CompletableFuture.runAsync(() -> {
+				try (Socket socket = upstream.accept()) {
+					socket.getInputStream().read();
+					upstream.close();
+					socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(StandardCharsets.ISO_8859_1));
+					// A close with unread bytes would reset the connection.
+					socket.getInputStream().skip(socket.getInputStream().available());
+				}
+				catch (IOException ex) {
+					throw new UncheckedIOException(ex);
+				}
+			});
+			assertThatThrownBy(() -> request(upstream.getLocalPort()).send()).isInstanceOf(ExecutionException.class)
+				.hasCauseInstanceOf(IOException.class);
+			assertThat(this.requestBegun).isTrue();
+		}
+	}
+
 	@Test
 	void requestIsNotBegunIfTheRelayCannotReachTheUpstream() throws Exception {
 		int port = unusedPort();
