Log the attempts that are in progress when a request is refused

A refusal that promises 'not run' could not be told from one that met an attempt in progress, or that was decided long before it was carried out. problem-response now counts the attempts that were begun and those that are in progress, slot-refused is written when a refusal is decided, attempt-failed says whether the response named the request and whether it was relayed, and attempt is written once the attempt is taken up.

No decision is changed.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -75,6 +75,8 @@
 
 	private volatile @Nullable String digest;
 
+	private int begunAttempts;
+
 	private @Nullable Attempt selectedAttempt;
 
 	private volatile @Nullable BufferedResponse bufferedServerError;
@@ -222,6 +224,11 @@
 		return this.attempts.size();
 	}
 
+	// The attempts that were begun, whether they have ended or not.
+	final synchronized int begunAttemptCount() {
+		return this.begunAttempts;
+	}
+
 	protected final synchronized boolean isCompleted() {
 		return this.completed;
 	}
@@ -390,7 +397,6 @@
 		prepareRequest(attemptRequest, currentKeyDecision,
 				new HttpDialect.AttemptDetails(requestId, remainingMillis(), upstream, workspaceName));
 		int maximumBufferedBytes = this.context.settings().limits().responseBufferBytes();
-		this.log.attempt(upstream, kind, relay);
 		Attempt attempt = new Attempt(upstream, address, attemptRequest, dialect, requestId, maximumBufferedBytes,
 				useNewConnection, this);
 		synchronized (this) {
@@ -398,7 +404,9 @@
 				return false;
 			}
 			this.attempts.add(attempt);
+			this.begunAttempts++;
 		}
+		this.log.attempt(upstream, kind, relay);
 		attempt.send();
 		return true;
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -52,6 +52,8 @@
 
 	private volatile boolean connectionLost;
 
+	private volatile boolean namedByResponse;
+
 	private volatile @Nullable LoadReport loadReport;
 
 	private boolean completionReported;
@@ -96,6 +98,11 @@
 		return this.connectionLost;
 	}
 
+	// Whether the response states the id of the request.
+	boolean isNamedByResponse() {
+		return this.namedByResponse;
+	}
+
 	@Nullable LoadReport loadReport() {
 		return this.loadReport;
 	}
@@ -163,6 +170,7 @@
 			abort(new GatewayException("The response belongs to another request: '" + echoedRequestId + "'."));
 			return;
 		}
+		this.namedByResponse = echoedRequestId != null;
 		this.loadReport = this.dialect.loadReport(response.getStatus(), response.getHeaders());
 		if (hasBody(response) && framing() == BodyFraming.CLOSE && !this.dialect.acceptsCloseDelimitedResponses()) {
 			abort(new GatewayException(
@@ -210,9 +218,7 @@
 	// On a connection that was used before, a response without an id may be a copy of an
 	// earlier one.
 	private void completeNotRun(Response response) {
-		boolean named = this.requestId != null
-				&& this.requestId.equals(this.dialect.echoedRequestId(response.getHeaders()));
-		if (named || this.useNewConnection) {
+		if (this.namedByResponse || this.useNewConnection) {
 			this.listener.onNotRun(this, response, this.body.buffered());
 			return;
 		}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
@@ -45,6 +45,8 @@
 			.with("outcome", failure)
 			.with("connection", attempt.isOnNewConnection() ? "new" : "pooled")
 			.with("connection-lost", attempt.isConnectionLost())
+			.with("relayed", attempt.isRelayed())
+			.with("named", attempt.isNamedByResponse())
 			.with("received-bytes", attempt.receivedBytes())
 			.with("digest", this.exchange.digest())
 			.with("cause", cause.getMessage())
@@ -78,6 +80,8 @@
 			.with("status", problem.status())
 			.with("outcome", problem.outcome().wireName())
 			.with("title", problem.title())
+			.with("attempts-begun", this.exchange.begunAttemptCount())
+			.with("attempts-in-progress", this.exchange.activeAttemptCount())
 			.with("revision", this.exchange.rulesRevision())
 			.with("elapsed-millis", elapsedMillis())
 			.write();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -162,9 +162,21 @@
 		if (needsTick && this.tickScheduled.compareAndSet(false, true)) {
 			this.eventLoop.schedule(TICK_INTERVAL_MILLIS, this::tick);
 		}
+		effects.forEach(SlotService::logRefusal);
 		effects.forEach(this::execute);
 	}
 
+	// Written before the effects of the same event are executed, which takes time.
+	private static void logRefusal(SlotEffect effect) {
+		if (effect instanceof SlotEffect.Decision decision
+				&& decision.routingEffect() instanceof RoutingEffect.Refusal refusal) {
+			eventLog.information("slot-refused")
+				.with("number", refusal.requestId())
+				.with("reason", refusal.reason().wireName())
+				.write();
+		}
+	}
+
 	// Scheduled only while a request waits for its home.
 	private void tick() {
 		this.tickScheduled.set(false);
