Show grants that are dispatched after a refusal (failing)

Callers of once-only requests were told that their requests had not run and never would, and the requests ran. The requester of slots dispatches a grant that comes after it has refused the request for a silent home, after the home's refusal, or while another attempt is in progress.

--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -168,4 +169,80 @@
 
 	}
 
+	// Guards against requests that ran after their callers had been told that they never
+	// would, or that ran twice.
+	@Nested
+	class CrossingDecisions {
+
+		private final RoutingRequest onceOnly = new RoutingRequest(7, "caller", false, 1_000_000_000);
+
+		private final SlotRequester requester = SlotRequesterTests.this.requester;
+
+		@BeforeEach
+		void requestSlotOnce() {
+			this.requester.requestSlot(this.onceOnly, "service", HOME, 0);
+		}
+
+		private void failFirstAttempt() {
+			receive(grant("upstream-1"));
+			this.requester.completeAttempt(7, "upstream-1", AttemptResult.SHED, null);
+			this.requester.retry(7, 2_000_000);
+		}
+
+		private static SlotMessage refusal() {
+			return message().setRefusal(SlotRefusal.newBuilder().setReason("overload")).build();
+		}
+
+		private static List<SlotEffect> decisions(List<SlotEffect> effects) {
+			return effects.stream().filter(SlotEffect.Decision.class::isInstance).toList();
+		}
+
+		private void assertReturned(List<SlotEffect> effects) {
+			assertThat(decisions(effects)).isEmpty();
+			assertThat(sentMessages(effects)).containsExactly(SlotMessage.BodyCase.END);
+		}
+
+		@Test
+		void grantAfterTheRefusalForASilentHomeIsReturned() {
+			failFirstAttempt();
+			assertThat(decisions(this.requester.tick(500_000_000))).hasSize(1);
+			assertReturned(receive(grant("upstream-2")));
+		}
+
+		@Test
+		void grantAfterTheRefusalOfTheHomeIsReturned() {
+			assertThat(decisions(receive(refusal()))).hasSize(1);
+			assertReturned(receive(grant("upstream-1")));
+		}
+
+		@Test
+		void secondGrantWhileAnAttemptIsInProgressIsReturned() {
+			assertThat(decisions(receive(grant("upstream-1")))).hasSize(1);
+			assertReturned(receive(grant("upstream-2")));
+		}
+
+		@Test
+		void refusalAfterAGrantIsIgnored() {
+			assertThat(decisions(receive(grant("upstream-1")))).hasSize(1);
+			assertThat(receive(refusal())).isEmpty();
+		}
+
+		@Test
+		void hedgeOfARefusedRequestIsReturned() {
+			assertThat(decisions(receive(refusal()))).hasSize(1);
+			SlotMessage.Builder hedge = grant("upstream-1").toBuilder();
+			hedge.getGrantBuilder().setKind("hedge");
+			assertReturned(receive(hedge.build()));
+		}
+
+		@Test
+		void grantForARepeatedRetryIsDispatched() {
+			failFirstAttempt();
+			this.requester.tick(500_000_000);
+			this.requester.retry(7, 501_000_000);
+			assertThat(decisions(receive(grant("upstream-2")))).hasSize(1);
+		}
+
+	}
+
 }
