Return a grant that crosses a refusal or another grant

Callers were told 'not run' of once-only requests that ran afterwards: the requester of slots refused a request whose home was silent, but kept it open and dispatched the grant that the resumed home sent. It also dispatched a grant after the home's own refusal, and a second one beside an attempt in progress.

Each request for an attempt is now answered by one decision: the first grant or refusal settles it, and a grant that comes later is returned to its home, which frees the slot. Only a hedge of a request that may run more than once is accepted beside an attempt.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -23,6 +23,8 @@
  * Requests slots of upstreams from the homes of their services and tracks the grants, the
  * messages by which a home assigns a slot to a request. If a home does not respond, the
  * request is routed on this instance instead, and a grant that arrives later is returned.
+ * So is a grant of a request that was refused meanwhile, or that has an attempt already:
+ * each request for an attempt is answered by one decision, whoever makes it first.
  * <p>
  * This class is a state machine: each method takes an event with the monotonic time and
  * returns the effects to carry out. It is not safe for concurrent use.
@@ -80,7 +82,7 @@
 	}
 
 	private void sendSlotRequest(RequestState state, long nowNanos) {
-		state.awaitsDecision = true;
+		state.phase = Phase.AWAITED;
 		state.lastRequestNanos = nowNanos;
 		state.unacknowledgedRequests++;
 		Urgency urgency = state.request.urgency();
@@ -158,9 +160,13 @@
 			// The home repeated the grant in response to a repeated request.
 			return;
 		}
-		state.awaitsDecision = false;
-		Upstream upstream = new Upstream(grant.getUpstream(), grant.getAddress(), "", 1, 0, true);
 		AttemptKind kind = AttemptKind.valueOf(grant.getKind().toUpperCase(Locale.ROOT));
+		if (!state.phase.accepts(kind, state.request.mayRepeat())) {
+			send(state, newMessage(state).setEnd(slotEnd(grant.getUpstream(), AttemptResult.CANCELLED)));
+			return;
+		}
+		state.phase = Phase.GRANTED;
+		Upstream upstream = new Upstream(grant.getUpstream(), grant.getAddress(), "", 1, 0, true);
 		this.effects.add(new SlotEffect.Decision(
 				new RoutingEffect.Dispatch(state.request.id(), upstream, kind, grant.getInFlight(),
 						grant.getWaitedMicros() * NANOS_PER_MICRO, grant.getHedgeAfterMicros() * NANOS_PER_MICRO,
@@ -168,10 +174,10 @@
 	}
 
 	private void receiveRefusal(RequestState state, SlotRefusal refusal) {
-		if (!state.awaitsDecision) {
+		if (state.phase != Phase.AWAITED) {
 			return;
 		}
-		state.awaitsDecision = false;
+		state.phase = Phase.REFUSED;
 		RefusalReason reason = RefusalReason.fromWireNames(refusal.getReason(), refusal.getSpecificReason());
 		if (reason == RefusalReason.NOT_HOME) {
 			abandonHome(state);
@@ -233,7 +239,7 @@
 	public List<SlotEffect> retry(long requestId, long nowNanos) {
 		RequestState state = this.requests.get(requestId);
 		if (state != null) {
-			state.awaitsDecision = true;
+			state.phase = Phase.AWAITED;
 			state.retryRequested = true;
 			state.queuedAtHome = false;
 			state.lastRequestNanos = nowNanos;
@@ -276,7 +282,7 @@
 	 */
 	public List<SlotEffect> tick(long nowNanos) {
 		for (RequestState state : List.copyOf(this.requests.values())) {
-			if (state.awaitsDecision) {
+			if (state.phase == Phase.AWAITED) {
 				tick(state, nowNanos);
 			}
 		}
@@ -303,7 +309,7 @@
 			abandonHome(state);
 			return;
 		}
-		state.awaitsDecision = false;
+		state.phase = Phase.REFUSED;
 		this.effects.add(new SlotEffect.Decision(new RoutingEffect.Refusal(state.request.id(),
 				RefusalReason.HOME_SILENT, RESPONSE_TIMEOUT_NANOS / NANOS_PER_MILLI)));
 	}
@@ -314,7 +320,7 @@
 	 * @return whether {@link #tick} has work
 	 */
 	public boolean needsTick() {
-		return this.requests.values().stream().anyMatch((state) -> state.awaitsDecision);
+		return this.requests.values().stream().anyMatch((state) -> state.phase == Phase.AWAITED);
 	}
 
 	/**
@@ -333,6 +339,51 @@
 		return pendingEffects;
 	}
 
+	/**
+	 * What was decided on the last request for an attempt.
+	 */
+	private enum Phase {
+
+		/**
+		 * Nothing yet.
+		 */
+		AWAITED {
+
+			@Override
+			boolean accepts(AttemptKind kind, boolean mayRepeat) {
+				return true;
+			}
+
+		},
+
+		/**
+		 * An attempt was granted; its end may not be known yet.
+		 */
+		GRANTED {
+
+			@Override
+			boolean accepts(AttemptKind kind, boolean mayRepeat) {
+				return kind == AttemptKind.HEDGE && mayRepeat;
+			}
+
+		},
+
+		/**
+		 * The request was refused, by the home or because the home is silent.
+		 */
+		REFUSED {
+
+			@Override
+			boolean accepts(AttemptKind kind, boolean mayRepeat) {
+				return false;
+			}
+
+		};
+
+		abstract boolean accepts(AttemptKind kind, boolean mayRepeat);
+
+	}
+
 	private static final class RequestState {
 
 		private final RoutingRequest request;
@@ -343,7 +394,7 @@
 
 		private final Set<String> grantedUpstreams = new HashSet<>();
 
-		private boolean awaitsDecision;
+		private Phase phase = Phase.AWAITED;
 
 		private boolean queuedAtHome;
 
