Show requests that run although their callers are told "not-run" (failing)

Callers got 503, 429 or 504 with outcome "not-run", and their requests ran. The exchange decides "not run" from the failures that it has recorded. An attempt in progress is not among them, nor is one that is just reported to the router, and a request whose claim is being released can still be sent.

The tests let a refusal, the deadline and the stop of the instance meet an attempt at each of these moments, with a real server for callers, two upstreams on loopback and a router that the test scripts. For that a RoutedExchange can be created with a router; nothing else of the product changes.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -49,8 +49,13 @@
 	private volatile CompletableFuture<Void> recording = CompletableFuture.completedFuture(null);
 
 	RoutedExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision, ArrivedRequest arrived) {
+		this(context, route, keyDecision, arrived, context.router(route.service()));
+	}
+
+	RoutedExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision, ArrivedRequest arrived,
+			RequestRouter router) {
 		super(context, route, keyDecision, arrived);
-		this.router = context.router(route.service());
+		this.router = router;
 	}
 
 	@Override
