Decide whether a request has not run together with its completion

Callers were answered 503 or 504 with the outcome 'not-run' for requests that ran. The exchange took an ended attempt off its list, told the router, and only then recorded that it may have run, or selected its response; a refusal, the deadline or the stop of the instance in between found neither. A refusal looked at recorded failures only, not at attempts in progress. While the claim of a refused request was released, the request could still be sent.

ExchangeState holds the attempts and the completion, and changes both in one step: an attempt ends together with what it says of the request; a request is completed together with its outcome, 'not-run' only if nothing is in progress and nothing can begin; a once-only request begins no attempt beside or after one that may have run. A refusal waits for an attempt in progress, whose response is delivered. The router is told of all ends before the request is closed.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -1,8 +1,6 @@
 package org.radishthread.daemon.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +14,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.daemon.gateway.ExchangeState.AttemptEnd;
 import org.radishthread.daemon.http.BufferBudget;
 import org.radishthread.daemon.http.BufferBudgetException;
 import org.radishthread.kernel.CompletionFailures;
@@ -63,7 +62,7 @@
 	// The end of the timeout, or the end of this instance if that comes first.
 	private final long deadlineNanos;
 
-	private final List<Attempt> attempts = new ArrayList<>();
+	private final ExchangeState<Attempt> state;
 
 	private final ExchangeTimers timers;
 
@@ -75,20 +74,13 @@
 
 	private volatile @Nullable String digest;
 
-	private int begunAttempts;
-
-	private @Nullable Attempt selectedAttempt;
-
 	private volatile @Nullable BufferedResponse bufferedServerError;
 
-	private boolean mayHaveRun;
-
-	private boolean completed;
-
 	protected AbstractExchange(GatewayContext context, RouteRule route, KeyDecision keyDecision,
 			ArrivedRequest arrived) {
 		this.context = context;
 		this.route = route;
+		this.state = new ExchangeState<>(route.mode().mayRepeat());
 		this.keyDecision = keyDecision;
 		this.request = arrived.request();
 		this.buffers = context.buffers().newReservation();
@@ -220,22 +212,22 @@
 		return this.context.time().monotonicNanos() - this.startedNanos;
 	}
 
-	protected final synchronized int activeAttemptCount() {
-		return this.attempts.size();
+	protected final int activeAttemptCount() {
+		return this.state.attemptsInProgress().size();
 	}
 
 	// The attempts that were begun, whether they have ended or not.
-	final synchronized int begunAttemptCount() {
-		return this.begunAttempts;
+	final int begunAttemptCount() {
+		return this.state.begunAttempts();
 	}
 
-	protected final synchronized boolean isCompleted() {
-		return this.completed;
+	protected final boolean isCompleted() {
+		return this.state.isCompleted();
 	}
 
-	// Whether an attempt may have been run by an upstream.
-	protected final synchronized boolean mayHaveRun() {
-		return this.mayHaveRun;
+	// Whether an attempt may have been run by an upstream, or may be.
+	protected final boolean mayHaveRun() {
+		return this.state.mayHaveRun();
 	}
 
 	protected final String caller() {
@@ -304,9 +296,6 @@
 	}
 
 	private void onInstanceStopping() {
-		synchronized (this) {
-			this.mayHaveRun |= !this.attempts.isEmpty();
-		}
 		completeUnsuccessfully("This instance stops.", GatewayHandler.STOPPING_RETRY_AFTER_MILLIS,
 				HttpStatus.SERVICE_UNAVAILABLE_503);
 	}
@@ -381,7 +370,8 @@
 	 * @param currentKeyDecision the check of the caller's key right before this call
 	 * @param relay the peer address of the instance that relays the attempt, or
 	 * {@code null} for none
-	 * @return whether it was sent; if not, the request is already completed
+	 * @return whether it was sent; if not, the request is already completed, or must run
+	 * once and another attempt may run it
 	 */
 	protected final boolean sendAttempt(String upstream, NetworkAddress address, String kind, boolean useNewConnection,
 			KeyDecision currentKeyDecision, @Nullable String relay) {
@@ -399,12 +389,8 @@
 		int maximumBufferedBytes = this.context.settings().limits().responseBufferBytes();
 		Attempt attempt = new Attempt(upstream, address, attemptRequest, dialect, requestId, maximumBufferedBytes,
 				useNewConnection, this);
-		synchronized (this) {
-			if (this.completed) {
-				return false;
-			}
-			this.attempts.add(attempt);
-			this.begunAttempts++;
+		if (!this.state.tryBegin(attempt)) {
+			return false;
 		}
 		this.log.attempt(upstream, kind, relay);
 		attempt.send();
@@ -437,33 +423,24 @@
 	public final void onCompleteResponse(Attempt attempt, org.eclipse.jetty.client.Response upstreamResponse,
 			byte[] content) {
 		AttemptCompletion completion = AttemptCompletion.ofStatus(upstreamResponse.getStatus());
-		completeAttempt(attempt, completion);
-		if (completion == AttemptCompletion.SERVER_ERROR_RESPONSE && isRetriedAfterServerError()
-				&& !isObsolete(attempt)) {
+		if (completion == AttemptCompletion.SERVER_ERROR_RESPONSE && isRetriedAfterServerError()) {
 			this.bufferedServerError = new BufferedResponse(attempt, upstreamResponse, content);
-			if (!recordFailure(AttemptFailure.NO_COMPLETE_RESPONSE)) {
+			AttemptEnd end = this.state.endWithFailure(attempt, true);
+			reportCompletion(attempt, completion);
+			if (end == AttemptEnd.DECISIVE) {
 				onAttemptFailed(attempt, AttemptFailure.NO_COMPLETE_RESPONSE);
 			}
 			return;
 		}
-		if (!trySelect(attempt)) {
-			closeIfCompleted();
-			return;
+		boolean selected = this.state.endWithResponse(attempt);
+		reportCompletion(attempt, completion);
+		if (selected) {
+			forward(attempt, upstreamResponse, content);
 		}
-		forwardBufferedResponse(attempt, upstreamResponse, content);
 	}
 
-	/**
-	 * Completes the request with a buffered response of an upstream.
-	 * @param attempt the attempt that received the response
-	 * @param upstreamResponse status and headers
-	 * @param content the complete body
-	 */
-	protected final void forwardBufferedResponse(Attempt attempt, org.eclipse.jetty.client.Response upstreamResponse,
-			byte[] content) {
-		if (!tryComplete()) {
-			return;
-		}
+	private void forward(Attempt attempt, org.eclipse.jetty.client.Response upstreamResponse, byte[] content) {
+		onCompleted();
 		this.log.responseForwarded(attempt, upstreamResponse.getStatus(), "whole");
 		onResponseSelected(upstreamResponse, content);
 		abortOtherAttempts(attempt);
@@ -474,8 +451,8 @@
 	@Override
 	public final boolean tryStartStreaming(Attempt attempt, org.eclipse.jetty.client.Response upstreamResponse) {
 		// At once, so that no other response is written meanwhile.
-		synchronized (this) {
-			if (!trySelect(attempt)) {
+		synchronized (this.state) {
+			if (!this.state.trySelect(attempt)) {
 				return false;
 			}
 			this.response.beginStreaming(upstreamResponse);
@@ -509,12 +486,13 @@
 
 	@Override
 	public final void onStreamCompleted(Attempt attempt, boolean complete) {
-		completeAttempt(attempt, complete ? AttemptCompletion.COMPLETE_RESPONSE
+		boolean selected = this.state.endWithResponse(attempt);
+		reportCompletion(attempt, complete ? AttemptCompletion.COMPLETE_RESPONSE
 				: AttemptCompletion.of(AttemptFailure.NO_COMPLETE_RESPONSE, attempt.isConnectionLost()));
-		if (!tryComplete()) {
-			closeIfCompleted();
+		if (!selected) {
 			return;
 		}
+		onCompleted();
 		this.log.responseForwarded(attempt, this.response.status(), complete ? "streamed" : "broken");
 		if (complete) {
 			runOnceRecorded(this.response::endStreaming);
@@ -526,62 +504,38 @@
 
 	@Override
 	public final void onFailure(Attempt attempt, AttemptFailure failure, Throwable cause) {
-		boolean obsolete = isObsolete(attempt);
-		completeAttempt(attempt, (obsolete || attempt.isWithheld()) ? AttemptCompletion.CANCELLED
+		AttemptEnd end = this.state.endWithFailure(attempt, !failure.hasNotRun());
+		boolean obsolete = end == AttemptEnd.OBSOLETE;
+		reportCompletion(attempt, (obsolete || attempt.isWithheld()) ? AttemptCompletion.CANCELLED
 				: AttemptCompletion.of(failure, attempt.isConnectionLost()));
 		if (!attempt.isOnNewConnection() && !attempt.hasResponseBegun() && !attempt.isWithheld()) {
 			this.context.clients().closeIdleConnections(attempt.upstreamAddress());
 		}
 		if (obsolete) {
-			closeIfCompleted();
 			return;
 		}
 		this.log.attemptFailed(attempt, failure, cause);
-		if (!recordFailure(failure)) {
+		if (end == AttemptEnd.DECISIVE) {
 			onAttemptFailed(attempt, failure);
 		}
 	}
 
-	// Returns whether another attempt is still in progress.
-	private synchronized boolean recordFailure(AttemptFailure failure) {
-		this.mayHaveRun |= !failure.hasNotRun();
-		return !this.attempts.isEmpty();
-	}
-
-	// Whether the request is completed, or another attempt provides its response.
-	private synchronized boolean isObsolete(Attempt attempt) {
-		return this.completed || (this.selectedAttempt != null && this.selectedAttempt != attempt);
-	}
-
-	protected final void completeAttempt(Attempt attempt, AttemptCompletion completion) {
-		synchronized (this) {
-			this.attempts.remove(attempt);
-		}
+	// The request is closed only after the ends of all its attempts are reported.
+	private void reportCompletion(Attempt attempt, AttemptCompletion completion) {
 		onAttemptCompleted(attempt, completion);
-	}
-
-	// Selects the attempt whose response the caller receives, if none is selected yet.
-	protected final synchronized boolean trySelect(Attempt attempt) {
-		if (this.completed || (this.selectedAttempt != null && this.selectedAttempt != attempt)) {
-			return false;
-		}
-		this.selectedAttempt = attempt;
-		return true;
+		this.state.recordReport(attempt);
+		closeIfCompleted();
 	}
 
 	private void abortOtherAttempts(@Nullable Attempt attemptToKeep) {
-		List<Attempt> otherAttempts;
-		synchronized (this) {
-			otherAttempts = this.attempts.stream().filter((attempt) -> attempt != attemptToKeep).toList();
-		}
-		otherAttempts.forEach((attempt) -> attempt
-			.abort(new GatewayException("The attempt was aborted because its response is no longer needed.")));
+		this.state.attemptsInProgress()
+			.stream()
+			.filter((attempt) -> attempt != attemptToKeep)
+			.forEach((attempt) -> attempt
+				.abort(new GatewayException("The attempt was aborted because its response is no longer needed.")));
 	}
 
 	private void onDeadlinePassed() {
-		synchronized (this) {
-			this.mayHaveRun |= !this.attempts.isEmpty();
-		}
 		completeUnsuccessfully("The deadline passed.", DEFAULT_RETRY_AFTER_MILLIS, 504);
 	}
 
@@ -591,37 +545,69 @@
 	 * @param title the title of the problem
 	 * @param retryAfterMillis the time after which a retry may succeed, in milliseconds
 	 * @param status the HTTP status of the problem if the request certainly did not run;
-	 * otherwise the status is 504 if this one is, and 502 if not
+	 * see {@link Problem#ofUnknownOutcome()} for the other case
+	 */
+	private void completeUnsuccessfully(String title, long retryAfterMillis, int status) {
+		completeUnsuccessfully(Problem.notRun(status, title, retryAfterMillis), this.state.tryComplete());
+	}
+
+	/**
+	 * Completes a request in the same way, unless an attempt is in progress. The end of
+	 * that attempt then decides what follows.
+	 * @param title the title of the problem
+	 * @param retryAfterMillis the time after which a retry may succeed, in milliseconds
+	 * @param status the HTTP status of the problem if the request certainly did not run
+	 * @return whether the request is completed, now or before
 	 */
-	protected final void completeUnsuccessfully(String title, long retryAfterMillis, int status) {
+	protected final boolean completeIfIdle(String title, long retryAfterMillis, int status) {
+		completeUnsuccessfully(Problem.notRun(status, title, retryAfterMillis), this.state.tryCompleteIdle());
+		return isCompleted();
+	}
+
+	// The outcome is null if the request is not completed by this call.
+	private void completeUnsuccessfully(Problem problem, @Nullable RequestOutcome outcome) {
+		if (outcome == null) {
+			return;
+		}
 		BufferedResponse serverError = this.bufferedServerError;
 		if (serverError != null && !this.response.isStreaming()) {
 			// The upstream's own error response is more specific than a problem response.
-			forwardBufferedResponse(serverError.attempt(), serverError.response(), serverError.content());
+			forward(serverError.attempt(), serverError.response(), serverError.content());
 			return;
 		}
-		if (this.mayHaveRun) {
-			// Not 503, because the service was available: the request was sent to it.
-			int gatewayStatus = (status == HttpStatus.GATEWAY_TIMEOUT_504) ? status : HttpStatus.BAD_GATEWAY_502;
-			completeWithProblem(Problem.unknown(gatewayStatus, title, retryAfterMillis));
+		onCompleted();
+		if (outcome == RequestOutcome.NOT_RUN) {
+			releaseClaimThen(() -> writeProblem(problem));
 		}
 		else {
-			releaseClaimThen(() -> completeWithProblem(Problem.notRun(status, title, retryAfterMillis)));
+			writeProblem(problem.ofUnknownOutcome());
 		}
 	}
 
 	private void onCallerDisconnected(Throwable cause) {
-		if (tryComplete()) {
+		if (this.state.tryComplete() != null) {
+			onCompleted();
 			this.log.callerDisconnected(cause);
 			abortOtherAttempts(null);
 			this.response.breakOff(cause);
 		}
 	}
 
+	/**
+	 * Completes a request that was not sent to any upstream with a problem response.
+	 * @param problem the problem
+	 */
 	protected final void completeWithProblem(Problem problem) {
-		if (!tryComplete()) {
+		RequestOutcome outcome = this.state.tryComplete();
+		if (outcome == null) {
 			return;
 		}
+		onCompleted();
+		boolean contradicted = problem.outcome() == RequestOutcome.NOT_RUN && outcome != RequestOutcome.NOT_RUN;
+		writeProblem(contradicted ? problem.ofUnknownOutcome() : problem);
+	}
+
+	private void writeProblem(Problem problem) {
 		this.log.problemResponse(problem);
 		abortOtherAttempts(null);
 		if (this.response.isStreaming()) {
@@ -637,30 +623,21 @@
 	 * @param writer writes the response
 	 */
 	protected final void completeWithResponse(ResponseWriter writer) {
-		if (tryComplete()) {
+		if (this.state.tryComplete() != null) {
+			onCompleted();
 			this.response.writeWhole(writer);
 		}
 	}
 
-	private boolean tryComplete() {
-		synchronized (this) {
-			if (this.completed) {
-				return false;
-			}
-			this.completed = true;
-		}
+	private void onCompleted() {
 		this.timers.cancelAll();
 		closeIfCompleted();
-		return true;
 	}
 
 	private void closeIfCompleted() {
-		synchronized (this) {
-			if (!this.completed || !this.attempts.isEmpty()) {
-				return;
-			}
+		if (this.state.tryClose()) {
+			onClosed();
 		}
-		onClosed();
 	}
 
 	protected final void schedule(long millis, Runnable task) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Problem.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Problem.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -30,6 +31,16 @@
 		return new Problem(status, title, RequestOutcome.UNKNOWN, retryAfterMillis);
 	}
 
+	/**
+	 * Returns the problem for a request of which it is not certain that it did not run.
+	 * @return the same problem with status 504, if this is its status, or else 502
+	 */
+	Problem ofUnknownOutcome() {
+		// Not 503, because the service was available: the request was sent to it.
+		int gatewayStatus = (this.status == HttpStatus.GATEWAY_TIMEOUT_504) ? this.status : HttpStatus.BAD_GATEWAY_502;
+		return unknown(gatewayStatus, this.title, this.retryAfterMillis);
+	}
+
 	void write(HttpDialect dialect, Response response, Callback callback) {
 		response.setStatus(this.status);
 		response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/problem+json");
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -45,6 +45,9 @@
 
 	private @Nullable Claim claim;
 
+	// The last refusal, which counts once no attempt is in progress.
+	private volatile RoutingEffect.@Nullable Refusal refusal;
+
 	// Ends when the selected response is recorded.
 	private volatile CompletableFuture<Void> recording = CompletableFuture.completedFuture(null);
 
@@ -167,7 +170,7 @@
 	}
 
 	private void completeRefused(KeyOutcome outcome) {
-		completeUnsuccessfully(outcome.title(), retryAfterMillis(outcome), outcome.httpStatus());
+		completeIfIdle(outcome.title(), retryAfterMillis(outcome), outcome.httpStatus());
 	}
 
 	private long retryAfterMillis(KeyOutcome outcome) {
@@ -182,7 +185,7 @@
 			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
 					AttemptCompletion.CANCELLED.result(), null);
 			// Another attempt, or its response that is about to be forwarded, goes on.
-			if (dispatch.kind() != AttemptKind.HEDGE && activeAttemptCount() == 0) {
+			if (dispatch.kind() != AttemptKind.HEDGE) {
 				completeRefused(keyDecision.outcome());
 			}
 			return;
@@ -227,10 +230,22 @@
 	}
 
 	@Override
-	public void onRefusal(RoutingEffect.Refusal refusal) {
+	public void onRefusal(RoutingEffect.Refusal newRefusal) {
+		// Set first, for an attempt that ends meanwhile.
+		this.refusal = newRefusal;
+		if (!completeRefused(newRefusal)) {
+			eventLog.information("refusal-deferred")
+				.with("request", loggedRequestId())
+				.with("reason", newRefusal.reason().wireName())
+				.write();
+		}
+	}
+
+	// Returns false if an attempt is in progress, which may still bring a response.
+	private boolean completeRefused(RoutingEffect.Refusal currentRefusal) {
 		String prefix = mayHaveRun() ? "Not sent again: " : "Not sent: ";
-		completeUnsuccessfully(prefix + refusal.reason().wireName() + allotmentText(refusal) + ".",
-				refusal.retryAfterMillis(), refusal.reason().httpStatus());
+		return completeIfIdle(prefix + currentRefusal.reason().wireName() + allotmentText(currentRefusal) + ".",
+				currentRefusal.retryAfterMillis(), currentRefusal.reason().httpStatus());
 	}
 
 	private String allotmentText(RoutingEffect.Refusal refusal) {
@@ -262,11 +277,15 @@
 			}
 		}
 		boolean bodyAvailable = !isBodyStreamed() || failure == AttemptFailure.NOT_SENT;
-		if (failure.allowsRetry(route().mode(), bodyAvailable)) {
-			this.router.retry(requestNumber());
+		RoutingEffect.Refusal earlierRefusal = this.refusal;
+		if (!failure.allowsRetry(route().mode(), bodyAvailable)) {
+			completeIfIdle("The upstream gave no whole answer.", DEFAULT_RETRY_AFTER_MILLIS, 502);
+		}
+		else if (earlierRefusal != null) {
+			completeRefused(earlierRefusal);
 		}
 		else {
-			completeUnsuccessfully("The upstream gave no whole answer.", DEFAULT_RETRY_AFTER_MILLIS, 502);
+			this.router.retry(requestNumber());
 		}
 	}
 
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RefusedRequestTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RefusedRequestTests.java
@@ -46,8 +46,7 @@
 		}
 
 		// The claim of a request was released while an upstream ran it, so that a
-		// repetition
-		// would have run as well.
+		// repetition would have run as well.
 		@Test
 		void claimIsKept() throws Exception {
 			startServer(RouteMode.ONCE, TIMEOUT);
@@ -62,8 +61,7 @@
 		}
 
 		// Guards against a caller that waits until its deadline: a router that has
-		// refused a
-		// request decides on it no more.
+		// refused a request decides on it no more.
 		@Test
 		void callerIsRefusedOnceTheAttemptIsDeclined() throws Exception {
 			startServer(RouteMode.ONCE, LONG_TIMEOUT);
@@ -140,8 +138,7 @@
 	class EndWithinTheReportOfAnAttempt {
 
 		// A caller got "not-run", with status 503 or 504, for a request whose response
-		// was
-		// just arriving, or had just been cut.
+		// was just arriving, or had just been cut.
 		@ParameterizedTest
 		@CsvSource({ "REFUSAL, ONCE, WHOLE", "REFUSAL, ONCE, SERVER_ERROR", "REFUSAL, ONCE, CUT",
 				"REFUSAL, REPEATABLE, WHOLE", "REFUSAL, REPEATABLE, SERVER_ERROR", "REFUSAL, REPEATABLE, CUT",
@@ -171,8 +168,7 @@
 	class DispatchAfterTheDecision {
 
 		// A request was sent while its claim was released for a caller that was to be
-		// told
-		// "not-run".
+		// told "not-run".
 		@ParameterizedTest
 		@EnumSource(RequestEnd.class)
 		void requestIsNotSentWhileItsClaimIsReleased(RequestEnd end) throws Exception {
