Ignore the completion of an attempt that is not in flight here

When a request was completed and closed while its dispatch was carried out on another thread, the exchange reported the unsent attempt as cancelled. The request was no longer open at SlotService, so the report went to the router of this instance, which did not know it and threw an IllegalStateException. That ended the handling of the event: the connection of the home was closed, and decisions of the same event on other requests were lost.

The router of this instance now records a completion only if the attempt is in flight. The allotment is told in the same step, so that a second report does not count an attempt that has not ended.

Evidence: both tests of LateCompletionTests failed on the code before ('Request 1 must be open in this router'); they pass now.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -260,8 +260,14 @@
 	@Override
 	public void completeAttempt(long requestId, String upstream, AttemptResult result,
 			@Nullable LoadReport loadReport) {
-		this.allotments.recordResult(requestId, result);
-		process((nowNanos) -> this.router.completeAttempt(requestId, upstream, result, loadReport, nowNanos));
+		process((nowNanos) -> {
+			if (!this.router.isInFlight(requestId, upstream)) {
+				// The home of the request freed the slot when the request was closed.
+				return List.of();
+			}
+			this.allotments.recordResult(requestId, result);
+			return this.router.completeAttempt(requestId, upstream, result, loadReport, nowNanos);
+		});
 	}
 
 	// Frees the slot of an attempt whose completion was not reported. It may have been
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -557,6 +557,18 @@
 		return (long) Math.max(MINIMUM_HEDGE_DELAY_NANOS, delayNanos);
 	}
 
+	/**
+	 * Returns whether an attempt of a request occupies a slot.
+	 * @param requestId the identifier of the request
+	 * @param upstream the name of the upstream
+	 * @return {@code false} if its completion was recorded, or if this router did not
+	 * dispatch it
+	 */
+	public boolean isInFlight(long requestId, String upstream) {
+		RequestState state = this.requests.get(requestId);
+		return state != null && state.attemptsInFlight().containsKey(upstream);
+	}
+
 	/**
 	 * Records the completion of an attempt without a load report and frees its slot.
 	 * @param requestId the identifier of the request
