Carry out the other effects of an event if one fails

A failure while one effect was carried out ended the loop over the effects of the event: grants and refusals of other requests were lost, so these waited until their deadlines, and messages to other instances were not sent.

EffectExecutor carries out each effect, logs a failure as effect-failed and goes on. SlotService, LocalRequestRouter, AllotmentService and CrashExchange use it.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AllotmentService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AllotmentService.java
@@ -73,6 +73,8 @@
 
 	private final EventLoop eventLoop = new EventLoop(NAME);
 
+	private final EffectExecutor<AllotmentEffect> effectExecutor = new EffectExecutor<>(eventLog, this::execute);
+
 	private final Map<Long, AllottedRequest> requests = new ConcurrentHashMap<>();
 
 	private final Counter refusedRequests;
@@ -143,7 +145,7 @@
 			}
 			effects.addAll(event.apply(nowNanos));
 		}
-		effects.forEach(this::execute);
+		this.effectExecutor.execute(effects);
 		scheduleTickIfNeeded();
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CrashExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CrashExchange.java
@@ -49,6 +49,8 @@
 
 	private final EventLoop eventLoop = new EventLoop("crash-exchange");
 
+	private final EffectExecutor<Message> messageExecutor = new EffectExecutor<>(eventLog, this::send);
+
 	public CrashExchange(DaemonSettings settings, PeerTransport transport, ClusterService cluster, TimeSource time) {
 		this.settings = settings;
 		this.transport = transport;
@@ -104,8 +106,11 @@
 		synchronized (this.dissemination) {
 			messages = event.apply(this.time.monotonicNanos());
 		}
-		messages.forEach((message) -> this.transport.send(message.address(),
-				Envelope.newBuilder().setCrashNotice(message.notice()).build()));
+		this.messageExecutor.execute(messages);
+	}
+
+	private void send(Message message) {
+		this.transport.send(message.address(), Envelope.newBuilder().setCrashNotice(message.notice()).build());
 	}
 
 	private Set<Peer> otherGateways() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -54,6 +54,8 @@
 
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
+	private final EffectExecutor<RoutingEffect> effectExecutor = new EffectExecutor<>(eventLog, this::execute);
+
 	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, AllotmentService allotments,
 			CrashExchange crashExchange, TimeSource time, UpstreamProber prober, EventLoop eventLoop) {
 		this.service = rule.service();
@@ -85,7 +87,7 @@
 		if (needsTick && this.tickScheduled.compareAndSet(false, true)) {
 			this.eventLoop.schedule(TICK_INTERVAL_MILLIS, this::tick);
 		}
-		effects.forEach(this::execute);
+		this.effectExecutor.execute(effects);
 	}
 
 	// Scheduled only while the router depends on time.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -57,6 +57,8 @@
 
 	private final EventLoop eventLoop = new EventLoop("slots");
 
+	private final EffectExecutor<SlotEffect> effectExecutor = new EffectExecutor<>(eventLog, this::execute);
+
 	private final AtomicBoolean tickScheduled = new AtomicBoolean();
 
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
@@ -163,7 +165,7 @@
 			this.eventLoop.schedule(TICK_INTERVAL_MILLIS, this::tick);
 		}
 		effects.forEach(SlotService::logRefusal);
-		effects.forEach(this::execute);
+		this.effectExecutor.execute(effects);
 	}
 
 	// Written before the effects of the same event are executed, which takes time.
