Drop a message on a connection that is closed meanwhile

OutboundPeerConnection read the buffer of unsent bytes twice. When another thread closed the channel in between, a NullPointerException reached the sender. A sender is often an exchange that closes its request at a home that refuses connections: the exception came before the response was written, and other messages and decisions of the same event were lost.

Evidence: seen first while LateCompletionTests ran (HomeRequestRouter.close). RefusedPeerConnectionTests fails on the code before (one of one run with 5,000,000 messages; one run with 200,000 passed); it passes now.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/OutboundPeerConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/peer/OutboundPeerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -126,8 +127,9 @@
 
 	private void write(Envelope envelope) {
 		Channel channel = this.connectFuture.channel();
-		boolean congested = channel.unsafe().outboundBuffer() != null
-				&& channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAXIMUM_UNSENT_BYTES;
+		// Null once the channel is closed, which another thread does.
+		ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+		boolean congested = unsent != null && unsent.totalPendingWriteBytes() > MAXIMUM_UNSENT_BYTES;
 		if (channel.isActive() && !congested) {
 			channel.writeAndFlush(envelope);
 		}
