--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RefusedRequestTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RefusedRequestTests.java
@@ -45,8 +45,8 @@
 			assertThat(await(response).body()).isEqualTo("done");
 		}
 
-		// The claim of a request was released while an upstream ran it, so that a
-		// repetition would have run as well.
+		// The claim of a request was released while an upstream ran it, so that its
+		// repetition could have run as well.
 		@Test
 		void claimIsKept() throws Exception {
 			startServer(RouteMode.ONCE, TIMEOUT);
@@ -137,8 +137,8 @@
 	@Nested
 	class EndWithinTheReportOfAnAttempt {
 
-		// A caller got "not-run", with status 503 or 504, for a request whose response
-		// was just arriving, or had just been cut.
+		// A caller got "not-run", with status 503 or 504, for a request whose
+		// response was just arriving, or had just been cut.
 		@ParameterizedTest
 		@CsvSource({ "REFUSAL, ONCE, WHOLE", "REFUSAL, ONCE, SERVER_ERROR", "REFUSAL, ONCE, CUT",
 				"REFUSAL, REPEATABLE, WHOLE", "REFUSAL, REPEATABLE, SERVER_ERROR", "REFUSAL, REPEATABLE, CUT",
@@ -205,7 +205,8 @@
 			assertNotSentTo(RefusedRequestTests.this.otherUpstream);
 		}
 
-		// A once-only request was sent again although its first upstream may have run it.
+		// A once-only request was sent again although its first upstream may have run
+		// it.
 		@ParameterizedTest
 		@EnumSource(UpstreamAnswer.class)
 		void onceOnlyRequestIsNotSentAgainWithinTheReportOfAnAttempt(UpstreamAnswer answer) throws Exception {
@@ -264,7 +265,8 @@
 			assertThat(await(response).body()).isEqualTo("done");
 		}
 
-		// Guards against a refusal that withholds "not-run" from a caller that may retry.
+		// Guards against a refusal that withholds "not-run" from a caller that may
+		// retry.
 		@Test
 		void callerOfADeclinedRequestThatIsRefusedIsToldThatItHasNotRun() throws Exception {
 			startServer(RouteMode.ONCE, TIMEOUT);
