Do not let the cause of a broken off response choose its status

Callers of uploads that ended badly while an upstream held them got the status of the cause: a response that is broken off before its first byte is left to Jetty, which writes the status that an HttpException carries. For 408, 421, 429 or 503 that would be a promise that the request has not run.

A cause with another status than 400 is wrapped now, so that the caller gets a server error. 400 stays: it states nothing about whether the request ran.

Evidence: all eight cases of BrokenOffResponseTests were red before. One of them was wrong and stayed red: a BadMessageException asserts a status from 400 to 499, so the case with 503 failed in its own constructor. It is replaced by four cases with HttpException.IllegalStateException, among them 503. All eleven pass. No input of a caller was found that leads to one of the four statuses.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerResponse.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerResponse.java
@@ -3,6 +3,8 @@
 import java.nio.ByteBuffer;
 import java.util.Objects;
 
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.ConnectionMetaData;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -119,8 +121,17 @@
 		this.response.write(true, ByteBuffer.allocate(0), this.callback);
 	}
 
+	/**
+	 * Ends the response without completing it. If nothing of it was written, the caller
+	 * gets a server error, or status 400 if its request cannot be read.
+	 * @param cause the reason
+	 */
 	void breakOff(Throwable cause) {
-		this.callback.failed(cause);
+		// Jetty writes the status of the cause, which may state that the request has
+		// not run.
+		boolean hasOtherStatus = cause instanceof HttpException exception
+				&& exception.getCode() != HttpStatus.BAD_REQUEST_400;
+		this.callback.failed(hasOtherStatus ? new GatewayException("The response was broken off.", cause) : cause);
 	}
 
 }
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/BrokenOffResponseTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/BrokenOffResponseTests.java
@@ -54,8 +54,7 @@
 	}
 
 	// Guards against a promise of "not run" by Jetty, which writes the status that a
-	// cause
-	// carries although the request may have run.
+	// cause carries although the request may have run.
 	@ParameterizedTest
 	@ValueSource(ints = { 408, 421, 429, 503 })
 	void statusOfTheCauseIsNotWritten(int status) throws Exception {
@@ -63,11 +62,20 @@
 			.isNotEqualTo(status);
 	}
 
-	// As above, for the causes by which Jetty reports a request that it cannot read.
+	// As above, for the causes by which Jetty reports a request that it cannot read. They
+	// carry no server error.
 	@ParameterizedTest
-	@ValueSource(ints = { 408, 421, 429, 503 })
+	@ValueSource(ints = { 408, 421, 429 })
 	void statusOfABadMessageIsNotWritten(int status) throws Exception {
 		assertThat(responseBrokenOffBy(new BadMessageException(status, "cause")).statusCode()).isNotEqualTo(status);
 	}
 
+	// As above, for the causes by which Jetty reports a response that it cannot write.
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 421, 429, 503 })
+	void statusOfAnIllegalStateIsNotWritten(int status) throws Exception {
+		assertThat(responseBrokenOffBy(new HttpException.IllegalStateException(status, "cause")).statusCode())
+			.isNotEqualTo(status);
+	}
+
 }
