Answer a request whose attempt could not be reported to the router

A caller whose response had arrived whole got no answer, not even at its deadline, and its request stayed open at the router: telling the router the end of an attempt makes it decide on other requests on the same thread, and an exception of one of these decisions came before the response was written.

The failure is logged now (attempt-report-failed), and the request goes on.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -522,7 +522,14 @@
 
 	// The request is closed only after the ends of all its attempts are reported.
 	private void reportCompletion(Attempt attempt, AttemptCompletion completion) {
-		onAttemptCompleted(attempt, completion);
+		try {
+			onAttemptCompleted(attempt, completion);
+		}
+		catch (RuntimeException ex) {
+			// The router may decide on other requests meanwhile, which must not keep this
+			// one from being answered.
+			this.log.reportFailed(attempt, ex);
+		}
 		this.state.recordReport(attempt);
 		closeIfCompleted();
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeLog.java
@@ -53,6 +53,13 @@
 			.write();
 	}
 
+	void reportFailed(Attempt attempt, RuntimeException cause) {
+		eventLog.failure("attempt-report-failed", cause)
+			.with("request", this.exchange.loggedRequestId())
+			.with("upstream", attempt.upstreamName())
+			.write();
+	}
+
 	void streamingStarted(Attempt attempt, CallerResponse response) {
 		event("response-streamed").with("upstream", attempt.upstreamName())
 			.with("received", attempt.framing().wireName())
