Take a hedge that answers a retry for a retry

A repeatable request waited for its deadline, although its home had decided: the grant of a hedge that arrived after a retry was requested settled that request; if the exchange then could not use the upstream, it left the decision to others, as it does for a hedge, and the home's own answer was returned or ignored.

A hedge that is accepted while a decision is awaited is dispatched as a retry, so that the exchange asks again if it cannot use it.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -165,10 +165,13 @@
 			send(state, newMessage(state).setEnd(slotEnd(grant.getUpstream(), AttemptResult.CANCELLED)));
 			return;
 		}
+		// The exchange acts on the end of an answer to a retry, but not on that of a hedge.
+		AttemptKind dispatchedKind = (state.phase == Phase.AWAITED && kind == AttemptKind.HEDGE) ? AttemptKind.RETRY
+				: kind;
 		state.phase = Phase.GRANTED;
 		Upstream upstream = new Upstream(grant.getUpstream(), grant.getAddress(), "", 1, 0, true);
 		this.effects.add(new SlotEffect.Decision(
-				new RoutingEffect.Dispatch(state.request.id(), upstream, kind, grant.getInFlight(),
+				new RoutingEffect.Dispatch(state.request.id(), upstream, dispatchedKind, grant.getInFlight(),
 						grant.getWaitedMicros() * NANOS_PER_MICRO, grant.getHedgeAfterMicros() * NANOS_PER_MICRO,
 						grant.getLimitCounted(), grant.getRelay().isEmpty() ? null : grant.getRelay())));
 	}
