Count an attempt as sent if the check before it fails

An attempt was reported as not sent although its upstream got the request: an exception of the check right before the first byte left the mark unset, and the HTTP client logs exceptions of listeners and sends the request.

The mark is set first and taken back only if the request is withheld.

Evidence: found by the review, by reading; no such exception was seen. The case of AttemptStatementTests was red and passes now, as do its seven others and AttemptTests.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -145,12 +145,13 @@
 	// Decided here too, because the connection may have been established slowly, or this
 	// process may have been suspended meanwhile.
 	private void begin() {
+		// Set first, because the client sends the request after an exception.
+		this.requestBegun = true;
 		if (!this.listener.maySend(this)) {
+			this.requestBegun = false;
 			this.withheld = true;
 			abort(new GatewayException("The request may not be sent any more."));
-			return;
 		}
-		this.requestBegun = true;
 	}
 
 	void abort(Throwable cause) {
