Close a request that ends while its router takes it up

A request that ended between the last check and its admission was closed at the router before the router knew it, and never again: it counted as an open request of its caller, and its slot request stayed at its home. The same could happen while a request moved from a silent home to this instance.

The router is told again after the admission, and a request that is completed while its body is buffered is not admitted.

The move from a home is by reading.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -225,6 +225,10 @@
 		return this.state.isCompleted();
 	}
 
+	protected final boolean isClosed() {
+		return this.state.isClosed();
+	}
+
 	// Whether an attempt may have been run by an upstream, or may be.
 	protected final boolean mayHaveRun() {
 		return this.state.mayHaveRun();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeState.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ExchangeState.java
@@ -158,6 +158,10 @@
 		return true;
 	}
 
+	synchronized boolean isClosed() {
+		return this.closed;
+	}
+
 	synchronized boolean isCompleted() {
 		return this.completed;
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -63,6 +63,9 @@
 
 	@Override
 	protected void onRequestReady() {
+		if (isCompleted()) {
+			return;
+		}
 		String key = request().getHeaders().get(RadishthreadHeader.IDEMPOTENCY_KEY);
 		if (route().mode().mayRepeat() || key == null) {
 			admit();
@@ -88,6 +91,10 @@
 			return;
 		}
 		this.router.admit(routingRequest, this);
+		if (isClosed()) {
+			// Closed by another thread before the router knew it.
+			this.router.close(requestNumber());
+		}
 	}
 
 	private RoutingRequest routingRequest() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -222,9 +222,15 @@
 			.with("home", homeUnavailable.homeAddress())
 			.write();
 		this.homes.suspect(homeUnavailable.homeAddress());
-		RoutingCallback callback = this.callbacks.remove(homeUnavailable.request().id());
-		if (callback != null) {
-			admitWithoutHome(homeUnavailable.request(), homeUnavailable.service(), callback);
+		long requestId = homeUnavailable.request().id();
+		RoutingCallback callback = this.callbacks.get(requestId);
+		if (callback == null) {
+			return;
+		}
+		admitWithoutHome(homeUnavailable.request(), homeUnavailable.service(), callback);
+		if (this.callbacks.remove(requestId) == null) {
+			// Closed by another thread, perhaps before the local router knew it.
+			localRouter(homeUnavailable.service()).close(requestId);
 		}
 	}
 
