Remove an ended request from those that are ended at the stop

A response that was broken off just when its streaming began was added to the open requests after it had been removed, and stayed there for good.

It is removed again if the request is completed by then.

Evidence: found by the review, by reading; not seen in a run, no test.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -332,6 +332,10 @@
 	// disconnected.
 	private void scheduleEnds() {
 		this.context.openExchanges().add(this);
+		if (isCompleted()) {
+			// The response may have been written before.
+			this.context.openExchanges().remove(this);
+		}
 		if (hasDeadline()) {
 			long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(elapsedNanos());
 			schedule(Math.max(0, this.timeoutMillis - elapsedMillis), this::onDeadlinePassed);
