Release the claim of a request whose caller left before it was sent

A caller that disconnected while its claim was granted, or while its request waited for an upstream, got 409 for each repetition: the claim of a request that had certainly not run was kept. A deadline within the grant of the claim had the same effect.

The claim is known to the exchange before it checks whether it is completed, and released on a disconnect if the request has not run.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -600,8 +600,13 @@
 	}
 
 	private void onCallerDisconnected(Throwable cause) {
-		if (this.state.tryComplete() != null) {
+		RequestOutcome outcome = this.state.tryComplete();
+		if (outcome != null) {
 			onCompleted();
+			if (outcome == RequestOutcome.NOT_RUN) {
+				releaseClaimThen(() -> {
+				});
+			}
 			this.log.callerDisconnected(cause);
 			abortOtherAttempts(null);
 			this.response.breakOff(cause);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -138,13 +138,16 @@
 	}
 
 	private void onClaimGranted(Claim newClaim) {
-		if (isCompleted() || remainingMillis() <= 0) {
+		// Set first, for a request that is completed meanwhile.
+		this.claim = newClaim;
+		if (isCompleted()) {
 			context().claims().release(newClaim);
-			completeWithProblem(Problem.notRun(503, "The deadline passed before the request was sent.",
-					DEFAULT_RETRY_AFTER_MILLIS));
 			return;
 		}
-		this.claim = newClaim;
+		if (remainingMillis() <= 0) {
+			completeIfIdle("The deadline passed before the request was sent.", DEFAULT_RETRY_AFTER_MILLIS, 503);
+			return;
+		}
 		admit();
 	}
 
