--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -165,7 +165,8 @@
 			send(state, newMessage(state).setEnd(slotEnd(grant.getUpstream(), AttemptResult.CANCELLED)));
 			return;
 		}
-		// The exchange acts on the end of an answer to a retry, but not on that of a hedge.
+		// The exchange acts on the end of an answer to a retry, but not on that of a
+		// hedge.
 		AttemptKind dispatchedKind = (state.phase == Phase.AWAITED && kind == AttemptKind.HEDGE) ? AttemptKind.RETRY
 				: kind;
 		state.phase = Phase.GRANTED;
