Keep the token of a request that was declined without its id

An upstream that declines a request on a used connection without naming it may mean an earlier one. The exchange tells its caller that the request may have run, but reported the attempt as declined, and both the gateway and the home took that as 'has not run' and gave the token of the workspace back. A workspace could exceed its allotment by each such request.

AttemptResult.hasNotRun() is now the one statement that allotments rest on, and SHED_WITHOUT_ID does not make it; a test holds it equal to AttemptFailure.hasNotRun(). For routing, the upstream has declined as before. The home is sent the wire name SHED with the mark that so far only a lost connection had. Earlier versions ignore the mark with this name, so they behave as before.

Two tests of WireNameTests name the new constant and the mark; they check each constant as before.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AllottedRequest.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AllottedRequest.java
@@ -66,7 +66,7 @@
 
 	synchronized void recordResult(AttemptResult result) {
 		this.openAttempts--;
-		this.mayHaveRun |= result != AttemptResult.UNREACHABLE && result != AttemptResult.SHED;
+		this.mayHaveRun |= !result.hasNotRun();
 	}
 
 	// Returns false if the request still waits for a decision.
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptCompletion.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AttemptCompletion.java
@@ -43,6 +43,12 @@
 	 */
 	SHED(AttemptResult.SHED),
 
+	/**
+	 * The upstream responded that it declined a request without running it, but did not
+	 * say which.
+	 */
+	SHED_WITHOUT_ID(AttemptResult.SHED_WITHOUT_ID),
+
 	/**
 	 * The attempt was aborted, or not sent, because its response was no longer needed.
 	 */
@@ -70,7 +76,8 @@
 	static AttemptCompletion of(AttemptFailure failure, boolean connectionLost) {
 		return switch (failure) {
 			case NOT_SENT -> UNREACHABLE;
-			case REPORTED_NOT_RUN, REPORTED_NOT_RUN_WITHOUT_ID -> SHED;
+			case REPORTED_NOT_RUN -> SHED;
+			case REPORTED_NOT_RUN_WITHOUT_ID -> SHED_WITHOUT_ID;
 			case NO_COMPLETE_RESPONSE -> connectionLost ? CONNECTION_LOST : FAILED;
 		};
 	}
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AllottedRequestTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AllottedRequestTests.java
@@ -3,7 +3,10 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
+import org.radishthread.routing.AttemptFailure;
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.rules.WorkspaceRule;
 
@@ -35,6 +38,24 @@
 		assertThat(this.request.hasNotRun()).isTrue();
 	}
 
+	// Guards against a token that is given back for a request that ran: the upstream
+	// declined a request but did not say which.
+	@Test
+	void requestThatWasDeclinedWithoutItsIdMayHaveRun() {
+		this.request.grant(0);
+		attempt(AttemptCompletion.of(AttemptFailure.REPORTED_NOT_RUN_WITHOUT_ID, false).result());
+		assertThat(this.request.hasNotRun()).isFalse();
+	}
+
+	// Guards against statements that differ: what the caller is told, what the home is
+	// told and what decides on the token.
+	@ParameterizedTest
+	@EnumSource
+	void requestHasNotRunOnlyIfTheFailureSaysSo(AttemptFailure failure) {
+		AttemptResult result = AttemptCompletion.of(failure, false).result();
+		assertThat(result.hasNotRun()).isEqualTo(failure.hasNotRun());
+	}
+
 	@Test
 	void requestOfWhichAnAttemptWasSentMayHaveRun() {
 		this.request.grant(0);
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEndOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEndOrBuilder.java
@@ -51,7 +51,7 @@
 
   /**
    * <pre>
-   * Whether the connection ended after the request was sent and before the response was complete.
+   * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined.
    * </pre>
    *
    * <code>bool connection_lost = 4;</code>
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
@@ -35,6 +35,12 @@
 	 */
 	SHED(false),
 
+	/**
+	 * The upstream declined a request before running it, but did not say which, so this
+	 * one may have run.
+	 */
+	SHED_WITHOUT_ID(false),
+
 	/**
 	 * The attempt was cancelled because its response was no longer needed.
 	 */
@@ -55,24 +61,62 @@
 	}
 
 	/**
-	 * Returns the name that is sent to the home. A lost connection is a failure there,
-	 * with a mark of its own, because earlier versions do not know the constant.
-	 * @return the name of the constant
+	 * Returns whether it is certain that the request did not run.
+	 * @return {@code true} if it did not run, {@code false} if that is unknown
+	 */
+	public boolean hasNotRun() {
+		return this == UNREACHABLE || this == SHED;
+	}
+
+	/**
+	 * Returns whether the upstream responded as it should, so that it works and can be
+	 * reached.
+	 * @return whether it returned a complete response or declined the request
+	 */
+	public boolean showsThatUpstreamWorks() {
+		return this == SUCCESS || this == SHED || this == SHED_WITHOUT_ID;
+	}
+
+	/**
+	 * Returns the name that is sent to the home. Earlier versions do not know all
+	 * constants: a lost connection is a failure there, and a request that was declined
+	 * without its id is declined. Such a result is marked.
+	 * @return the name of a constant that all versions know
 	 */
 	public String wireName() {
-		return (this == CONNECTION_LOST) ? FAILURE.name() : name();
+		return switch (this) {
+			case CONNECTION_LOST -> FAILURE.name();
+			case SHED_WITHOUT_ID -> SHED.name();
+			default -> name();
+		};
+	}
+
+	/**
+	 * Returns whether a mark is sent with the name, by which this result differs from the
+	 * one that is called so.
+	 * @return whether the result is marked
+	 */
+	public boolean isMarked() {
+		return this == CONNECTION_LOST || this == SHED_WITHOUT_ID;
 	}
 
 	/**
 	 * Returns the result with this wire name.
 	 * @param wireName the name, as returned by {@link #wireName()}
-	 * @param connectionLost whether the connection was lost
+	 * @param marked whether the mark was sent, see {@link #isMarked()}
 	 * @return the result
 	 * @throws IllegalArgumentException if no result has this name
 	 */
-	public static AttemptResult fromWireName(String wireName, boolean connectionLost) {
+	public static AttemptResult fromWireName(String wireName, boolean marked) {
 		AttemptResult result = valueOf(wireName);
-		return (result == FAILURE && connectionLost) ? CONNECTION_LOST : result;
+		if (!marked) {
+			return result;
+		}
+		return switch (result) {
+			case FAILURE -> CONNECTION_LOST;
+			case SHED -> SHED_WITHOUT_ID;
+			default -> result;
+		};
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/CrashMonitor.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CrashMonitor.java
@@ -61,7 +61,7 @@
 			case UNREACHABLE -> this.checks.recordUnreachable(tracker.upstream().name());
 			default -> false;
 		};
-		if (result == AttemptResult.SUCCESS || result == AttemptResult.SHED) {
+		if (result.showsThatUpstreamWorks()) {
 			this.checks.recordResponse(tracker.upstream().name(), nowNanos);
 		}
 		if (probeDue) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/FailureAttribution.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/FailureAttribution.java
@@ -70,7 +70,7 @@
 		if (result == AttemptResult.CONNECTION_LOST && full) {
 			backOff(tracker, nowNanos);
 		}
-		else if (result == AttemptResult.SUCCESS || result == AttemptResult.SHED) {
+		else if (result.showsThatUpstreamWorks()) {
 			recordReached(sender, tracker.upstream().name(), nowNanos);
 		}
 		else if (result == AttemptResult.UNREACHABLE) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -151,7 +151,7 @@
 		return SlotEnd.newBuilder()
 			.setUpstream(upstream)
 			.setResult(result.wireName())
-			.setConnectionLost(result == AttemptResult.CONNECTION_LOST)
+			.setConnectionLost(result.isMarked())
 			.build();
 	}
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.radishthread.protocol.SlotEnd;
 import org.radishthread.protocol.SlotGrant;
 import org.radishthread.protocol.SlotMessage;
 import org.radishthread.protocol.SlotQueued;
@@ -169,6 +170,24 @@
 
 	}
 
+	@Nested
+	class Completions {
+
+		// Guards against a home that gives the token of a workspace back for a request
+		// that ran. Earlier versions know the name of the result, and not the mark.
+		@Test
+		void homeIsToldThatARequestWasDeclinedWithoutItsId() {
+			requestSlot();
+			receive(grant("upstream-1"));
+			List<SlotEffect> effects = SlotRequesterTests.this.requester.completeAttempt(7, "upstream-1",
+					AttemptResult.SHED_WITHOUT_ID, null);
+			SlotEnd end = ((SlotEffect.Send) effects.get(0)).message().getEnd();
+			assertThat(end.getResult()).isEqualTo("SHED");
+			assertThat(end.getConnectionLost()).isTrue();
+		}
+
+	}
+
 	// Guards against requests that ran after their callers had been told that they never
 	// would, or that ran twice.
 	@Nested
--- a/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
@@ -22,14 +22,21 @@
 	@Test
 	void attemptResultsKeepTheirWireNames() {
 		assertThat(Arrays.stream(AttemptResult.values()).map(AttemptResult::wireName)).containsExactly("SUCCESS",
-				"FAILURE", "FAILURE", "UNREACHABLE", "SHED", "CANCELLED");
+				"FAILURE", "FAILURE", "UNREACHABLE", "SHED", "SHED", "CANCELLED");
 	}
 
 	@Test
 	void attemptResultsAreFoundByTheirWireNames() {
-		assertThat(AttemptResult.values()).allSatisfy((result) -> assertThat(
-				AttemptResult.fromWireName(result.wireName(), result == AttemptResult.CONNECTION_LOST))
-			.isEqualTo(result));
+		assertThat(AttemptResult.values())
+			.allSatisfy((result) -> assertThat(AttemptResult.fromWireName(result.wireName(), result.isMarked()))
+				.isEqualTo(result));
+	}
+
+	// Earlier versions send and read the mark of a lost connection only.
+	@Test
+	void onlyResultsThatEarlierVersionsDoNotKnowAreMarked() {
+		assertThat(Arrays.stream(AttemptResult.values()).filter(AttemptResult::isMarked))
+			.containsExactly(AttemptResult.CONNECTION_LOST, AttemptResult.SHED_WITHOUT_ID);
 	}
 
 	@Test
