Keep the slot of an expired request that its gateway may still use

An upload has no deadline at its gateway as long as it makes progress, so the home freed the slot while the attempt ran, and the upstream got one request more than it has slots.

Before it closes an expired request with a grant, the home sends the grant again. If the gateway is not live or was started again since, the request is closed as before. An attempt that ends so late says nothing about the upstream, as before. LiveGateways is what the home needs of the cluster, so that SlotGranter can be tested alone.

It was not tried with real processes.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/OpenGrants.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/OpenGrants.java
@@ -38,6 +38,14 @@
 		return this.upstreams.remove(upstream);
 	}
 
+	/**
+	 * Returns whether no attempt is known to be under way.
+	 * @return whether there are no grants
+	 */
+	synchronized boolean isEmpty() {
+		return this.upstreams.isEmpty();
+	}
+
 	/**
 	 * Removes all grants and takes no further ones.
 	 * @return the upstreams whose attempts were not reported to have ended
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -8,10 +8,8 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.TimeSource;
-import org.radishthread.membership.ServingState;
 import org.radishthread.protocol.SlotEnd;
 import org.radishthread.protocol.SlotGrant;
 import org.radishthread.protocol.SlotMessage;
@@ -29,7 +27,8 @@
  * Grants slots of upstreams to the requests of other instances, when this instance is the
  * home of the service. Repeated messages have no effect, so that messages may be sent
  * again after a loss. A request that its instance never closes is closed here some time
- * after its deadline. Safe for use by several threads.
+ * after its deadline, unless the instance still uses a slot: an upload may take longer
+ * than its deadline. Safe for use by several threads.
  */
 final class SlotGranter {
 
@@ -49,7 +48,7 @@
 
 	private final RoutingService routing;
 
-	private final ClusterService cluster;
+	private final LiveGateways gateways;
 
 	private final TimeSource time;
 
@@ -57,11 +56,11 @@
 
 	private final Map<RequestKey, RemoteRequest> remoteRequests = new ConcurrentHashMap<>();
 
-	SlotGranter(String homeAddress, RoutingService routing, ClusterService cluster, TimeSource time,
+	SlotGranter(String homeAddress, RoutingService routing, LiveGateways gateways, TimeSource time,
 			BiConsumer<String, SlotMessage> messageSender) {
 		this.homeAddress = homeAddress;
 		this.routing = routing;
-		this.cluster = cluster;
+		this.gateways = gateways;
 		this.time = time;
 		this.messageSender = messageSender;
 	}
@@ -77,7 +76,7 @@
 		if (request == null) {
 			return;
 		}
-		RequestRouter router = this.routing.router(request.service);
+		LocalRequestRouter router = this.routing.router(request.service);
 		switch (message.getBodyCase()) {
 			case END -> request.completeAttempt(router, message.getEnd());
 			case RETRY -> router.retry(request.routingRequest.id());
@@ -102,7 +101,7 @@
 			existingRequest.resendLastMessage();
 			return;
 		}
-		if (this.cluster.servingState() != ServingState.READY) {
+		if (!this.gateways.mayGrant()) {
 			this.messageSender.accept(key.peerAddress(),
 					message.toBuilder()
 						.setRefusal(SlotRefusal.newBuilder().setReason(RefusalReason.NOT_HOME.wireName()))
@@ -139,11 +138,13 @@
 	}
 
 	// Closes requests that were not closed by their instances, which stopped or whose
-	// messages were lost.
+	// messages were lost. An instance that runs is asked about its slots: it returns a
+	// grant of a request that it has closed, and ignores one that it uses.
 	void closeExpired() {
 		long expiryNanos = this.time.monotonicNanos() - EXPIRY_GRACE_NANOS;
 		for (Map.Entry<RequestKey, RemoteRequest> entry : List.copyOf(this.remoteRequests.entrySet())) {
-			if (entry.getValue().routingRequest.deadlineNanos() < expiryNanos) {
+			boolean expired = entry.getValue().routingRequest.deadlineNanos() < expiryNanos;
+			if (expired && !entry.getValue().askForGrant()) {
 				eventLog.information("slot-request-expired")
 					.with("instance", entry.getKey().peerAddress())
 					.with("service", entry.getValue().service)
@@ -176,12 +177,18 @@
 
 		private final OpenGrants openGrants = new OpenGrants();
 
+		// The run of the instance by which it is known to the cluster.
+		private final long incarnation;
+
 		private @Nullable SlotMessage lastMessage;
 
+		private boolean askedForGrant;
+
 		private RemoteRequest(RequestKey key, String service, RoutingRequest routingRequest) {
 			this.key = key;
 			this.service = service;
 			this.routingRequest = routingRequest;
+			this.incarnation = SlotGranter.this.gateways.incarnation(key.peerAddress());
 		}
 
 		private SlotMessage.Builder message() {
@@ -208,6 +215,19 @@
 			}
 		}
 
+		// Returns whether the instance may use a slot and runs, so that it is worth
+		// asking.
+		private synchronized boolean askForGrant() {
+			boolean running = this.incarnation != LiveGateways.NOT_LIVE
+					&& this.incarnation == SlotGranter.this.gateways.incarnation(this.key.peerAddress());
+			if (!running || this.openGrants.isEmpty() || this.lastMessage == null || !this.lastMessage.hasGrant()) {
+				return false;
+			}
+			this.askedForGrant = true;
+			resendLastMessage();
+			return true;
+		}
+
 		@Override
 		public void onDispatch(RoutingEffect.Dispatch dispatch) {
 			if (!this.openGrants.add(dispatch.upstream().name())) {
@@ -248,12 +268,22 @@
 				.build());
 		}
 
-		private void completeAttempt(RequestRouter router, SlotEnd end) {
-			if (this.openGrants.remove(end.getUpstream())) {
-				LoadReport loadReport = end.hasLoad() ? toLoadReport(end.getLoad()) : null;
-				router.completeAttempt(this.routingRequest.id(), end.getUpstream(),
-						AttemptResult.fromWireName(end.getResult(), end.getConnectionLost()), loadReport);
+		private void completeAttempt(LocalRequestRouter router, SlotEnd end) {
+			AttemptResult result = AttemptResult.fromWireName(end.getResult(), end.getConnectionLost());
+			if (!this.openGrants.remove(end.getUpstream())) {
+				return;
+			}
+			if (result == AttemptResult.CANCELLED && isAskedForGrant()) {
+				// The time until now says nothing about the upstream.
+				router.releaseAttempt(this.routingRequest.id(), end.getUpstream());
+				return;
 			}
+			LoadReport loadReport = end.hasLoad() ? toLoadReport(end.getLoad()) : null;
+			router.completeAttempt(this.routingRequest.id(), end.getUpstream(), result, loadReport);
+		}
+
+		private synchronized boolean isAskedForGrant() {
+			return this.askedForGrant;
 		}
 
 		// An instance reports the end of each attempt before it closes the request, so
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -70,7 +70,8 @@
 		this.routing = routing;
 		this.homes = new HomeDirectory(cluster, time);
 		this.requester = new SlotRequester(ThreadLocalRandom.current().nextLong(), settings.zone());
-		this.granter = new SlotGranter(settings.peerAddress().toString(), routing, cluster, time, this::send);
+		this.granter = new SlotGranter(settings.peerAddress().toString(), routing, LiveGateways.of(cluster), time,
+				this::send);
 		reachability.addListener(this::reportReachability);
 	}
 
