Tell a gateway that its retry waits at the home

A home answers a new request that waits for a slot with a notice, but sent nothing for a retry that waits. After 150 ms the gateway took the home for silent: it refused the request with home-silent, although the home was about to grant a slot, or routed it itself. So a refusal that crosses a grant, which let refused requests run, needs no home that is suspended: full upstreams are enough, because then retries wait.

The home now sends the notice for a retry too, and the gateway repeats its request while the retry waits, as for a first attempt, so that it still notices a home that has ended. If an instance that is no home any more answers the repetition, the rule for silent homes applies, because only a home knows the retry budget.

Evidence: gatewayIsToldThatARetryWaits fails with the former SlotGranter; retryThatIsQueuedAtTheHomeWaits and queuedRetryIsRefusedOnceItsHomeIsSilent fail with the former SlotRequester. All pass now, with the other tests of both and the property of crossing messages. It was not tried with real processes.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -79,7 +79,7 @@
 		LocalRequestRouter router = this.routing.router(request.service);
 		switch (message.getBodyCase()) {
 			case END -> request.completeAttempt(router, message.getEnd());
-			case RETRY -> router.retry(request.routingRequest.id());
+			case RETRY -> request.retry(router);
 			case HEDGE -> router.hedge(request.routingRequest.id());
 			case CLOSE -> close(key, request);
 			default -> eventLog.warning("slot-message-unexpected").with("from", address).write();
@@ -203,6 +203,18 @@
 			SlotGranter.this.messageSender.accept(this.key.peerAddress(), message);
 		}
 
+		// Answered at once like a new request, so that the instance does not take a home
+		// at which the request waits for a silent one.
+		private void retry(LocalRequestRouter router) {
+			forgetLastMessage();
+			router.retry(this.routingRequest.id());
+			sendQueuedIfUndecided();
+		}
+
+		private synchronized void forgetLastMessage() {
+			this.lastMessage = null;
+		}
+
 		private synchronized void sendQueuedIfUndecided() {
 			if (this.lastMessage == null) {
 				send(message().setQueued(SlotQueued.getDefaultInstance()).build());
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/GatewayServices.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/GatewayServices.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -103,19 +104,27 @@
 		return new RoutingRequest(id, "caller-" + id, mayRepeat, this.time.monotonicNanos() + 5_000_000_000L);
 	}
 
-	// Nothing listens at the address of the upstream. Each call announces a change.
 	void announceUpstream(int slotCount) {
+		announceUpstreams(1, slotCount);
+	}
+
+	// Nothing listens at the addresses. Each call announces a change.
+	void announceUpstreams(int upstreamCount, int slotCount) {
 		this.announcements++;
-		this.routing.upstreamsChanged(List.of(UpstreamRecord.newBuilder()
-			.setName("upstream-1")
-			.setService(SERVICE)
-			.setAddress("127.0.0.1:1")
-			.setZone("zone-1")
-			.setIncarnation(1)
-			.setSequence(this.announcements)
-			.setSlots(slotCount)
-			.setState(UpstreamState.READY)
-			.build()));
+		List<UpstreamRecord> upstreams = new ArrayList<>();
+		for (int number = 1; number <= upstreamCount; number++) {
+			upstreams.add(UpstreamRecord.newBuilder()
+				.setName("upstream-" + number)
+				.setService(SERVICE)
+				.setAddress("127.0.0.1:" + number)
+				.setZone("zone-1")
+				.setIncarnation(1)
+				.setSequence(this.announcements)
+				.setSlots(slotCount)
+				.setState(UpstreamState.READY)
+				.build());
+		}
+		this.routing.upstreamsChanged(upstreams);
 	}
 
 	@Override
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
@@ -14,6 +14,7 @@
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.protocol.SlotClose;
 import org.radishthread.protocol.SlotMessage;
+import org.radishthread.protocol.SlotRetry;
 import org.radishthread.routing.AttemptResult;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -187,6 +188,47 @@
 
 	}
 
+	@Nested
+	class Retries {
+
+		private String firstUpstream;
+
+		// Uses all slots; the last of the other requests waits.
+		@BeforeEach
+		void useAllSlots() {
+			SlotGranterTests.this.services.announceUpstreams(2, 1);
+			requestSlot();
+			this.firstUpstream = lastMessage().getGrant().getUpstream();
+			long ticket = REQUEST_ID;
+			while (!lastMessage().hasQueued()) {
+				ticket++;
+				assertThat(ticket).isLessThan(REQUEST_ID + 20);
+				requestSlot(ticket);
+			}
+			SlotGranterTests.this.sentMessages.clear();
+		}
+
+		private SlotMessage lastMessage() {
+			return SlotGranterTests.this.sentMessages.get(SlotGranterTests.this.sentMessages.size() - 1);
+		}
+
+		// Guards against callers that are refused because of a silent home, while their
+		// requests wait at the home for a slot.
+		@Test
+		void gatewayIsToldThatARetryWaits() {
+			receive(REQUEST_ID,
+					(message) -> message.getEndBuilder()
+						.setUpstream(this.firstUpstream)
+						.setResult(AttemptResult.SHED.wireName()));
+			receive(REQUEST_ID, (message) -> message.setRetry(SlotRetry.getDefaultInstance()));
+			assertThat(lastMessage().getTicket()).isEqualTo(REQUEST_ID);
+			assertThat(lastMessage().getBodyCase()).isEqualTo(SlotMessage.BodyCase.QUEUED);
+			requestSlot();
+			assertThat(lastMessage().getBodyCase()).isEqualTo(SlotMessage.BodyCase.QUEUED);
+		}
+
+	}
+
 	@Nested
 	class RepeatedRequests {
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -184,7 +184,7 @@
 		state.phase = Phase.REFUSED;
 		RefusalReason reason = RefusalReason.fromWireNames(refusal.getReason(), refusal.getSpecificReason());
 		if (reason == RefusalReason.NOT_HOME) {
-			abandonHome(state);
+			leaveHome(state);
 			return;
 		}
 		this.effects.add(new SlotEffect.Decision(
@@ -296,19 +296,21 @@
 	private void tick(RequestState state, long nowNanos) {
 		long elapsedNanos = nowNanos - state.lastRequestNanos;
 		if (!state.queuedAtHome && elapsedNanos > RESPONSE_TIMEOUT_NANOS) {
-			handleHomeTimeout(state);
+			leaveHome(state);
 		}
 		else if (state.queuedAtHome && elapsedNanos > REQUEST_REPEAT_NANOS) {
 			if (state.unacknowledgedRequests >= 2) {
-				handleHomeTimeout(state);
+				leaveHome(state);
 			}
-			else if (!state.retryRequested) {
+			else {
+				// Of a retry too: the home knows the request, and repeats its answer.
 				sendSlotRequest(state, nowNanos);
 			}
 		}
 	}
 
-	private void handleHomeTimeout(RequestState state) {
+	// The retry budget is known to the home only.
+	private void leaveHome(RequestState state) {
 		if (!state.retryRequested || !state.arrived) {
 			abandonHome(state);
 			return;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -158,6 +158,51 @@
 			assertThat(retryAfter(AttemptResult.UNREACHABLE)).anyMatch(SlotEffect.HomeUnavailable.class::isInstance);
 		}
 
+		// Guards against refusals for a silent home while the retry waits at the home for
+		// a
+		// slot.
+		@Test
+		void retryThatIsQueuedAtTheHomeWaits() {
+			retryAt(2_000_000);
+			receive(message().setQueued(SlotQueued.getDefaultInstance()).build());
+			assertThat(sentMessages(SlotRequesterTests.this.requester.tick(300_000_000)))
+				.containsExactly(SlotMessage.BodyCase.REQUEST);
+			receive(message().setQueued(SlotQueued.getDefaultInstance()).build());
+			assertThat(sentMessages(SlotRequesterTests.this.requester.tick(600_000_000)))
+				.containsExactly(SlotMessage.BodyCase.REQUEST);
+			assertThat(receive(grant("upstream-2"))).singleElement().isInstanceOf(SlotEffect.Decision.class);
+		}
+
+		// Guards against a retry that waits until its deadline at a home that has ended.
+		@Test
+		void queuedRetryIsRefusedOnceItsHomeIsSilent() {
+			retryAt(2_000_000);
+			receive(message().setQueued(SlotQueued.getDefaultInstance()).build());
+			SlotRequesterTests.this.requester.tick(300_000_000);
+			SlotRequesterTests.this.requester.tick(600_000_000);
+			assertThat(SlotRequesterTests.this.requester.tick(900_000_000)).singleElement()
+				.isInstanceOf(SlotEffect.Decision.class);
+		}
+
+		// Guards against a retry without a budget, at an instance that is not the home.
+		@Test
+		void queuedRetryIsRefusedIfItsHomeIsNoHomeAnyMore() {
+			retryAt(2_000_000);
+			receive(message().setQueued(SlotQueued.getDefaultInstance()).build());
+			SlotRequesterTests.this.requester.tick(300_000_000);
+			SlotMessage refusal = message()
+				.setRefusal(SlotRefusal.newBuilder().setReason(RefusalReason.NOT_HOME.wireName()))
+				.build();
+			assertThat(receive(refusal)).singleElement().isInstanceOf(SlotEffect.Decision.class);
+		}
+
+		private void retryAt(long nanos) {
+			requestSlot();
+			receive(grant("upstream-1"));
+			SlotRequesterTests.this.requester.completeAttempt(7, "upstream-1", AttemptResult.SHED, null);
+			SlotRequesterTests.this.requester.retry(7, nanos);
+		}
+
 		// The retry budget is known to the home only.
 		@Test
 		void requestThatMayHaveArrivedIsRefused() {
