Queue a retry once, also if it is requested again

After a request was closed, each later decision of its service failed ('Request ... must be open in this router'): callers got 500, and connections between instances were closed, for seconds. Callers were also refused twice within a millisecond, as not run, while a hedge ran. The router put a retry into the queue again although the earlier one still waited, because a hedge had been granted meanwhile and had failed too; closing the request removed one entry.

A retry that is requested while the request is queued has no effect.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
@@ -99,6 +99,10 @@
 		return this.ranks.values().stream().anyMatch((rank) -> rank.containsKey(request.queueName()));
 	}
 
+	boolean contains(RoutingRequest request) {
+		return inServiceOrder().stream().anyMatch((queued) -> queued.request().id() == request.id());
+	}
+
 	// The number of queued requests that will be served before this one. For a request
 	// without a workspace, the turns of callers within its rank are not taken into
 	// account.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -695,14 +695,15 @@
 
 	/**
 	 * Requests another attempt after one that failed. It must have been checked before
-	 * that the request may be sent again.
+	 * that the request may be sent again. Has no effect while an earlier retry waits for
+	 * its decision.
 	 * @param requestId the identifier of the request
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 * @return its dispatch or refusal, or nothing if it was queued
 	 */
 	public List<RoutingEffect> retry(long requestId, long nowNanos) {
 		RequestState state = this.requests.get(requestId);
-		if (state == null || state.isClosed()) {
+		if (state == null || state.isClosed() || isQueued(state.request())) {
 			return List.of();
 		}
 		Refusal quarantineRefusal = this.crashes.findQuarantine(state.request(), nowNanos);
@@ -726,6 +727,10 @@
 		return takeEffects();
 	}
 
+	private boolean isQueued(RoutingRequest request) {
+		return this.queues.contains(request) || this.trials.contains(request);
+	}
+
 	// Takes a token from the retry budget if nothing else is in the way.
 	private @Nullable RefusalReason findRetryRefusal(RequestState state, long nowNanos) {
 		if (state.countedAttempts() >= state.request().maximumAttempts()
--- a/radishthread-routing/src/main/java/org/radishthread/routing/TrialQueue.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/TrialQueue.java
@@ -37,6 +37,10 @@
 		return true;
 	}
 
+	boolean contains(RoutingRequest request) {
+		return this.waiting.stream().anyMatch((queued) -> queued.request().id() == request.id());
+	}
+
 	List<QueuedRequest> waiting() {
 		return new ArrayList<>(this.waiting);
 	}
