Forward requests with heads of any size that the gateway accepts

A request with a legal head of more than 8 KB got 502 with an unknown outcome, and its upstream was ejected for a second or two, so that other callers of the service got 503: the HTTP client for upstreams had its default limit for heads, and its failure before the first byte counted against the upstream.

The client forwards what the gateway accepts, with room for what forwarding adds.

Evidence: HostileCallerTests.SingleRequest with a head of 15,000 bytes in short lines got 502 in three of three runs; it is served now.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -43,7 +43,7 @@
 	// that the settings leave between the shutdown timeout and the end of the process.
 	private static final long FINAL_RESPONSES_MILLIS = 200;
 
-	private static final int MAXIMUM_REQUEST_HEADER_BYTES = 64 * 1024;
+	static final int MAXIMUM_REQUEST_HEADER_BYTES = 64 * 1024;
 
 	private static final int MAXIMUM_THREADS = 32;
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -37,6 +37,10 @@
 
 	private static final long CONNECTION_IDLE_TIMEOUT_MILLIS = 30_000;
 
+	// A head grows when it is forwarded: a space after each name, and the headers that
+	// describe the attempt.
+	private static final int MAXIMUM_REQUEST_HEADER_BYTES = 2 * GatewayServer.MAXIMUM_REQUEST_HEADER_BYTES;
+
 	// As for the requests of callers. Also limits trailers.
 	private static final int MAXIMUM_RESPONSE_HEADER_BYTES = 64 * 1_024;
 
@@ -81,6 +85,7 @@
 		client.setFollowRedirects(false);
 		client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
 		client.setIdleTimeout(CONNECTION_IDLE_TIMEOUT_MILLIS);
+		client.setMaxRequestHeadersSize(MAXIMUM_REQUEST_HEADER_BYTES);
 		client.setMaxResponseHeadersSize(MAXIMUM_RESPONSE_HEADER_BYTES);
 		client.setUserAgentField(null);
 		client.setHttpCookieStore(new HttpCookieStore.Empty());
