Count heads and trailers against a budget of memory

Callers ended a process by its memory with heads of legal size made of very short lines, and with heads and trailers without end: a line of four bytes takes about 85 bytes of heap, 64 KB of them per connection, and only bodies were counted.

Beyond it the caller gets 431, which promises nothing, and the connection is closed. The first 8 KB of a connection are free, so that ordinary requests are served while the budget is used up; in calm each head of up to 64 KB is accepted.

Evidence: BudgetedHttpConnectionTests (heads, trailers, lines without end, the return of memory).

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -9,12 +9,12 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.http.BudgetedHttpConnectionFactory;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
 import org.radishthread.kernel.NetworkAddress;
@@ -73,7 +73,7 @@
 		// The path is forwarded unchanged; interpreting it is left to the upstream.
 		configuration.setUriCompliance(UriCompliance.UNSAFE);
 		configuration.setRequestHeaderSize(MAXIMUM_REQUEST_HEADER_BYTES);
-		this.connector = new ServerConnector(this.server, 1, 1, new HttpConnectionFactory(configuration)) {
+		this.connector = new ServerConnector(this.server, 1, 1, new BudgetedHttpConnectionFactory(configuration)) {
 
 			@Override
 			protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector,
--- /dev/null
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -0,0 +1,159 @@
+package org.radishthread.daemon.http;
+
+import java.nio.ByteBuffer;
+
+import org.eclipse.jetty.http.BadMessageException;
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.internal.HttpConnection;
+
+/**
+ * HTTP/1.1 connection whose heads and trailers are limited by a {@link BufferBudget} that
+ * all connections of a server share. A request that exceeds it is refused with status
+ * 431, and the connection is closed. Safe for use by several threads.
+ */
+final class BudgetedHttpConnection extends HttpConnection {
+
+	private final HeadAccount head;
+
+	// Set by the constructor of the superclass, so it has no initial value here.
+	private HttpParser.RequestHandler requestHandler;
+
+	private volatile boolean inRequest;
+
+	BudgetedHttpConnection(HttpConfiguration configuration, Connector connector, EndPoint endPoint,
+			BufferBudget headBudget) {
+		super(configuration, connector, endPoint);
+		this.head = new HeadAccount(headBudget);
+	}
+
+	/**
+	 * Returns whether a whole head has arrived whose request is not completed.
+	 * @return whether a request is in progress
+	 */
+	boolean isInRequest() {
+		return this.inRequest;
+	}
+
+	@Override
+	protected HttpParser newHttpParser(HttpCompliance compliance) {
+		HttpConfiguration configuration = getHttpConfiguration();
+		HttpParser parser = new BudgetedParser(this.requestHandler, configuration.getRequestHeaderSize(), compliance);
+		parser.setHeaderCacheSize(configuration.getHeaderCacheSize());
+		parser.setHeaderCacheCaseSensitive(configuration.isHeaderCacheCaseSensitive());
+		return parser;
+	}
+
+	@Override
+	protected RequestHandler newRequestHandler() {
+		RequestHandler handler = new BudgetedRequestHandler();
+		this.requestHandler = handler;
+		return handler;
+	}
+
+	@Override
+	protected HttpStreamOverHTTP1 newHttpStream(String method, String uri, HttpVersion version) {
+		return new BudgetedStream(method, uri, version);
+	}
+
+	@Override
+	public void onClose(Throwable cause) {
+		super.onClose(cause);
+		this.head.close();
+	}
+
+	private void onRequestCompleted() {
+		this.head.clear();
+		this.inRequest = false;
+	}
+
+	/**
+	 * Counts what is read of a line before its end, which becomes a field only then.
+	 */
+	private final class BudgetedParser extends HttpParser {
+
+		private BudgetedParser(HttpParser.RequestHandler handler, int maximumHeadBytes, HttpCompliance compliance) {
+			super(handler, maximumHeadBytes, compliance);
+		}
+
+		@Override
+		public boolean parseNext(ByteBuffer buffer) {
+			int bytesBefore = buffer.remaining();
+			boolean handled = super.parseNext(buffer);
+			int readBytes = bytesBefore - buffer.remaining();
+			if (readBytes > 0 && isInHeadOrTrailers()) {
+				countUnfinished(readBytes);
+			}
+			return handled;
+		}
+
+		private boolean isInHeadOrTrailers() {
+			return (inHeaderState() && !isStart()) || isState(State.TRAILER);
+		}
+
+		private void countUnfinished(int bytes) {
+			try {
+				BudgetedHttpConnection.this.head.addBytes(bytes);
+			}
+			catch (BadMessageException ex) {
+				badMessage(ex);
+			}
+		}
+
+	}
+
+	/**
+	 * Counts the fields of a head and its trailers as they are parsed.
+	 */
+	private final class BudgetedRequestHandler extends RequestHandler {
+
+		@Override
+		public void parsedHeader(HttpField field) {
+			BudgetedHttpConnection.this.head.addField(field);
+			super.parsedHeader(field);
+		}
+
+		@Override
+		public boolean headerComplete() {
+			BudgetedHttpConnection.this.inRequest = true;
+			return super.headerComplete();
+		}
+
+		@Override
+		public void parsedTrailer(HttpField field) {
+			BudgetedHttpConnection.this.head.addField(field);
+			super.parsedTrailer(field);
+		}
+
+	}
+
+	/**
+	 * Returns the memory of a request when it is completed, before the next one is
+	 * parsed.
+	 */
+	private final class BudgetedStream extends HttpStreamOverHTTP1 {
+
+		private BudgetedStream(String method, String uri, HttpVersion version) {
+			super(method, uri, version);
+		}
+
+		@Override
+		public void succeeded() {
+			onRequestCompleted();
+			super.succeeded();
+		}
+
+		@Override
+		public void failed(Throwable cause) {
+			onRequestCompleted();
+			super.failed(cause);
+		}
+
+	}
+
+}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HttpServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HttpServer.java
@@ -2,7 +2,6 @@
 
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -41,7 +40,8 @@
 		this.server = new Server(pool);
 		HttpConfiguration configuration = new HttpConfiguration();
 		configuration.setSendServerVersion(false);
-		ServerConnector connector = new ServerConnector(this.server, 1, 1, new HttpConnectionFactory(configuration));
+		ServerConnector connector = new ServerConnector(this.server, 1, 1,
+				new BudgetedHttpConnectionFactory(configuration));
 		connector.setHost(address.host());
 		connector.setPort(address.port());
 		this.server.addConnector(connector);
--- /dev/null
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
@@ -0,0 +1,190 @@
+package org.radishthread.daemon.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link BudgetedHttpConnection} with a server and sockets.
+ */
+class BudgetedHttpConnectionTests {
+
+	private static final int READ_TIMEOUT_MILLIS = 5_000;
+
+	private static final String HEAD = "POST / HTTP/1.1\r\nHost: a\r\n";
+
+	private final BufferBudget budget = new BufferBudget(100_000);
+
+	private final Server server = new Server();
+
+	private ServerConnector connector;
+
+	@BeforeEach
+	void start() throws Exception {
+		HttpConfiguration configuration = new HttpConfiguration();
+		configuration.setRequestHeaderSize(64 * 1_024);
+		this.connector = new ServerConnector(this.server, 1, 1,
+				new BudgetedHttpConnectionFactory(configuration, this.budget));
+		this.connector.setHost("127.0.0.1");
+		this.server.addConnector(this.connector);
+		this.server.setHandler(new BodyReadingHandler());
+		this.server.start();
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.server.stop();
+	}
+
+	private Caller connect() throws IOException {
+		return new Caller(this.connector.getLocalPort());
+	}
+
+	private void awaitEmptyBudget() throws InterruptedException {
+		for (int i = 0; i < 500 && this.budget.reservedBytes() > 0; i++) {
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+		assertThat(this.budget.reservedBytes()).isZero();
+	}
+
+	// Guards against processes that ran out of memory by heads of legal size.
+	@Nested
+	class Heads {
+
+		@Test
+		void headOfManyLinesIsRefusedBeyondTheBudget() throws Exception {
+			try (Caller caller = connect()) {
+				caller.send(HEAD + "t:\r\n".repeat(1_000));
+				assertThat(caller.readLine()).startsWith("HTTP/1.1 431 ");
+				assertThat(caller.readToEnd()).doesNotContain("HTTP/1.1");
+			}
+			awaitEmptyBudget();
+		}
+
+		@Test
+		void lineWithoutEndIsRefusedBeyondTheBudget() throws Exception {
+			try (Caller first = connect(); Caller second = connect()) {
+				first.send(HEAD + "t: " + "x".repeat(60_000));
+				second.send(HEAD + "t: " + "x".repeat(60_000));
+				assertThat(first.isRefused() || second.isRefused()).isTrue();
+			}
+			awaitEmptyBudget();
+		}
+
+		@Test
+		void headWithinTheBudgetIsServedAgainAndAgain() throws Exception {
+			try (Caller caller = connect()) {
+				for (int i = 0; i < 20; i++) {
+					caller.send(HEAD + "t:\r\n".repeat(300) + "Content-Length: 0\r\n\r\n");
+					assertThat(caller.readLine()).isEqualTo("HTTP/1.1 200 OK");
+					caller.readHead();
+				}
+			}
+			awaitEmptyBudget();
+		}
+
+		@Test
+		void trailersAreRefusedBeyondTheBudget() throws Exception {
+			try (Caller caller = connect()) {
+				caller.send(HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + "t:\r\n".repeat(1_000));
+				assertThat(caller.readToEnd()).doesNotContain("HTTP/1.1 200");
+			}
+			awaitEmptyBudget();
+		}
+
+		@Test
+		void smallHeadIsServedWhileTheBudgetIsUsedUp() throws Exception {
+			BufferBudget.Reservation reservation = BudgetedHttpConnectionTests.this.budget.newReservation();
+			assertThat(reservation.tryReserve(100_000)).isTrue();
+			try (Caller caller = connect()) {
+				caller.send(HEAD + "t:\r\n".repeat(20) + "Content-Length: 0\r\n\r\n");
+				assertThat(caller.readLine()).isEqualTo("HTTP/1.1 200 OK");
+			}
+		}
+
+	}
+
+	private static final class BodyReadingHandler extends Handler.Abstract.NonBlocking {
+
+		@Override
+		public boolean handle(Request request, Response response, Callback callback) {
+			Content.Source.consumeAll(request, callback);
+			return true;
+		}
+
+	}
+
+	private static final class Caller implements AutoCloseable {
+
+		private final Socket socket;
+
+		private Caller(int port) throws IOException {
+			this.socket = new Socket(InetAddress.getLoopbackAddress(), port);
+			this.socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+		}
+
+		void send(String text) throws IOException {
+			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+		}
+
+		String readLine() throws IOException {
+			StringBuilder line = new StringBuilder();
+			for (int next = this.socket.getInputStream().read(); next >= 0
+					&& next != '\n'; next = this.socket.getInputStream().read()) {
+				line.append((char) next);
+			}
+			return line.toString().strip();
+		}
+
+		// The responses have no body.
+		void readHead() throws IOException {
+			while (!readLine().isEmpty()) {
+				// Skips the line.
+			}
+		}
+
+		// A reset is an end, too.
+		String readToEnd() {
+			StringBuilder text = new StringBuilder();
+			try {
+				for (int next = this.socket.getInputStream().read(); next >= 0; next = this.socket.getInputStream()
+					.read()) {
+					text.append((char) next);
+				}
+			}
+			catch (IOException ex) {
+				text.append("");
+			}
+			return text.toString();
+		}
+
+		boolean isRefused() throws IOException {
+			this.socket.setSoTimeout(1_000);
+			return readToEnd().startsWith("HTTP/1.1 431 ");
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.socket.close();
+		}
+
+	}
+
+}
