Limit the connections of a port

Callers ended a process with many connections, whatever these sent: nothing bounded them, at the ports for callers, readiness, administration, operators and upstreams.

Each port has as many connections as its share of the heap allows. A new one beyond that replaces the connection that has been without a request in progress for the longest time, or else the one whose response has been unread for the longest time; requests in progress are not cut, and if there are no others the new connection is closed. The limit is far above the callers of a gateway (about a thousand at a heap of 64 MB).

Evidence: BudgetedHttpConnectionTests.Connections.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/GatewayServer.java
@@ -73,7 +73,8 @@
 		// The path is forwarded unchanged; interpreting it is left to the upstream.
 		configuration.setUriCompliance(UriCompliance.UNSAFE);
 		configuration.setRequestHeaderSize(MAXIMUM_REQUEST_HEADER_BYTES);
-		this.connector = new ServerConnector(this.server, 1, 1, new BudgetedHttpConnectionFactory(configuration)) {
+		this.connector = new ServerConnector(this.server, 1, 1,
+				new BudgetedHttpConnectionFactory(NAME, configuration)) {
 
 			@Override
 			protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector,
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -1,12 +1,14 @@
 package org.radishthread.daemon.http;
 
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 
 import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -26,6 +28,8 @@
 
 	private volatile boolean inRequest;
 
+	private volatile long lastRequestNanos = System.nanoTime();
+
 	BudgetedHttpConnection(HttpConfiguration configuration, Connector connector, EndPoint endPoint,
 			BufferBudget headBudget) {
 		super(configuration, connector, endPoint);
@@ -40,6 +44,24 @@
 		return this.inRequest;
 	}
 
+	/**
+	 * Returns how long no request has been in progress.
+	 * @return the time since the last one, or since the connection was opened, in
+	 * nanoseconds
+	 */
+	long nanosWithoutRequest() {
+		return System.nanoTime() - this.lastRequestNanos;
+	}
+
+	/**
+	 * Returns how long the caller has not read a response that waits to be written.
+	 * @return the time in nanoseconds, or zero if no response waits
+	 */
+	long nanosUnread() {
+		return (getEndPoint() instanceof AbstractEndPoint endPoint && endPoint.getWriteFlusher().isPending())
+				? TimeUnit.MILLISECONDS.toNanos(endPoint.getIdleFor()) : 0;
+	}
+
 	@Override
 	protected HttpParser newHttpParser(HttpCompliance compliance) {
 		HttpConfiguration configuration = getHttpConfiguration();
@@ -69,6 +91,7 @@
 
 	private void onRequestCompleted() {
 		this.head.clear();
+		this.lastRequestNanos = System.nanoTime();
 		this.inRequest = false;
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnectionFactory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnectionFactory.java
@@ -7,27 +7,36 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 
 /**
- * Creates the HTTP/1.1 connections of one server and keeps the heads of all requests in
- * progress within a part of the heap.
+ * Creates the HTTP/1.1 connections of one server and keeps what their callers send within
+ * the memory of this process: the heads of all requests in progress, and the number of
+ * open connections, are limited in proportion to the maximum size of the heap.
  */
 public final class BudgetedHttpConnectionFactory extends HttpConnectionFactory {
 
 	// Shared by the heads of all requests of one server.
 	private static final int HEADS_HEAP_DIVISOR = 16;
 
+	// The share of the heap for an open connection: its objects and its buffers, and a
+	// head within HeadAccount.UNRESERVED_BYTES.
+	private static final int HEAP_BYTES_PER_CONNECTION = 64 * 1_024;
+
 	private final BufferBudget headBudget;
 
 	/**
 	 * Creates a factory.
+	 * @param server the name of the server, for the log
 	 * @param configuration the configuration of the connections
 	 */
-	public BudgetedHttpConnectionFactory(HttpConfiguration configuration) {
-		this(configuration, new BufferBudget(Runtime.getRuntime().maxMemory() / HEADS_HEAP_DIVISOR));
+	public BudgetedHttpConnectionFactory(String server, HttpConfiguration configuration) {
+		this(server, configuration, new BufferBudget(Runtime.getRuntime().maxMemory() / HEADS_HEAP_DIVISOR),
+				(int) Math.max(1, Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_CONNECTION));
 	}
 
-	BudgetedHttpConnectionFactory(HttpConfiguration configuration, BufferBudget headBudget) {
+	BudgetedHttpConnectionFactory(String server, HttpConfiguration configuration, BufferBudget headBudget,
+			int maximumConnections) {
 		super(configuration);
 		this.headBudget = headBudget;
+		addEventListener(new ConnectionLimit(server, maximumConnections));
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HttpServer.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HttpServer.java
@@ -41,7 +41,7 @@
 		HttpConfiguration configuration = new HttpConfiguration();
 		configuration.setSendServerVersion(false);
 		ServerConnector connector = new ServerConnector(this.server, 1, 1,
-				new BudgetedHttpConnectionFactory(configuration));
+				new BudgetedHttpConnectionFactory(name, configuration));
 		connector.setHost(address.host());
 		connector.setPort(address.port());
 		this.server.addConnector(connector);
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
@@ -22,12 +22,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link BudgetedHttpConnection} with a server and sockets.
+ * Tests for {@link BudgetedHttpConnection} and {@link ConnectionLimit} with a server and
+ * sockets.
  */
 class BudgetedHttpConnectionTests {
 
 	private static final int READ_TIMEOUT_MILLIS = 5_000;
 
+	private static final int MAXIMUM_CONNECTIONS = 3;
+
 	private static final String HEAD = "POST / HTTP/1.1\r\nHost: a\r\n";
 
 	private final BufferBudget budget = new BufferBudget(100_000);
@@ -41,7 +44,7 @@
 		HttpConfiguration configuration = new HttpConfiguration();
 		configuration.setRequestHeaderSize(64 * 1_024);
 		this.connector = new ServerConnector(this.server, 1, 1,
-				new BudgetedHttpConnectionFactory(configuration, this.budget));
+				new BudgetedHttpConnectionFactory("test", configuration, this.budget, MAXIMUM_CONNECTIONS));
 		this.connector.setHost("127.0.0.1");
 		this.server.addConnector(this.connector);
 		this.server.setHandler(new BodyReadingHandler());
@@ -121,6 +124,60 @@
 
 	}
 
+	// Guards against processes that ran out of memory by the number of connections.
+	@Nested
+	class Connections {
+
+		@Test
+		void newConnectionReplacesTheOneThatHasBeenWithoutARequestForTheLongestTime() throws Exception {
+			try (Caller first = connect(); Caller second = connect(); Caller third = connect()) {
+				first.exchange();
+				second.exchange();
+				third.exchange();
+				first.exchange();
+				try (Caller fourth = connect()) {
+					fourth.exchange();
+					assertThat(second.readToEnd()).isEmpty();
+					first.exchange();
+					third.exchange();
+				}
+			}
+		}
+
+		@Test
+		void requestsInProgressAreNotCutByNewConnections() throws Exception {
+			try (Caller first = connect(); Caller second = connect(); Caller third = connect()) {
+				for (Caller caller : new Caller[] { first, second, third }) {
+					caller.send(HEAD + "Content-Length: 1\r\n\r\n");
+				}
+				awaitRequestsInProgress();
+				try (Caller fourth = connect()) {
+					assertThat(fourth.readToEnd()).isEmpty();
+				}
+				for (Caller caller : new Caller[] { first, second, third }) {
+					caller.send("x");
+					assertThat(caller.readLine()).isEqualTo("HTTP/1.1 200 OK");
+				}
+			}
+		}
+
+		private void awaitRequestsInProgress() throws InterruptedException {
+			for (int i = 0; i < 500 && countRequestsInProgress() < MAXIMUM_CONNECTIONS; i++) {
+				TimeUnit.MILLISECONDS.sleep(10);
+			}
+			assertThat(countRequestsInProgress()).isEqualTo(MAXIMUM_CONNECTIONS);
+		}
+
+		private long countRequestsInProgress() {
+			return BudgetedHttpConnectionTests.this.connector.getConnectedEndPoints()
+				.stream()
+				.filter((endPoint) -> endPoint.getConnection() instanceof BudgetedHttpConnection connection
+						&& connection.isInRequest())
+				.count();
+		}
+
+	}
+
 	private static final class BodyReadingHandler extends Handler.Abstract.NonBlocking {
 
 		@Override
@@ -144,6 +201,12 @@
 			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
 		}
 
+		void exchange() throws IOException {
+			send(HEAD + "Content-Length: 0\r\n\r\n");
+			assertThat(readLine()).isEqualTo("HTTP/1.1 200 OK");
+			readHead();
+		}
+
 		String readLine() throws IOException {
 			StringBuilder line = new StringBuilder();
 			for (int next = this.socket.getInputStream().read(); next >= 0
