Keep the cache of header fields of a connection small

Each connection that had received a request took about 48 KB of heap, most of it the cache of header fields of the library's parser, sized for 1,024 characters. A few hundred connections filled a small heap, whatever they sent.

The cache is sized for 128 characters, enough for the fields that the requests of one caller share.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnectionFactory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnectionFactory.java
@@ -20,6 +20,9 @@
 	// head within HeadAccount.UNRESERVED_BYTES.
 	private static final int HEAP_BYTES_PER_CONNECTION = 64 * 1_024;
 
+	// Characters of names and values that a connection keeps of former requests.
+	private static final int HEADER_CACHE_CHARACTERS = 128;
+
 	private final BufferBudget headBudget;
 
 	/**
@@ -35,6 +38,9 @@
 	BudgetedHttpConnectionFactory(String server, HttpConfiguration configuration, BufferBudget headBudget,
 			int maximumConnections) {
 		super(configuration);
+		// The cache of the library takes many times as much for each connection as the
+		// rest of it.
+		configuration.setHeaderCacheSize(HEADER_CACHE_CHARACTERS);
 		this.headBudget = headBudget;
 		addEventListener(new ConnectionLimit(server, maximumConnections));
 	}
