Read a body of many small chunks in turns

After callers had sent bodies in chunks of one byte, an ordinary request had no answer for 20 s and more, although their connections were closed: a body is read on the thread that selects the ready connections, as long as bytes are there, and one of 512 KB takes about 95 ms.

A body is read for 256 chunks at a time; then the rest is left to the threads of the server, after what waits there.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BodyReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BodyReader.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
 
 /**
  * Reads the body of a request into memory, as far as its size and a {@link BufferBudget}
@@ -11,6 +12,10 @@
  */
 public final class BodyReader implements Runnable {
 
+	// The chunks that are read in one turn, so that many small ones do not occupy the
+	// thread that reads from all connections.
+	private static final int MAXIMUM_CHUNKS_PER_TURN = 256;
+
 	private final Content.Source source;
 
 	private final int maximumBytes;
@@ -66,7 +71,13 @@
 
 	@Override
 	public void run() {
+		int chunks = 0;
 		while (!this.result.isDone()) {
+			chunks++;
+			if (chunks > MAXIMUM_CHUNKS_PER_TURN && this.source instanceof Request request) {
+				request.getComponents().getExecutor().execute(this);
+				return;
+			}
 			Content.Chunk chunk = this.source.read();
 			if (chunk == null) {
 				this.source.demand(this);
