Take the shares of callers from the heap that the process leaves

With a heap of 24 MB, of which the process itself takes 11 to 14 MB, the budgets for bodies and heads and the limit of connections were parts of the whole heap and together more than what was left: callers ended the process although each limit held.

The shares are parts of the maximum heap less 14 MB, at least of a quarter of it: a quarter for bodies (12.5 MB at 64 MB, 16 MB before), a sixteenth for heads and a quarter for connections of 16 KB each (800 at 64 MB).

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnectionFactory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnectionFactory.java
@@ -13,12 +13,9 @@
  */
 public final class BudgetedHttpConnectionFactory extends HttpConnectionFactory {
 
-	// Shared by the heads of all requests of one server.
-	private static final int HEADS_HEAP_DIVISOR = 16;
-
-	// The share of the heap for an open connection: its objects and its buffers, and a
-	// head within HeadAccount.UNRESERVED_BYTES.
-	private static final int HEAP_BYTES_PER_CONNECTION = 64 * 1_024;
+	// The objects and the buffers of an open connection, and a head within
+	// HeadAccount.UNRESERVED_BYTES.
+	private static final int BYTES_PER_CONNECTION = 16 * 1_024;
 
 	// Characters of names and values that a connection keeps of former requests.
 	private static final int HEADER_CACHE_CHARACTERS = 128;
@@ -31,8 +28,8 @@
 	 * @param configuration the configuration of the connections
 	 */
 	public BudgetedHttpConnectionFactory(String server, HttpConfiguration configuration) {
-		this(server, configuration, new BufferBudget(Runtime.getRuntime().maxMemory() / HEADS_HEAP_DIVISOR),
-				(int) Math.max(1, Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_CONNECTION));
+		this(server, configuration, new BufferBudget(HeapShare.HEADS.bytes()),
+				(int) Math.max(1, HeapShare.CONNECTIONS.bytes() / BYTES_PER_CONNECTION));
 	}
 
 	BudgetedHttpConnectionFactory(String server, HttpConfiguration configuration, BufferBudget headBudget,
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BufferBudget.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BufferBudget.java
@@ -11,10 +11,6 @@
  */
 public final class BufferBudget {
 
-	// While a body is copied, it exists twice; half of the heap is left to everything
-	// else.
-	private static final int HEAP_DIVISOR = 4;
-
 	private final long maximumBytes;
 
 	private final AtomicLong reservedBytes = new AtomicLong();
@@ -29,11 +25,12 @@
 	}
 
 	/**
-	 * Creates a budget in proportion to the maximum size of the heap.
+	 * Creates a budget in proportion to the heap that remains beside the process. While a
+	 * body is copied, it exists twice; half of that heap is left to everything else.
 	 * @return the budget
 	 */
 	public static BufferBudget ofHeap() {
-		return new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+		return new BufferBudget(HeapShare.BODIES.bytes());
 	}
 
 	/**
