Count trailers until the connection drops them

Callers still ended a process with trailers without end: the budget for heads was told that their memory is free when the response was written, but a connection keeps the trailers until the message ends, which may be much later or never.

The memory of a message is returned once both its response and the message are complete, or when the connection is closed.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -28,6 +28,8 @@
 
 	private volatile boolean inRequest;
 
+	private volatile boolean inMessage;
+
 	private volatile long lastRequestNanos = System.nanoTime();
 
 	BudgetedHttpConnection(HttpConfiguration configuration, Connector connector, EndPoint endPoint,
@@ -89,12 +91,23 @@
 		this.head.close();
 	}
 
-	private void onRequestCompleted() {
-		this.head.clear();
+	// The connection keeps the trailers until the message ends, which may be after its
+	// response.
+	private synchronized void onRequestCompleted() {
+		if (!this.inMessage) {
+			this.head.clear();
+		}
 		this.lastRequestNanos = System.nanoTime();
 		this.inRequest = false;
 	}
 
+	private synchronized void onMessageCompleted() {
+		this.inMessage = false;
+		if (!this.inRequest) {
+			this.head.clear();
+		}
+	}
+
 	/**
 	 * Counts what is read of a line before its end, which becomes a field only then.
 	 */
@@ -143,6 +156,7 @@
 
 		@Override
 		public boolean headerComplete() {
+			BudgetedHttpConnection.this.inMessage = true;
 			BudgetedHttpConnection.this.inRequest = true;
 			return super.headerComplete();
 		}
@@ -153,6 +167,13 @@
 			super.parsedTrailer(field);
 		}
 
+		@Override
+		public boolean messageComplete() {
+			boolean handle = super.messageComplete();
+			onMessageCompleted();
+			return handle;
+		}
+
 	}
 
 	/**
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
@@ -112,6 +112,19 @@
 			awaitEmptyBudget();
 		}
 
+		// Guards against memory that is counted as free while the connection keeps
+		// trailers after an early response.
+		@Test
+		void trailersAreCountedUntilTheMessageEnds() throws Exception {
+			try (Caller caller = connect()) {
+				caller.send("POST /early HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+						+ "t:\r\n".repeat(300));
+				assertThat(caller.readLine()).isEqualTo("HTTP/1.1 200 OK");
+				assertThat(BudgetedHttpConnectionTests.this.budget.reservedBytes()).isPositive();
+			}
+			awaitEmptyBudget();
+		}
+
 		@Test
 		void smallHeadIsServedWhileTheBudgetIsUsedUp() throws Exception {
 			BufferBudget.Reservation reservation = BudgetedHttpConnectionTests.this.budget.newReservation();
@@ -182,10 +195,23 @@
 
 		@Override
 		public boolean handle(Request request, Response response, Callback callback) {
+			if (request.getHttpURI().getPath().equals("/early")) {
+				respondEarly(request, callback);
+				return true;
+			}
 			Content.Source.consumeAll(request, callback);
 			return true;
 		}
 
+		// Once the trailers have begun, which follow the body.
+		private void respondEarly(Request request, Callback callback) {
+			Content.Chunk chunk = request.read();
+			if (chunk != null) {
+				chunk.release();
+			}
+			callback.succeeded();
+		}
+
 	}
 
 	private static final class Caller implements AutoCloseable {
