--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -163,8 +163,7 @@
 		}
 
 		// Not kept, because no handler reads trailers. A closed connection would hold
-		// them
-		// as long as a task of the server refers to it.
+		// them as long as a task of the server refers to it.
 		@Override
 		public void parsedTrailer(HttpField field) {
 			BudgetedHttpConnection.this.head.addField(field);
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
@@ -154,8 +154,7 @@
 		}
 
 		// Guards against slots that are never freed after the messages that end and close
-		// a
-		// request were lost: its gateway returns the grant that is sent again.
+		// a request were lost: its gateway returns the grant that is sent again.
 		@Test
 		void slotIsFreedOnceItsGatewayReturnsTheGrant() {
 			requestSlot();
@@ -176,8 +175,7 @@
 		}
 
 		// Guards against slots that are never freed: a gateway does not answer messages
-		// about
-		// a former run.
+		// about a former run.
 		@Test
 		void slotOfAGatewayThatWasStartedAgainIsFreed() {
 			requestSlot();
@@ -242,8 +240,7 @@
 		}
 
 		// Guards against a slot that is never freed: a repeated request that arrives
-		// after
-		// the request was closed is new, and its gateway returns the grant.
+		// after the request was closed is new, and its gateway returns the grant.
 		@Test
 		void slotOfARequestThatWasClosedBeforeItsRepetitionIsFreed() {
 			requestSlot();
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/UndecidedRequestTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/UndecidedRequestTests.java
@@ -47,8 +47,7 @@
 	class FailureOfTheRouter {
 
 		// The router carries out decisions on other requests while it is told the end of
-		// an
-		// attempt. When one of these failed, the caller of the whole response got no
+		// an attempt. When one of these failed, the caller of the whole response got no
 		// answer, not even at its deadline.
 		@Test
 		void callerIsAnswered() throws Exception {
@@ -84,10 +83,8 @@
 	class GrantThatCrossesTheEnd {
 
 		// A grant that was decided just before the request ended was returned to the
-		// local
-		// router, which does not know the request, and the exception closed the
-		// connection
-		// of the home.
+		// local router, which does not know the request, and the exception closed the
+		// connection of the home.
 		@Test
 		void endOfAnAttemptOfAnUnknownRequestIsIgnored() throws Exception {
 			startServer(RouteMode.ONCE, SHORT_TIMEOUT);
@@ -128,8 +125,7 @@
 	class EndDuringAdmission {
 
 		// A request that ended just before its router took it up was never closed there,
-		// and
-		// counted as an open request of its caller for ever.
+		// and counted as an open request of its caller for ever.
 		@Test
 		void requestIsClosedAfterItsAdmission() throws Exception {
 			LateRouter lateRouter = new LateRouter();
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -159,8 +159,7 @@
 		}
 
 		// Guards against refusals for a silent home while the retry waits at the home for
-		// a
-		// slot.
+		// a slot.
 		@Test
 		void retryThatIsQueuedAtTheHomeWaits() {
 			retryAt(2_000_000);
