--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -92,8 +92,7 @@
 		this.head.close();
 	}
 
-	// The connection keeps the trailers until the message ends, which may be after its
-	// response.
+	// Trailers are counted until the message ends, which may be after its response.
 	private synchronized void onRequestCompleted() {
 		if (!this.inMessage) {
 			this.head.clear();
