Drop the fields of a head that is refused or cut off

Cause: the library collects the fields of a head in a builder of the connection. It empties the builder when a head is complete or the next one begins, not when a head is refused. A refused connection held its fields for as long as a task of the server referred to it, while the budget counted them as free. After a whole head the builder keeps an array of as many places as that head had lines: up to 64 KB for each open connection, not counted anywhere.

Why it works: the connection collects the fields itself and gives them to the library when the head is complete; a refusal, the end of the input and the close drop them. A connection that had a head of more than 512 lines is closed after its response, and its array with it; callers inside the limits send far fewer.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -1,10 +1,13 @@
 package org.radishthread.daemon.http;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
@@ -17,15 +20,19 @@
 /**
  * HTTP/1.1 connection whose heads and trailers are limited by a {@link BufferBudget} that
  * all connections of a server share. A request that exceeds it is refused with status
- * 431, and the connection is closed. Trailers are read and dropped. Safe for use by
- * several threads.
+ * 431, and the connection is closed. Trailers are read and dropped. A head that is
+ * refused or cut off is dropped with its connection, also where tasks of the server still
+ * refer to that. Safe for use by several threads.
  */
 final class BudgetedHttpConnection extends HttpConnection {
 
+	// The library keeps an array of this size for later requests of the same connection.
+	private static final int MAXIMUM_FIELDS_OF_A_KEPT_CONNECTION = 512;
+
 	private final HeadAccount head;
 
 	// Set by the constructor of the superclass, so it has no initial value here.
-	private HttpParser.RequestHandler requestHandler;
+	private BudgetedRequestHandler requestHandler;
 
 	private volatile boolean inRequest;
 
@@ -76,9 +83,8 @@
 
 	@Override
 	protected RequestHandler newRequestHandler() {
-		RequestHandler handler = new BudgetedRequestHandler();
-		this.requestHandler = handler;
-		return handler;
+		this.requestHandler = new BudgetedRequestHandler();
+		return this.requestHandler;
 	}
 
 	@Override
@@ -89,6 +95,7 @@
 	@Override
 	public void onClose(Throwable cause) {
 		super.onClose(cause);
+		this.requestHandler.dropFields();
 		this.head.close();
 	}
 
@@ -144,21 +151,48 @@
 	}
 
 	/**
-	 * Counts the fields of a head and its trailers as they are parsed.
+	 * Counts the fields of a head and its trailers as they are parsed. Keeps those of a
+	 * head until it is complete, because the superclass does not drop them when a head is
+	 * refused or cut off.
 	 */
 	private final class BudgetedRequestHandler extends RequestHandler {
 
+		private volatile List<HttpField> fields = new ArrayList<>();
+
 		@Override
 		public void parsedHeader(HttpField field) {
 			BudgetedHttpConnection.this.head.addField(field);
-			super.parsedHeader(field);
+			this.fields.add(field);
 		}
 
 		@Override
 		public boolean headerComplete() {
 			BudgetedHttpConnection.this.inMessage = true;
 			BudgetedHttpConnection.this.inRequest = true;
-			return super.headerComplete();
+			List<HttpField> headFields = this.fields;
+			dropFields();
+			headFields.forEach(super::parsedHeader);
+			boolean handle = super.headerComplete();
+			if (headFields.size() > MAXIMUM_FIELDS_OF_A_KEPT_CONNECTION) {
+				getGenerator().setPersistent(false);
+			}
+			return handle;
+		}
+
+		@Override
+		public void badMessage(HttpException failure) {
+			dropFields();
+			super.badMessage(failure);
+		}
+
+		@Override
+		public void earlyEOF() {
+			dropFields();
+			super.earlyEOF();
+		}
+
+		private void dropFields() {
+			this.fields = new ArrayList<>();
 		}
 
 		// Not kept, because no handler reads trailers. A closed connection would hold
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
@@ -107,6 +107,19 @@
 			awaitEmptyBudget();
 		}
 
+		// Guards against open connections that each keep memory for as many fields as
+		// their
+		// largest head had.
+		@Test
+		void connectionIsClosedAfterTheResponseToAHeadOfManyLines() throws Exception {
+			try (Caller caller = connect()) {
+				caller.send(HEAD + "t:\r\n".repeat(550) + "Content-Length: 0\r\n\r\n");
+				assertThat(caller.readLine()).isEqualTo("HTTP/1.1 200 OK");
+				assertThat(caller.readToEnd()).contains("Connection: close");
+			}
+			awaitEmptyBudget();
+		}
+
 		@Test
 		void trailersAreRefusedBeyondTheBudget() throws Exception {
 			try (Caller caller = connect()) {
