Hold bodies in the memory that is counted for them

Cause: the budget counts the bytes of bodies, but the buffer of a response grew by doubling and stayed beside the copy that is delivered, and the buffer of a request without a stated length grew alike. A response of 16 KB took 32 KB, and 48 KB while its caller did not read it; 2.5 MB counted were up to 7 MB.

Why it works: BodyBuffer collects the pieces in blocks that exceed the bytes by less than 4 KB, and replaces them by the array that is delivered. BodyReader and ReceivedBody both use it.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReceivedBody.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReceivedBody.java
@@ -1,11 +1,13 @@
 package org.radishthread.daemon.gateway;
 
-import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 
+import org.radishthread.daemon.http.BodyBuffer;
+
 /**
  * The body of one response of an upstream, as far as it has arrived, and which of its
  * bytes belong to the response. A body that ends with its connection is followed by
@@ -18,7 +20,7 @@
 
 	private final @Nullable String requestId;
 
-	private final ByteArrayOutputStream bufferedBytes = new ByteArrayOutputStream();
+	private final BodyBuffer bufferedBytes = new BodyBuffer();
 
 	private volatile long receivedBytes;
 
@@ -54,7 +56,7 @@
 	}
 
 	void buffer(byte[] bytes) {
-		this.bufferedBytes.writeBytes(bytes);
+		this.bufferedBytes.append(ByteBuffer.wrap(bytes));
 	}
 
 	int bufferedSize() {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BodyReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BodyReader.java
@@ -1,6 +1,5 @@
 package org.radishthread.daemon.http;
 
-import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 
 import org.eclipse.jetty.io.Content;
@@ -24,11 +23,9 @@
 
 	private final long reservedBytes;
 
-	// Has the stated length of the body, if bytes were reserved for it, so that the body
-	// is not copied.
-	private byte[] buffer;
-
-	private int size;
+	// Expects the stated length of the body, if bytes were reserved for it, so that the
+	// body is not copied.
+	private final BodyBuffer buffer;
 
 	private final CompletableFuture<byte[]> result = new CompletableFuture<>();
 
@@ -38,7 +35,7 @@
 		this.maximumBytes = maximumBytes;
 		this.reservation = reservation;
 		this.reservedBytes = reservedBytes;
-		this.buffer = new byte[(int) Math.min(maximumBytes, reservedBytes)];
+		this.buffer = new BodyBuffer((int) Math.min(maximumBytes, reservedBytes));
 	}
 
 	/**
@@ -91,15 +88,14 @@
 			chunk.release();
 			if (chunk.isLast()) {
 				// Has no effect after a failure.
-				this.result
-					.complete((this.size == this.buffer.length) ? this.buffer : Arrays.copyOf(this.buffer, this.size));
+				this.result.complete(this.buffer.toByteArray());
 			}
 		}
 	}
 
 	private void append(Content.Chunk chunk) {
-		long newSize = this.size + (long) chunk.remaining();
-		long bytesToReserve = newSize - Math.max(this.size, this.reservedBytes);
+		long newSize = this.buffer.size() + (long) chunk.remaining();
+		long bytesToReserve = newSize - Math.max(this.buffer.size(), this.reservedBytes);
 		if (newSize > this.maximumBytes) {
 			this.result.completeExceptionally(new BodyTooLargeException(this.maximumBytes));
 		}
@@ -107,16 +103,7 @@
 			this.result.completeExceptionally(new BufferBudgetException());
 		}
 		else {
-			ensureCapacity((int) newSize);
-			chunk.getByteBuffer().get(this.buffer, this.size, chunk.remaining());
-			this.size = (int) newSize;
-		}
-	}
-
-	private void ensureCapacity(int requiredCapacity) {
-		if (requiredCapacity > this.buffer.length) {
-			long doubledCapacity = Math.min(this.maximumBytes, 2L * this.buffer.length);
-			this.buffer = Arrays.copyOf(this.buffer, (int) Math.max(requiredCapacity, doubledCapacity));
+			this.buffer.append(chunk.getByteBuffer());
 		}
 	}
 
