Keep nothing of a completed attempt in the connections to upstreams

Cause: each connection of the client for upstreams refers to its last request until it has the next one, and through its listener to the attempt. So each kept connection held the head and the body of its last request and the body of its last response, after the budget had counted them as free. A streamed response held its beginning, too, for as long as it was streamed.

Evidence: in a dump of the heap after a full collection during the crowd of HostileCallerTests[16], 84 bodies of 16 KB were held by nothing but that; a connection to an upstream may hold a head of 64 KB in the same way. requestOfACompletedAttemptIsNotKept failed before.

Why it works: the attempt drops the bodies and the head when it is completed, after its listener took what it needs; the client has ended the exchange by then.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -204,7 +204,9 @@
 		}
 		else if (tryStartStreaming(response)) {
 			this.streaming = true;
-			this.listener.onStreamedBytes(this.body.buffered(), demander);
+			byte[] beginning = this.body.buffered();
+			this.body.drop();
+			this.listener.onStreamedBytes(beginning, demander);
 		}
 		else {
 			abort(new GatewayException("The response exceeds the buffer limit and cannot be streamed to the caller."));
@@ -267,6 +269,27 @@
 	}
 
 	private void complete(Result result) {
+		try {
+			report(result);
+		}
+		finally {
+			release();
+		}
+	}
+
+	// Each open connection of the client refers to its last request until it has the next
+	// one.
+	private void release() {
+		this.body.drop();
+		this.request.body(null);
+		this.request.headers((headers) -> {
+			// Makes clear() replace the array, which would keep the fields.
+			headers.asImmutable();
+			headers.clear();
+		});
+	}
+
+	private void report(Result result) {
 		boolean succeeded = result.isSucceeded() && !this.connectionLost;
 		if (this.streaming) {
 			this.listener.onStreamCompleted(this, succeeded && !this.body.isRepeated());
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReceivedBody.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/ReceivedBody.java
@@ -20,7 +20,7 @@
 
 	private final @Nullable String requestId;
 
-	private final BodyBuffer bufferedBytes = new BodyBuffer();
+	private BodyBuffer bufferedBytes = new BodyBuffer();
 
 	private volatile long receivedBytes;
 
@@ -67,6 +67,13 @@
 		return this.bufferedBytes.toByteArray();
 	}
 
+	/**
+	 * Drops the buffered bytes, which are delivered or not needed any more.
+	 */
+	void drop() {
+		this.bufferedBytes = new BodyBuffer();
+	}
+
 	long receivedBytes() {
 		return this.receivedBytes;
 	}
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
@@ -68,6 +68,26 @@
 		assertThat(receivesNothing()).isTrue();
 	}
 
+	// Guards against connections that each keep the head and the body of their last
+	// request, of which no budget knows any more.
+	@Test
+	void requestOfACompletedAttemptIsNotKept() throws Exception {
+		serve("HTTP/1.1 200 OK\r\nRadishthread-Request: r-1\r\nContent-Length: 2\r\n\r\nab");
+		NetworkAddress address = new NetworkAddress("127.0.0.1", this.server.getLocalPort());
+		Request request = this.client.newRequest("127.0.0.1", address.port())
+			.method("POST")
+			.headers((headers) -> headers.add("X-A", "b"))
+			.body(new BytesRequestContent(new byte[] { 1, 2, 3 }));
+		RecordingListener listener = new RecordingListener();
+		new Attempt("i-1", address, request, new DefaultHttpDialect(), "r-1", 1_000, true, listener).send();
+		listener.result.get(5, TimeUnit.SECONDS);
+		for (int i = 0; i < 500 && request.getHeaders().size() > 0; i++) {
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+		assertThat(request.getHeaders()).isEmpty();
+		assertThat(request.getBody()).isNull();
+	}
+
 	private boolean receivesNothing() throws IOException {
 		this.server.setSoTimeout(QUIET_MILLIS);
 		try (Socket socket = this.server.accept()) {
