Count what a closed connection holds until its selector forgets it

What callers saw: a crowd with lines without end filled most of a heap of 24 MB.

Cause: the selector refers to a closed connection until it has handled all other connections that are ready, and the parser of that connection to the line that it has begun (up to twice 64 KB); a connection of a caller refers to what it has read ahead, too. The budgets had these bytes back at the response 431, or at the close, so each connection of one pass could use them again.

Evidence: in a dump of the heap after a full collection, 104 begun lines of 73 KB took 7.6 MB of 18 MB; 82 were held by keys of the current pass, 21 by cancelled keys.

Why it works: the bytes of the last message of a connection stay reserved until its close, and are returned by an update of the selector, which runs when the pass is over. What was read ahead is dropped at the close. The test of a refused head now also waits for the budget while its caller is still connected.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
@@ -45,8 +45,13 @@
 		this.reservation = reservation;
 	}
 
+	// The selector refers to a closed connection until it has handled all others that are
+	// ready, so the buffer is dropped with its reservation.
 	@Override
 	public void onClose(Throwable cause) {
+		synchronized (this) {
+			this.readAhead = BufferUtil.EMPTY_BUFFER;
+		}
 		this.reservation.release();
 		super.onClose(cause);
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -13,8 +13,10 @@
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.internal.HttpConnection;
 
 /**
@@ -96,12 +98,26 @@
 	public void onClose(Throwable cause) {
 		super.onClose(cause);
 		this.requestHandler.dropFields();
-		this.head.close();
+		if (this.head.reservedBytes() > 0) {
+			afterSelection(this.head::close);
+		}
+		else {
+			this.head.close();
+		}
+	}
+
+	// A selector refers to a closed connection, and thereby to the line that its parser
+	// has begun, until it has handled all other connections that are ready.
+	private void afterSelection(Runnable task) {
+		((ServerConnector) getConnector()).getSelectorManager()
+			.getBeans(ManagedSelector.class)
+			.forEach((selector) -> selector.submit((ignored) -> task.run()));
 	}
 
-	// Trailers are counted until the message ends, which may be after its response.
+	// Trailers are counted until the message ends, which may be after its response. What
+	// belongs to the last message of a connection is counted until its close.
 	private synchronized void onRequestCompleted() {
-		if (!this.inMessage) {
+		if (!this.inMessage && getGenerator().isPersistent()) {
 			this.head.clear();
 		}
 		this.lastRequestNanos = System.nanoTime();
@@ -110,7 +126,7 @@
 
 	private synchronized void onMessageCompleted() {
 		this.inMessage = false;
-		if (!this.inRequest) {
+		if (!this.inRequest && getGenerator().isPersistent()) {
 			this.head.clear();
 		}
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HeadAccount.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HeadAccount.java
@@ -65,6 +65,14 @@
 		this.reservedBytes += missingBytes;
 	}
 
+	/**
+	 * Returns the memory that is reserved from the budget.
+	 * @return the number of bytes
+	 */
+	synchronized long reservedBytes() {
+		return this.reservedBytes;
+	}
+
 	/**
 	 * Returns the memory of the current request, which is complete, to the budget.
 	 */
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
@@ -81,8 +81,8 @@
 				caller.send(HEAD + "t:\r\n".repeat(1_000));
 				assertThat(caller.readLine()).startsWith("HTTP/1.1 431 ");
 				assertThat(caller.readToEnd()).doesNotContain("HTTP/1.1");
+				awaitEmptyBudget();
 			}
-			awaitEmptyBudget();
 		}
 
 		@Test
