Close a connection after a head with a long text

What callers saw: nothing yet; found by reading and a trial. With 60 KB in the path of one request and in a field of another, each answered 404, 660 idle connections ended a process with a heap of 64 MB (exit code 3).

Cause: the parser of a connection keeps its text buffers at the size of the longest text, up to 72 KB, while the budget has the bytes back with the response. This is the same class as the array of fields: memory of an open connection that only its largest head determines.

Evidence: connectionIsClosedAfterTheResponseToAHeadWithALongText, red for a path, a value and a name of 5,000 characters before.

Why it works: LargeHead tells such heads, by a text of more than 4,096 characters or more than 512 lines. They are served, and the connection is closed with the response; ordinary heads keep theirs.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BudgetedHttpConnection.java
@@ -28,9 +28,6 @@
  */
 final class BudgetedHttpConnection extends HttpConnection {
 
-	// The library keeps an array of this size for later requests of the same connection.
-	private static final int MAXIMUM_FIELDS_OF_A_KEPT_CONNECTION = 512;
-
 	private final HeadAccount head;
 
 	// Set by the constructor of the superclass, so it has no initial value here.
@@ -175,6 +172,14 @@
 
 		private volatile List<HttpField> fields = new ArrayList<>();
 
+		private String pathAndQuery = "";
+
+		@Override
+		public void startRequest(String method, String uri, HttpVersion version) {
+			this.pathAndQuery = uri;
+			super.startRequest(method, uri, version);
+		}
+
 		@Override
 		public void parsedHeader(HttpField field) {
 			BudgetedHttpConnection.this.head.addField(field);
@@ -189,9 +194,10 @@
 			dropFields();
 			headFields.forEach(super::parsedHeader);
 			boolean handle = super.headerComplete();
-			if (headFields.size() > MAXIMUM_FIELDS_OF_A_KEPT_CONNECTION) {
+			if (LargeHead.isLarge(this.pathAndQuery, headFields)) {
 				getGenerator().setPersistent(false);
 			}
+			this.pathAndQuery = "";
 			return handle;
 		}
 
@@ -216,6 +222,9 @@
 		@Override
 		public void parsedTrailer(HttpField field) {
 			BudgetedHttpConnection.this.head.addField(field);
+			if (LargeHead.isLong(field)) {
+				getGenerator().setPersistent(false);
+			}
 		}
 
 		@Override
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -120,6 +122,23 @@
 			awaitEmptyBudget();
 		}
 
+		// Guards against open connections that each keep buffers of the size of the
+		// longest
+		// text that they had.
+		@ParameterizedTest
+		@ValueSource(strings = { "POST /%s HTTP/1.1\r\nHost: a\r\n", "POST / HTTP/1.1\r\nHost: a\r\nt: %s\r\n",
+				"POST / HTTP/1.1\r\nHost: a\r\n%s: t\r\n" })
+		void connectionIsClosedAfterTheResponseToAHeadWithALongText(String head) throws Exception {
+			try (Caller caller = connect()) {
+				caller.send(head.formatted("x".repeat(4_000)) + "Content-Length: 0\r\n\r\n");
+				assertThat(caller.readLine()).isEqualTo("HTTP/1.1 200 OK");
+				caller.readHead();
+				caller.send(head.formatted("x".repeat(5_000)) + "Content-Length: 0\r\n\r\n");
+				assertThat(caller.readLine()).isEqualTo("HTTP/1.1 200 OK");
+				assertThat(caller.readToEnd()).contains("Connection: close");
+			}
+		}
+
 		@Test
 		void trailersAreRefusedBeyondTheBudget() throws Exception {
 			try (Caller caller = connect()) {
