Keep no cache of header lines for connections to upstreams

Cause: as for the connections of callers, each connection to an upstream keeps a cache of header lines, here with the default of 1,024 characters, whose index takes 96 bytes for each of them.

Why it works: with a size of zero there is no index.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/UpstreamClients.java
@@ -44,6 +44,9 @@
 	// As for the requests of callers. Also limits trailers.
 	private static final int MAXIMUM_RESPONSE_HEADER_BYTES = 64 * 1_024;
 
+	// The index of this cache takes 96 bytes for each character, for each connection.
+	private static final int HEADER_CACHE_CHARACTERS = 0;
+
 	private static final int MAXIMUM_THREADS = 16;
 
 	private final RelayHandshake relayHandshake;
@@ -74,7 +77,9 @@
 	private static HttpClientTransportOverHTTP transport(UpstreamConnectionListener listener) {
 		UpstreamConnector connector = new UpstreamConnector(listener);
 		connector.setSelectors(1);
-		return new HttpClientTransportOverHTTP(connector);
+		HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+		transport.setHeaderCacheSize(HEADER_CACHE_CHARACTERS);
+		return transport;
 	}
 
 	private static void configure(HttpClient client, String name, int maximumUsesPerConnection) {
