Send large heads on connections that are not kept

The copied fields refer to the parser of the caller's connection, which may be closed, with all buffers of both.

Why it works: a head that is larger than usual goes on a connection of its own, which is closed with the response, and copied fields are plain ones, so that other heads hold no more than their own text.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -17,6 +17,7 @@
 import org.radishthread.daemon.gateway.ExchangeState.AttemptEnd;
 import org.radishthread.daemon.http.BufferBudget;
 import org.radishthread.daemon.http.BufferBudgetException;
+import org.radishthread.daemon.http.LargeHead;
 import org.radishthread.kernel.CompletionFailures;
 import org.radishthread.kernel.NetworkAddress;
 import org.radishthread.routing.AttemptFailure;
@@ -405,6 +406,10 @@
 		return true;
 	}
 
+	protected final boolean hasLargeHead() {
+		return LargeHead.isLarge(receivedPathAndQuery(), this.request.getHeaders());
+	}
+
 	// A fragment has no place in a request, but what is sent is what was received.
 	private String receivedPathAndQuery() {
 		HttpURI uri = this.request.getHttpURI();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/EndToEndHeaders.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/EndToEndHeaders.java
@@ -42,9 +42,15 @@
 			String name = field.getLowerCaseName();
 			if (!HOP_BY_HOP_HEADERS.contains(name) && !name.equals(CONTENT_LENGTH) && !isExcluded.test(name)
 					&& !connectionOptions.contains(name)) {
-				target.add(field);
+				target.add(copy(field));
 			}
 		}
 	}
 
+	// A field from a parser refers to that parser, and thereby to a connection that may
+	// be closed.
+	private static HttpField copy(HttpField field) {
+		return new HttpField(field.getHeader(), field.getName(), field.getValue());
+	}
+
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -209,7 +209,9 @@
 			}
 			return;
 		}
-		boolean useNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST;
+		// A kept connection to an upstream refers to the head of its last request.
+		boolean useNewConnection = !route().mode().mayRepeat() || dispatch.kind() != AttemptKind.FIRST
+				|| hasLargeHead();
 		NetworkAddress address = NetworkAddress.parse(dispatch.upstream().address());
 		if (!sendAttempt(dispatch.upstream().name(), address, dispatch.kind().wireName(), useNewConnection, keyDecision,
 				dispatch.relay())) {
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/EndToEndHeadersTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/EndToEndHeadersTests.java
@@ -1,5 +1,6 @@
 package org.radishthread.daemon.gateway;
 
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 
@@ -27,9 +28,28 @@
 		assertThat(copy(false).getFieldNamesCollection()).containsExactly("Accept");
 	}
 
+	// Guards against a kept connection to an upstream that holds, by a field of its last
+	// request, the parser and the buffers of a closed connection of a caller.
+	@Test
+	void copiedFieldsDoNotReferToTheParserOfTheirConnection() {
+		HttpFields source = HttpFields.build().add(new ParsedField("Accept", "text/plain"));
+		HttpFields.Mutable target = HttpFields.build();
+		EndToEndHeaders.copyRequestHeaders(new DefaultHttpDialect(), true, source, target);
+		assertThat(target).singleElement().isExactlyInstanceOf(HttpField.class);
+		assertThat(target.get("Accept")).isEqualTo("text/plain");
+	}
+
 	@Test
 	void rulesWithoutWorkspacesForwardTheSameHeadersAsBefore() {
 		assertThat(copy(true)).hasSize(4);
 	}
 
+	private static final class ParsedField extends HttpField {
+
+		private ParsedField(String name, String value) {
+			super(name, value);
+		}
+
+	}
+
 }
