Cut long values in log lines

What callers saw: nothing yet; found by a review of memory that callers can make the process hold.

Cause: each line of a request names its id, which a caller may choose with up to 64 KB, and up to 65,536 lines wait to be written.

Evidence: in a trial on a heap of 64 MB, 500 lines a second of 60 KB, read at 10 MB a second, ended the process after 5 s (exit code 3); 2,000 lines a second of 200 bytes did not.

Why it works: a value has at most 1,024 characters. The number of lines that wait is as before.

--- a/radishthread-kernel/src/main/java/org/radishthread/kernel/EventLog.java
+++ b/radishthread-kernel/src/main/java/org/radishthread/kernel/EventLog.java
@@ -53,6 +53,11 @@
 	 */
 	public static final class Event {
 
+		// Values may come from callers, and many lines may wait to be written.
+		private static final int MAXIMUM_VALUE_CHARACTERS = 1_024;
+
+		private static final String CUT = "...";
+
 		private final Logger logger;
 
 		private final Level level;
@@ -71,14 +76,15 @@
 		/**
 		 * Adds a {@code key=value} pair. Values that are empty or contain spaces, control
 		 * characters, quotes or equals signs are quoted; backslashes, quotes and line
-		 * breaks in them are escaped.
+		 * breaks in them are escaped. A value of more than 1,024 characters is cut and
+		 * ends with three dots.
 		 * @param key the key
 		 * @param value the value, or {@code null}
 		 * @return this event
 		 */
 		public Event with(String key, @Nullable Object value) {
 			if (this.line != null) {
-				this.line.append(' ').append(key).append('=').append(quoteIfNeeded(String.valueOf(value)));
+				this.line.append(' ').append(key).append('=').append(quoteIfNeeded(cut(String.valueOf(value))));
 			}
 			return this;
 		}
@@ -92,6 +98,11 @@
 			}
 		}
 
+		static String cut(String value) {
+			return (value.length() > MAXIMUM_VALUE_CHARACTERS) ? value.substring(0, MAXIMUM_VALUE_CHARACTERS) + CUT
+					: value;
+		}
+
 		private static String quoteIfNeeded(String value) {
 			if (!value.isEmpty() && value.chars().noneMatch(Event::requiresQuotes)) {
 				return value;
