Notice that callers have left while the budget has no room for what they sent ahead

Cause: a close follows the bytes that were sent before it, so it is noticed only after these are read. Once the budget for bodies had no room, no more was read.

Evidence: closeIsNoticedWhenTheBudgetHasNoRoomForRequestsSentAhead and droppedRequestsAreNotRunAndTheirConnectionIsClosed failed before.

Why it works: a connection that gets no room for what is sent ahead drops it, reads on only to see the close, and is closed with the response in progress. The dropped requests have not run; their caller may send them again. Below the budget nothing changes.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/CallerEndPoint.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -18,6 +19,8 @@
  * Connection of a caller that can be checked for a close by the caller while a request is
  * in progress. Jetty does not read from an HTTP/1.1 connection during that time and would
  * not notice the close. Bytes read by the check are returned by the next {@link #fill}.
+ * If the budget has no room for them, the requests that the caller sent ahead are
+ * dropped, and the connection is closed with the response in progress.
  */
 final class CallerEndPoint extends SocketChannelEndPoint {
 
@@ -27,6 +30,11 @@
 	// with the caller; its close is then noticed when the request is completed.
 	private static final int MAXIMUM_READ_AHEAD_BYTES = 64 * 1_024;
 
+	private static final int DISCARD_BUFFER_BYTES = 8 * 1_024;
+
+	// In one check, so that a caller that goes on sending does not occupy the thread.
+	private static final int MAXIMUM_DISCARDING_READS = 8;
+
 	// Linger time, in seconds.
 	private static final int RESET_ON_CLOSE = 0;
 
@@ -39,6 +47,8 @@
 
 	private boolean closedByCaller;
 
+	private boolean discarding;
+
 	CallerEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler,
 			BufferBudget.Reservation reservation) {
 		super(channel, selector, key, scheduler);
@@ -81,29 +91,70 @@
 			return true;
 		}
 		// A close follows the bytes of the requests that the caller sent before it.
-		if (getFillInterest().isInterested() || !hasSpace()) {
+		if (getFillInterest().isInterested()) {
+			return false;
+		}
+		if (!this.discarding && isReadAheadFull() && !extendReadAhead()) {
 			return false;
 		}
-		int position = BufferUtil.flipToFill(this.readAhead);
 		try {
-			this.closedByCaller = getChannel().read(this.readAhead) < 0;
+			this.closedByCaller = this.discarding ? discard() : readAhead();
 		}
 		catch (IOException ex) {
 			this.closedByCaller = true;
 		}
-		finally {
-			BufferUtil.flipToFlush(this.readAhead, position);
-		}
 		return this.closedByCaller;
 	}
 
-	private boolean hasSpace() {
+	private boolean isReadAheadFull() {
+		return this.readAhead.remaining() == this.readAhead.capacity();
+	}
+
+	// Returns false if more bytes have to stay with the caller.
+	private boolean extendReadAhead() {
 		int capacity = this.readAhead.capacity();
 		int newCapacity = Math.min(MAXIMUM_READ_AHEAD_BYTES, 2 * capacity);
-		if (this.readAhead.remaining() == capacity && this.reservation.tryReserve(newCapacity - capacity)) {
+		if (newCapacity == capacity) {
+			return false;
+		}
+		if (this.reservation.tryReserve(newCapacity - capacity)) {
 			this.readAhead = BufferUtil.ensureCapacity(this.readAhead, newCapacity);
 		}
-		return this.readAhead.remaining() < this.readAhead.capacity();
+		else {
+			startDiscarding();
+		}
+		return true;
+	}
+
+	// Callers that have left would otherwise occupy upstreams while the budget is used
+	// up.
+	private void startDiscarding() {
+		this.discarding = true;
+		this.readAhead = BufferUtil.EMPTY_BUFFER;
+		this.reservation.release();
+		if (getConnection() instanceof HttpConnection connection) {
+			connection.getGenerator().setPersistent(false);
+		}
+	}
+
+	private boolean readAhead() throws IOException {
+		int position = BufferUtil.flipToFill(this.readAhead);
+		try {
+			return getChannel().read(this.readAhead) < 0;
+		}
+		finally {
+			BufferUtil.flipToFlush(this.readAhead, position);
+		}
+	}
+
+	private boolean discard() throws IOException {
+		ByteBuffer discarded = ByteBuffer.allocate(DISCARD_BUFFER_BYTES);
+		int readBytes = 1;
+		for (int i = 0; i < MAXIMUM_DISCARDING_READS && readBytes > 0; i++) {
+			discarded.clear();
+			readBytes = getChannel().read(discarded);
+		}
+		return readBytes < 0;
 	}
 
 	@Override
@@ -111,7 +162,7 @@
 		if (this.readAhead.hasRemaining()) {
 			return BufferUtil.append(buffer, this.readAhead);
 		}
-		if (this.closedByCaller) {
+		if (this.closedByCaller || this.discarding) {
 			return -1;
 		}
 		return super.fill(buffer);
@@ -121,7 +172,7 @@
 	protected void needsFillInterest() {
 		boolean inputAvailable;
 		synchronized (this) {
-			inputAvailable = this.readAhead.hasRemaining() || this.closedByCaller;
+			inputAvailable = this.readAhead.hasRemaining() || this.closedByCaller || this.discarding;
 		}
 		if (!inputAvailable) {
 			super.needsFillInterest();
