Keep tokens handed over to a new lender

What callers saw: a workspace that asked for less than its allotment was refused requests with 429 some seconds after its lender had left in order (AllotmentProperties.workspaceWithinItsAllotmentIsNotRefusedWhileItsLenderIsReplaced: one refusal at 0.68 of the allotment).

Cause: a lender forgets a ledger of which nothing is lent and no tokens are missing, as if one that it creates later would be the same. For an instance that became the lender lately it is not: a new ledger starts with a tenth of the tolerance and gets the rate only 2.5 s after the change, as the loans of the former lender are not known. So a full bucket that had just been handed over was dropped by the next tick while no request came, and the first requests after it met a lender nearly without tokens.

Evidence: in the trace of that try the new lender had 17.2 tokens (all) at 11.0 s, no ledger at 11.1 s, and 2.7 tokens at 13.6 s, where an exact counter of its size had 16.3; the refusal came at 15.7 s.

Why it works: a ledger is forgotten only if a new one would be full at once.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/allotment/AllotmentLedger.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/allotment/AllotmentLedger.java
@@ -307,7 +307,7 @@
 		return this.tokens >= size();
 	}
 
-	// Whether a ledger that is created later would be the same.
+	// Whether nothing is lent, and no tokens are missing.
 	boolean isUntouched(long nowNanos) {
 		refill(nowNanos);
 		return this.borrowers.isEmpty() && isFull();
--- a/radishthread-routing/src/main/java/org/radishthread/routing/allotment/AllotmentLender.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/allotment/AllotmentLender.java
@@ -167,15 +167,24 @@
 	private AllotmentLedger ledger(String workspace, AllotmentTerms terms, long nowNanos) {
 		AllotmentLedger ledger = this.ledgers.get(workspace);
 		if (ledger == null) {
-			long sinceNanos = isLender(workspace)
-					? this.directory.lenderSinceNanos(workspace, this.address).orElse(nowNanos) : nowNanos;
-			ledger = new AllotmentLedger(this.limits, terms, sinceNanos, nowNanos);
+			ledger = newLedger(workspace, terms, nowNanos);
 			this.ledgers.put(workspace, ledger);
 		}
 		ledger.updateTerms(terms, nowNanos);
 		return ledger;
 	}
 
+	private AllotmentLedger newLedger(String workspace, AllotmentTerms terms, long nowNanos) {
+		long sinceNanos = isLender(workspace)
+				? this.directory.lenderSinceNanos(workspace, this.address).orElse(nowNanos) : nowNanos;
+		return new AllotmentLedger(this.limits, terms, sinceNanos, nowNanos);
+	}
+
+	// Soon after a change of the lender a new ledger would lack the tokens handed over.
+	private boolean isReplaceable(String workspace, AllotmentLedger ledger, long nowNanos) {
+		return ledger.isUntouched(nowNanos) && newLedger(workspace, ledger.terms(), nowNanos).isFull();
+	}
+
 	private void takeBack(String sender, AllotmentMessage message, long nowNanos) {
 		AllotmentLedger ledger = this.ledgers.get(message.getWorkspace());
 		double tokens = message.getReturn().getTokens();
@@ -219,7 +228,7 @@
 			String workspace = entry.getKey();
 			if (isLender(workspace)) {
 				this.takenOverNanos.remove(workspace);
-				return entry.getValue().isUntouched(nowNanos);
+				return isReplaceable(workspace, entry.getValue(), nowNanos);
 			}
 			if (this.takenOverNanos.containsKey(workspace)) {
 				return false;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/allotment/AllotmentProperties.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/allotment/AllotmentProperties.java
@@ -129,6 +129,13 @@
 		checkWithinAllotment(11.87, 0.95, 48, 11, false, 27238);
 	}
 
+	// Guards against a new lender that forgot the tokens handed over to it and started
+	// again nearly without any.
+	@Example
+	void tokensHandedOverAreKeptUntilTheyAreNeeded() {
+		checkWithinAllotment(0.82, 0.68, 26, 3, true, -12759);
+	}
+
 	private static void checkWithinAllotment(double requestsPerSecond, double demandShare, int gatewayCount,
 			int maximumDelayMillis, boolean lenderLeaves, long seed) {
 		AllotmentSimulation simulation = new AllotmentSimulation(gatewayCount, AllotmentLimits.DEFAULTS,
