--- a/radishthread-routing/src/test/java/org/radishthread/routing/allotment/AllotmentProperties.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/allotment/AllotmentProperties.java
@@ -121,9 +121,8 @@
 		checkWithinAllotment(requestsPerSecond, demandShare, gatewayCount, maximumDelayMillis, true, seed);
 	}
 
-	// Guards against tokens that were lost with each return of a loan after its borrower
-	// had
-	// fallen idle.
+	// Guards against tokens that were lost with each return of a loan of an idle
+	// borrower.
 	@Example
 	void workspaceNearItsAllotmentIsNotRefusedWhileBorrowersFallIdle() {
 		checkWithinAllotment(11.87, 0.95, 48, 11, false, 27238);
