--- a/radishthread-kernel/src/test/java/org/radishthread/kernel/EventLogTests.java
+++ b/radishthread-kernel/src/test/java/org/radishthread/kernel/EventLogTests.java
@@ -9,9 +9,7 @@
  */
 class EventLogTests {
 
-	// Guards against callers that fill the memory by long values in the lines that wait
-	// to
-	// be written.
+	// Guards against callers that fill the memory by values in lines that wait.
 	@Test
 	void longValuesAreCut() {
 		assertThat(EventLog.Event.cut("x".repeat(60_000))).isEqualTo("x".repeat(1_024) + "...");
