Find a queued request in the queue of its caller

Cause: whether a request waits was asked by building the list of all queued requests in their order, on each retry, and its removal did the same by itself.

Change: both use one search, which looks only at the queues of the caller or workspace of the request.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/CallerQueues.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import org.jspecify.annotations.Nullable;
@@ -100,7 +102,17 @@
 	}
 
 	boolean contains(RoutingRequest request) {
-		return inServiceOrder().stream().anyMatch((queued) -> queued.request().id() == request.id());
+		return find(request).isPresent();
+	}
+
+	private Optional<QueuedRequest> find(RoutingRequest request) {
+		return this.ranks.values()
+			.stream()
+			.map((rank) -> rank.get(request.queueName()))
+			.filter(Objects::nonNull)
+			.flatMap(Deque::stream)
+			.filter((queued) -> queued.request().id() == request.id())
+			.findFirst();
 	}
 
 	// The number of queued requests that will be served before this one. For a request
@@ -156,10 +168,7 @@
 	}
 
 	void remove(RoutingRequest request) {
-		inServiceOrder().stream()
-			.filter((queued) -> queued.request().id() == request.id())
-			.findFirst()
-			.ifPresent(this::remove);
+		find(request).ifPresent(this::remove);
 	}
 
 	/**
