Take the reserved bytes of a head from its reservation

Cause: the account of a head counted again what its reservation counts.

Change: the reservation tells its bytes, and the account asks it.

Result: all tests of the daemon module pass.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BufferBudget.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/BufferBudget.java
@@ -83,6 +83,14 @@
 			return true;
 		}
 
+		/**
+		 * Returns the bytes that are held.
+		 * @return the number of bytes, zero after {@link #release()}
+		 */
+		synchronized long bytes() {
+			return this.bytes;
+		}
+
 		/**
 		 * Returns all bytes to the budget. A further call has no effect.
 		 */
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HeadAccount.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/http/HeadAccount.java
@@ -26,8 +26,6 @@
 
 	private long usedBytes;
 
-	private long reservedBytes;
-
 	HeadAccount(BufferBudget budget) {
 		this.budget = budget;
 		this.reservation = budget.newReservation();
@@ -53,16 +51,12 @@
 	 */
 	synchronized void addBytes(long bytes) {
 		this.usedBytes += bytes;
-		long missingBytes = this.usedBytes - UNRESERVED_BYTES - this.reservedBytes;
-		if (missingBytes <= 0) {
-			return;
-		}
-		if (!this.reservation.tryReserve(missingBytes)) {
+		long missingBytes = this.usedBytes - UNRESERVED_BYTES - this.reservation.bytes();
+		if (missingBytes > 0 && !this.reservation.tryReserve(missingBytes)) {
 			throw new BadMessageException(HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431,
 					"Heads of requests use up the memory that this instance has for them; this one needs "
 							+ this.usedBytes + " bytes.");
 		}
-		this.reservedBytes += missingBytes;
 	}
 
 	/**
@@ -70,7 +64,7 @@
 	 * @return the number of bytes
 	 */
 	synchronized long reservedBytes() {
-		return this.reservedBytes;
+		return this.reservation.bytes();
 	}
 
 	/**
@@ -78,8 +72,7 @@
 	 */
 	synchronized void clear() {
 		this.usedBytes = 0;
-		if (this.reservedBytes > 0) {
-			this.reservedBytes = 0;
+		if (this.reservation.bytes() > 0) {
 			this.reservation.release();
 			this.reservation = this.budget.newReservation();
 		}
@@ -90,7 +83,6 @@
 	 */
 	synchronized void close() {
 		this.usedBytes = 0;
-		this.reservedBytes = 0;
 		this.reservation.release();
 	}
 
