Ask once whether a request ended before it is routed

Cause: the start of a request and its routing both asked whether it is completed, one right after the other where no body is buffered.

Change: the question is asked at the start, and again only after a body was buffered, where the answer may have changed.

Result: all tests of the daemon module pass.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/AbstractExchange.java
@@ -323,9 +323,10 @@
 		this.body.buffer().whenComplete((bytes, failure) -> {
 			if (failure != null) {
 				completeWithProblem(bodyProblem(failure));
-				return;
 			}
-			onRequestReady();
+			else if (!isCompleted()) {
+				onRequestReady();
+			}
 		});
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -63,9 +63,6 @@
 
 	@Override
 	protected void onRequestReady() {
-		if (isCompleted()) {
-			return;
-		}
 		String key = request().getHeaders().get(RadishthreadHeader.IDEMPOTENCY_KEY);
 		if (route().mode().mayRepeat() || key == null) {
 			admit();
