Share the listener of attempts and the silent home in tests

Cause: three listeners of attempts repeated the same methods, and two tests the address of a home that does not answer.

Change: two of the listeners extend the recording one and override what differs; the address is a constant of GatewayServices. The assertions are unchanged.

--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptStatementTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptStatementTests.java
@@ -11,7 +11,6 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -124,9 +123,7 @@
 			.isNotEqualTo(received.get(10, TimeUnit.SECONDS));
 	}
 
-	private static final class ThrowingListener implements AttemptListener {
-
-		private final AttemptListener delegate = new AttemptTests.RecordingListener();
+	private static final class ThrowingListener extends AttemptTests.RecordingListener {
 
 		private final CompletableFuture<AttemptFailure> failure;
 
@@ -144,41 +141,6 @@
 			this.failure.complete(attemptFailure);
 		}
 
-		@Override
-		public void onCompleteResponse(Attempt attempt, Response response, byte[] body) {
-			this.delegate.onCompleteResponse(attempt, response, body);
-		}
-
-		@Override
-		public void onNotRun(Attempt attempt, Response response, byte[] body) {
-			this.delegate.onNotRun(attempt, response, body);
-		}
-
-		@Override
-		public boolean tryReserveBuffer(int bytes) {
-			return true;
-		}
-
-		@Override
-		public boolean tryStartStreaming(Attempt attempt, Response response) {
-			return false;
-		}
-
-		@Override
-		public CompletableFuture<Boolean> isUpstreamLost(Attempt attempt) {
-			return CompletableFuture.completedFuture(false);
-		}
-
-		@Override
-		public void onStreamedBytes(byte[] bytes, Runnable demander) {
-			demander.run();
-		}
-
-		@Override
-		public void onStreamCompleted(Attempt attempt, boolean complete) {
-			this.delegate.onStreamCompleted(attempt, complete);
-		}
-
 	}
 
 }
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/AttemptTests.java
@@ -223,7 +223,7 @@
 
 	}
 
-	static final class RecordingListener implements AttemptListener {
+	static class RecordingListener implements AttemptListener {
 
 		final CompletableFuture<String> result = new CompletableFuture<>();
 
@@ -274,7 +274,7 @@
 
 	}
 
-	private static final class RefusingListener implements AttemptListener {
+	private static final class RefusingListener extends RecordingListener {
 
 		private final CompletableFuture<AttemptFailure> failure = new CompletableFuture<>();
 
@@ -298,21 +298,6 @@
 			this.failure.completeExceptionally(new AssertionError("A response arrived."));
 		}
 
-		@Override
-		public boolean tryReserveBuffer(int bytes) {
-			return true;
-		}
-
-		@Override
-		public boolean tryStartStreaming(Attempt attempt, Response response) {
-			return false;
-		}
-
-		@Override
-		public CompletableFuture<Boolean> isUpstreamLost(Attempt attempt) {
-			return CompletableFuture.completedFuture(false);
-		}
-
 		@Override
 		public void onStreamedBytes(byte[] bytes, Runnable demander) {
 			this.failure.completeExceptionally(new AssertionError("A response arrived."));
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/FailedDecisionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/FailedDecisionTests.java
@@ -21,9 +21,6 @@
  */
 class FailedDecisionTests {
 
-	// Nothing listens there, so the home is silent.
-	private static final String HOME = "127.0.0.1:1";
-
 	@TempDir
 	private Path directory;
 
@@ -62,7 +59,7 @@
 		for (long number = 1; number <= 30; number++) {
 			boolean fails = number % 3 == 0;
 			this.services.slots()
-				.admit(this.services.newRequest(number, false), GatewayServices.SERVICE, HOME,
+				.admit(this.services.newRequest(number, false), GatewayServices.SERVICE, GatewayServices.SILENT_HOME,
 						fails ? failing() : recording(number));
 		}
 		Set<Long> decided = new HashSet<>();
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/GatewayServices.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/GatewayServices.java
@@ -31,6 +31,9 @@
 
 	static final String SERVICE = "rotaboard";
 
+	// Nothing listens there.
+	static final String SILENT_HOME = "127.0.0.1:1";
+
 	private final TimeSource time = new SystemTimeSource();
 
 	private final PeerTransport transport;
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/LateCompletionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/LateCompletionTests.java
@@ -23,9 +23,6 @@
 
 	private static final String UPSTREAM = "upstream-1";
 
-	// Nothing listens there, so the home is silent.
-	private static final String HOME = "127.0.0.1:1";
-
 	@TempDir
 	private Path directory;
 
@@ -48,7 +45,9 @@
 	@Test
 	void completionOfARequestThatIsClosedAtItsHomeDoesNothing() {
 		HomeRequestRouter router = new HomeRequestRouter(GatewayServices.SERVICE, this.services.slots());
-		this.services.slots().admit(this.services.newRequest(1, false), GatewayServices.SERVICE, HOME, recording());
+		this.services.slots()
+			.admit(this.services.newRequest(1, false), GatewayServices.SERVICE, GatewayServices.SILENT_HOME,
+					recording());
 		router.close(1);
 		assertThatCode(() -> router.completeAttempt(1, UPSTREAM, AttemptResult.CANCELLED, null))
 			.doesNotThrowAnyException();
