--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/StartupBacklog.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/StartupBacklog.java
@@ -15,8 +15,7 @@
 final class StartupBacklog<T> {
 
 	// A caller comes back within a third of the time that is left, and may have to be
-	// held
-	// once more. The timeout of the route, which is not known yet, also counts.
+	// held once more. The timeout of the route, which is not known yet, also counts.
 	private static final double MAXIMUM_HELD_SHARE = 1.0 / 3;
 
 	// For a request that does not state how long its caller waits.
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RelayProxyTests.java
@@ -165,9 +165,8 @@
 	}
 
 	// Guards against a part of a response without a length that looks complete because
-	// the
-	// process of its upstream ended: the operating system closes the port and then the
-	// connection regularly.
+	// the process of its upstream ended: the operating system closes the port and then
+	// the connection regularly.
 	@Test
 	void endOfTheUpstreamIsNoCompleteResponse() throws Exception {
 		try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/http/BudgetedHttpConnectionTests.java
@@ -110,8 +110,7 @@
 		}
 
 		// Guards against open connections that each keep memory for as many fields as
-		// their
-		// largest head had.
+		// their largest head had.
 		@Test
 		void connectionIsClosedAfterTheResponseToAHeadOfManyLines() throws Exception {
 			try (Caller caller = connect()) {
@@ -123,8 +122,7 @@
 		}
 
 		// Guards against open connections that each keep buffers of the size of the
-		// longest
-		// text that they had.
+		// longest text that they had.
 		@ParameterizedTest
 		@ValueSource(strings = { "POST /%s HTTP/1.1\r\nHost: a\r\n", "POST / HTTP/1.1\r\nHost: a\r\nt: %s\r\n",
 				"POST / HTTP/1.1\r\nHost: a\r\n%s: t\r\n" })
--- a/radishthread-routing/src/test/java/org/radishthread/routing/HedgePathTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/HedgePathTests.java
@@ -59,8 +59,8 @@
 	}
 
 	// Incident 1 of brazos-rota-grown: requests on connections that had gone silent
-	// waited
-	// until their deadline, because other hedges had used up the budget for hedges.
+	// waited until their deadline, because other hedges had used up the budget for
+	// hedges.
 	@Test
 	void attemptOfAPartitionedGatewayIsRepeatedLikeAFailedOne() {
 		long requestId = 10;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/RelayChoiceTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/RelayChoiceTests.java
@@ -48,8 +48,7 @@
 	class AtTheHome {
 
 		// Incident 1 of brazos-rota-grown: relays were chosen by load only, so that half
-		// of
-		// them were partitioned themselves.
+		// of them were partitioned themselves.
 		@Test
 		void instancesThatReachedAnUpstreamLatelyArePreferred() {
 			for (int i = 1; i < 10; i++) {
@@ -76,8 +75,7 @@
 			RelayChoiceTests.this.router.recordReachability(PARTITIONED, true, 0);
 			Dispatch dispatch = admit(PARTITIONED, true, 0);
 			// The relays of other requests are busy, so that the one that fails at once
-			// has
-			// the fewest attempts in flight.
+			// has the fewest attempts in flight.
 			for (int i = 0; i < 3; i++) {
 				admit(PARTITIONED, true, 0);
 			}
@@ -118,8 +116,7 @@
 		}
 
 		// Incident 1 of brazos-rota-grown: at full size 1,235 attempts in nine seconds
-		// went
-		// to relays that could not reach the upstream either.
+		// went to relays that could not reach the upstream either.
 		@Test
 		void relayThatFailedComesLastForOtherRequestsToo() {
 			RelayChoiceTests.this.router
