Tell peers a revision only once requests are routed by it

Callers could see: a gateway that is in touch and ready routes by former rules for good, though the newer revision was acknowledged.

Cause: membership took a revision for applied as soon as it held it. A revision that an instance could not parse counted as applied as well. The same step passes on evacuations, which were lost in the same way.

PendingChange passes rules, upstreams and evacuations on again to a listener that failed. The other effects of a step are carried out one by one, so that one failure loses no other effect.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterListener.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterListener.java
@@ -7,7 +7,9 @@
 import org.radishthread.protocol.UpstreamRecord;
 
 /**
- * Receives changes that are propagated to all instances.
+ * Receives changes that are propagated to all instances. A method that throws an
+ * exception is called again with the same or a later value; until it returns, the
+ * instance does not count as having applied the change.
  */
 public interface ClusterListener {
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -71,6 +71,17 @@
 
 	private final List<ClusterListener> listeners = new CopyOnWriteArrayList<>();
 
+	// Accessed on the thread of the loop only.
+	private final PendingChange<List<UpstreamRecord>> upstreamChange = new PendingChange<>("upstreams",
+			ClusterListener::upstreamsChanged);
+
+	// Accessed on the thread of the loop only.
+	private final PendingChange<RuleFile> ruleChange = new PendingChange<>("rules", ClusterListener::rulesChanged);
+
+	// Accessed on the thread of the loop only.
+	private final PendingChange<Evacuations> evacuationChange = new PendingChange<>("evacuations",
+			ClusterListener::evacuationsChanged);
+
 	private final ReplicaDescriptor replica;
 
 	// Null if this instance has no data folder.
@@ -220,7 +231,48 @@
 
 	private void process(Runnable operation) {
 		operation.run();
-		MembershipEffects effects = this.membership.drain();
+		boolean rulesApplied;
+		do {
+			MembershipEffects effects = this.membership.drain();
+			offerChanges(effects);
+			rulesApplied = applyChanges();
+			updateView();
+			carryOut(effects);
+		}
+		while (rulesApplied);
+	}
+
+	private void offerChanges(MembershipEffects effects) {
+		if (effects.upstreams() != null) {
+			eventLog.information("upstreams-changed").with("count", effects.upstreams().size()).write();
+			this.upstreamChange.offer(effects.upstreams(), this.listeners);
+		}
+		if (effects.rules() != null) {
+			this.ruleChange.offer(effects.rules(), this.listeners);
+		}
+		if (effects.evacuations() != null) {
+			this.evacuationChange.offer(effects.evacuations(), this.listeners);
+		}
+	}
+
+	// Returns whether rules were applied, of which the peers must be told. Upstreams come
+	// first, so that requests by new routes find those of their service.
+	private boolean applyChanges() {
+		long nowMillis = nowMillis();
+		this.upstreamChange.deliver(nowMillis);
+		RuleFile rules = this.ruleChange.deliver(nowMillis);
+		if (rules != null) {
+			this.membership.recordRulesApplied(rules.getRevision());
+			logRules(rules.getRevision());
+		}
+		Evacuations changedEvacuations = this.evacuationChange.deliver(nowMillis);
+		if (changedEvacuations != null) {
+			recordEvacuations(changedEvacuations);
+		}
+		return rules != null;
+	}
+
+	private void updateView() {
 		long nowMillis = nowMillis();
 		// An unchanged list keeps its identity, so that callers can cache values that
 		// they derive from it.
@@ -230,52 +282,44 @@
 		if (state != this.view.state()) {
 			logStateChange(state, nowMillis);
 		}
-		ClusterView newView = new ClusterView(state, nowMillis,
+		this.view = new ClusterView(state, nowMillis,
 				instances.equals(previousInstances) ? previousInstances : instances, this.membership.appliedRules(),
 				this.membership.hasConfirmedRules(), this.membership.rulesCurrentAtMillis());
-		// Others take the rules of the view for those by which requests are routed.
-		this.view = (effects.rules() != null) ? newView.withRulesOf(this.view) : newView;
 		this.evacuationsCurrentAtMillis = this.membership.evacuationsCurrentAtMillis();
 		logOutdatedEvacuations();
+	}
+
+	private void carryOut(MembershipEffects effects) {
 		if (effects.resumedFromFreeze()) {
 			eventLog.warning("woke-from-freeze").with("instance", this.settings.instance()).write();
-			this.transport.closeInboundConnections();
+			attempt("connections", this.transport::closeInboundConnections);
 		}
 		this.roundPending = effects.roundPending();
+		long nowMillis = nowMillis();
 		effects.silentInstances().forEach((silentInstance) -> logSilentInstance(silentInstance, nowMillis));
-		effects.suspectAddresses().forEach(this.transport::closeConnection);
-		effects.messages().forEach((message) -> this.transport.send(message.address(), message.envelope()));
-		effects.replicationResults().forEach(this::completeReplication);
+		effects.suspectAddresses()
+			.forEach((address) -> attempt("connection", () -> this.transport.closeConnection(address)));
+		effects.messages()
+			.forEach((message) -> attempt("message", () -> this.transport.send(message.address(), message.envelope())));
+		effects.replicationResults().forEach((result) -> attempt("replication", () -> completeReplication(result)));
 		logRefusedRules();
-		if (effects.upstreamsToStore() != null && this.upstreamStore != null) {
-			this.upstreamStore.save(effects.upstreamsToStore(),
-					(change) -> this.loop.execute(() -> process(() -> this.membership.recordUpstreamsStored(change))));
-		}
-		if (effects.upstreams() != null) {
-			List<UpstreamRecord> upstreams = effects.upstreams();
-			eventLog.information("upstreams-changed").with("count", upstreams.size()).write();
-			this.listeners.forEach((listener) -> notifyOfUpstreams(listener, upstreams));
-		}
-		if (effects.rules() != null) {
-			RuleFile rules = effects.rules();
-			logRules(rules.getRevision());
-			this.listeners.forEach((listener) -> listener.rulesChanged(rules));
-			this.view = newView;
-		}
-		if (effects.evacuations() != null) {
-			applyEvacuations(effects.evacuations());
+		UpstreamStore store = this.upstreamStore;
+		if (effects.upstreamsToStore() != null && store != null) {
+			attempt("storage", () -> store.save(effects.upstreamsToStore(),
+					(change) -> this.loop.execute(() -> process(() -> this.membership.recordUpstreamsStored(change)))));
 		}
 	}
 
-	// A listener that fails must not keep the list from others, nor the rules that come
-	// with it from being applied.
-	private static void notifyOfUpstreams(ClusterListener listener, List<UpstreamRecord> upstreams) {
+	// An effect that fails must not keep the others from being carried out: they are not
+	// part of later effects.
+	private static void attempt(String effect, Runnable action) {
 		try {
-			listener.upstreamsChanged(upstreams);
+			action.run();
 		}
 		catch (RuntimeException ex) {
-			eventLog.failure("upstream-listener-failed", ex)
-				.with("listener", listener.getClass().getSimpleName())
+			eventLog.failure("cluster-effect-failed", ex)
+				.with("effect", effect)
+				.with("next", "the other effects are carried out")
 				.write();
 		}
 	}
@@ -293,10 +337,9 @@
 		this.evacuationsOutdated = outdated;
 	}
 
-	private void applyEvacuations(Evacuations changedEvacuations) {
+	private void recordEvacuations(Evacuations changedEvacuations) {
 		Evacuations formerEvacuations = this.evacuations;
 		this.evacuations = changedEvacuations;
-		this.listeners.forEach((listener) -> listener.evacuationsChanged(changedEvacuations));
 		for (ZoneEvacuation evacuation : changedEvacuations.getZonesList()) {
 			boolean formerlyEvacuated = formerEvacuations.getZonesList()
 				.stream()
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterView.java
@@ -28,11 +28,6 @@
 	 */
 	public static final long MAXIMUM_AGE_MILLIS = 2_000;
 
-	ClusterView withRulesOf(ClusterView former) {
-		return new ClusterView(this.state, this.createdAtMillis, this.instances, former.rules, former.rulesConfirmed,
-				former.rulesCurrentAtMillis);
-	}
-
 	/**
 	 * Returns whether this instance applies every revision that must be in force by now.
 	 * @param nowMillis the monotonic time, in milliseconds
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -270,8 +270,9 @@
 		}
 		catch (FindingsException ex) {
 			// The control group accepts only valid files, so this one was accepted by a
-			// newer version that allows more. The previous rules stay in force.
+			// newer version that allows more.
 			eventLog.failure("rule-file-rejected", ex).with("revision", file.getRevision()).write();
+			throw ex;
 		}
 	}
 
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/AppliedRulesTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/AppliedRulesTests.java
@@ -30,8 +30,12 @@
  */
 class AppliedRulesTests {
 
+	private static final long FORMER_REVISION = 5;
+
 	private static final long REVISION = 6;
 
+	private static final long CURRENT_AT_MILLIS = 100;
+
 	private static final long WAIT_MILLIS = 10_000;
 
 	private static final long POLL_MILLIS = 20;
@@ -78,15 +82,15 @@
 		}
 	}
 
-	private void offerRules() {
+	private void offerRules(long revision) {
 		this.cluster.offerRules(RuleFile.newBuilder()
-			.setRevision(REVISION)
-			.setContent("revision " + REVISION + "   # asked by operator\n")
+			.setRevision(revision)
+			.setContent("revision " + revision + "   # asked by operator\n")
 			.build());
 	}
 
-	private int appliedCount() throws Exception {
-		return this.cluster.rulePropagation(REVISION).get().appliedCount();
+	private int appliedCount(long revision) throws Exception {
+		return this.cluster.rulePropagation(revision).get().appliedCount();
 	}
 
 	private static void await(Condition condition) throws Exception {
@@ -105,9 +109,9 @@
 		@Test
 		void rulesAreAppliedAfterAll() throws Exception {
 			AppliedRulesTests.this.listener.remainingFailures = 1;
-			offerRules();
+			offerRules(REVISION);
 			await(() -> AppliedRulesTests.this.listener.revision == REVISION);
-			await(() -> appliedCount() == 1);
+			await(() -> appliedCount(REVISION) == 1);
 			assertThat(AppliedRulesTests.this.cluster.view().rules().getRevision()).isEqualTo(REVISION);
 		}
 
@@ -132,12 +136,29 @@
 		@Test
 		void instanceDoesNotCountAsHavingAppliedTheRules() throws Exception {
 			AppliedRulesTests.this.listener.remainingFailures = Integer.MAX_VALUE;
-			offerRules();
+			offerRules(REVISION);
 			await(() -> AppliedRulesTests.this.listener.failures >= 2);
-			assertThat(appliedCount()).isZero();
+			assertThat(appliedCount(REVISION)).isZero();
 			assertThat(AppliedRulesTests.this.cluster.view().rules().getRevision()).isZero();
 		}
 
+		// Guards against former rules that are taken for the newest ones, because newer
+		// ones have arrived.
+		@Test
+		void rulesThatAreNotInUseYetAreNotPublished() throws Exception {
+			ClusterService service = AppliedRulesTests.this.cluster;
+			offerRules(FORMER_REVISION);
+			service.recordRulesCurrent(CURRENT_AT_MILLIS);
+			await(() -> service.view().rulesCurrentAtMillis() == CURRENT_AT_MILLIS);
+			AppliedRulesTests.this.listener.remainingFailures = Integer.MAX_VALUE;
+			offerRules(REVISION);
+			service.recordRulesCurrent(CURRENT_AT_MILLIS + 1);
+			await(() -> AppliedRulesTests.this.listener.failures >= 2);
+			assertThat(service.view().rules().getRevision()).isEqualTo(FORMER_REVISION);
+			assertThat(service.view().rulesCurrentAtMillis()).isEqualTo(CURRENT_AT_MILLIS);
+			assertThat(appliedCount(FORMER_REVISION)).isEqualTo(1);
+		}
+
 	}
 
 	/**
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/cluster/ClusterViewTests.java
@@ -69,14 +69,6 @@
 		assertThat(view(0, Freshness.UNKNOWN).rulesAgeMillis(0, NOW_MILLIS)).isGreaterThan(3_600_000);
 	}
 
-	@Test
-	void rulesThatAreNotInUseYetAreNotPublished() {
-		ClusterView former = view(7, NOW_MILLIS - 900);
-		ClusterView published = view(8, NOW_MILLIS).withRulesOf(former);
-		assertThat(published.rulesAgeMillis(7, NOW_MILLIS)).isEqualTo(900);
-		assertThat(published.rules().getRevision()).isEqualTo(7);
-	}
-
 	@Test
 	void instanceWithoutRulesDoesNotKnowThem() {
 		assertThat(view(0, NOW_MILLIS).hasAllRulesInForce(NOW_MILLIS, APPLY_MILLIS)).isFalse();
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -227,7 +227,7 @@
 	private void sendUrgentRound(long nowMillis) {
 		// Peers ignore a revision that does not come with a higher heartbeat.
 		advanceHeartbeat(nowMillis);
-		this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.revision(),
+		this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.appliedRevision(),
 				nowMillis);
 		if (!gossips()) {
 			sendReports(nowMillis);
@@ -288,8 +288,8 @@
 		leaveSilentInstances(nowMillis);
 		if (nowMillis >= this.nextRoundMillis) {
 			advanceHeartbeat(nowMillis);
-			this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat, this.rules.revision(),
-					nowMillis);
+			this.instances.recordHeartbeat(NameHash.of(this.self.getName()), this.heartbeat,
+					this.rules.appliedRevision(), nowMillis);
 			if (!gossips()) {
 				sendReports(nowMillis);
 				this.nextRoundMillis = nowMillis + this.reports.nextIntervalMillis();
@@ -527,7 +527,7 @@
 		}
 		InstanceTable.Entry sender = this.instances.find(response.getSender());
 		requestRulesIfBehind(sender, nowMillis);
-		if (sender != null && sender.ruleRevision <= this.rules.revision()) {
+		if (sender != null && sender.ruleRevision <= this.rules.appliedRevision()) {
 			this.rulesFreshness.recordResponse(response);
 		}
 		this.evacuations.recordResponse(response);
@@ -791,35 +791,41 @@
 	}
 
 	/**
-	 * Applies committed rules, unless their revision is not higher than the applied one.
+	 * Takes committed rules to be applied, unless their revision is not higher than that
+	 * of the rules held.
 	 * @param offeredRules the rules
 	 */
 	public void offerRules(RuleFile offeredRules) {
-		if (this.rules.offer(offeredRules, this.lastClockReadingMillis)) {
-			publishRevision();
-		}
+		this.rules.offer(offeredRules, this.lastClockReadingMillis);
 	}
 
 	/**
-	 * Processes rules that a peer sent, plain or encoded. They are applied unless their
-	 * revision is not higher than the applied one.
+	 * Processes rules that a peer sent, plain or encoded. They are to be applied unless
+	 * their revision is not higher than that of the rules held.
 	 * @param receivedRules the rules
 	 */
 	public void receive(RuleFile receivedRules) {
-		if (this.rules.receive(receivedRules, this.lastClockReadingMillis)) {
-			publishRevision();
-		}
+		this.rules.receive(receivedRules, this.lastClockReadingMillis);
 	}
 
-	private void publishRevision() {
+	/**
+	 * Records that requests are routed by the rules of {@link MembershipEffects#rules()}.
+	 * Peers are told a revision only after this.
+	 * @param revision the revision of the rules
+	 */
+	public void recordRulesApplied(long revision) {
+		if (!this.rules.recordApplied(revision)) {
+			return;
+		}
 		this.urgentRoundPending = true;
 		this.updatePending = gossips();
 		this.nextUpdateMillis = this.lastClockReadingMillis;
 	}
 
 	/**
-	 * Applies rules read from a quorum of the control group, which confirms that they are
-	 * in force. If only their revision was read, it is confirmed once it is applied.
+	 * Takes rules read from a quorum of the control group to be applied; the quorum
+	 * confirms that they are in force. If only their revision was read, it is confirmed
+	 * once the rules arrive.
 	 * @param confirmedRules the rules, or their revision
 	 */
 	public void confirmRules(RuleFile confirmedRules) {
@@ -891,7 +897,9 @@
 	 * @param atMillis the monotonic time, in milliseconds
 	 */
 	public void recordRulesCurrent(long atMillis) {
-		this.rulesFreshness.recordCurrent(atMillis);
+		if (this.rules.appliedRevision() == this.rules.revision()) {
+			this.rulesFreshness.recordCurrent(atMillis);
+		}
 		this.evacuations.recordCurrent(atMillis);
 	}
 
@@ -905,7 +913,7 @@
 	}
 
 	/**
-	 * Returns whether another instance told a higher revision than the applied one.
+	 * Returns whether a higher revision than the applied one is held or known of.
 	 * @return whether newer rules are known of
 	 */
 	public boolean isBehind() {
@@ -926,7 +934,7 @@
 	}
 
 	public RuleFile appliedRules() {
-		return this.rules.ruleFile();
+		return this.rules.appliedFile();
 	}
 
 	/**
@@ -970,7 +978,7 @@
 		int count = 0;
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
-			long appliedRevision = isSelf ? this.rules.revision() : entry.ruleRevision;
+			long appliedRevision = isSelf ? this.rules.appliedRevision() : entry.ruleRevision;
 			if (this.instances.isResponsive(entry, sinceMillis) && appliedRevision >= revision) {
 				count++;
 			}
@@ -1056,7 +1064,8 @@
 		for (InstanceTable.Entry entry : this.instances.entries()) {
 			boolean isSelf = entry.instance.getName().equals(this.self.getName());
 			boolean live = isSelf || entry.lastHeartbeatMillis >= nowMillis - this.timing.failureTimeoutMillis();
-			views.add(new InstanceView(entry.instance, live, isSelf ? this.rules.revision() : entry.ruleRevision));
+			views.add(
+					new InstanceView(entry.instance, live, isSelf ? this.rules.appliedRevision() : entry.ruleRevision));
 		}
 		return views;
 	}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
@@ -16,7 +16,8 @@
  * @param upstreams all upstreams that have not left, or null if they did not change
  * @param upstreamsToStore the records to store on disk, or null if they did not change or
  * this instance has no store
- * @param rules the rules that were applied, or null if none were
+ * @param rules the rules to apply, or null if none are newer than the former ones;
+ * {@link Membership#recordRulesApplied} is to be called once they are applied
  * @param evacuations the evacuations of availability zones that were applied, or null if
  * none were
  * @param replicationResults the results of the replications that completed
--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -10,12 +10,13 @@
 import org.radishthread.protocol.RuleRequest;
 
 /**
- * Holds the rules that this instance applies, and exchanges them with peers: it requests
- * those of a peer with a higher revision, and responds to such requests. A request names
- * the applied revision, so that the response can be the difference from it and is always
- * the newest revision of the peer, however many were accepted in between. Only a higher
- * revision replaces the applied one. Not thread-safe; times are monotonic, in
- * milliseconds.
+ * Holds the newest rules that reached this instance, and exchanges them with peers: it
+ * requests those of a peer with a higher revision, and responds to such requests. A
+ * request names the revision held, so that the response can be the difference from it and
+ * is always the newest revision of the peer, however many were accepted in between. Only
+ * a higher revision replaces the one held. Peers are told the applied revision, which
+ * follows the one held as soon as the instance routes by it. Not thread-safe; times are
+ * monotonic, in milliseconds.
  */
 final class RuleExchange {
 
@@ -39,8 +40,13 @@
 	// way through a slow link.
 	private final Backoff requestInterval;
 
+	// The newest rules that this instance holds.
 	private RuleFile ruleFile = RuleFile.getDefaultInstance();
 
+	// The rules by which this instance routes, which are those that it holds once all its
+	// parts have accepted them.
+	private RuleFile appliedFile = RuleFile.getDefaultInstance();
+
 	private RuleTransfer lastTransfer = new RuleTransfer(RuleTransfer.Form.LOCAL, 0, 0);
 
 	private boolean changed;
@@ -85,6 +91,25 @@
 		return this.ruleFile;
 	}
 
+	RuleFile appliedFile() {
+		return this.appliedFile;
+	}
+
+	long appliedRevision() {
+		return this.appliedFile.getRevision();
+	}
+
+	// Records that all parts of this instance have accepted a revision. Returns whether
+	// it is the newest one that this instance holds.
+	boolean recordApplied(long appliedRevision) {
+		if (appliedRevision != revision()) {
+			return false;
+		}
+		this.appliedFile = this.ruleFile;
+		this.behindSinceMillis = Long.MAX_VALUE;
+		return true;
+	}
+
 	RuleTransfer lastTransfer() {
 		return this.lastTransfer;
 	}
@@ -101,17 +126,18 @@
 
 	// The revision to tell peers. Rules read from the disk, or received from a peer that
 	// just started, may be older than the accepted ones, so they must not count as in
-	// force.
+	// force; nor must rules that are not applied yet.
 	long reportedRevision() {
-		return this.confirmed ? revision() : InstanceTable.UNCONFIRMED_REVISION;
+		boolean noneApplied = appliedRevision() == 0 && revision() > 0;
+		return (this.confirmed && !noneApplied) ? appliedRevision() : InstanceTable.UNCONFIRMED_REVISION;
 	}
 
-	// Returns whether the rules were applied.
+	// Returns whether the rules are newer than those held, and are to be applied.
 	boolean offer(RuleFile offeredRules, long nowMillis) {
 		if (offeredRules.getRevision() <= revision()) {
 			return false;
 		}
-		apply(RuleFileDecoder.decode(offeredRules, this.ruleFile), nowMillis);
+		hold(RuleFileDecoder.decode(offeredRules, this.ruleFile), nowMillis);
 		// Compressed rules were read from the control group, others come from the log.
 		boolean read = !offeredRules.getCompressedContent().isEmpty();
 		this.lastTransfer = new RuleTransfer(read ? RuleTransfer.Form.COMPRESSED : RuleTransfer.Form.LOCAL,
@@ -119,14 +145,16 @@
 		return true;
 	}
 
-	// Returns whether the rules that a peer sent were applied. Rules that can't be
-	// decoded are dropped; the next request then asks for the whole file.
+	// Returns whether the rules that a peer sent are newer than those held, and are to be
+	// applied. Rules that can't be decoded are dropped; the next request then asks for
+	// the
+	// whole file.
 	boolean receive(RuleFile receivedRules, long nowMillis) {
 		if (receivedRules.getRevision() <= revision()) {
 			return false;
 		}
 		try {
-			apply(RuleFileDecoder.decode(receivedRules, this.ruleFile), nowMillis);
+			hold(RuleFileDecoder.decode(receivedRules, this.ruleFile), nowMillis);
 		}
 		catch (IllegalArgumentException ex) {
 			// A difference from a former revision was on its way while a newer one
@@ -144,7 +172,7 @@
 		return true;
 	}
 
-	private void apply(RuleFile decodedRules, long nowMillis) {
+	private void hold(RuleFile decodedRules, long nowMillis) {
 		this.ruleFile = decodedRules;
 		this.encoder.setCurrent(decodedRules);
 		this.changed = true;
@@ -152,7 +180,7 @@
 				&& nowMillis <= this.awaitedUntilMillis;
 		this.nextRequestMillis = NEVER;
 		this.requestInterval.reset();
-		this.behindSinceMillis = Long.MAX_VALUE;
+		this.behindSinceMillis = Math.min(this.behindSinceMillis, nowMillis);
 		this.fartherAddress = "";
 		this.wholeRequired = false;
 	}
@@ -177,7 +205,8 @@
 		this.awaitedRevision = 0;
 	}
 
-	// Returns the applied rules for a peer, unless its revision is not lower.
+	// Returns the rules that this instance holds for a peer, unless its revision is not
+	// lower.
 	Optional<RuleFile> respond(RuleRequest request) {
 		return (revision() > request.getKnownRevision()) ? Optional.of(this.encoder.encode(request)) : Optional.empty();
 	}
@@ -234,7 +263,7 @@
 		return this.behindSinceMillis != Long.MAX_VALUE && nowMillis - this.behindSinceMillis > durationMillis;
 	}
 
-	// Returns whether rules were applied since the last call.
+	// Returns whether newer rules are held since the last call.
 	boolean drainChanged() {
 		boolean drainedChange = this.changed;
 		this.changed = false;
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedCluster.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedCluster.java
@@ -123,7 +123,18 @@
 
 	// To be called after each call to an instance.
 	void applyEffects(String name) {
-		MembershipEffects effects = this.instances.get(name).drain();
+		MembershipEffects effects;
+		do {
+			effects = this.instances.get(name).drain();
+			carryOut(effects, name);
+		}
+		while (effects.rules() != null);
+	}
+
+	private void carryOut(MembershipEffects effects, String name) {
+		if (effects.rules() != null) {
+			this.instances.get(name).recordRulesApplied(effects.rules().getRevision());
+		}
 		if (effects.resumedFromFreeze()) {
 			this.inFlightMessages.removeIf((message) -> message.to().equals(name));
 		}
--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -223,7 +223,18 @@
 	}
 
 	private void applyEffects(Node node, double atMillis) {
-		MembershipEffects effects = node.membership.drain();
+		MembershipEffects effects;
+		do {
+			effects = node.membership.drain();
+			carryOut(effects, node, atMillis);
+		}
+		while (effects.rules() != null);
+	}
+
+	private void carryOut(MembershipEffects effects, Node node, double atMillis) {
+		if (effects.rules() != null) {
+			node.membership.recordRulesApplied(effects.rules().getRevision());
+		}
 		for (ReplicationResult result : effects.replicationResults()) {
 			String upstream = node.pendingUpstreams.remove(result.replicationId());
 			if (upstream != null && result.successful()) {
