Part the availability of homes from their ranking

What is recorded of homes is now decided by a class of routing without threads and clock, which tests can run in virtual time. Responses of homes are passed on to it; they change nothing yet.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.radishthread.daemon.cluster.ClusterService;
@@ -11,22 +12,22 @@
 import org.radishthread.membership.InstanceView;
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.routing.HomeAssignment;
+import org.radishthread.routing.HomeAvailability;
 
 /**
  * Ranks the instances that can be the home of a service. The home is the one instance
  * that queues the requests of the service and grants the slots of its upstreams. An
- * instance that was unavailable as home is left out for a second. This class is safe for
+ * instance that was unavailable as home is left out for a while. This class is safe for
  * use by several threads.
  */
 final class HomeDirectory {
 
-	private static final long SUSPICION_DURATION_MILLIS = 1_000;
-
 	private final ClusterService cluster;
 
 	private final TimeSource time;
 
-	private final Map<String, Long> suspectedUntilMillis = new ConcurrentHashMap<>();
+	// Guarded by itself.
+	private final HomeAvailability availability = new HomeAvailability();
 
 	private volatile Ranking ranking = new Ranking(List.of(), new ConcurrentHashMap<>());
 
@@ -35,17 +36,28 @@
 		this.time = time;
 	}
 
-	// The candidates in order of rank, the home first. This instance is among them unless
-	// it is leaving.
-	List<HomeCandidate> candidateHomes(String service) {
+	// The instance to ask for a slot: the first in order of rank that is not left out. Is
+	// empty only if this instance is leaving.
+	Optional<HomeCandidate> selectHome(String service) {
 		List<HomeCandidate> candidates = rankedInstances(service);
 		long nowMillis = this.time.monotonicMillis();
-		if (this.suspectedUntilMillis.isEmpty()) {
-			return candidates;
+		synchronized (this.availability) {
+			return candidates.stream()
+				.filter((candidate) -> candidate.local()
+						|| this.availability.tryUse(candidate.peerAddress(), nowMillis))
+				.findFirst();
+		}
+	}
+
+	// The instance that counts as the home at the moment, to which no request is sent.
+	Optional<HomeCandidate> currentHome(String service) {
+		long nowMillis = this.time.monotonicMillis();
+		synchronized (this.availability) {
+			return rankedInstances(service).stream()
+				.filter((candidate) -> candidate.local()
+						|| !this.availability.isLeftOut(candidate.peerAddress(), nowMillis))
+				.findFirst();
 		}
-		return candidates.stream()
-			.filter((candidate) -> this.suspectedUntilMillis.getOrDefault(candidate.peerAddress(), 0L) <= nowMillis)
-			.toList();
 	}
 
 	// The peer addresses of all other gateways, also of those that were unavailable. Each
@@ -85,8 +97,16 @@
 			.toList();
 	}
 
-	void suspect(String peerAddress) {
-		this.suspectedUntilMillis.put(peerAddress, this.time.monotonicMillis() + SUSPICION_DURATION_MILLIS);
+	void recordSilence(String peerAddress) {
+		synchronized (this.availability) {
+			this.availability.recordSilence(peerAddress, this.time.monotonicMillis());
+		}
+	}
+
+	void recordResponse(String peerAddress) {
+		synchronized (this.availability) {
+			this.availability.recordResponse(peerAddress, this.time.monotonicMillis());
+		}
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
@@ -1,7 +1,5 @@
 package org.radishthread.daemon.gateway;
 
-import java.util.List;
-
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.gateway.HomeDirectory.HomeCandidate;
@@ -30,16 +28,16 @@
 
 	@Override
 	public void admit(RoutingRequest request, RoutingCallback callback) {
-		List<HomeCandidate> candidates = this.slots.homes().candidateHomes(this.service);
-		if (candidates.isEmpty()) {
+		HomeCandidate home = this.slots.homes().selectHome(this.service).orElse(null);
+		if (home == null) {
 			this.slots.admitWithoutHome(request, this.service, callback);
 			return;
 		}
-		if (candidates.get(0).local()) {
+		if (home.local()) {
 			localRouter().admit(request, callback);
 			return;
 		}
-		this.slots.admit(request, this.service, candidates.get(0).peerAddress(), callback);
+		this.slots.admit(request, this.service, home.peerAddress(), callback);
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -89,9 +89,7 @@
 
 	// Tells the home at once, so that it chooses other relays.
 	private void reportReachability(String service, boolean partitioned) {
-		this.homes.candidateHomes(service)
-			.stream()
-			.findFirst()
+		this.homes.currentHome(service)
 			.filter((home) -> !home.local())
 			.ifPresent((home) -> send(home.peerAddress(),
 					SlotMessage.newBuilder().setService(service).setReachability(reachability(partitioned)).build()));
@@ -103,7 +101,10 @@
 
 	private void receive(String address, SlotMessage message) {
 		switch (message.getBodyCase()) {
-			case GRANT, REFUSAL, QUEUED -> process((nowNanos) -> this.requester.receive(address, message, nowNanos));
+			case GRANT, REFUSAL, QUEUED -> {
+				this.homes.recordResponse(address);
+				process((nowNanos) -> this.requester.receive(address, message, nowNanos));
+			}
 			default -> this.granter.receive(address, message);
 		}
 	}
@@ -222,7 +223,7 @@
 			.with("request", homeUnavailable.request().id())
 			.with("home", homeUnavailable.homeAddress())
 			.write();
-		this.homes.suspect(homeUnavailable.homeAddress());
+		this.homes.recordSilence(homeUnavailable.homeAddress());
 		long requestId = homeUnavailable.request().id();
 		RoutingCallback callback = this.callbacks.get(requestId);
 		if (callback == null) {
