--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -51,11 +51,9 @@
 
 	// The instance that counts as the home at the moment, to which no request is sent.
 	Optional<HomeCandidate> currentHome(String service) {
-		long nowMillis = this.time.monotonicMillis();
 		synchronized (this.availability) {
 			return rankedInstances(service).stream()
-				.filter((candidate) -> candidate.local()
-						|| !this.availability.isLeftOut(candidate.peerAddress(), nowMillis))
+				.filter((candidate) -> candidate.local() || !this.availability.isLeftOut(candidate.peerAddress()))
 				.findFirst();
 		}
 	}
@@ -105,7 +103,7 @@
 
 	void recordResponse(String peerAddress) {
 		synchronized (this.availability) {
-			this.availability.recordResponse(peerAddress, this.time.monotonicMillis());
+			this.availability.recordResponse(peerAddress);
 		}
 	}
 
