Divide the upstreams of a large service among several homes

Callers saw: on the large deployments too little was served (SHORT), most of it of the busiest kind of request.

Cause: one instance granted the slots of all requests of a service, at about 1 ms of processor time each. A home with 0.3 of a core is full at about 300 requests a second, however many instances and upstreams there are; rota-view has 349. A home that is full responds late, and after 150 ms each gateway routes by itself.

Change: the upstreams of a service with 32 or more are divided into pools by a hash of their names, each with a home of its own. Limits that the home keeps are divided among the pools. Services with fewer are routed as before, and so is every service while a gateway of an earlier version is live.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -136,6 +136,7 @@
 			.setEvacuations(this.settings.isControl())
 			.setGateway(this.settings.isGateway())
 			.setCountsAllotments(this.settings.isGateway())
+			.setDividesServices(this.settings.isGateway())
 			.setReplica(this.replica.getId())
 			.setIncarnation(this.time.wallClockMillis())
 			.build();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.radishthread.daemon.cluster.ClusterService;
 import org.radishthread.kernel.TimeSource;
@@ -13,10 +15,11 @@
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.routing.HomeAssignment;
 import org.radishthread.routing.HomeAvailability;
+import org.radishthread.routing.UpstreamPool;
 
 /**
- * Ranks the instances that can be the home of a service. The home is the one instance
- * that queues the requests of the service and grants the slots of its upstreams. An
+ * Ranks the instances that can be the home of a pool of upstreams. The home is the one
+ * instance that queues the requests of the pool and grants the slots of its upstreams. An
  * instance that was unavailable as home is left out for a while. This class is safe for
  * use by several threads.
  */
@@ -29,7 +32,7 @@
 	// Guarded by itself.
 	private final HomeAvailability availability = new HomeAvailability();
 
-	private volatile Ranking ranking = new Ranking(List.of(), new ConcurrentHashMap<>());
+	private volatile Ranking ranking = new Ranking(List.of(), false, new ConcurrentHashMap<>());
 
 	HomeDirectory(ClusterService cluster, TimeSource time) {
 		this.cluster = cluster;
@@ -38,8 +41,8 @@
 
 	// The instance to ask for a slot: the first in order of rank that is not left out. Is
 	// empty only if this instance is leaving.
-	Optional<HomeCandidate> selectHome(String service) {
-		List<HomeCandidate> candidates = rankedInstances(service);
+	Optional<HomeCandidate> selectHome(UpstreamPool pool) {
+		List<HomeCandidate> candidates = rankedInstances(pool);
 		long nowMillis = this.time.monotonicMillis();
 		synchronized (this.availability) {
 			return candidates.stream()
@@ -50,9 +53,9 @@
 	}
 
 	// The instance that counts as the home at the moment, to which no request is sent.
-	Optional<HomeCandidate> currentHome(String service) {
+	Optional<HomeCandidate> currentHome(UpstreamPool pool) {
 		synchronized (this.availability) {
-			return rankedInstances(service).stream()
+			return rankedInstances(pool).stream()
 				.filter((candidate) -> candidate.local() || !this.availability.isLeftOut(candidate.peerAddress()))
 				.findFirst();
 		}
@@ -60,9 +63,9 @@
 
 	// The peer addresses of all other gateways, also of those that were unavailable. Each
 	// instance gets them in another order, so that they do not all use the same relay.
-	List<String> otherInstances(String service) {
+	List<String> otherInstances(UpstreamPool pool) {
 		List<String> addresses = new ArrayList<>();
-		for (HomeCandidate candidate : rankedInstances(service)) {
+		for (HomeCandidate candidate : rankedInstances(pool)) {
 			if (!candidate.local()) {
 				addresses.add(candidate.peerAddress());
 			}
@@ -71,25 +74,42 @@
 		return addresses;
 	}
 
-	private List<HomeCandidate> rankedInstances(String service) {
+	// Whether services may be divided into pools, which homes of earlier versions do not
+	// know.
+	boolean canDivideServices() {
+		return currentRanking().dividesServices();
+	}
+
+	private List<HomeCandidate> rankedInstances(UpstreamPool pool) {
+		Ranking ranking = currentRanking();
+		return ranking.candidatesByPool().computeIfAbsent(pool, (key) -> rank(key, ranking.instances()));
+	}
+
+	private Ranking currentRanking() {
 		List<InstanceView> instances = this.cluster.view().instances();
 		Ranking currentRanking = this.ranking;
 		if (currentRanking.instances() != instances) {
-			currentRanking = new Ranking(instances, new ConcurrentHashMap<>());
+			currentRanking = new Ranking(instances,
+					liveGateways(instances).stream().allMatch(InstanceRecord::getDividesServices),
+					new ConcurrentHashMap<>());
 			this.ranking = currentRanking;
 		}
-		return currentRanking.candidatesByService().computeIfAbsent(service, (name) -> rank(name, instances));
+		return currentRanking;
 	}
 
-	private List<HomeCandidate> rank(String service, List<InstanceView> instances) {
-		Map<String, InstanceRecord> liveGateways = new ConcurrentHashMap<>();
-		for (InstanceView view : instances) {
-			if (view.live() && view.instance().getGateway() && !view.instance().getLeaving()) {
-				liveGateways.put(view.instance().getName(), view.instance());
-			}
-		}
+	private static List<InstanceRecord> liveGateways(List<InstanceView> instances) {
+		return instances.stream()
+			.filter(InstanceView::live)
+			.map(InstanceView::instance)
+			.filter((instance) -> instance.getGateway() && !instance.getLeaving())
+			.toList();
+	}
+
+	private List<HomeCandidate> rank(UpstreamPool pool, List<InstanceView> instances) {
+		Map<String, InstanceRecord> liveGateways = liveGateways(instances).stream()
+			.collect(Collectors.toMap(InstanceRecord::getName, Function.identity()));
 		String localInstance = this.cluster.replica().getInstance();
-		return HomeAssignment.rankInstances(service, List.copyOf(liveGateways.keySet()))
+		return HomeAssignment.rankInstances(pool.key(), List.copyOf(liveGateways.keySet()))
 			.stream()
 			.map((name) -> new HomeCandidate(name, liveGateways.get(name).getPeerAddress(), name.equals(localInstance)))
 			.toList();
@@ -117,7 +137,8 @@
 	record HomeCandidate(String name, String peerAddress, boolean local) {
 	}
 
-	private record Ranking(List<InstanceView> instances, Map<String, List<HomeCandidate>> candidatesByService) {
+	private record Ranking(List<InstanceView> instances, boolean dividesServices,
+			Map<UpstreamPool, List<HomeCandidate>> candidatesByPool) {
 	}
 
 }
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
@@ -6,10 +6,12 @@
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingRequest;
+import org.radishthread.routing.UpstreamPool;
 
 /**
- * Router that asks the home of a service for slots. Requests are routed by this instance
- * itself if it is the home, or if the home is unavailable.
+ * Router of one request, which asks the home of a pool of upstreams for slots. The
+ * request is routed by this instance itself if it is the home, or if the home is
+ * unavailable.
  */
 final class HomeRequestRouter implements RequestRouter {
 
@@ -17,27 +19,33 @@
 
 	private final SlotService slots;
 
+	// Selected when the request is admitted; its slots come from this pool from then on.
+	private volatile UpstreamPool pool;
+
 	HomeRequestRouter(String service, SlotService slots) {
 		this.service = service;
 		this.slots = slots;
+		this.pool = UpstreamPool.whole(service);
 	}
 
 	private LocalRequestRouter localRouter() {
-		return this.slots.localRouter(this.service);
+		return this.slots.localRouter(this.pool);
 	}
 
 	@Override
 	public void admit(RoutingRequest request, RoutingCallback callback) {
-		HomeCandidate home = this.slots.homes().selectHome(this.service).orElse(null);
+		UpstreamPool selectedPool = this.slots.selectPool(this.service, request.digest());
+		this.pool = selectedPool;
+		HomeCandidate home = this.slots.homes().selectHome(selectedPool).orElse(null);
 		if (home == null) {
-			this.slots.admitWithoutHome(request, this.service, callback);
+			this.slots.admitWithoutHome(request, selectedPool, callback);
 			return;
 		}
 		if (home.local()) {
 			localRouter().admit(request, callback);
 			return;
 		}
-		this.slots.admit(request, this.service, home.peerAddress(), callback);
+		this.slots.admit(request, selectedPool, home.peerAddress(), callback);
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -21,6 +21,7 @@
 import org.radishthread.routing.ServiceLoad;
 import org.radishthread.routing.ServiceRouter;
 import org.radishthread.routing.Upstream;
+import org.radishthread.routing.UpstreamPool;
 import org.radishthread.rules.ServiceRule;
 
 /**
@@ -56,12 +57,12 @@
 
 	private final EffectExecutor<RoutingEffect> effectExecutor = new EffectExecutor<>(eventLog, this::execute);
 
-	LocalRequestRouter(ServiceRule rule, DaemonSettings settings, AllotmentService allotments,
+	LocalRequestRouter(UpstreamPool pool, ServiceRule rule, DaemonSettings settings, AllotmentService allotments,
 			CrashExchange crashExchange, TimeSource time, UpstreamProber prober, EventLoop eventLoop) {
-		this.service = rule.service();
+		this.service = pool.key();
 		this.loadLog = new ServiceLoadLog(this.service);
-		this.router = new ServiceRouter(rule, settings.routerSettings(), crashExchange.history(),
-				time.monotonicNanos());
+		this.router = new ServiceRouter(rule, settings.routerSettings().dividedBy(pool.count()),
+				crashExchange.history(), time.monotonicNanos());
 		this.allotments = allotments;
 		this.crashExchange = crashExchange;
 		this.time = time;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -1,5 +1,6 @@
 package org.radishthread.daemon.gateway;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,7 +30,10 @@
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
+import org.radishthread.routing.Upstream;
 import org.radishthread.routing.UpstreamConstraints;
+import org.radishthread.routing.UpstreamPool;
+import org.radishthread.routing.UpstreamPools;
 import org.radishthread.rules.IncrementalRuleParser;
 import org.radishthread.rules.KeyCheck;
 import org.radishthread.rules.KeyLimits;
@@ -67,12 +71,19 @@
 	private final ReachabilityMonitor reachability;
 
 	private final RouterDirectory<LocalRequestRouter> routers = new RouterDirectory<>(this::createRouter,
-			LocalRequestRouter::updateRule);
+			LocalRequestRouter::updateRule, this::initializeRouter);
 
 	private final UpstreamConstraints constraints = new UpstreamConstraints();
 
 	private final EventLoop eventLoop = new EventLoop("routing");
 
+	// The announced upstreams by service.
+	private volatile Map<String, List<Upstream>> upstreamsByService = Map.of();
+
+	private volatile Map<String, UpstreamPools> poolsByService = Map.of();
+
+	private final AtomicLong poolCounter = new AtomicLong(ThreadLocalRandom.current().nextInt(1 << 16));
+
 	// Accessed on the thread that publishes upstreams only.
 	private final UpstreamDecoder upstreamDecoder = new UpstreamDecoder();
 
@@ -101,7 +112,7 @@
 		this.time = time;
 		this.prober = new UpstreamProber(clients, dialect, meters);
 		this.reachability = reachability;
-		reachability.addListener((service, partitioned) -> router(service).recordReachability("", partitioned));
+		reachability.addListener(this::recordReachability);
 		this.movedRequests = meters.counter("radishthread.evacuation.moved.requests");
 		Gauge.builder("radishthread.zones.evacuated", () -> this.evacuatedZones.size()).register(meters);
 		meters.gauge("radishthread.upstreams.cold", this, RoutingService::countColdUpstreams);
@@ -158,17 +169,72 @@
 		long sequenceNumber = this.splitCounters
 			.computeIfAbsent(route.line(), (line) -> new AtomicLong(this.splitOffset))
 			.incrementAndGet();
-		double position = sequenceNumber * GOLDEN_RATIO_CONJUGATE;
-		return position - Math.floor(position);
+		return fraction(sequenceNumber * GOLDEN_RATIO_CONJUGATE);
+	}
+
+	private static double fraction(double number) {
+		return number - Math.floor(number);
+	}
+
+	LocalRequestRouter router(UpstreamPool pool) {
+		return this.routers.router(pool);
+	}
+
+	private LocalRequestRouter createRouter(UpstreamPool pool, ServiceRule rule) {
+		return new LocalRequestRouter(pool, rule, this.settings, this.allotments, this.crashExchange, this.time,
+				this.prober, this.eventLoop);
 	}
 
-	LocalRequestRouter router(String service) {
-		return this.routers.router(service);
+	private void initializeRouter(UpstreamPool pool, LocalRequestRouter router) {
+		updateUpstreams(pool, router);
+		if (isPartitioned(pool.service())) {
+			router.recordReachability("", true);
+		}
 	}
 
-	private LocalRequestRouter createRouter(ServiceRule rule) {
-		return new LocalRequestRouter(rule, this.settings, this.allotments, this.crashExchange, this.time, this.prober,
-				this.eventLoop);
+	// The upstreams are read under the lock, so that no thread replaces them by older
+	// ones.
+	private void updateUpstreams(UpstreamPool pool, LocalRequestRouter router) {
+		synchronized (router) {
+			router.updateUpstreams(this.upstreamsByService.getOrDefault(pool.service(), List.of())
+				.stream()
+				.filter((upstream) -> pool.contains(upstream.name()))
+				.toList(), this.evacuatedZones);
+		}
+	}
+
+	private void recordReachability(String service, boolean partitioned) {
+		this.routers.forEach((pool, router) -> {
+			if (pool.service().equals(service)) {
+				router.recordReachability("", partitioned);
+			}
+		});
+	}
+
+	/**
+	 * Returns the pools into which the upstreams of a service are divided.
+	 * @param service the name of the service
+	 * @return the pools
+	 */
+	UpstreamPools pools(String service) {
+		UpstreamPools pools = this.poolsByService.get(service);
+		return (pools != null) ? pools : UpstreamPools.of(service, List.of());
+	}
+
+	/**
+	 * Selects the pool from whose home a slot is requested.
+	 * @param service the name of the service
+	 * @param digest the digest of the request
+	 * @return the pool
+	 */
+	UpstreamPool selectPool(String service, String digest) {
+		UpstreamPools pools = pools(service);
+		if (pools.pools().size() == 1) {
+			return pools.pools().get(0);
+		}
+		boolean crashed = !digest.isEmpty() && this.crashExchange.history().crashCount(digest) > 0;
+		return crashed ? pools.selectByDigest(digest)
+				: pools.select(fraction(this.poolCounter.incrementAndGet() * GOLDEN_RATIO_CONJUGATE));
 	}
 
 	// Whether this instance can open connections to the upstreams of a service.
@@ -230,12 +296,15 @@
 			this.constraints.updateUpstreams(upstreams.stream().map(UpstreamDecoder::toUpstream).toList(),
 					this.time.monotonicNanos());
 		}
-		upstreams.forEach((upstream) -> router(upstream.getService()));
-		this.routers.forEach((service,
-				router) -> router.updateUpstreams(upstreams.stream()
-					.filter((upstream) -> upstream.getService().equals(service))
-					.map(UpstreamDecoder::toUpstream)
-					.toList(), this.evacuatedZones));
+		Map<String, List<Upstream>> upstreamsPerService = upstreams.stream()
+			.collect(Collectors.groupingBy(UpstreamRecord::getService,
+					Collectors.mapping(UpstreamDecoder::toUpstream, Collectors.toUnmodifiableList())));
+		this.upstreamsByService = upstreamsPerService;
+		Map<String, UpstreamPools> poolsPerService = new HashMap<>();
+		upstreamsPerService
+			.forEach((service, members) -> poolsPerService.put(service, UpstreamPools.of(service, members)));
+		this.poolsByService = poolsPerService;
+		this.routers.forEach(this::updateUpstreams);
 	}
 
 	@Override
@@ -249,7 +318,7 @@
 		synchronized (this.constraints) {
 			this.constraints.updateEvacuatedZones(zones);
 		}
-		this.routers.forEach((service, router) -> router.updateEvacuatedZones(zones));
+		this.routers.forEach((pool, router) -> router.updateEvacuatedZones(zones));
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -21,6 +21,7 @@
 import org.radishthread.routing.RefusalReason;
 import org.radishthread.routing.RoutingEffect;
 import org.radishthread.routing.RoutingRequest;
+import org.radishthread.routing.UpstreamPool;
 import org.radishthread.routing.Urgency;
 
 /**
@@ -76,7 +77,7 @@
 		if (request == null) {
 			return;
 		}
-		LocalRequestRouter router = this.routing.router(request.service);
+		LocalRequestRouter router = this.routing.router(request.pool);
 		switch (message.getBodyCase()) {
 			case END -> request.completeAttempt(router, message.getEnd());
 			case RETRY -> request.retry(router);
@@ -90,7 +91,7 @@
 		boolean known = message.getReachability() == SlotMessage.Reachability.PARTITIONED
 				|| message.getReachability() == SlotMessage.Reachability.REACHABLE;
 		if (known && !message.hasEnd() && !message.hasClose()) {
-			this.routing.router(message.getService())
+			this.routing.router(UpstreamPool.of(message.getService()))
 				.recordReachability(address, message.getReachability() == SlotMessage.Reachability.PARTITIONED);
 		}
 	}
@@ -108,10 +109,10 @@
 						.build());
 			return;
 		}
-		RemoteRequest request = new RemoteRequest(key, message.getService(),
+		RemoteRequest request = new RemoteRequest(key, UpstreamPool.of(message.getService()),
 				toRoutingRequest(message.getRequest(), key.peerAddress()));
 		this.remoteRequests.put(key, request);
-		this.routing.router(message.getService()).admit(request.routingRequest, request);
+		this.routing.router(request.pool).admit(request.routingRequest, request);
 		request.sendQueuedIfUndecided();
 	}
 
@@ -132,7 +133,7 @@
 
 	private void close(RequestKey key, RemoteRequest request) {
 		this.remoteRequests.remove(key);
-		LocalRequestRouter router = this.routing.router(request.service);
+		LocalRequestRouter router = this.routing.router(request.pool);
 		request.releaseAttempts(router);
 		router.close(request.routingRequest.id());
 	}
@@ -147,7 +148,7 @@
 			if (expired && !entry.getValue().askForGrant()) {
 				eventLog.information("slot-request-expired")
 					.with("instance", entry.getKey().peerAddress())
-					.with("service", entry.getValue().service)
+					.with("service", entry.getValue().pool.key())
 					.write();
 				close(entry.getKey(), entry.getValue());
 			}
@@ -171,7 +172,7 @@
 
 		private final RequestKey key;
 
-		private final String service;
+		private final UpstreamPool pool;
 
 		private final RoutingRequest routingRequest;
 
@@ -184,16 +185,16 @@
 
 		private boolean askedForGrant;
 
-		private RemoteRequest(RequestKey key, String service, RoutingRequest routingRequest) {
+		private RemoteRequest(RequestKey key, UpstreamPool pool, RoutingRequest routingRequest) {
 			this.key = key;
-			this.service = service;
+			this.pool = pool;
 			this.routingRequest = routingRequest;
 			this.incarnation = SlotGranter.this.gateways.incarnation(key.peerAddress());
 		}
 
 		private SlotMessage.Builder message() {
 			return SlotMessage.newBuilder()
-				.setService(this.service)
+				.setService(this.pool.key())
 				.setTicket(this.key.requestId())
 				.setRun(this.key.instanceRun());
 		}
@@ -243,7 +244,7 @@
 		@Override
 		public void onDispatch(RoutingEffect.Dispatch dispatch) {
 			if (!this.openGrants.add(dispatch.upstream().name())) {
-				SlotGranter.this.routing.router(this.service)
+				SlotGranter.this.routing.router(this.pool)
 					.releaseAttempt(this.routingRequest.id(), dispatch.upstream().name());
 				return;
 			}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -24,6 +24,7 @@
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.SlotEffect;
 import org.radishthread.routing.SlotRequester;
+import org.radishthread.routing.UpstreamPool;
 
 /**
  * Connects the {@link SlotRequester}, which asks the homes of services for slots, and the
@@ -89,10 +90,13 @@
 
 	// Tells the home at once, so that it chooses other relays.
 	private void reportReachability(String service, boolean partitioned) {
-		this.homes.currentHome(service)
+		pools(service).forEach((pool) -> this.homes.currentHome(pool)
 			.filter((home) -> !home.local())
 			.ifPresent((home) -> send(home.peerAddress(),
-					SlotMessage.newBuilder().setService(service).setReachability(reachability(partitioned)).build()));
+					SlotMessage.newBuilder()
+						.setService(pool.key())
+						.setReachability(reachability(partitioned))
+						.build())));
 	}
 
 	private static SlotMessage.Reachability reachability(boolean partitioned) {
@@ -117,13 +121,22 @@
 		return this.homes;
 	}
 
-	LocalRequestRouter localRouter(String service) {
-		return this.routing.router(service);
+	LocalRequestRouter localRouter(UpstreamPool pool) {
+		return this.routing.router(pool);
 	}
 
-	void admit(RoutingRequest request, String service, String homeAddress, RoutingCallback callback) {
+	private List<UpstreamPool> pools(String service) {
+		return this.homes.canDivideServices() ? this.routing.pools(service).pools()
+				: List.of(UpstreamPool.whole(service));
+	}
+
+	UpstreamPool selectPool(String service, String digest) {
+		return this.homes.canDivideServices() ? this.routing.selectPool(service, digest) : UpstreamPool.whole(service);
+	}
+
+	void admit(RoutingRequest request, UpstreamPool pool, String homeAddress, RoutingCallback callback) {
 		this.callbacks.put(request.id(), callback);
-		process((nowNanos) -> this.requester.requestSlot(request, service, homeAddress, nowNanos));
+		process((nowNanos) -> this.requester.requestSlot(request, pool.key(), homeAddress, nowNanos));
 	}
 
 	// This and the following methods return false if the request was not sent to its
@@ -189,7 +202,7 @@
 
 	private void execute(SlotEffect effect) {
 		if (effect instanceof SlotEffect.Send send) {
-			boolean partitioned = this.routing.isPartitioned(send.message().getService());
+			boolean partitioned = this.routing.isPartitioned(UpstreamPool.of(send.message().getService()).service());
 			send(send.homeAddress(), send.message().toBuilder().setReachability(reachability(partitioned)).build());
 		}
 		else if (effect instanceof SlotEffect.Decision decision) {
@@ -229,15 +242,16 @@
 		if (callback == null) {
 			return;
 		}
-		admitWithoutHome(homeUnavailable.request(), homeUnavailable.service(), callback);
+		UpstreamPool pool = UpstreamPool.of(homeUnavailable.service());
+		admitWithoutHome(homeUnavailable.request(), pool, callback);
 		if (this.callbacks.remove(requestId) == null) {
 			// Closed by another thread, perhaps before the local router knew it.
-			localRouter(homeUnavailable.service()).close(requestId);
+			localRouter(pool).close(requestId);
 		}
 	}
 
-	void admitWithoutHome(RoutingRequest request, String service, RoutingCallback callback) {
-		localRouter(service).admitWithoutHome(request, this.homes.otherInstances(service), callback);
+	void admitWithoutHome(RoutingRequest request, UpstreamPool pool, RoutingCallback callback) {
+		localRouter(pool).admitWithoutHome(request, this.homes.otherInstances(pool), callback);
 	}
 
 	@Override
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/FailedDecisionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/FailedDecisionTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import org.radishthread.routing.RoutingEffect;
+import org.radishthread.routing.UpstreamPool;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -59,8 +60,8 @@
 		for (long number = 1; number <= 30; number++) {
 			boolean fails = number % 3 == 0;
 			this.services.slots()
-				.admit(this.services.newRequest(number, false), GatewayServices.SERVICE, GatewayServices.SILENT_HOME,
-						fails ? failing() : recording(number));
+				.admit(this.services.newRequest(number, false), UpstreamPool.whole(GatewayServices.SERVICE),
+						GatewayServices.SILENT_HOME, fails ? failing() : recording(number));
 		}
 		Set<Long> decided = new HashSet<>();
 		Long id = this.decidedRequests.poll(4, TimeUnit.SECONDS);
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/GatewayServices.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/GatewayServices.java
@@ -22,6 +22,7 @@
 import org.radishthread.protocol.UpstreamRecord;
 import org.radishthread.protocol.UpstreamState;
 import org.radishthread.routing.RoutingRequest;
+import org.radishthread.routing.UpstreamPool;
 
 /**
  * The services of one gateway that route requests, for tests. None is started, so that
@@ -100,7 +101,7 @@
 	}
 
 	LocalRequestRouter localRouter() {
-		return this.routing.router(SERVICE);
+		return this.routing.router(UpstreamPool.whole(SERVICE));
 	}
 
 	RoutingRequest newRequest(long id, boolean mayRepeat) {
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/LateCompletionTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/LateCompletionTests.java
@@ -11,6 +11,7 @@
 
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.RoutingEffect;
+import org.radishthread.routing.UpstreamPool;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
@@ -46,8 +47,8 @@
 	void completionOfARequestThatIsClosedAtItsHomeDoesNothing() {
 		HomeRequestRouter router = new HomeRequestRouter(GatewayServices.SERVICE, this.services.slots());
 		this.services.slots()
-			.admit(this.services.newRequest(1, false), GatewayServices.SERVICE, GatewayServices.SILENT_HOME,
-					recording());
+			.admit(this.services.newRequest(1, false), UpstreamPool.whole(GatewayServices.SERVICE),
+					GatewayServices.SILENT_HOME, recording());
 		router.close(1);
 		assertThatCode(() -> router.completeAttempt(1, UPSTREAM, AttemptResult.CANCELLED, null))
 			.doesNotThrowAnyException();
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RouterDirectoryTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/RouterDirectoryTests.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.radishthread.routing.UpstreamPool;
 import org.radishthread.rules.RuleParser;
 import org.radishthread.rules.RuleSet;
 import org.radishthread.rules.ServiceRule;
@@ -19,13 +21,15 @@
 
 	private static final String SERVICE = "tiles";
 
+	private static final UpstreamPool POOL = new UpstreamPool(SERVICE, 1, 2);
+
 	// Run while the next router is created.
 	private final Queue<Runnable> duringCreation = new ArrayDeque<>();
 
 	private final RouterDirectory<Router> directory = new RouterDirectory<>(this::create,
-			(router, rule) -> router.rule = rule);
+			(router, rule) -> router.rule = rule, (pool, router) -> router.initializedPool = pool);
 
-	private Router create(ServiceRule rule) {
+	private Router create(UpstreamPool pool, ServiceRule rule) {
 		Router router = new Router();
 		router.rule = rule;
 		Runnable action = this.duringCreation.poll();
@@ -41,7 +45,7 @@
 	}
 
 	private void assertRouterHasRuleOf(int revision) {
-		assertThat(this.directory.router(SERVICE).rule.queueLimit()).isEqualTo(revision);
+		assertThat(this.directory.router(POOL).rule.queueLimit()).isEqualTo(revision);
 	}
 
 	@Nested
@@ -49,7 +53,7 @@
 
 		@Test
 		void reachRoutersThatExist() {
-			RouterDirectoryTests.this.directory.router(SERVICE);
+			RouterDirectoryTests.this.directory.router(POOL);
 			RouterDirectoryTests.this.directory.applyRules(rules(1));
 			assertRouterHasRuleOf(1);
 		}
@@ -61,7 +65,7 @@
 			RouterDirectoryTests.this.directory.applyRules(rules(1));
 			RouterDirectoryTests.this.duringCreation
 				.add(() -> RouterDirectoryTests.this.directory.applyRules(rules(2)));
-			RouterDirectoryTests.this.directory.router(SERVICE);
+			RouterDirectoryTests.this.directory.router(POOL);
 			assertRouterHasRuleOf(2);
 		}
 
@@ -69,16 +73,30 @@
 		void reachRouterThatIsCreatedForTheFirstRules() {
 			RouterDirectoryTests.this.duringCreation
 				.add(() -> RouterDirectoryTests.this.directory.applyRules(rules(1)));
-			RouterDirectoryTests.this.directory.router(SERVICE);
+			RouterDirectoryTests.this.directory.router(POOL);
 			assertRouterHasRuleOf(1);
 		}
 
 	}
 
+	@Nested
+	class NewRouters {
+
+		// Guards against a router without the upstreams that were announced before it was
+		// created.
+		@Test
+		void areInitialized() {
+			assertThat(RouterDirectoryTests.this.directory.router(POOL).initializedPool).isEqualTo(POOL);
+		}
+
+	}
+
 	private static final class Router {
 
 		private ServiceRule rule = ServiceRule.defaults(SERVICE);
 
+		private @Nullable UpstreamPool initializedPool;
+
 	}
 
 }
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecord.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecord.java
@@ -293,6 +293,21 @@
     return countsAllotments_;
   }
 
+  public static final int DIVIDES_SERVICES_FIELD_NUMBER = 25;
+  private boolean dividesServices_ = false;
+  /**
+   * <pre>
+   * Whether the gateway can be the home of a part of the upstreams of a service, named like 'rotaboard#1/4'.
+   * </pre>
+   *
+   * <code>bool divides_services = 25;</code>
+   * @return The dividesServices.
+   */
+  @java.lang.Override
+  public boolean getDividesServices() {
+    return dividesServices_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -340,6 +355,9 @@
     if (countsAllotments_ != false) {
       output.writeBool(24, countsAllotments_);
     }
+    if (dividesServices_ != false) {
+      output.writeBool(25, dividesServices_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -384,6 +402,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(24, countsAllotments_);
     }
+    if (dividesServices_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(25, dividesServices_);
+    }
     return size;
   }
   @java.lang.Override
@@ -430,6 +452,8 @@
         != other.getEvacuations()) return false;
     if (getCountsAllotments()
         != other.getCountsAllotments()) return false;
+    if (getDividesServices()
+        != other.getDividesServices()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -470,6 +494,9 @@
     hash = (37 * hash) + COUNTS_ALLOTMENTS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getCountsAllotments());
+    hash = (37 * hash) + DIVIDES_SERVICES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDividesServices());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -612,6 +639,7 @@
       gateway_ = false;
       evacuations_ = false;
       countsAllotments_ = false;
+      dividesServices_ = false;
       return this;
     }
 
@@ -678,6 +706,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.countsAllotments_ = countsAllotments_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.dividesServices_ = dividesServices_;
+      }
     }
 
     @java.lang.Override
@@ -733,6 +764,9 @@
       if (other.getCountsAllotments() != false) {
         setCountsAllotments(other.getCountsAllotments());
       }
+      if (other.getDividesServices() != false) {
+        setDividesServices(other.getDividesServices());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -812,6 +846,11 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 192
+            case 200: {
+              dividesServices_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 200
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1365,6 +1404,50 @@
       return this;
     }
 
+    private boolean dividesServices_ ;
+    /**
+     * <pre>
+     * Whether the gateway can be the home of a part of the upstreams of a service, named like 'rotaboard#1/4'.
+     * </pre>
+     *
+     * <code>bool divides_services = 25;</code>
+     * @return The dividesServices.
+     */
+    @java.lang.Override
+    public boolean getDividesServices() {
+      return dividesServices_;
+    }
+    /**
+     * <pre>
+     * Whether the gateway can be the home of a part of the upstreams of a service, named like 'rotaboard#1/4'.
+     * </pre>
+     *
+     * <code>bool divides_services = 25;</code>
+     * @param value The dividesServices to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDividesServices(boolean value) {
+
+      dividesServices_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the gateway can be the home of a part of the upstreams of a service, named like 'rotaboard#1/4'.
+     * </pre>
+     *
+     * <code>bool divides_services = 25;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDividesServices() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      dividesServices_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.InstanceRecord)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecordOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/InstanceRecordOrBuilder.java
@@ -107,4 +107,14 @@
    * @return The countsAllotments.
    */
   boolean getCountsAllotments();
+
+  /**
+   * <pre>
+   * Whether the gateway can be the home of a part of the upstreams of a service, named like 'rotaboard#1/4'.
+   * </pre>
+   *
+   * <code>bool divides_services = 25;</code>
+   * @return The dividesServices.
+   */
+  boolean getDividesServices();
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
@@ -29,6 +29,19 @@
 		this(zone, maximumInstances, retryLimits, paceProbesPerSecond, ColdStartLimits.DEFAULTS);
 	}
 
+	/**
+	 * Returns the settings of a router for one of several pools of a service. All of them
+	 * together keep the limits of these settings.
+	 * @param poolCount the number of pools
+	 * @return the settings
+	 */
+	public RouterSettings dividedBy(int poolCount) {
+		return new RouterSettings(
+				this.zone, this.maximumInstances * poolCount, new RetryLimits(this.retryLimits.ratio(),
+						this.retryLimits.slack() / poolCount, this.retryLimits.windowSeconds()),
+				this.paceProbesPerSecond, this.coldStartLimits);
+	}
+
 	/**
 	 * Returns the settings of an instance of a deployment whose settings state no limits.
 	 * @param zone the availability zone of the instance
