Count a request for the retry budget where it is routed

Cause: a gateway that gets no response from the home within 150 ms routes the request by itself, and counts it for its own budget. If the home was only slow, it had counted the request as well, so that it allowed retries twice.

Evidence: LateHomeTests failed (a hundred requests that were taken back allowed a retry without any slack) and passes.

Change: the home takes back what a request has contributed if it is closed without a result of any attempt. That includes requests whose callers gave up, which makes the budget smaller than it may be, not larger. Counting requests at the home only was ruled out: a gateway that has lost its home could not retry at all.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -58,7 +58,21 @@
 				add(this.limits.slack() * INITIAL_TOKENS_SHARE);
 			}
 		}
-		add(Math.min(retryPercent / 100.0, this.limits.ratio() * RATIO_SHARE));
+		add(contribution(retryPercent));
+	}
+
+	private double contribution(int retryPercent) {
+		return Math.min(retryPercent / 100.0, this.limits.ratio() * RATIO_SHARE);
+	}
+
+	/**
+	 * Takes back the tokens that a request has contributed. The budget may fall below
+	 * zero, if they were used already.
+	 * @param retryPercent the retries and hedges allowed per hundred requests by the
+	 * rules
+	 */
+	public void withdrawRequest(int retryPercent) {
+		this.tokens -= contribution(retryPercent);
 	}
 
 	private void add(double addedTokens) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -796,6 +796,11 @@
 			return;
 		}
 		state.markClosed();
+		if (state.isRoutedByHome() && !state.isAnswered()) {
+			// If this home responded too late, the gateway has routed the request by
+			// itself, and it counts there.
+			this.retryBudget.withdrawRequest(this.rule.retryPercent());
+		}
 		this.queues.remove(state.request());
 		this.trials.remove(state.request());
 		this.queues.recordClose(state.request().queueName());
