Log the acknowledgement of accepted rules

The log had the acceptance of a revision and nothing of its acknowledgement, so it could not tell an instance that had applied the revision from one that was not waited for. rules-acknowledged states how many instances applied it, how many were live, and how long the wait took.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/control/RuleOperations.java
@@ -99,10 +99,23 @@
 			return this.cluster.rulePropagation(decision.getRevision())
 				.thenApply((propagation) -> new RuleSubmissionResult(decision, propagation));
 		}
-		PropagationWait wait = PropagationWait.startedAt(this.time.monotonicNanos(), this.propagationTimeoutMillis,
+		long acceptedNanos = this.time.monotonicNanos();
+		PropagationWait wait = PropagationWait.startedAt(acceptedNanos, this.propagationTimeoutMillis,
 				acknowledgementNanos);
-		return awaitPropagation(decision.getRevision(), wait)
-			.thenApply((propagation) -> new RuleSubmissionResult(decision, propagation));
+		return awaitPropagation(decision.getRevision(), wait).thenApply((propagation) -> {
+			logAcknowledgement(decision, propagation, acceptedNanos);
+			return new RuleSubmissionResult(decision, propagation);
+		});
+	}
+
+	private void logAcknowledgement(RulesAnswer decision, RulePropagation propagation, long acceptedNanos) {
+		eventLog.information("rules-acknowledged")
+			.with("revision", decision.getRevision())
+			.with("applied", propagation.appliedCount())
+			.with("live", propagation.liveCount())
+			.with("instances", propagation.instanceCount())
+			.with("waited-millis", TimeUnit.NANOSECONDS.toMillis(this.time.monotonicNanos() - acceptedNanos))
+			.write();
 	}
 
 	private CompletableFuture<RulePropagation> awaitPropagation(long revision, PropagationWait wait) {
