Take back only requests that a gateway routes by itself

The home took back the share of the retry budget of every request without a result, also of those whose callers gave up.

A gateway now tells the home when it closes a request because it routes it by itself (SlotClose.taken_back). LateHomeTests has both cases.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -297,6 +297,14 @@
 		});
 	}
 
+	// Closes a request that its gateway routes by itself.
+	void takeBack(long requestId) {
+		synchronized (this.router) {
+			this.router.takeBack(requestId);
+		}
+		close(requestId);
+	}
+
 	@Override
 	public void close(long requestId) {
 		this.callbacks.remove(requestId);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -82,7 +82,12 @@
 			case END -> request.completeAttempt(router, message.getEnd());
 			case RETRY -> request.retry(router);
 			case HEDGE -> router.hedge(request.routingRequest.id());
-			case CLOSE -> close(key, request);
+			case CLOSE -> {
+				if (message.getClose().getTakenBack()) {
+					router.takeBack(request.routingRequest.id());
+				}
+				close(key, request);
+			}
 			default -> eventLog.warning("slot-message-unexpected").with("from", address).write();
 		}
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -35,9 +35,6 @@
 	// Whether an attempt may have arrived at an upstream.
 	private boolean arrived;
 
-	// Whether an attempt had a result other than that it was cancelled.
-	private boolean answered;
-
 	private boolean closed;
 
 	RequestState(RoutingRequest request, boolean home) {
@@ -77,12 +74,7 @@
 		return this.arrived;
 	}
 
-	boolean isAnswered() {
-		return this.answered;
-	}
-
 	void recordResult(AttemptResult result) {
-		this.answered |= result != AttemptResult.CANCELLED;
 		if (result == AttemptResult.UNREACHABLE) {
 			this.unreachedAttempts++;
 		}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -796,17 +796,25 @@
 			return;
 		}
 		state.markClosed();
-		if (state.isRoutedByHome() && !state.isAnswered()) {
-			// If this home responded too late, the gateway has routed the request by
-			// itself, and it counts there.
-			this.retryBudget.withdrawRequest(this.rule.retryPercent());
-		}
 		this.queues.remove(state.request());
 		this.trials.remove(state.request());
 		this.queues.recordClose(state.request().queueName());
 		removeIfCompleted(state);
 	}
 
+	/**
+	 * Closes a request that its gateway routes by itself, because this home has not
+	 * responded in time. The request counts for the retry budget of that gateway.
+	 * @param requestId the identifier of the request
+	 */
+	public void takeBack(long requestId) {
+		RequestState state = this.requests.get(requestId);
+		if (state != null && !state.isClosed()) {
+			this.retryBudget.withdrawRequest(this.rule.retryPercent());
+			close(requestId);
+		}
+	}
+
 	private void removeIfCompleted(RequestState state) {
 		if (state.isClosed() && state.attemptsInFlight().isEmpty()) {
 			this.requests.remove(state.request().id());
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -44,6 +44,8 @@
 	 */
 	static final long REQUEST_REPEAT_NANOS = 250_000_000;
 
+	private static final SlotClose TAKEN_BACK = SlotClose.newBuilder().setTakenBack(true).build();
+
 	private static final long NANOS_PER_MICRO = 1_000;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
@@ -144,7 +146,7 @@
 			.setRun(message.getRun());
 		this.effects.add(new SlotEffect.Send(homeAddress,
 				response.setEnd(slotEnd(message.getGrant().getUpstream(), AttemptResult.CANCELLED)).build()));
-		this.effects.add(new SlotEffect.Send(homeAddress, response.setClose(SlotClose.getDefaultInstance()).build()));
+		this.effects.add(new SlotEffect.Send(homeAddress, response.setClose(TAKEN_BACK).build()));
 	}
 
 	private static SlotEnd slotEnd(String upstream, AttemptResult result) {
@@ -193,7 +195,7 @@
 
 	private void abandonHome(RequestState state) {
 		this.requests.remove(state.request.id());
-		send(state, newMessage(state).setClose(SlotClose.getDefaultInstance()));
+		send(state, newMessage(state).setClose(TAKEN_BACK));
 		this.effects.add(new SlotEffect.HomeUnavailable(state.request, state.service, state.homeAddress));
 	}
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/LateHomeTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/LateHomeTests.java
@@ -26,6 +26,11 @@
 
 	private long lastRequestId;
 
+	LateHomeTests() {
+		this.router.updateUpstreams(List.of(new Upstream("one", "10.0.0.1:80", "zone-1", 6, 1, true),
+				new Upstream("two", "10.0.0.2:80", "zone-1", 6, 1, true)), 0);
+	}
+
 	private Dispatch admit() {
 		long requestId = ++this.lastRequestId;
 		List<RoutingEffect> effects = this.router
@@ -33,22 +38,35 @@
 		return (Dispatch) effects.get(0);
 	}
 
+	private RoutingEffect retryAfterFailure() {
+		Dispatch failed = admit();
+		this.router.completeAttempt(failed.requestId(), failed.upstream().name(), AttemptResult.FAILURE, 0);
+		return this.router.retry(failed.requestId(), 0).get(0);
+	}
+
 	// Guards against retries beyond the limit that all instances share: the request
 	// counted at the home, and again at the gateway that routed it.
 	@Test
 	void requestThatItsGatewayTookBackAllowsNoRetries() {
 		this.router.updateUpstreams(List.of(new Upstream("one", "10.0.0.1:80", "zone-1", 6, 1, true),
 				new Upstream("two", "10.0.0.2:80", "zone-1", 6, 1, true)), 0);
+		for (int request = 0; request < REQUEST_COUNT; request++) {
+			Dispatch dispatch = admit();
+			this.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(), AttemptResult.CANCELLED, 0);
+			this.router.takeBack(dispatch.requestId());
+		}
+		assertThat(retryAfterFailure()).isInstanceOfSatisfying(RoutingEffect.Refusal.class,
+				(refusal) -> assertThat(refusal.reason()).isEqualTo(RefusalReason.RETRY_BUDGET));
+	}
+
+	@Test
+	void requestWhoseCallerGaveUpCounts() {
 		for (int request = 0; request < REQUEST_COUNT; request++) {
 			Dispatch dispatch = admit();
 			this.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(), AttemptResult.CANCELLED, 0);
 			this.router.close(dispatch.requestId());
 		}
-		Dispatch failed = admit();
-		this.router.completeAttempt(failed.requestId(), failed.upstream().name(), AttemptResult.FAILURE, 0);
-		assertThat(this.router.retry(failed.requestId(), 0)).singleElement()
-			.isInstanceOfSatisfying(RoutingEffect.Refusal.class,
-					(refusal) -> assertThat(refusal.reason()).isEqualTo(RefusalReason.RETRY_BUDGET));
+		assertThat(retryAfterFailure()).isInstanceOf(Dispatch.class);
 	}
 
 }
