Do not prolong an ejection by attempts that were in flight

Callers saw: a service with one upstream answered nothing for half a minute after a crowd of callers had left; in general, upstreams were left out for up to 32 s after a single event.

Cause: when many attempts at an upstream failed at once, the third ejected it, and each later one counted as the failure of a trial, which doubled the ejection, up to 32 s.

Evidence: ConcurrentFailuresTests failed in its three cases and passes.

Failures are now ignored while the upstream is ejected: the attempts were sent before, and tell nothing of its return. Attempts that fail later than that still count; after an ejection one request at a time is sent. That the end of a caller's connection counts as a failure of the upstream at all is not changed here.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -435,8 +435,12 @@
 		this.latencySamples++;
 	}
 
-	// Called after recordCompletion if the result counts against the upstream.
+	// Called after recordCompletion if the result counts against the upstream. Attempts
+	// that end while it is ejected were sent before, and do not prolong the ejection.
 	void recordFailure(AttemptResult result, long nowNanos, EjectionRule ejectionRule) {
+		if (isEjected(nowNanos)) {
+			return;
+		}
 		this.consecutiveFailures++;
 		boolean unreachable = result == AttemptResult.UNREACHABLE;
 		boolean failing = this.consecutiveFailures >= ejectionRule.failureThreshold() || isOnTrial();
