--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotMessage.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotMessage.java
@@ -250,6 +250,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object service_ = "";
   /**
+   * <pre>
+   * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+   * </pre>
+   *
    * <code>string service = 1;</code>
    * @return The service.
    */
@@ -267,6 +271,10 @@
     }
   }
   /**
+   * <pre>
+   * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+   * </pre>
+   *
    * <code>string service = 1;</code>
    * @return The bytes for service.
    */
@@ -1262,6 +1270,10 @@
 
     private java.lang.Object service_ = "";
     /**
+     * <pre>
+     * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+     * </pre>
+     *
      * <code>string service = 1;</code>
      * @return The service.
      */
@@ -1278,6 +1290,10 @@
       }
     }
     /**
+     * <pre>
+     * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+     * </pre>
+     *
      * <code>string service = 1;</code>
      * @return The bytes for service.
      */
@@ -1295,6 +1311,10 @@
       }
     }
     /**
+     * <pre>
+     * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+     * </pre>
+     *
      * <code>string service = 1;</code>
      * @param value The service to set.
      * @return This builder for chaining.
@@ -1308,6 +1328,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+     * </pre>
+     *
      * <code>string service = 1;</code>
      * @return This builder for chaining.
      */
@@ -1318,6 +1342,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+     * </pre>
+     *
      * <code>string service = 1;</code>
      * @param value The bytes for service to set.
      * @return This builder for chaining.
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotMessageOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotMessageOrBuilder.java
@@ -11,11 +11,19 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+   * </pre>
+   *
    * <code>string service = 1;</code>
    * @return The service.
    */
   java.lang.String getService();
   /**
+   * <pre>
+   * The key of a pool of upstreams: the name of the service, followed by such as '#1/4' if it is divided.
+   * </pre>
+   *
    * <code>string service = 1;</code>
    * @return The bytes for service.
    */
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotEffect.java
@@ -29,7 +29,7 @@
 	 * route for the service. The request has not been sent to any upstream.
 	 *
 	 * @param request the request
-	 * @param service the name of the service
+	 * @param service the key of the pool of upstreams that was asked for
 	 * @param homeAddress the peer address of the home
 	 */
 	record HomeUnavailable(RoutingRequest request, String service, String homeAddress) implements SlotEffect {
