--- a/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/RuleExchange.java
@@ -145,10 +145,8 @@
 		return true;
 	}
 
-	// Returns whether the rules that a peer sent are newer than those held, and are to be
-	// applied. Rules that can't be decoded are dropped; the next request then asks for
-	// the
-	// whole file.
+	// Returns whether the rules that a peer sent are newer than those held. Rules that
+	// can't be decoded are dropped; the next request then asks for the whole file.
 	boolean receive(RuleFile receivedRules, long nowMillis) {
 		if (receivedRules.getRevision() <= revision()) {
 			return false;
