Leave out a home that is only slow no longer than a second at a time

Callers could see: after a moment in which a home is slow, its gateways leave it out for 2 and 4 s, and several instances act as its home.

Cause: silence doubled the time, whether the home was lost or slow.

A response that comes too late now resets the time to a second. HomeAvailabilityTests.homeThatRespondsLateIsTriedAgainEachSecond failed before.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/HomeAvailability.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/HomeAvailability.java
@@ -9,7 +9,8 @@
  * Tells which instances may be asked as homes of services. An instance that did not
  * respond in time is left out for a while; then one request at a time is sent to it as a
  * trial, until it responds or is silent again, after which it is left out for twice as
- * long. Not safe for concurrent use; times are monotonic, in milliseconds.
+ * long unless it has responded late. Not safe for concurrent use; times are monotonic, in
+ * milliseconds.
  */
 public final class HomeAvailability {
 
@@ -71,12 +72,16 @@
 
 	/**
 	 * Records a response of an instance as a home. A response that does not come in time
-	 * to a trial does not end the suspicion.
+	 * to a trial does not end the suspicion, but shows that the instance is only slow.
 	 * @param peerAddress the peer address of the instance
 	 */
 	public void recordResponse(String peerAddress) {
 		Suspicion suspicion = this.suspicions.get(peerAddress);
-		if (suspicion != null && suspicion.trialPending) {
+		if (suspicion == null) {
+			return;
+		}
+		suspicion.duration.reset();
+		if (suspicion.trialPending) {
 			this.suspicions.remove(peerAddress);
 		}
 	}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
@@ -94,6 +94,21 @@
 			assertThat(availability.tryUse(HOME, START_MILLIS + 51)).isFalse();
 		}
 
+		// Guards against a home that is slow for a moment, and that its gateways leave
+		// out
+		// ever longer, so that several instances act as homes.
+		@Test
+		void homeThatRespondsLateIsTriedAgainEachSecond() {
+			HomeAvailability availability = HomeAvailabilityTests.this.availability;
+			long nowMillis = START_MILLIS;
+			for (int trial = 0; trial < 5; trial++) {
+				availability.recordSilence(HOME, nowMillis);
+				availability.recordResponse(HOME);
+				assertThat(availability.tryUse(HOME, nowMillis + 1_000)).isTrue();
+				nowMillis += 1_000 + RESPONSE_TIMEOUT_MILLIS;
+			}
+		}
+
 	}
 
 }
