--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -52,7 +52,8 @@
 		}
 	}
 
-	// The instance that counts as the home at the moment, to which no request is sent.
+	// The instance that counts as the home at the moment. Asking for it is no trial of an
+	// instance that was left out.
 	Optional<HomeCandidate> currentHome(UpstreamPool pool) {
 		synchronized (this.availability) {
 			return rankedInstances(pool).stream()
