Close a request that its gateway took back only once

A home closed such a request before it released its grants, and then again, in another order than any other request. Taking a request back now changes the retry budget only, and closing follows in the one place that releases grants first. The test calls both steps; its assertions are unchanged. A comment that the formatter broke is joined.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -297,12 +297,12 @@
 		});
 	}
 
-	// Closes a request that its gateway routes by itself.
+	// Records that the gateway of a request routes it by itself. The request is to be
+	// closed next.
 	void takeBack(long requestId) {
 		synchronized (this.router) {
 			this.router.takeBack(requestId);
 		}
-		close(requestId);
 	}
 
 	@Override
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -803,15 +803,15 @@
 	}
 
 	/**
-	 * Closes a request that its gateway routes by itself, because this home has not
-	 * responded in time. The request counts for the retry budget of that gateway.
+	 * Records that the gateway of a request routes it by itself, because this home has
+	 * not responded in time. The request counts for the retry budget of that gateway. To
+	 * be called before {@link #close}.
 	 * @param requestId the identifier of the request
 	 */
 	public void takeBack(long requestId) {
 		RequestState state = this.requests.get(requestId);
 		if (state != null && !state.isClosed()) {
 			this.retryBudget.withdrawRequest(this.rule.retryPercent());
-			close(requestId);
 		}
 	}
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
@@ -94,9 +94,8 @@
 			assertThat(availability.tryUse(HOME, START_MILLIS + 51)).isFalse();
 		}
 
-		// Guards against a home that is slow for a moment, and that its gateways leave
-		// out
-		// ever longer, so that several instances act as homes.
+		// Guards against several instances that act as homes, because a home was slow for
+		// a moment and is left out ever longer.
 		@Test
 		void homeThatRespondsLateIsTriedAgainEachSecond() {
 			HomeAvailability availability = HomeAvailabilityTests.this.availability;
--- a/radishthread-routing/src/test/java/org/radishthread/routing/LateHomeTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/LateHomeTests.java
@@ -54,6 +54,7 @@
 			Dispatch dispatch = admit();
 			this.router.completeAttempt(dispatch.requestId(), dispatch.upstream().name(), AttemptResult.CANCELLED, 0);
 			this.router.takeBack(dispatch.requestId());
+			this.router.close(dispatch.requestId());
 		}
 		assertThat(retryAfterFailure()).isInstanceOfSatisfying(RoutingEffect.Refusal.class,
 				(refusal) -> assertThat(refusal.reason()).isEqualTo(RefusalReason.RETRY_BUDGET));
