Do not forward responses whose status is none of HTTP

What callers saw: an upstream in trouble that answered with the status 600 or 999 had its bytes forwarded as a response. After an answer with the status 101 the caller got nothing at all, far beyond its deadline of 5 s. A report on other systems names the status 000, which does not get through here: the parser of the client rejects all statuses below 100.

Cause: the status was not checked. 101 ends the exchange in the client, which waits for the switch to another protocol that no request asks for.

Change: an attempt whose response has a final status outside of 200 to 599 fails, before a byte of it is streamed.

Evidence: FaultyResponseTests.InvalidStatuses, real processes: 101, 600 and 999 failed on the code before (101 by the caller's own timeout of 20 s), 000, 001 and 099 passed; all six pass now.

The same report names an upload that is answered at once by a part of a response without a length, and reset while it is written. UploadsInProgress plays that in four forms, 16 uploads of 12 MB each, at a gateway that buffers and at one that streams: no caller got the part as a whole response, before or after this change. ResponseEndTests and AttemptTests pass.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/Attempt.java
@@ -19,11 +19,15 @@
  * Sends a request to one upstream and reports the result to an {@link AttemptListener}.
  * The response is buffered until it is complete; if it exceeds the buffer limit, or the
  * memory for buffers is used up, it is streamed with the listener's consent. An attempt
- * fails if the response belongs to another request, or if its end cannot be distinguished
- * from a lost connection or from a further response.
+ * fails if the response belongs to another request, if its status is none of HTTP, or if
+ * its end cannot be distinguished from a lost connection or from a further response.
  */
 final class Attempt implements Response.Listener {
 
+	private static final int MINIMUM_FINAL_STATUS = 200;
+
+	private static final int MAXIMUM_FINAL_STATUS = 599;
+
 	private final String upstreamName;
 
 	private final NetworkAddress upstreamAddress;
@@ -165,6 +169,11 @@
 
 	@Override
 	public void onHeaders(Response response) {
+		if (!isFinalStatus(response.getStatus())) {
+			abort(new GatewayException("The response has the status " + response.getStatus() + ", but a final one from "
+					+ MINIMUM_FINAL_STATUS + " to " + MAXIMUM_FINAL_STATUS + " is expected."));
+			return;
+		}
 		this.body.onHeaders(response.getHeaders());
 		String echoedRequestId = this.dialect.echoedRequestId(response.getHeaders());
 		if (echoedRequestId != null && !echoedRequestId.equals(this.requestId)) {
@@ -179,6 +188,10 @@
 		}
 	}
 
+	private static boolean isFinalStatus(int status) {
+		return status >= MINIMUM_FINAL_STATUS && status <= MAXIMUM_FINAL_STATUS;
+	}
+
 	private boolean hasBody(Response response) {
 		return !HttpMethod.HEAD.is(this.request.getMethod()) && response.getStatus() != HttpStatus.NO_CONTENT_204
 				&& response.getStatus() != HttpStatus.NOT_MODIFIED_304;
