Hedge attempts that began slowly while a hedge can be in time

Cause: a hedge was sent after 1.15 times the mean duration of an attempt at the earliest, 570 to 670 ms, when a hedge that takes 420 ms misses the objective of 1,000 ms. To send all hedges earlier would use up the retry budget for attempts that are about to end: the time alone does not tell them from those that began at a slow upstream and take four times as long.

Change: the pace at which an attempt began is corrected by the first report of the upstream after the request has reached it (AttemptPace); the two reports count by how near they are to the beginning. A gateway asks for a hedge from half of the usual duration on, as early as a hedge takes with some margin, and then every 50 ms instead of every 100. The home grants it only if each attempt in flight takes 1.3 times as long as usual, or is expected to miss an objective that a hedge can still meet.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -39,7 +39,7 @@
 
 	private static final EventLog eventLog = EventLog.of(RoutedExchange.class);
 
-	private static final long HEDGE_RETRY_INTERVAL_MILLIS = 100;
+	private static final long HEDGE_RETRY_INTERVAL_MILLIS = 50;
 
 	private final RequestRouter router;
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/PaceEstimate.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/PaceEstimate.java
@@ -1,9 +1,13 @@
 package org.radishthread.routing;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * Estimates the pace of one upstream: its current service time relative to the usual one.
  * Reports are valid for a short time only, so the estimate returns to the long-term mean
- * as the latest report ages.
+ * as the latest report ages. Points in time are monotonic, in nanoseconds. Not safe for
+ * concurrent use.
  */
 final class PaceEstimate {
 
@@ -13,6 +17,9 @@
 	 */
 	static final long DECAY_TIME_NANOS = 250_000_000;
 
+	// A later report says almost nothing about the start of an attempt.
+	private static final long CORRECTION_PERIOD_NANOS = 4 * DECAY_TIME_NANOS;
+
 	private static final double USUAL_PACE_PERCENT = 100;
 
 	private static final double MEAN_SAMPLE_WEIGHT = 0.05;
@@ -23,6 +30,9 @@
 
 	private long lastReportNanos = Long.MIN_VALUE / 2;
 
+	// The attempts that no report has followed yet, in the order of their dispatch.
+	private final Deque<AttemptPace> uncorrectedAttempts = new ArrayDeque<>();
+
 	void recordReport(int pacePercent, long nowNanos) {
 		if (pacePercent <= 0) {
 			return;
@@ -30,12 +40,36 @@
 		this.reportedPace = pacePercent / USUAL_PACE_PERCENT;
 		this.lastReportNanos = nowNanos;
 		this.meanPace += MEAN_SAMPLE_WEIGHT * (this.reportedPace - this.meanPace);
+		while (!this.uncorrectedAttempts.isEmpty() && this.uncorrectedAttempts.peek().hasReachedUpstream(nowNanos)) {
+			AttemptPace attempt = this.uncorrectedAttempts.remove();
+			attempt.correct(this.reportedPace, reportWeight(nowNanos - attempt.dispatchedNanos()));
+		}
+	}
+
+	/**
+	 * Records that an attempt is sent to the upstream.
+	 * @param nowNanos the time of the dispatch
+	 * @return the pace at which the attempt begins, which the next report corrects
+	 */
+	AttemptPace startAttempt(long nowNanos) {
+		while (!this.uncorrectedAttempts.isEmpty()
+				&& nowNanos - this.uncorrectedAttempts.peek().dispatchedNanos() > CORRECTION_PERIOD_NANOS) {
+			this.uncorrectedAttempts.remove();
+		}
+		AttemptPace attempt = new AttemptPace(currentPace(nowNanos), reportWeight(nowNanos - this.lastReportNanos),
+				nowNanos);
+		this.uncorrectedAttempts.add(attempt);
+		return attempt;
 	}
 
 	// The current service time relative to the usual one; 1 is the usual pace.
 	double currentPace(long nowNanos) {
-		double reportWeight = Math.exp(-(double) Math.max(0, nowNanos - this.lastReportNanos) / DECAY_TIME_NANOS);
-		return this.meanPace + (this.reportedPace - this.meanPace) * reportWeight;
+		return this.meanPace + (this.reportedPace - this.meanPace) * reportWeight(nowNanos - this.lastReportNanos);
+	}
+
+	// The weight of a report for a time that differs from its own.
+	private static double reportWeight(long differenceNanos) {
+		return Math.exp(-(double) Math.max(0, differenceNanos) / DECAY_TIME_NANOS);
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -112,11 +112,11 @@
 	 *
 	 * @param startNanos the time of the dispatch
 	 * @param inFlight the number of attempts in flight at the upstream, with this one
-	 * @param paceFactor the pace of the upstream
+	 * @param pace the pace of the upstream at that time
 	 * @param relay the instance that relays the attempt, or {@code null} for none
 	 * @param budgeted whether the attempt was taken from the retry budget
 	 */
-	record AttemptStart(long startNanos, int inFlight, double paceFactor, @Nullable String relay, boolean budgeted) {
+	record AttemptStart(long startNanos, int inFlight, AttemptPace pace, @Nullable String relay, boolean budgeted) {
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -38,17 +38,21 @@
  */
 public final class ServiceRouter {
 
-	// The latest time of a hedge after the start of the slow attempt, relative to the
-	// typical duration of an attempt.
+	// The latest time of the first request for a hedge after the start of the slow
+	// attempt, relative to the typical duration of an attempt.
 	private static final double MAXIMUM_HEDGE_DELAY_FACTOR = 3;
 
 	// The time allowed for a hedge, relative to the typical duration
 	// of an attempt.
-	private static final double HEDGE_DURATION_FACTOR = 1.3;
+	private static final double HEDGE_DURATION_FACTOR = 1.6;
 
-	// The earliest time of a hedge after the start of the slow attempt, relative to the
-	// typical duration of an attempt.
-	private static final double MINIMUM_HEDGE_DELAY_FACTOR = 1.15;
+	// The earliest time of a request for a hedge after the start of the slow attempt,
+	// relative to the typical duration of an attempt.
+	private static final double MINIMUM_HEDGE_DELAY_FACTOR = 0.5;
+
+	// An attempt that takes longer than this multiple of the typical duration is overdue:
+	// nine of ten that begin at the usual pace take less.
+	private static final double OVERDUE_FACTOR = 1.3;
 
 	private static final long MINIMUM_HEDGE_DELAY_NANOS = 2_000_000;
 
@@ -511,12 +515,12 @@
 
 	private void dispatch(RequestState state, UpstreamTracker tracker, AttemptKind kind, long queueTimeNanos,
 			long nowNanos) {
-		tracker.recordDispatch(nowNanos);
+		AttemptPace pace = tracker.recordDispatch(nowNanos);
 		String relay = startOnPath(state, tracker.upstream().name(), nowNanos);
 		state.triedUpstreams().add(tracker.upstream().name());
 		state.attemptsInFlight()
-			.put(tracker.upstream().name(), new AttemptStart(nowNanos, tracker.inFlight(), tracker.paceFactor(nowNanos),
-					relay, isBudgeted(state, kind)));
+			.put(tracker.upstream().name(),
+					new AttemptStart(nowNanos, tracker.inFlight(), pace, relay, isBudgeted(state, kind)));
 		boolean mayHedge = state.request().mayRepeat() && kind != AttemptKind.HEDGE
 				&& this.throughput.meanServiceNanos() > 0;
 		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request(), nowNanos) : 0;
@@ -546,10 +550,16 @@
 		return relay;
 	}
 
-	// A hedge is sent early enough to meet the objective, but not before the attempt
-	// in flight takes longer than usual.
+	// The duration of an attempt without contention at the usual pace.
+	private double typicalAttemptNanos() {
+		return this.contention.uncontendedNanosOr(this.throughput.meanServiceNanos());
+	}
+
+	// From this time on a hedge may be requested: early enough to meet the objective if
+	// the
+	// attempt began at a slow upstream.
 	private long hedgeAfterNanos(RoutingRequest request, long nowNanos) {
-		double typicalNanos = this.contention.uncontendedNanosOr(this.throughput.meanServiceNanos());
+		double typicalNanos = typicalAttemptNanos();
 		double latestDelayNanos = request.urgency().objectiveAtNanos() - nowNanos
 				- HEDGE_DURATION_FACTOR * typicalNanos;
 		double delayNanos = Math.min(MAXIMUM_HEDGE_DELAY_FACTOR * typicalNanos,
@@ -616,7 +626,7 @@
 			state.recordResult(result);
 		}
 		else {
-			tracker.recordCompletion(result, latencyNanos, attemptStart.paceFactor(), nowNanos);
+			tracker.recordCompletion(result, latencyNanos, attemptStart.pace().estimate(), nowNanos);
 			state.recordResult(result);
 			if (result == AttemptResult.UNREACHABLE && attemptStart.budgeted()) {
 				this.retryBudget.release();
@@ -626,7 +636,7 @@
 				nowNanos);
 		if (result == AttemptResult.SUCCESS) {
 			this.contention.recordAttempt(attemptStart.inFlight(), tracker.upstream().slots(),
-					latencyNanos / attemptStart.paceFactor());
+					latencyNanos / attemptStart.pace().estimate());
 			this.throughput.recordCompletion(latencyNanos, nowNanos);
 		}
 		return useReleasedSlot(state, nowNanos);
@@ -744,9 +754,10 @@
 	}
 
 	/**
-	 * Requests a second attempt in parallel to a slow one. It is dispatched only if no
-	 * request is queued, a suitable slot is free and the retry budget allows it; if the
-	 * first attempt is lost with the path of its instance, like a retry.
+	 * Requests a second attempt in parallel to a slow one. It is dispatched only if the
+	 * first one takes longer than usual or will miss the objective, no request is queued,
+	 * a suitable slot is free and the retry budget allows it; if the first attempt is
+	 * lost with the path of its instance, like a retry.
 	 * @param requestId the identifier of the request
 	 * @param nowNanos the monotonic time, in nanoseconds
 	 * @return its dispatch, or nothing
@@ -757,7 +768,7 @@
 			return List.of();
 		}
 		boolean lost = isAttemptLost(state, nowNanos);
-		if (this.queues.size() > 0 && !lost) {
+		if (!lost && (this.queues.size() > 0 || !isHedgeDue(state, nowNanos))) {
 			return List.of();
 		}
 		Optional<UpstreamTracker> chosenUpstream = lost ? this.selection.chooseFreeSlot(state, nowNanos)
@@ -771,6 +782,19 @@
 		return takeEffects();
 	}
 
+	// Whether each attempt in flight takes longer than usual, or is expected to miss an
+	// objective that a hedge can still meet.
+	private boolean isHedgeDue(RequestState state, long nowNanos) {
+		double typicalNanos = typicalAttemptNanos();
+		long objectiveAtNanos = state.request().urgency().objectiveAtNanos();
+		boolean objectiveInReach = nowNanos + typicalNanos <= objectiveAtNanos;
+		return state.attemptsInFlight().values().stream().allMatch((attempt) -> {
+			boolean overdue = nowNanos - attempt.startNanos() >= OVERDUE_FACTOR * typicalNanos;
+			double expectedEndNanos = attempt.startNanos() + attempt.pace().corrected() * typicalNanos;
+			return overdue || (objectiveInReach && expectedEndNanos > objectiveAtNanos);
+		});
+	}
+
 	private boolean mayHedge(RequestState state) {
 		return !state.isClosed() && !state.attemptsInFlight().isEmpty()
 				&& state.countedAttempts() < Math.min(2, state.request().maximumAttempts())
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -396,11 +396,13 @@
 				this.coldLimit.allowedAtNanos(requests, nowNanos));
 	}
 
-	void recordDispatch(long nowNanos) {
+	// Returns the pace at which the attempt begins.
+	AttemptPace recordDispatch(long nowNanos) {
 		this.inFlight++;
 		this.rateLimit.recordDispatch(nowNanos);
 		this.coldLimit.recordDispatch(nowNanos);
 		this.lastDispatchNanos = nowNanos;
+		return this.pace.startAttempt(nowNanos);
 	}
 
 	void recordCompletion(AttemptResult result, long latencyNanos, double paceAtStart, long nowNanos) {
