Log the pace that is expected when an upstream is chosen

Cause: neither logs nor metrics told whether a request that took four times as long as usual had been sent to an upstream that was known to be slow, or to one whose last report was outdated.

Change: 'dispatch' has pace-percent.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/LocalRequestRouter.java
@@ -174,6 +174,7 @@
 			.with("upstream", dispatch.upstream().name())
 			.with("kind", dispatch.kind().wireName())
 			.with("in-flight", dispatch.inFlight())
+			.with("pace-percent", dispatch.pacePercent())
 			.with("waited-micros", dispatch.queueTimeNanos() / 1_000)
 			.write();
 		this.allotments.recordDispatch(dispatch.requestId());
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/CountingUpstream.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/CountingUpstream.java
@@ -75,7 +75,7 @@
 
 	RoutingEffect.Dispatch dispatch(AttemptKind kind) {
 		Upstream upstream = new Upstream(this.name, "127.0.0.1:" + this.server.getLocalPort(), "bastrop", 4, 1, true);
-		return new RoutingEffect.Dispatch(1, upstream, kind, 1, 0, 0, false, null);
+		return new RoutingEffect.Dispatch(1, upstream, kind, 1, 100, 0, 0, false, null);
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptPace.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptPace.java
@@ -45,6 +45,10 @@
 		return this.estimate;
 	}
 
+	int estimatePercent() {
+		return (int) Math.round(PaceEstimate.USUAL_PACE_PERCENT * this.estimate);
+	}
+
 	double corrected() {
 		return this.corrected;
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/PaceEstimate.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/PaceEstimate.java
@@ -20,7 +20,7 @@
 	// A later report says almost nothing about the start of an attempt.
 	private static final long CORRECTION_PERIOD_NANOS = 4 * DECAY_TIME_NANOS;
 
-	private static final double USUAL_PACE_PERCENT = 100;
+	static final double USUAL_PACE_PERCENT = 100;
 
 	private static final double MEAN_SAMPLE_WEIGHT = 0.05;
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingEffect.java
@@ -16,6 +16,8 @@
 	 * @param upstream the upstream
 	 * @param kind the kind of attempt
 	 * @param inFlight the number of attempts in flight at the upstream, with this one
+	 * @param pacePercent the estimated service time of the upstream at this moment, in
+	 * percent of the usual one, or zero if another instance chose the upstream
 	 * @param queueTimeNanos the duration for which the request was queued, in nanoseconds
 	 * @param hedgeAfterNanos the time without a response after which
 	 * {@link ServiceRouter#hedge} is to be called, in nanoseconds, or zero for never
@@ -24,8 +26,9 @@
 	 * @param relay the peer address of the instance that relays the attempt, empty for
 	 * the home, or {@code null} if the attempt is made directly
 	 */
-	record Dispatch(long requestId, Upstream upstream, AttemptKind kind, int inFlight, long queueTimeNanos,
-			long hedgeAfterNanos, boolean limitCounted, @Nullable String relay) implements RoutingEffect {
+	record Dispatch(long requestId, Upstream upstream, AttemptKind kind, int inFlight, int pacePercent,
+			long queueTimeNanos, long hedgeAfterNanos, boolean limitCounted,
+			@Nullable String relay) implements RoutingEffect {
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -525,7 +525,7 @@
 				&& this.throughput.meanServiceNanos() > 0;
 		long hedgeAfterNanos = mayHedge ? hedgeAfterNanos(state.request(), nowNanos) : 0;
 		this.effects.add(new Dispatch(state.request().id(), tracker.upstream(), kind, tracker.inFlight(),
-				queueTimeNanos, hedgeAfterNanos, tracker.isLimited(nowNanos), relay));
+				pace.estimatePercent(), queueTimeNanos, hedgeAfterNanos, tracker.isLimited(nowNanos), relay));
 	}
 
 	private static boolean isBudgeted(RequestState state, AttemptKind kind) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -174,7 +174,7 @@
 		state.phase = Phase.GRANTED;
 		Upstream upstream = new Upstream(grant.getUpstream(), grant.getAddress(), "", 1, 0, true);
 		this.effects.add(new SlotEffect.Decision(
-				new RoutingEffect.Dispatch(state.request.id(), upstream, dispatchedKind, grant.getInFlight(),
+				new RoutingEffect.Dispatch(state.request.id(), upstream, dispatchedKind, grant.getInFlight(), 0,
 						grant.getWaitedMicros() * NANOS_PER_MICRO, grant.getHedgeAfterMicros() * NANOS_PER_MICRO,
 						grant.getLimitCounted(), grant.getRelay().isEmpty() ? null : grant.getRelay())));
 	}
