--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -15,14 +15,13 @@
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.routing.HomeAssignment;
 import org.radishthread.routing.HomeAvailability;
-import org.radishthread.routing.RecentStarts;
 import org.radishthread.routing.UpstreamPool;
 
 /**
  * Ranks the instances that can be the home of a pool of upstreams. The home is the one
  * instance that queues the requests of the pool and grants the slots of its upstreams. An
- * instance that was unavailable as home is left out for a while, and so is one that has
- * started later than others. This class is safe for use by several threads.
+ * instance that was unavailable as home is left out for a while. This class is safe for
+ * use by several threads.
  */
 final class HomeDirectory {
 
@@ -33,7 +32,7 @@
 	// Guarded by itself.
 	private final HomeAvailability availability = new HomeAvailability();
 
-	private volatile Ranking ranking = new Ranking(List.of(), false, RecentStarts.NONE, new ConcurrentHashMap<>());
+	private volatile Ranking ranking = new Ranking(List.of(), false, new ConcurrentHashMap<>());
 
 	HomeDirectory(ClusterService cluster, TimeSource time) {
 		this.cluster = cluster;
@@ -84,20 +83,15 @@
 
 	private List<HomeCandidate> rankedInstances(UpstreamPool pool) {
 		Ranking ranking = currentRanking();
-		return ranking.candidatesByPool().computeIfAbsent(pool, (key) -> rank(key, ranking));
+		return ranking.candidatesByPool().computeIfAbsent(pool, (key) -> rank(key, ranking.instances()));
 	}
 
 	private Ranking currentRanking() {
 		List<InstanceView> instances = this.cluster.view().instances();
 		Ranking currentRanking = this.ranking;
-		long nowMillis = this.time.wallClockMillis();
-		if (currentRanking.instances() != instances || nowMillis >= currentRanking.recentStarts().endMillis()) {
-			List<InstanceRecord> gateways = liveGateways(instances);
-			currentRanking = new Ranking(instances, gateways.stream().allMatch(InstanceRecord::getDividesServices),
-					RecentStarts.find(
-							gateways.stream()
-								.collect(Collectors.toMap(InstanceRecord::getName, InstanceRecord::getIncarnation)),
-							nowMillis),
+		if (currentRanking.instances() != instances) {
+			currentRanking = new Ranking(instances,
+					liveGateways(instances).stream().allMatch(InstanceRecord::getDividesServices),
 					new ConcurrentHashMap<>());
 			this.ranking = currentRanking;
 		}
@@ -112,11 +106,11 @@
 			.toList();
 	}
 
-	private List<HomeCandidate> rank(UpstreamPool pool, Ranking ranking) {
-		Map<String, InstanceRecord> liveGateways = liveGateways(ranking.instances()).stream()
+	private List<HomeCandidate> rank(UpstreamPool pool, List<InstanceView> instances) {
+		Map<String, InstanceRecord> liveGateways = liveGateways(instances).stream()
 			.collect(Collectors.toMap(InstanceRecord::getName, Function.identity()));
 		String localInstance = this.cluster.replica().getInstance();
-		return HomeAssignment.rankInstances(pool.key(), List.copyOf(liveGateways.keySet()), ranking.recentStarts())
+		return HomeAssignment.rankInstances(pool.key(), List.copyOf(liveGateways.keySet()))
 			.stream()
 			.map((name) -> new HomeCandidate(name, liveGateways.get(name).getPeerAddress(), name.equals(localInstance)))
 			.toList();
@@ -144,7 +138,7 @@
 	record HomeCandidate(String name, String peerAddress, boolean local) {
 	}
 
-	private record Ranking(List<InstanceView> instances, boolean dividesServices, RecentStarts recentStarts,
+	private record Ranking(List<InstanceView> instances, boolean dividesServices,
 			Map<UpstreamPool, List<HomeCandidate>> candidatesByPool) {
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/HomeAssignment.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/HomeAssignment.java
@@ -33,21 +33,6 @@
 		return rankedInstances;
 	}
 
-	/**
-	 * Orders instances by their hash weights for a service, those that started lately
-	 * behind all others.
-	 * @param service the name of the service
-	 * @param instances the names of the live instances
-	 * @param recentStarts the instances that started lately
-	 * @return the instances: the home, then those that replace it in this order if it
-	 * fails
-	 */
-	public static List<String> rankInstances(String service, List<String> instances, RecentStarts recentStarts) {
-		List<String> rankedInstances = rankInstances(service, instances);
-		rankedInstances.sort(Comparator.comparing(recentStarts.instances()::contains));
-		return rankedInstances;
-	}
-
 	/**
 	 * Returns the instance with the highest hash weight.
 	 * @param name the name of the service, or of what else is assigned
