Test the paces of attempts and transient paces by themselves

Change: EstimateTests has a case for a slow pace that is known, one that lasts, and the correction of the pace of an attempt, with a report that crosses it.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -555,9 +555,8 @@
 		return this.contention.uncontendedNanosOr(this.throughput.meanServiceNanos());
 	}
 
-	// From this time on a hedge may be requested: early enough to meet the objective if
-	// the
-	// attempt began at a slow upstream.
+	// The time from which on a hedge may be requested, early enough for it to meet the
+	// objective.
 	private long hedgeAfterNanos(RoutingRequest request, long nowNanos) {
 		double typicalNanos = typicalAttemptNanos();
 		double latestDelayNanos = request.urgency().objectiveAtNanos() - nowNanos
--- a/radishthread-routing/src/test/java/org/radishthread/routing/EstimateTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/EstimateTests.java
@@ -6,8 +6,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link PaceEstimate}, {@link OverrunEstimate}, {@link ContentionEstimate},
- * {@link ArrivalEstimate} and {@link RetryBudget}.
+ * Tests for {@link PaceEstimate}, {@link AttemptPace}, {@link OverrunEstimate},
+ * {@link ContentionEstimate}, {@link ArrivalEstimate} and {@link RetryBudget}.
  */
 class EstimateTests {
 
@@ -32,6 +32,33 @@
 			assertThat(this.pace.currentPace(4 * PaceEstimate.DECAY_TIME_NANOS)).isLessThan(1.3);
 		}
 
+		@Test
+		void slowPaceIsTransientWhileItIsKnown() {
+			this.pace.recordReport(400, 0);
+			assertThat(this.pace.isTransientlyAbove(2, NANOS_PER_MILLI)).isTrue();
+			assertThat(this.pace.isTransientlyAbove(2, NANOS_PER_SECOND)).isFalse();
+		}
+
+		// Guards against an upstream that is slow for good, and gets no requests.
+		@Test
+		void slowPaceThatLastsIsNotTransient() {
+			for (int i = 0; i < 100; i++) {
+				this.pace.recordReport(400, i * NANOS_PER_MILLI);
+			}
+			assertThat(this.pace.isTransientlyAbove(2, 100 * NANOS_PER_MILLI)).isFalse();
+		}
+
+		@Test
+		void attemptBeganAtThePaceThatIsReportedOnceItHasReachedTheUpstream() {
+			this.pace.recordReport(100, 0);
+			AttemptPace attempt = this.pace.startAttempt(NANOS_PER_MILLI);
+			this.pace.recordReport(100, 5 * NANOS_PER_MILLI);
+			this.pace.recordReport(400, 40 * NANOS_PER_MILLI);
+			this.pace.recordReport(100, 300 * NANOS_PER_MILLI);
+			assertThat(attempt.estimatePercent()).isEqualTo(100);
+			assertThat(attempt.corrected()).isBetween(2.0, 3.0);
+		}
+
 		@Test
 		void reportWithoutAPaceIsIgnored() {
 			this.pace.recordReport(400, 0);
--- a/radishthread-routing/src/test/java/org/radishthread/routing/ReportedPaceTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/ReportedPaceTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -31,7 +32,8 @@
 	private static final int SLOW_PACE = 400;
 
 	// The upstreams by name, and their zones.
-	private static final Map<String, String> ZONES = Map.of("near", "zone-0", "far", "zone-1", "farther", "zone-2");
+	private static final Map<String, String> ZONES = new TreeMap<>(
+			Map.of("near", "zone-0", "far", "zone-1", "farther", "zone-2"));
 
 	private final ServiceRouter router = new ServiceRouter(ServiceRule.defaults("service"),
 			new RouterSettings("zone-0", 1, RetryLimits.DEFAULTS, 500), 0);
