Give a home the time in which a body passes its link

Around each such moment the gateways turned away from the home for a second or more, so that two instances granted the same slots.

Cause: the messages of a home wait while an upload is transferred over its link. Uploads of 60 KB in the mean take 126 ms, those of the largest tenth over 250. Homes counted as unavailable after 150 ms on any link. Processor time is ruled out: gateways use 0.07 of a core in the mean, the busiest 0.14 of 0.3; and so are garbage collections (10 ms for a full one).

Change: the time is 150 ms and that of 128 KB on the link of the settings, at most 500 ms more; 426 ms at 3.8 Mbit/s, 151 ms at 1 Gbit/s. SlotRequester gets it from RouterSettings; its tests use 150 ms as before.

Evidence: SettingsReaderTests.homeMayRespondAfterABodyHasPassedItsLink.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -70,7 +70,8 @@
 		this.time = time;
 		this.routing = routing;
 		this.homes = new HomeDirectory(cluster, time);
-		this.requester = new SlotRequester(ThreadLocalRandom.current().nextLong(), settings.zone());
+		this.requester = new SlotRequester(ThreadLocalRandom.current().nextLong(), settings.zone(),
+				settings.routerSettings().homeResponseTimeout());
 		this.granter = new SlotGranter(settings.peerAddress().toString(), routing, LiveGateways.of(cluster), time,
 				this::send);
 		reachability.addListener(this::reportReachability);
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -19,6 +20,7 @@
 import org.radishthread.routing.CrashHistory;
 import org.radishthread.routing.RetryLimits;
 import org.radishthread.routing.RouterSettings;
+import org.radishthread.routing.SlotRequester;
 
 /**
  * Reads and validates a settings file. All findings are reported together.
@@ -35,6 +37,11 @@
 
 	private static final double PROBES_LINK_SHARE = 0.1;
 
+	// The size of a body that may occupy the link of a home.
+	private static final int TRANSFERRED_BODY_BYTES = 128 << 10;
+
+	private static final long MAXIMUM_LINK_DELAY_MILLIS = 500;
+
 	// Request and response with the headers of their packets.
 	private static final double BYTES_PER_PROBE = 600;
 
@@ -103,7 +110,7 @@
 		RouterSettings routerSettings = new RouterSettings(zone,
 				(int) limitsSection.getLong("maximum-instances", 16, 1, 1_000),
 				readRetryLimits(root.getSection("retries")), readPaceProbesPerSecond(limitsSection),
-				readColdStartLimits(root.getSection("cold-starts")));
+				readColdStartLimits(root.getSection("cold-starts")), readHomeResponseTimeout(limitsSection));
 		limitsSection.rejectUnknownKeys();
 		DaemonSettings.Bootstrap bootstrap = readBootstrap(root.getSection("founding"));
 		GroupSettings group = readGroup(root.getSection("group"));
@@ -262,6 +269,15 @@
 		return Math.max(1, Math.min(byLink, byProcessor));
 	}
 
+	// The messages of a home wait while a body is transferred over its link. Instances of
+	// a deployment have links of about the same bandwidth.
+	private static Duration readHomeResponseTimeout(SettingsNode node) {
+		double linkMegabitsPerSecond = node.getNumber("link-megabits", UNLIMITED_LINK_MEGABITS);
+		long transferMillis = Math
+			.round(MILLIS_PER_SECOND * TRANSFERRED_BODY_BYTES / (linkMegabitsPerSecond * BYTES_PER_MEGABIT));
+		return SlotRequester.MINIMUM_RESPONSE_TIMEOUT.plusMillis(Math.min(transferMillis, MAXIMUM_LINK_DELAY_MILLIS));
+	}
+
 	// The platform kills a process some time after it asked it to stop.
 	private static long readShutdownTimeoutMillis(SettingsNode node, long shutdownDelayMillis) {
 		double graceSeconds = node.getNumber("grace-seconds", 0, 0, 86_400);
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -17,6 +17,7 @@
 import org.radishthread.kernel.FindingsException;
 import org.radishthread.routing.ColdStartLimits;
 import org.radishthread.routing.RetryLimits;
+import org.radishthread.routing.SlotRequester;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
@@ -172,6 +173,17 @@
 			assertThat(settings.routerSettings().paceProbesPerSecond()).isCloseTo(expectedRate, within(0.001));
 		}
 
+		// Guards against homes that count as unavailable whenever a body occupies their
+		// link.
+		@ParameterizedTest
+		@CsvSource({ "1000, 151", "3.8, 426", "0.1, 650" })
+		void homeMayRespondAfterABodyHasPassedItsLink(double megabits, long expectedMillis) throws IOException {
+			DaemonSettings settings = read(VALID + "limits: {link-megabits: " + megabits + "}\n");
+			assertThat(settings.routerSettings().homeResponseTimeout()).hasMillis(expectedMillis);
+			assertThat(read(VALID).routerSettings().homeResponseTimeout())
+				.isEqualTo(SlotRequester.MINIMUM_RESPONSE_TIMEOUT);
+		}
+
 		@ParameterizedTest
 		@ValueSource(strings = { "{ratio: 1.5}", "{ratio: much}", "{slack: -1}", "{window-seconds: 0}", "{burst: 1}" })
 		void invalidRetryLimitsAreFindings(String retries) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
@@ -1,5 +1,7 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
+
 import org.radishthread.kernel.Assert;
 
 /**
@@ -11,9 +13,11 @@
  * @param retryLimits the limit on retries and hedges that all instances share
  * @param paceProbesPerSecond the maximum number of pace probes per second of one router
  * @param coldStartLimits the limit on the requests to cold upstreams
+ * @param homeResponseTimeout the time without a response after which the home of a
+ * service counts as unavailable
  */
 public record RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond,
-		ColdStartLimits coldStartLimits) {
+		ColdStartLimits coldStartLimits, Duration homeResponseTimeout) {
 
 	/**
 	 * The rate of pace probes that an instance with a whole core can send.
@@ -25,6 +29,12 @@
 		Assert.isTrue(paceProbesPerSecond > 0, "Probe rate " + paceProbesPerSecond + " must be positive.");
 	}
 
+	public RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond,
+			ColdStartLimits coldStartLimits) {
+		this(zone, maximumInstances, retryLimits, paceProbesPerSecond, coldStartLimits,
+				SlotRequester.MINIMUM_RESPONSE_TIMEOUT);
+	}
+
 	public RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond) {
 		this(zone, maximumInstances, retryLimits, paceProbesPerSecond, ColdStartLimits.DEFAULTS);
 	}
@@ -36,10 +46,10 @@
 	 * @return the settings
 	 */
 	public RouterSettings dividedBy(int poolCount) {
-		return new RouterSettings(
-				this.zone, this.maximumInstances * poolCount, new RetryLimits(this.retryLimits.ratio(),
-						this.retryLimits.slack() / poolCount, this.retryLimits.windowSeconds()),
-				this.paceProbesPerSecond, this.coldStartLimits);
+		return new RouterSettings(this.zone, this.maximumInstances * poolCount,
+				new RetryLimits(this.retryLimits.ratio(), this.retryLimits.slack() / poolCount,
+						this.retryLimits.windowSeconds()),
+				this.paceProbesPerSecond, this.coldStartLimits, this.homeResponseTimeout);
 	}
 
 	/**
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -1,5 +1,6 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -32,10 +33,10 @@
 public final class SlotRequester {
 
 	/**
-	 * The time without a response after which a home counts as unavailable, in
-	 * nanoseconds: about thirty round trips between availability zones.
+	 * The time without a response after which a home counts as unavailable if its link is
+	 * free: about thirty round trips between availability zones.
 	 */
-	static final long RESPONSE_TIMEOUT_NANOS = 150_000_000;
+	public static final Duration MINIMUM_RESPONSE_TIMEOUT = Duration.ofMillis(150);
 
 	/**
 	 * The interval at which the slot request is repeated for a request that is queued at
@@ -52,6 +53,8 @@
 
 	private final long runId;
 
+	private final long responseTimeoutNanos;
+
 	private final String zone;
 
 	private final Map<Long, RequestState> requests = new HashMap<>();
@@ -62,8 +65,11 @@
 	 * Creates a requester.
 	 * @param runId a number that distinguishes this run of the instance from earlier ones
 	 * @param zone the availability zone of this instance
+	 * @param responseTimeout the time without a response after which a home counts as
+	 * unavailable
 	 */
-	public SlotRequester(long runId, String zone) {
+	public SlotRequester(long runId, String zone, Duration responseTimeout) {
+		this.responseTimeoutNanos = responseTimeout.toNanos();
 		this.runId = runId;
 		this.zone = zone;
 	}
@@ -297,7 +303,7 @@
 
 	private void tick(RequestState state, long nowNanos) {
 		long elapsedNanos = nowNanos - state.lastRequestNanos;
-		if (!state.queuedAtHome && elapsedNanos > RESPONSE_TIMEOUT_NANOS) {
+		if (!state.queuedAtHome && elapsedNanos > this.responseTimeoutNanos) {
 			leaveHome(state);
 		}
 		else if (state.queuedAtHome && elapsedNanos > REQUEST_REPEAT_NANOS) {
@@ -319,7 +325,7 @@
 		}
 		state.phase = Phase.REFUSED;
 		this.effects.add(new SlotEffect.Decision(new RoutingEffect.Refusal(state.request.id(),
-				RefusalReason.HOME_SILENT, RESPONSE_TIMEOUT_NANOS / NANOS_PER_MILLI)));
+				RefusalReason.HOME_SILENT, this.responseTimeoutNanos / NANOS_PER_MILLI)));
 	}
 
 	/**
--- a/radishthread-routing/src/test/java/org/radishthread/routing/HedgeForRetryTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/HedgeForRetryTests.java
@@ -22,7 +22,7 @@
 
 	private static final long RUN_ID = 42;
 
-	private final SlotRequester requester = new SlotRequester(RUN_ID, "zone-0");
+	private final SlotRequester requester = new SlotRequester(RUN_ID, "zone-0", SlotRequester.MINIMUM_RESPONSE_TIMEOUT);
 
 	@BeforeEach
 	void failFirstAttemptWhileAHedgeIsGranted() {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterProperties.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterProperties.java
@@ -176,7 +176,8 @@
 	 */
 	private static final class Exchange {
 
-		private final SlotRequester requester = new SlotRequester(RUN_ID, "zone-0");
+		private final SlotRequester requester = new SlotRequester(RUN_ID, "zone-0",
+				SlotRequester.MINIMUM_RESPONSE_TIMEOUT);
 
 		private final boolean mayRepeat;
 
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -23,7 +23,9 @@
 
 	private static final long RUN_ID = 42;
 
-	private final SlotRequester requester = new SlotRequester(RUN_ID, "zone-0");
+	private static final long RESPONSE_TIMEOUT_NANOS = SlotRequester.MINIMUM_RESPONSE_TIMEOUT.toNanos();
+
+	private final SlotRequester requester = new SlotRequester(RUN_ID, "zone-0", SlotRequester.MINIMUM_RESPONSE_TIMEOUT);
 
 	private final RoutingRequest request = new RoutingRequest(7, "caller", true, 1_000_000_000);
 
@@ -86,8 +88,8 @@
 		@Test
 		void homeWithoutAnyResponseIsAbandoned() {
 			requestSlot();
-			assertThat(SlotRequesterTests.this.requester.tick(SlotRequester.RESPONSE_TIMEOUT_NANOS)).isEmpty();
-			assertThat(SlotRequesterTests.this.requester.tick(SlotRequester.RESPONSE_TIMEOUT_NANOS + 1))
+			assertThat(SlotRequesterTests.this.requester.tick(RESPONSE_TIMEOUT_NANOS)).isEmpty();
+			assertThat(SlotRequesterTests.this.requester.tick(RESPONSE_TIMEOUT_NANOS + 1))
 				.anyMatch(SlotEffect.HomeUnavailable.class::isInstance);
 			assertThat(SlotRequesterTests.this.requester.hasOpenRequest(7)).isFalse();
 		}
