--- a/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessProperties.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/RulesFreshnessProperties.java
@@ -95,6 +95,11 @@
 			checkRules(Collections.nCopies(2, Fault.SILENT_CONNECTIONS), 7_256);
 		}
 
+		@Example
+		void twoAndAFrozenGateway() {
+			checkRules(List.of(Fault.SILENT_CONNECTIONS, Fault.SILENT_CONNECTIONS, Fault.FROZEN_GATEWAY), 3_077);
+		}
+
 		@Example
 		void twoWithPartitionedControlInstances() {
 			checkRules(List.of(Fault.PARTITIONED_CONTROL_INSTANCES, Fault.SILENT_CONNECTIONS,
