--- a/radishthread-routing/src/main/java/org/radishthread/routing/AdmissionControl.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AdmissionControl.java
@@ -170,9 +170,13 @@
 	// contention, with a margin for the spread of service times, but at most the
 	// mean duration of all attempts.
 	double typicalServiceNanos() {
-		double meanServiceNanos = this.throughput.meanServiceNanos();
-		return Math.min(meanServiceNanos,
-				SERVICE_TIME_SPREAD_FACTOR * this.contention.uncontendedNanosOr(meanServiceNanos));
+		return Math.min(this.throughput.meanServiceNanos(), SERVICE_TIME_SPREAD_FACTOR * uncontendedServiceNanos());
+	}
+
+	// The mean duration of an attempt without contention at the usual pace, or zero
+	// before any completed.
+	double uncontendedServiceNanos() {
+		return this.contention.uncontendedNanosOr(this.throughput.meanServiceNanos());
 	}
 
 	// Returns whether a request at this position of the queue can no longer be
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -550,15 +550,10 @@
 		return relay;
 	}
 
-	// The duration of an attempt without contention at the usual pace.
-	private double typicalAttemptNanos() {
-		return this.contention.uncontendedNanosOr(this.throughput.meanServiceNanos());
-	}
-
 	// The time from which on a hedge may be requested, early enough for it to meet the
 	// objective.
 	private long hedgeAfterNanos(RoutingRequest request, long nowNanos) {
-		double typicalNanos = typicalAttemptNanos();
+		double typicalNanos = this.admission.uncontendedServiceNanos();
 		double latestDelayNanos = request.urgency().objectiveAtNanos() - nowNanos
 				- HEDGE_DURATION_FACTOR * typicalNanos;
 		double delayNanos = Math.min(MAXIMUM_HEDGE_DELAY_FACTOR * typicalNanos,
@@ -784,7 +779,7 @@
 	// Whether each attempt in flight takes longer than usual, or is expected to miss an
 	// objective that a hedge can still meet.
 	private boolean isHedgeDue(RequestState state, long nowNanos) {
-		double typicalNanos = typicalAttemptNanos();
+		double typicalNanos = this.admission.uncontendedServiceNanos();
 		long objectiveAtNanos = state.request().urgency().objectiveAtNanos();
 		boolean objectiveInReach = nowNanos + typicalNanos <= objectiveAtNanos;
 		return state.attemptsInFlight().values().stream().allMatch((attempt) -> {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamSelection.java
@@ -132,7 +132,7 @@
 	// An attempt that begins at a higher pace occupies its slot for longer than it takes
 	// until the pace has changed and an attempt has run at the usual one.
 	private double highestUsefulPace(long nowNanos) {
-		double typicalNanos = this.contention.uncontendedNanosOr(this.throughput.meanServiceNanos());
+		double typicalNanos = this.admission.uncontendedServiceNanos();
 		double[] paces = usableTrackers(nowNanos).mapToDouble((tracker) -> tracker.paceFactor(nowNanos))
 			.sorted()
 			.toArray();
