Show by tests what a home that responds late costs requests

Cause: a home that responds late or not at all is found out by requests of callers, each for 150 ms and the time of a body on the link, and again with each trial. The four homes of a service with 91 upstreams have unequal parts of its requests.

UpstreamPoolsTests counts the requests of each home in one place. No change of code or of an existing check.

--- a/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
@@ -60,6 +60,13 @@
 			assertThat(countRequestsSentToASilentHome(10, 8_000)).isBetween(1, 3);
 		}
 
+		// Guards against gateways that lose most of their requests to a lost home because
+		// they send so few that each of them is due as a trial.
+		@Test
+		void gatewayWithFewRequestsLosesOnlyTheFirstOfThem() {
+			assertThat(countRequestsSentToASilentHome(2_000, 20_000)).isEqualTo(1);
+		}
+
 	}
 
 	@Nested
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -1,5 +1,6 @@
 package org.radishthread.routing;
 
+import java.time.Duration;
 import java.util.List;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -124,6 +125,46 @@
 				.anyMatch(SlotEffect.HomeUnavailable.class::isInstance);
 		}
 
+		@Nested
+		class HomesBehindSlowLinks {
+
+			private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(600);
+
+			private static final long RETRIED_AT_NANOS = 2_000_000;
+
+			private final SlotRequester requester = new SlotRequester(RUN_ID, "zone-0", RESPONSE_TIMEOUT);
+
+			@BeforeEach
+			void requestSlot() {
+				this.requester.requestSlot(SlotRequesterTests.this.request, "service", HOME, 0);
+			}
+
+			// Guards against first attempts that wait for their whole objective at a home
+			// that does not respond, because its link may need that time for a body.
+			@Test
+			void homeIsAbandonedForAFirstAttemptAfterTheMinimumTimeout() {
+				assertThat(this.requester.tick(RESPONSE_TIMEOUT_NANOS)).isEmpty();
+				assertThat(this.requester.tick(RESPONSE_TIMEOUT_NANOS + 1))
+					.anyMatch(SlotEffect.HomeUnavailable.class::isInstance);
+			}
+
+			// Guards against retries that are refused while the response of their home
+			// waits for a body on its link: only the home knows the retry budget.
+			@Test
+			void retryOfARequestThatArrivedWaitsForTheWholeTimeout() {
+				this.requester.receive(HOME, grant("upstream-1"), 1_000_000);
+				this.requester.completeAttempt(7, "upstream-1", AttemptResult.SHED, null);
+				this.requester.retry(7, RETRIED_AT_NANOS);
+				assertThat(this.requester.tick(RETRIED_AT_NANOS + RESPONSE_TIMEOUT.toNanos())).isEmpty();
+				assertThat(this.requester.tick(RETRIED_AT_NANOS + RESPONSE_TIMEOUT.toNanos() + 1)).singleElement()
+					.isInstanceOfSatisfying(SlotEffect.Decision.class,
+							(decision) -> assertThat(decision.routingEffect()).isInstanceOfSatisfying(
+									RoutingEffect.Refusal.class,
+									(refusal) -> assertThat(refusal.reason()).isEqualTo(RefusalReason.HOME_SILENT)));
+			}
+
+		}
+
 	}
 
 	@Nested
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamPoolsTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamPoolsTests.java
@@ -40,6 +40,14 @@
 		return requests;
 	}
 
+	private static Map<String, Integer> countRequestsByHome(int upstreamCount, int gatewayCount) {
+		Map<String, Integer> requestsByHome = new HashMap<>();
+		List<String> gateways = IntStream.range(0, gatewayCount).mapToObj((number) -> "gateway-" + number).toList();
+		countRequests(UpstreamPools.of(SERVICE, upstreams(upstreamCount))).forEach((pool, count) -> requestsByHome
+			.merge(HomeAssignment.findHome(pool.key(), gateways), count, Integer::sum));
+		return requestsByHome;
+	}
+
 	@Nested
 	class LargeService {
 
@@ -48,14 +56,19 @@
 		@ParameterizedTest
 		@CsvSource({ "58, 0.6", "91, 0.4", "102, 0.4", "146, 0.25" })
 		void noHomeGrantsTheSlotsOfMostRequests(int upstreamCount, double maximumShare) {
-			Map<String, Integer> requestsByHome = new HashMap<>();
-			List<String> gateways = IntStream.range(0, 104).mapToObj((number) -> "gateway-" + number).toList();
-			countRequests(UpstreamPools.of(SERVICE, upstreams(upstreamCount))).forEach((pool, count) -> requestsByHome
-				.merge(HomeAssignment.findHome(pool.key(), gateways), count, Integer::sum));
+			Map<String, Integer> requestsByHome = countRequestsByHome(upstreamCount, 104);
 			assertThat(requestsByHome.values())
 				.allSatisfy((count) -> assertThat(count).isLessThanOrEqualTo((int) (maximumShare * REQUEST_COUNT)));
 		}
 
+		// Guards against a home that has just started and whose share of the requests of
+		// a busy service is more than it can grant in time.
+		@Test
+		void noHomeOfALargeServiceGrantsTheSlotsOfMoreThanAQuarterOfTheRequests() {
+			assertThat(countRequestsByHome(91, 104).values())
+				.allSatisfy((count) -> assertThat(count).isLessThanOrEqualTo(REQUEST_COUNT / 4));
+		}
+
 		@Test
 		void eachUpstreamBelongsToOnePool() {
 			List<UpstreamPool> pools = UpstreamPools.of(SERVICE, upstreams(100)).pools();
