--- a/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
+++ b/radishthread-membership/src/test/java/org/radishthread/membership/SimulatedFleet.java
@@ -80,6 +80,8 @@
 
 	private final List<String> confirmedUpstreams = new ArrayList<>();
 
+	private final Set<String> confirmedWithdrawals = new HashSet<>();
+
 	private long acceptedRevision;
 
 	private Evacuations orderedEvacuations = Evacuations.getDefaultInstance();
@@ -240,6 +242,10 @@
 			if (upstream != null && result.successful()) {
 				this.confirmedUpstreams.add(upstream);
 			}
+			String withdrawnUpstream = node.pendingWithdrawals.remove(result.replicationId());
+			if (withdrawnUpstream != null && result.successful()) {
+				this.confirmedWithdrawals.add(withdrawnUpstream);
+			}
 		}
 		this.leftInstances += effects.silentInstances().size();
 		effects.suspectAddresses().forEach((address) -> this.connections.close(node.name, address));
@@ -358,6 +364,33 @@
 		applyEffects(node, this.nowMillis);
 	}
 
+	// Withdraws an upstream at a control instance.
+	void withdraw(String controlName, String upstream) {
+		Node node = this.nodes.get(controlName);
+		AnnouncementOutcome outcome = node.membership.withdraw(upstream, 1, this.nowMillis).orElseThrow();
+		if (outcome.replicationId() != 0) {
+			node.pendingWithdrawals.put(outcome.replicationId(), upstream);
+		}
+		else if (outcome.accepted()) {
+			this.confirmedWithdrawals.add(upstream);
+		}
+		applyEffects(node, this.nowMillis);
+	}
+
+	boolean isWithdrawalConfirmed(String upstream) {
+		return this.confirmedWithdrawals.contains(upstream);
+	}
+
+	// The names of the gateways that accept requests and would send them to an upstream.
+	List<String> gatewaysUsing(String upstream) {
+		return names(false).stream()
+			.filter((name) -> membership(name).servingState(this.nowMillis) == ServingState.READY)
+			.filter((name) -> membership(name).upstreams()
+				.stream()
+				.anyMatch((record) -> record.getName().equals(upstream) && record.getState() == UpstreamState.READY))
+			.toList();
+	}
+
 	long confirmedUpstreamCount() {
 		return this.confirmedUpstreams.stream().distinct().count();
 	}
@@ -425,6 +458,8 @@
 
 		private final Map<Long, String> pendingUpstreams = new LinkedHashMap<>();
 
+		private final Map<Long, String> pendingWithdrawals = new LinkedHashMap<>();
+
 		private final Queue<Delivery> inbox = new ArrayDeque<>();
 
 		private long nextTickMillis;
