Do not count a returned grant as an attempt

What callers saw: requests that were refused ("attempts-used", "retry-budget") although they had been sent nowhere.

Cause: a gateway that knows that a granted upstream must get no requests now returns the grant as a cancelled attempt. At the home that counted for the limit of attempts, for the retry budget and as a run that uses up the token of a workspace; only returns for cold upstreams did not.

Change: the result RETURNED. Earlier versions read it as a cancelled attempt.

WireNameTests lists the new result.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutedExchange.java
@@ -18,6 +18,7 @@
 import org.radishthread.protocol.RecordedAnswer;
 import org.radishthread.routing.AttemptFailure;
 import org.radishthread.routing.AttemptKind;
+import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RefusalReason;
 import org.radishthread.routing.RetryAfter;
@@ -199,8 +200,8 @@
 		}
 		LoadReport constraint = context().routing().findConstraint(route().service(), dispatch);
 		if (constraint != null) {
-			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(),
-					AttemptCompletion.CANCELLED.result(), constraint);
+			this.router.completeAttempt(requestNumber(), dispatch.upstream().name(), AttemptResult.RETURNED,
+					constraint);
 			if (dispatch.kind() != AttemptKind.HEDGE) {
 				this.router.retry(requestNumber());
 			}
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEnd.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEnd.java
@@ -159,7 +159,7 @@
   private boolean connectionLost_ = false;
   /**
    * <pre>
-   * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined.
+   * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined; with CANCELLED, whether the grant was returned without an attempt.
    * </pre>
    *
    * <code>bool connection_lost = 4;</code>
@@ -825,7 +825,7 @@
     private boolean connectionLost_ ;
     /**
      * <pre>
-     * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined.
+     * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined; with CANCELLED, whether the grant was returned without an attempt.
      * </pre>
      *
      * <code>bool connection_lost = 4;</code>
@@ -837,7 +837,7 @@
     }
     /**
      * <pre>
-     * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined.
+     * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined; with CANCELLED, whether the grant was returned without an attempt.
      * </pre>
      *
      * <code>bool connection_lost = 4;</code>
@@ -853,7 +853,7 @@
     }
     /**
      * <pre>
-     * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined.
+     * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined; with CANCELLED, whether the grant was returned without an attempt.
      * </pre>
      *
      * <code>bool connection_lost = 4;</code>
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEndOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotEndOrBuilder.java
@@ -51,7 +51,7 @@
 
   /**
    * <pre>
-   * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined.
+   * With FAILURE, whether the connection ended after the request was sent and before the response was complete; with SHED, whether the upstream did not say which request it declined; with CANCELLED, whether the grant was returned without an attempt.
    * </pre>
    *
    * <code>bool connection_lost = 4;</code>
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AttemptResult.java
@@ -44,7 +44,13 @@
 	/**
 	 * The attempt was cancelled because its response was no longer needed.
 	 */
-	CANCELLED(false);
+	CANCELLED(false),
+
+	/**
+	 * No attempt was made: the instance returned the grant, because it knows that the
+	 * upstream must get no requests now.
+	 */
+	RETURNED(false);
 
 	private final boolean countsAgainstUpstream;
 
@@ -65,7 +71,15 @@
 	 * @return {@code true} if it did not run, {@code false} if that is unknown
 	 */
 	public boolean hasNotRun() {
-		return this == UNREACHABLE || this == SHED;
+		return this == UNREACHABLE || this == SHED || this == RETURNED;
+	}
+
+	/**
+	 * Returns whether the request may have arrived at the upstream.
+	 * @return {@code false} if it is certain that it did not
+	 */
+	public boolean mayHaveArrived() {
+		return this != UNREACHABLE && this != RETURNED;
 	}
 
 	/**
@@ -79,14 +93,16 @@
 
 	/**
 	 * Returns the name that is sent to the home. Earlier versions do not know all
-	 * constants: a lost connection is a failure there, and a request that was declined
-	 * without its id is declined. Such a result is marked.
+	 * constants: a lost connection is a failure there, a request that was declined
+	 * without its id is declined, and a returned grant is a cancelled attempt. Such a
+	 * result is marked.
 	 * @return the name of a constant that all versions know
 	 */
 	public String wireName() {
 		return switch (this) {
 			case CONNECTION_LOST -> FAILURE.name();
 			case SHED_WITHOUT_ID -> SHED.name();
+			case RETURNED -> CANCELLED.name();
 			default -> name();
 		};
 	}
@@ -97,7 +113,7 @@
 	 * @return whether the result is marked
 	 */
 	public boolean isMarked() {
-		return this == CONNECTION_LOST || this == SHED_WITHOUT_ID;
+		return this == CONNECTION_LOST || this == SHED_WITHOUT_ID || this == RETURNED;
 	}
 
 	/**
@@ -115,6 +131,7 @@
 		return switch (result) {
 			case FAILURE -> CONNECTION_LOST;
 			case SHED -> SHED_WITHOUT_ID;
+			case CANCELLED -> RETURNED;
 			default -> result;
 		};
 	}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RequestState.java
@@ -26,6 +26,8 @@
 
 	private int unreachedAttempts;
 
+	private int returnedGrants;
+
 	// Keyed by the name of the upstream.
 	private final Map<String, AttemptStart> attemptsInFlight = new HashMap<>();
 
@@ -75,11 +77,12 @@
 	}
 
 	void recordResult(AttemptResult result) {
+		this.arrived |= result.mayHaveArrived();
 		if (result == AttemptResult.UNREACHABLE) {
 			this.unreachedAttempts++;
 		}
-		else {
-			this.arrived = true;
+		else if (result == AttemptResult.RETURNED) {
+			this.returnedGrants++;
 		}
 	}
 
@@ -90,7 +93,7 @@
 
 	// The number of attempts that count against the limit of the route.
 	int countedAttempts() {
-		return this.triedUpstreams.size() - this.unreachedAttempts;
+		return this.triedUpstreams.size() - this.unreachedAttempts - this.returnedGrants;
 	}
 
 	boolean isClosed() {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -610,7 +610,14 @@
 		if (result == AttemptResult.SUCCESS && (report == null || !report.isLimited())) {
 			tracker.rateLimit().clear();
 		}
-		if (isReturned(result, report)) {
+		if (result == AttemptResult.RETURNED) {
+			tracker.recordWithoutLatency();
+			state.recordResult(result);
+			if (attemptStart.budgeted()) {
+				this.retryBudget.release();
+			}
+		}
+		else if (isReturnedByEarlierVersion(result, report)) {
 			tracker.recordWithoutLatency();
 		}
 		else if (result == AttemptResult.CANCELLED && attemptStart.relay() == null
@@ -676,9 +683,10 @@
 		return takeEffects();
 	}
 
-	// Whether an instance returned a grant because the upstream is cold. Its
-	// duration says nothing about the upstream, and a further attempt is no retry.
-	private static boolean isReturned(AttemptResult result, @Nullable LoadReport report) {
+	// Instances of earlier versions return the grant of a cold upstream as a cancelled
+	// attempt. Its duration says nothing about the upstream, and a further attempt is no
+	// retry.
+	private static boolean isReturnedByEarlierVersion(AttemptResult result, @Nullable LoadReport report) {
 		return result == AttemptResult.CANCELLED && report != null && report.coldMillis() > 0;
 	}
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -221,7 +221,7 @@
 			if (report != null) {
 				slotEnd.setLoad(toMessage(report));
 			}
-			state.arrived |= result != AttemptResult.UNREACHABLE;
+			state.arrived |= result.mayHaveArrived();
 			send(state, newMessage(state).setEnd(slotEnd));
 		}
 		return takeEffects();
--- a/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/WireNameTests.java
@@ -22,7 +22,7 @@
 	@Test
 	void attemptResultsKeepTheirWireNames() {
 		assertThat(Arrays.stream(AttemptResult.values()).map(AttemptResult::wireName)).containsExactly("SUCCESS",
-				"FAILURE", "FAILURE", "UNREACHABLE", "SHED", "SHED", "CANCELLED");
+				"FAILURE", "FAILURE", "UNREACHABLE", "SHED", "SHED", "CANCELLED", "CANCELLED");
 	}
 
 	@Test
@@ -36,7 +36,7 @@
 	@Test
 	void onlyResultsThatEarlierVersionsDoNotKnowAreMarked() {
 		assertThat(Arrays.stream(AttemptResult.values()).filter(AttemptResult::isMarked))
-			.containsExactly(AttemptResult.CONNECTION_LOST, AttemptResult.SHED_WITHOUT_ID);
+			.containsExactly(AttemptResult.CONNECTION_LOST, AttemptResult.SHED_WITHOUT_ID, AttemptResult.RETURNED);
 	}
 
 	@Test
