Return a grant that is older than what the gateway knows of the upstream

What callers saw: requests sent to an upstream up to 2.2 s after its departure was acknowledged (DRAIN), and requests sent to the former address of one that was started anew.

Cause: a home that is out of touch with the control instances goes on granting an upstream that has left, and a gateway that knows of the departure sent the request all the same. A grant had the name and the address of the upstream, and nothing of the announcement that it was decided on.

Change: a grant names the version of the announcement (incarnation, sequence). A gateway compares it with its own, and returns the grant if it knows a newer announcement by which the upstream drains, has left or was started anew. The home takes the upstream out of use for it, unless it knows a newer one by then. What an incarnation said of itself does not bind the next one any more. Gateways keep the announcements of upstreams that left; an upstream that an instance only assumes to have left, because its lease expired there, is no departure.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterListener.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterListener.java
@@ -15,7 +15,7 @@
 
 	/**
 	 * Called when the announced upstreams have changed.
-	 * @param upstreams all upstreams that have not left
+	 * @param upstreams the announced upstreams, those that left included
 	 */
 	void upstreamsChanged(List<UpstreamRecord> upstreams);
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -245,7 +245,10 @@
 
 	private void offerChanges(MembershipEffects effects) {
 		if (effects.upstreams() != null) {
-			eventLog.information("upstreams-changed").with("count", effects.upstreams().size()).write();
+			eventLog.information("upstreams-changed")
+				.with("count", this.membership.upstreams().size())
+				.with("left", effects.upstreams().size() - this.membership.upstreams().size())
+				.write();
 			this.upstreamChange.offer(effects.upstreams(), this.listeners);
 		}
 		if (effects.rules() != null) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/RoutingService.java
@@ -25,6 +25,7 @@
 import org.radishthread.protocol.Evacuations;
 import org.radishthread.protocol.RuleFile;
 import org.radishthread.protocol.UpstreamRecord;
+import org.radishthread.protocol.UpstreamState;
 import org.radishthread.protocol.ZoneEvacuation;
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
@@ -32,6 +33,7 @@
 import org.radishthread.routing.RoutingRequest;
 import org.radishthread.routing.Upstream;
 import org.radishthread.routing.UpstreamConstraints;
+import org.radishthread.routing.UpstreamDepartures;
 import org.radishthread.routing.UpstreamPool;
 import org.radishthread.routing.UpstreamPools;
 import org.radishthread.rules.IncrementalRuleParser;
@@ -75,6 +77,8 @@
 
 	private final UpstreamConstraints constraints = new UpstreamConstraints();
 
+	private volatile UpstreamDepartures departures = UpstreamDepartures.NONE;
+
 	private final EventLoop eventLoop = new EventLoop("routing");
 
 	// The announced upstreams by service.
@@ -267,6 +271,18 @@
 
 	// Returns why this instance may not send an attempt that was granted, or null.
 	@Nullable LoadReport findConstraint(String service, RoutingEffect.Dispatch dispatch) {
+		LoadReport departure = this.departures.find(dispatch.upstream());
+		if (departure != null) {
+			eventLog.information("grant-outdated")
+				.with("service", service)
+				.with("request", dispatch.requestId())
+				.with("upstream", dispatch.upstream().name())
+				.with("granted-version", dispatch.upstream().version())
+				.with("departed-version", departure.departure())
+				.with("next", "the grant is returned, and the home leaves the upstream out")
+				.write();
+			return departure;
+		}
 		boolean coldnessMatters = this.routers.rules().serviceRule(service).coldRequestsPerSecond() > 0;
 		String upstream = dispatch.upstream().name();
 		long nowNanos = this.time.monotonicNanos();
@@ -274,7 +290,7 @@
 			if (this.constraints.isEvacuated(dispatch.upstream().name())) {
 				this.movedRequests.increment();
 			}
-			LoadReport constraint = this.constraints.find(upstream, dispatch.limitCounted(), nowNanos);
+			LoadReport constraint = this.constraints.find(dispatch.upstream(), dispatch.limitCounted(), nowNanos);
 			if (constraint != null || dispatch.limitCounted() || !coldnessMatters) {
 				return constraint;
 			}
@@ -290,7 +306,13 @@
 
 	@Override
 	public void upstreamsChanged(List<UpstreamRecord> records) {
-		List<UpstreamRecord> upstreams = this.upstreamDecoder.selectValid(records);
+		List<UpstreamRecord> validRecords = this.upstreamDecoder.selectValid(records);
+		// The departures come first, so that no request is granted by the new list and
+		// checked by the former one.
+		this.departures = UpstreamDepartures.of(validRecords.stream().map(UpstreamDecoder::toUpstream).toList());
+		List<UpstreamRecord> upstreams = validRecords.stream()
+			.filter((record) -> record.getState() != UpstreamState.LEFT)
+			.toList();
 		this.reachability.updateUpstreams(upstreams);
 		synchronized (this.constraints) {
 			this.constraints.updateUpstreams(upstreams.stream().map(UpstreamDecoder::toUpstream).toList(),
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -16,6 +16,7 @@
 import org.radishthread.protocol.SlotQueued;
 import org.radishthread.protocol.SlotRefusal;
 import org.radishthread.protocol.SlotRequest;
+import org.radishthread.routing.AnnouncementVersion;
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RefusalReason;
@@ -125,7 +126,7 @@
 		return new LoadReport(message.getRunning(), message.getWaiting(), message.getSlots(), message.getPacePercent(),
 				message.getLeaving(), message.getRefusedMillis(),
 				message.hasLimitPerSecond() ? message.getLimitPerSecond() : LoadReport.UNLIMITED,
-				message.getColdMillis());
+				message.getColdMillis(), new AnnouncementVersion(message.getIncarnation(), message.getSequence()));
 	}
 
 	private RoutingRequest toRoutingRequest(SlotRequest request, String origin) {
@@ -262,6 +263,8 @@
 					.setWaitedMicros(dispatch.queueTimeNanos() / NANOS_PER_MICRO)
 					.setHedgeAfterMicros(dispatch.hedgeAfterNanos() / NANOS_PER_MICRO)
 					.setLimitCounted(dispatch.limitCounted())
+					.setIncarnation(dispatch.upstream().incarnation())
+					.setSequence(dispatch.upstream().sequence())
 					.setRelay(relayAddress(dispatch)))
 				.build());
 		}
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
@@ -138,6 +138,37 @@
 		return this.sentMessages.stream().map(SlotMessage::getBodyCase).toList();
 	}
 
+	@Nested
+	class Grants {
+
+		// Guards against gateways that can't tell how old the decision of the home is.
+		@Test
+		void grantNamesTheAnnouncementThatTheHomeKnows() {
+			SlotGranterTests.this.services.announceUpstream(10);
+			requestSlot();
+			assertThat(SlotGranterTests.this.sentMessages).singleElement().satisfies((message) -> {
+				assertThat(message.getGrant().getIncarnation()).isEqualTo(1);
+				assertThat(message.getGrant().getSequence()).isEqualTo(2);
+			});
+		}
+
+		// Guards against further grants of an upstream that has left, as a gateway knows.
+		@Test
+		void returnedUpstreamIsNotGrantedAgain() {
+			requestSlot();
+			receive(REQUEST_ID, (message) -> {
+				message.getEndBuilder()
+					.setUpstream("upstream-1")
+					.setResult(AttemptResult.RETURNED.wireName())
+					.setConnectionLost(AttemptResult.RETURNED.isMarked());
+				message.getEndBuilder().getLoadBuilder().setLeaving(true).setIncarnation(1).setSequence(1_000_001);
+			});
+			requestSlot(REQUEST_ID + 1);
+			assertThat(sentBodies()).containsExactly(SlotMessage.BodyCase.GRANT, SlotMessage.BodyCase.REFUSAL);
+		}
+
+	}
+
 	@Nested
 	class ExpiredRequests {
 
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -180,7 +180,8 @@
 			sendUpdate(this.lastClockReadingMillis);
 		}
 		MembershipEffects effects = new MembershipEffects(List.copyOf(this.outgoingMessages),
-				this.upstreamsChanged ? upstreams() : null, this.upstreamsChanged ? this.upstreams.snapshot() : null,
+				this.upstreamsChanged ? this.upstreams.announcedUpstreams() : null,
+				this.upstreamsChanged ? this.upstreams.snapshot() : null,
 				this.rules.drainChanged() ? this.rules.ruleFile() : null,
 				this.evacuationsChanged ? this.evacuations.evacuations() : null, this.upstreams.drainResults(),
 				this.resumedFromFreeze, this.reports.drainSilentInstances(), drainSuspectAddresses(),
--- a/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/MembershipEffects.java
@@ -13,7 +13,8 @@
  * The actions and changes that result from calls to {@link Membership}.
  *
  * @param messages the messages to send to peers
- * @param upstreams all upstreams that have not left, or null if they did not change
+ * @param upstreams the announced upstreams, those that left included, or null if none of
+ * them changed
  * @param upstreamsToStore the records to store on disk, or null if they did not change or
  * this instance has no store
  * @param rules the rules to apply, or null if none are newer than the former ones;
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
@@ -229,6 +229,16 @@
 		this.replication.completeReplications(recipients, nowMillis).forEach(this.table::markReplicated);
 	}
 
+	// The announced upstreams, those that left included. One that is only assumed to have
+	// left is not included: others may know better.
+	List<UpstreamRecord> announcedUpstreams() {
+		return this.table.entries()
+			.stream()
+			.filter((entry) -> !entry.assumedLeft)
+			.map((entry) -> entry.upstream)
+			.toList();
+	}
+
 	// The upstreams that have not left.
 	List<UpstreamRecord> activeUpstreams() {
 		return this.table.entries()
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
@@ -54,6 +54,7 @@
 		}
 		existingEntry.upstream = receivedRecord;
 		existingEntry.replicated = false;
+		existingEntry.assumedLeft = false;
 		existingEntry.lastRenewalMillis = nowMillis;
 		existingEntry.coldUntilMillis = nowMillis + receivedRecord.getColdMillis();
 		existingEntry.highestSequence = Math.max(existingEntry.highestSequence, receivedRecord.getSequence());
@@ -109,6 +110,7 @@
 					.setState(UpstreamState.LEFT)
 					.setSequence(Math.max(entry.highestSequence, entry.upstream.getSequence()))
 					.build();
+				entry.assumedLeft = !heldBySelf;
 				entry.lastRenewalMillis = nowMillis;
 				expiredRecords.add(entry.upstream);
 			}
@@ -134,6 +136,10 @@
 		// Whether this instance has replicated the record to enough other instances.
 		boolean replicated;
 
+		// Whether the upstream counts as left because this instance, which does not hold
+		// its lease, has not heard of it and its holder.
+		boolean assumedLeft;
+
 		Entry(UpstreamRecord upstream, long nowMillis) {
 			this.upstream = upstream;
 			this.highestSequence = upstream.getSequence();
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrant.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrant.java
@@ -264,6 +264,32 @@
     }
   }
 
+  public static final int INCARNATION_FIELD_NUMBER = 9;
+  private long incarnation_ = 0L;
+  /**
+   * <pre>
+   * The version of the announcement of the upstream that the home knows; 0 from earlier versions.
+   * </pre>
+   *
+   * <code>uint64 incarnation = 9;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public long getIncarnation() {
+    return incarnation_;
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 10;
+  private long sequence_ = 0L;
+  /**
+   * <code>uint64 sequence = 10;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -302,6 +328,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(relay_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 8, relay_);
     }
+    if (incarnation_ != 0L) {
+      output.writeUInt64(9, incarnation_);
+    }
+    if (sequence_ != 0L) {
+      output.writeUInt64(10, sequence_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -334,6 +366,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(relay_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(8, relay_);
     }
+    if (incarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, incarnation_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(10, sequence_);
+    }
     return size;
   }
   @java.lang.Override
@@ -374,6 +414,10 @@
         != other.getLimitCounted()) return false;
     if (!getRelay()
         .equals(other.getRelay())) return false;
+    if (getIncarnation()
+        != other.getIncarnation()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -404,6 +448,12 @@
         getLimitCounted());
     hash = (37 * hash) + RELAY_FIELD_NUMBER;
     hash = (53 * hash) + getRelay().hashCode();
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getIncarnation());
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -543,6 +593,8 @@
       hedgeAfterMicros_ = 0L;
       limitCounted_ = false;
       relay_ = "";
+      incarnation_ = 0L;
+      sequence_ = 0L;
       return this;
     }
 
@@ -600,6 +652,12 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.relay_ = relay_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.sequence_ = sequence_;
+      }
     }
 
     @java.lang.Override
@@ -646,6 +704,12 @@
         bitField0_ |= 0x00000080;
         onChanged();
       }
+      if (other.getIncarnation() != 0L) {
+        setIncarnation(other.getIncarnation());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -710,6 +774,16 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 72: {
+              incarnation_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              sequence_ = input.readUInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1175,6 +1249,82 @@
       return this;
     }
 
+    private long incarnation_ ;
+    /**
+     * <pre>
+     * The version of the announcement of the upstream that the home knows; 0 from earlier versions.
+     * </pre>
+     *
+     * <code>uint64 incarnation = 9;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+    /**
+     * <pre>
+     * The version of the announcement of the upstream that the home knows; 0 from earlier versions.
+     * </pre>
+     *
+     * <code>uint64 incarnation = 9;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(long value) {
+
+      incarnation_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The version of the announcement of the upstream that the home knows; 0 from earlier versions.
+     * </pre>
+     *
+     * <code>uint64 incarnation = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      incarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long sequence_ ;
+    /**
+     * <code>uint64 sequence = 10;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <code>uint64 sequence = 10;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 sequence = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      sequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:radishthread.SlotGrant)
   }
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrantOrBuilder.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/SlotGrantOrBuilder.java
@@ -93,4 +93,20 @@
    */
   com.google.protobuf.ByteString
       getRelayBytes();
+
+  /**
+   * <pre>
+   * The version of the announcement of the upstream that the home knows; 0 from earlier versions.
+   * </pre>
+   *
+   * <code>uint64 incarnation = 9;</code>
+   * @return The incarnation.
+   */
+  long getIncarnation();
+
+  /**
+   * <code>uint64 sequence = 10;</code>
+   * @return The sequence.
+   */
+  long getSequence();
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/AnnouncementVersion.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/AnnouncementVersion.java
@@ -29,6 +29,16 @@
 		Assert.isTrue(sequence >= 0, "Sequence " + sequence + " must not be negative.");
 	}
 
+	/**
+	 * Returns a version that follows all announcements of an incarnation, and precedes
+	 * those of the next one.
+	 * @param incarnation the incarnation
+	 * @return the version
+	 */
+	public static AnnouncementVersion lastOf(long incarnation) {
+		return new AnnouncementVersion(incarnation, Long.MAX_VALUE);
+	}
+
 	@Override
 	public int compareTo(AnnouncementVersion other) {
 		return ORDER.compare(this, other);
--- a/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/LoadReport.java
@@ -4,7 +4,8 @@
 
 /**
  * What an upstream reports with one of its responses: its load, and whether it accepts
- * further requests.
+ * further requests. A gateway that returns a grant reports to the home in the same form
+ * why it may not use the upstream.
  *
  * @param runningRequests the number of requests that it is processing
  * @param waitingRequests the number of requests that wait at the upstream
@@ -18,9 +19,12 @@
  * instances together, or {@link #UNLIMITED} if it names no limit
  * @param coldMillis how much longer the upstream is cold, in milliseconds, or zero if it
  * is not, or does not tell
+ * @param departure the version of the announcement by which a gateway knows that the
+ * upstream leaves, or {@link AnnouncementVersion#NONE} if it leaves by its own response,
+ * or not at all
  */
 public record LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent, boolean leaving,
-		long refusedMillis, double limitPerSecond, long coldMillis) {
+		long refusedMillis, double limitPerSecond, long coldMillis, AnnouncementVersion departure) {
 
 	/**
 	 * The limit of an upstream that names none.
@@ -38,6 +42,12 @@
 				"Numbers of a load report must not be negative.");
 	}
 
+	public LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent, boolean leaving,
+			long refusedMillis, double limitPerSecond, long coldMillis) {
+		this(runningRequests, waitingRequests, slots, pacePercent, leaving, refusedMillis, limitPerSecond, coldMillis,
+				AnnouncementVersion.NONE);
+	}
+
 	public LoadReport(int runningRequests, int waitingRequests, int slots, int pacePercent, boolean leaving,
 			long refusedMillis, double limitPerSecond) {
 		this(runningRequests, waitingRequests, slots, pacePercent, leaving, refusedMillis, limitPerSecond, 0);
@@ -47,6 +57,15 @@
 		this(runningRequests, waitingRequests, slots, pacePercent, false, 0, UNLIMITED);
 	}
 
+	/**
+	 * Returns a report of a gateway that an upstream has announced to drain or leave.
+	 * @param version the version of that announcement
+	 * @return the report
+	 */
+	public static LoadReport departedAs(AnnouncementVersion version) {
+		return new LoadReport(0, 0, 0, 0, true, 0, UNLIMITED, 0, version);
+	}
+
 	/**
 	 * Returns a report of an upstream that refuses requests for some time.
 	 * @param millis the time in milliseconds
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -178,7 +178,8 @@
 		AttemptKind dispatchedKind = (state.phase == Phase.AWAITED && kind == AttemptKind.HEDGE) ? AttemptKind.RETRY
 				: kind;
 		state.phase = Phase.GRANTED;
-		Upstream upstream = new Upstream(grant.getUpstream(), grant.getAddress(), "", 1, 0, true);
+		Upstream upstream = new Upstream(grant.getUpstream(), grant.getAddress(), "", 1, grant.getIncarnation(), true,
+				grant.getSequence(), 0);
 		this.effects.add(new SlotEffect.Decision(
 				new RoutingEffect.Dispatch(state.request.id(), upstream, dispatchedKind, grant.getInFlight(), 0,
 						grant.getWaitedMicros() * NANOS_PER_MICRO, grant.getHedgeAfterMicros() * NANOS_PER_MICRO,
@@ -235,7 +236,9 @@
 			.setPacePercent(report.pacePercent())
 			.setLeaving(report.leaving())
 			.setRefusedMillis(report.refusedMillis())
-			.setColdMillis(report.coldMillis());
+			.setColdMillis(report.coldMillis())
+			.setIncarnation(report.departure().incarnation())
+			.setSequence(report.departure().sequence());
 		if (report.isLimited()) {
 			message.setLimitPerSecond(report.limitPerSecond());
 		}
--- a/radishthread-routing/src/main/java/org/radishthread/routing/Upstream.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/Upstream.java
@@ -28,4 +28,12 @@
 		this(name, address, zone, slots, incarnation, acceptsRequests, 0, 0);
 	}
 
+	/**
+	 * Returns the version of the announcement.
+	 * @return the version
+	 */
+	public AnnouncementVersion version() {
+		return new AnnouncementVersion(this.incarnation, this.sequence);
+	}
+
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamConstraints.java
@@ -120,6 +120,25 @@
 		return result == AttemptResult.SUCCESS && this.limits.remove(upstream) != null;
 	}
 
+	/**
+	 * Returns why a granted upstream must not be used now. What an earlier incarnation
+	 * said does not bind a later one, which the home may know first; and the home is told
+	 * which incarnation it was.
+	 * @param granted the upstream by the announcement that the home knows
+	 * @param limitCounted whether the home counted the request against a limit
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the report to give to the home, or {@code null} if requests may be sent
+	 */
+	public @Nullable LoadReport find(Upstream granted, boolean limitCounted, long nowNanos) {
+		Long incarnation = this.incarnations.get(granted.name());
+		if (incarnation != null && granted.incarnation() > incarnation && !isEvacuated(granted.name())) {
+			return null;
+		}
+		LoadReport report = find(granted.name(), limitCounted, nowNanos);
+		return (report != null && report.leaving() && incarnation != null)
+				? LoadReport.departedAs(AnnouncementVersion.lastOf(incarnation)) : report;
+	}
+
 	/**
 	 * Returns why no request may be sent to an upstream now. A limit is returned at
 	 * intervals only, because the home then keeps it.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamTracker.java
@@ -99,6 +99,9 @@
 
 	private long leavingUntilNanos = NEVER;
 
+	// The announcement by which another instance knows that the upstream leaves.
+	private AnnouncementVersion departure = AnnouncementVersion.NONE;
+
 	private final UpstreamRateLimit rateLimit = new UpstreamRateLimit();
 
 	// The time of the latest load report if it shows that requests wait.
@@ -137,10 +140,18 @@
 			this.refusedUntilNanos.clear();
 			this.rateLimit.clear();
 		}
+		if (isSuperseded(this.departure, announcedUpstream)) {
+			this.leavingUntilNanos = NEVER;
+			this.departure = AnnouncementVersion.NONE;
+		}
 		this.upstream = announcedUpstream;
 		this.removed = false;
 	}
 
+	private static boolean isSuperseded(AnnouncementVersion departure, Upstream announcedUpstream) {
+		return !departure.equals(AnnouncementVersion.NONE) && !departure.isNewerThan(announcedUpstream.version());
+	}
+
 	void markRemoved() {
 		this.removed = true;
 	}
@@ -336,9 +347,7 @@
 
 	void recordReport(LoadReport report, String origin, long nowNanos) {
 		this.paceProbesWithoutReport = (report.pacePercent() > 0) ? 0 : this.paceProbesWithoutReport;
-		if (report.leaving()) {
-			this.leavingUntilNanos = nowNanos + LEAVING_PERIOD_NANOS;
-		}
+		recordLeaving(report, nowNanos);
 		if (report.refusedMillis() > 0) {
 			this.refusedUntilNanos.put(origin, nowNanos + Duration.ofMillis(report.refusedMillis()).toNanos());
 		}
@@ -352,6 +361,15 @@
 		}
 	}
 
+	// An instance that returns a grant may know less than this one by now.
+	private void recordLeaving(LoadReport report, long nowNanos) {
+		if (!report.leaving() || isSuperseded(report.departure(), this.upstream)) {
+			return;
+		}
+		this.leavingUntilNanos = nowNanos + LEAVING_PERIOD_NANOS;
+		this.departure = report.departure();
+	}
+
 	// Returns whether both the latest load report and the latest pace probe are older
 	// than the interval.
 	boolean isPaceProbeDue(long intervalNanos, long nowNanos) {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
@@ -135,6 +135,22 @@
 			assertThat(this.constraints.find("one", false, 0)).isNull();
 		}
 
+		// Guards against an upstream that is taken away from all, because one instance
+		// has
+		// not heard of its next start.
+		@Test
+		void laterIncarnationThatTheHomeKnowsIsNotBound() {
+			this.constraints.record("one", LoadReport.LEAVING, 0);
+			assertThat(this.constraints.find(upstream("one", 2), false, 0)).isNull();
+		}
+
+		@Test
+		void homeIsToldWhichIncarnationLeaves() {
+			this.constraints.record("one", LoadReport.LEAVING, 0);
+			assertThat(this.constraints.find(upstream("one", 1), false, 0))
+				.isEqualTo(LoadReport.departedAs(AnnouncementVersion.lastOf(1)));
+		}
+
 		@Test
 		void leavingUpstreamIsAvoidedWhileItIsNotAnnounced() {
 			this.constraints.record("one", LoadReport.LEAVING, 0);
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamDeparturesTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamDeparturesTests.java
@@ -38,6 +38,17 @@
 			assertThat(this.departures.find(upstream("one", 2, 90, true))).isNotNull();
 		}
 
+		// Guards against requests to the former address of an upstream that was started
+		// anew.
+		@Test
+		void grantOfAFormerIncarnationIsReturned() {
+			UpstreamDepartures departures = UpstreamDepartures.of(List.of(upstream("one", 4, 7, true)));
+			assertThat(departures.find(upstream("one", 3, 900, true)))
+				.isEqualTo(LoadReport.departedAs(new AnnouncementVersion(4, 7)));
+			assertThat(departures.find(upstream("one", 4, 6, true))).isNull();
+			assertThat(departures.find(new Upstream("one", "127.0.0.1:1", "", 1, 0, true))).isNull();
+		}
+
 		@Test
 		void grantByANewerAnnouncementIsUsed() {
 			assertThat(this.departures.find(upstream("one", 3, 21, true))).isNull();
