Replicate a withdrawal also after the lease of its upstream has expired

What callers saw: gateways that went on using an upstream for seconds after its departure had been acknowledged, because only one control instance knew of it (DRAIN).

Cause: an expired lease replaced the record of the upstream in place. The mark that a record is replicated belonged to the former version, and stayed; and the withdrawal took over the version of the expired record, by which others know the upstream as ready.

Change: the mark is reset with the record, and a withdrawal is a new version unless this instance has made one of the same record before.

Evidence: ExpiredLeaseWithdrawalTests, confirmed at once with no other control instance told.

--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamRegistry.java
@@ -63,16 +63,19 @@
 		if (incarnation != 0 && incarnation < storedEntry.upstream.getIncarnation()) {
 			return Optional.of(AnnouncementOutcome.confirmed());
 		}
-		if (storedEntry.upstream.getState() == UpstreamState.LEFT) {
+		if (storedEntry.withdrawn) {
 			return Optional.of(applyChange(storedEntry.upstream, recipients, nowMillis));
 		}
-		// A late announcement of this incarnation must not undo the withdrawal.
+		// A late announcement of this incarnation must not undo the withdrawal. If its
+		// lease has expired here, others may still know it as ready by the same version.
 		UpstreamRecord withdrawnRecord = storedEntry.upstream.toBuilder()
 			.setIncarnation(Math.max(incarnation, storedEntry.upstream.getIncarnation()))
 			.setSequence(storedEntry.upstream.getSequence() + WITHDRAWAL_SEQUENCE_INCREMENT)
 			.setState(UpstreamState.LEFT)
 			.build();
-		return Optional.of(applyChange(withdrawnRecord, recipients, nowMillis));
+		AnnouncementOutcome outcome = applyChange(withdrawnRecord, recipients, nowMillis);
+		storedEntry.withdrawn = true;
+		return Optional.of(outcome);
 	}
 
 	// Merges a record and starts its replication, unless it was replicated before.
--- a/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/UpstreamTable.java
@@ -54,6 +54,7 @@
 		}
 		existingEntry.upstream = receivedRecord;
 		existingEntry.replicated = false;
+		existingEntry.withdrawn = false;
 		existingEntry.assumedLeft = false;
 		existingEntry.lastRenewalMillis = nowMillis;
 		existingEntry.coldUntilMillis = nowMillis + receivedRecord.getColdMillis();
@@ -110,6 +111,8 @@
 					.setState(UpstreamState.LEFT)
 					.setSequence(Math.max(entry.highestSequence, entry.upstream.getSequence()))
 					.build();
+				entry.replicated = false;
+				entry.withdrawn = false;
 				entry.assumedLeft = !heldBySelf;
 				entry.lastRenewalMillis = nowMillis;
 				expiredRecords.add(entry.upstream);
@@ -136,6 +139,9 @@
 		// Whether this instance has replicated the record to enough other instances.
 		boolean replicated;
 
+		// Whether the record was made by a withdrawal at this instance.
+		boolean withdrawn;
+
 		// Whether the upstream counts as left because this instance, which does not hold
 		// its lease, has not heard of it and its holder.
 		boolean assumedLeft;
