Request upstreams at once after updates were missed, and bound it by a setting

What callers saw: a gateway whose connections had gone silent used an upstream for up to 2.5 s after its departure was acknowledged (2 s allowed).

Cause: a gateway that finds another digest of the upstreams waits for 0.7 s, since an update may be on its way. After it has left a silent control instance, or was suspended, no update is on its way. And the time in which it leaves a silent instance followed from the time to apply rules alone.

Change: the difference is requested with the first response after a silence. departure-apply-millis (the platform's drain_ms) bounds the time without a response like apply-millis; the shorter one counts.

Whether users saw it is not known: on their platform silent connections excuse a gateway for 3 s.

While responses take more than half a second the bound is still exceeded, by up to a quarter.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -115,13 +115,13 @@
 			.setAddress(settings.peerAddress().toString())
 			.build();
 		Random random = new Random();
-		this.membership = new Membership(selfRecord(),
-				MembershipSettings.defaults(settings.seeds(), settings.limits().rulesApplyMillis()),
-				(addresses, count) -> {
-					List<String> shuffledAddresses = new ArrayList<>(addresses);
-					Collections.shuffle(shuffledAddresses, random);
-					return shuffledAddresses.subList(0, Math.min(count, shuffledAddresses.size()));
-				});
+		MembershipSettings membershipSettings = MembershipSettings.defaults(settings.seeds(),
+				settings.limits().rulesApplyMillis(), settings.limits().departureApplyMillis());
+		this.membership = new Membership(selfRecord(), membershipSettings, (addresses, count) -> {
+			List<String> shuffledAddresses = new ArrayList<>(addresses);
+			Collections.shuffle(shuffledAddresses, random);
+			return shuffledAddresses.subList(0, Math.min(count, shuffledAddresses.size()));
+		});
 		this.view = new ClusterView(ServingState.STARTING, nowMillis(), List.of(), RuleFile.getDefaultInstance(), false,
 				this.membership.rulesCurrentAtMillis());
 	}
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/DaemonSettings.java
@@ -67,6 +67,8 @@
 	 * instances that have not applied them yet, in milliseconds
 	 * @param rulesApplyMillis the time after their acceptance within which rules must be
 	 * in force everywhere, in milliseconds
+	 * @param departureApplyMillis the time after its acknowledgement within which an
+	 * upstream that drains or has left must get no more requests, in milliseconds
 	 * @param evacuationApplyMillis the time after its acknowledgement within which an
 	 * evacuation of an availability zone must be in force everywhere, in milliseconds
 	 * @param rememberedCrashes the maximum number of requests that are remembered because
@@ -78,7 +80,8 @@
 	 */
 	public record Limits(int requestBufferBytes, int responseBufferBytes, long shutdownTimeoutMillis,
 			long shutdownDelayMillis, long rulePropagationTimeoutMillis, long rulesApplyMillis,
-			long evacuationApplyMillis, int rememberedCrashes, int startingRequests, String callerHeader) {
+			long departureApplyMillis, long evacuationApplyMillis, int rememberedCrashes, int startingRequests,
+			String callerHeader) {
 	}
 
 	/**
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/settings/SettingsReader.java
@@ -296,6 +296,8 @@
 				(acknowledgementMillis > 0) ? Math.round(acknowledgementMillis * PROPAGATION_SHARE) : 3_000, 0, 60_000);
 		long rulesApplyMillis = Math
 			.round(node.getNumber("apply-millis", MembershipSettings.DEFAULT_RULES_APPLY_MILLIS, 1, 3_600_000));
+		long departureApplyMillis = Math.round(node.getNumber("departure-apply-millis",
+				MembershipSettings.DEFAULT_DEPARTURE_APPLY_MILLIS, 1, 3_600_000));
 		long evacuationApplyMillis = Math
 			.round(node.getNumber("evacuation-apply-millis", DEFAULT_EVACUATION_APPLY_MILLIS, 1, 3_600_000));
 		int rememberedCrashes = (int) node.getLong("remembered-crashes", CrashHistory.DEFAULT_MAXIMUM_ENTRIES, 1,
@@ -303,8 +305,8 @@
 		int startingRequests = (int) node.getLong("starting-requests", 0, 0, 1_000_000);
 		String callerHeader = node.getString("caller-header", "X-Forwarded-For");
 		return new DaemonSettings.Limits(requestBufferBytes, responseBufferBytes, shutdownTimeoutMillis,
-				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, evacuationApplyMillis,
-				rememberedCrashes, startingRequests, callerHeader);
+				shutdownDelayMillis, rulePropagationTimeoutMillis, rulesApplyMillis, departureApplyMillis,
+				evacuationApplyMillis, rememberedCrashes, startingRequests, callerHeader);
 	}
 
 }
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/settings/SettingsReaderTests.java
@@ -137,11 +137,12 @@
 		void boundsMayBeFractions() throws IOException {
 			DaemonSettings settings = read(VALID + "retries: {ratio: 0.2, slack: 24.43, window-seconds: 7.5}\n"
 					+ "limits: {notice-millis: 2600, grace-seconds: 6.5, acknowledgement-millis: 4000.0, "
-					+ "apply-millis: 1500.4, processor-share: 1.5}\n");
+					+ "apply-millis: 1500.4, departure-apply-millis: 1200.6, processor-share: 1.5}\n");
 			assertThat(settings.routerSettings().retryLimits()).isEqualTo(new RetryLimits(0.2, 24.43, 7.5));
 			assertThat(settings.limits().shutdownTimeoutMillis()).isEqualTo(3_600);
 			assertThat(settings.limits().rulePropagationTimeoutMillis()).isEqualTo(600);
 			assertThat(settings.limits().rulesApplyMillis()).isEqualTo(1_500);
+			assertThat(settings.limits().departureApplyMillis()).isEqualTo(1_201);
 		}
 
 		@ParameterizedTest
--- a/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/GatewayReports.java
@@ -55,11 +55,11 @@
 	// Whether the last response listed the instances that this gateway counts as live.
 	private boolean viewAgreed;
 
-	GatewayReports(InstanceRecord self, InstanceTable instances, long rulesApplyMillis) {
+	GatewayReports(InstanceRecord self, InstanceTable instances, long applyMillis) {
 		this.subscription = new ControlSubscription(self.getName(), self.getZone(),
-				new ResponseTimeout(rulesApplyMillis, REPORT_INTERVAL_MILLIS));
+				new ResponseTimeout(applyMillis, REPORT_INTERVAL_MILLIS));
 		this.instances = instances;
-		this.maximumRulesAgeMillis = rulesApplyMillis / 2;
+		this.maximumRulesAgeMillis = applyMillis / 2;
 	}
 
 	// Returns the addresses to report to now, or an empty list if no control instance is
--- a/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/Membership.java
@@ -143,6 +143,10 @@
 
 	private long upstreamsDifferSinceMillis = Long.MAX_VALUE;
 
+	// Whether a control instance was silent, or this process suspended, since the
+	// upstreams were last known to be the same as those of a control instance.
+	private boolean updatesMissed;
+
 	private boolean upstreamsSynchronized;
 
 	public Membership(InstanceRecord self, MembershipSettings settings, PeerSelector selector) {
@@ -156,7 +160,7 @@
 		this.rules = new RuleExchange(self.getControl(), settings.rulesApplyMillis());
 		this.upstreams = new UpstreamRegistry(self.getName());
 		this.instances.merge(self, 0);
-		this.reports = new GatewayReports(self, this.instances, settings.rulesApplyMillis());
+		this.reports = new GatewayReports(self, this.instances, settings.shortestApplyMillis());
 		this.responses = new ReportResponses(this.instances);
 		this.changedInstances.add(self.getName(), self, this.seeds.size());
 	}
@@ -312,6 +316,7 @@
 		for (SilentInstance silentInstance : this.reports.leaveSilentInstances(nowMillis)) {
 			this.rules.releaseRequest(silentInstance.address());
 			this.nextRoundMillis = nowMillis;
+			this.updatesMissed = true;
 		}
 	}
 
@@ -365,6 +370,7 @@
 			this.reports.resetAfterFreeze();
 			this.rulesFreshness.reset();
 			this.evacuations.resetFreshness();
+			this.updatesMissed = true;
 			this.upstreams.renewAll(nowMillis);
 			this.rules.resetAfterFreeze();
 			this.resumedFromFreeze = true;
@@ -534,10 +540,12 @@
 		this.evacuations.recordResponse(response);
 		if (response.getDigest() == this.upstreams.stateDigest()) {
 			this.upstreamsDifferSinceMillis = Long.MAX_VALUE;
+			this.updatesMissed = false;
 			return;
 		}
 		this.upstreamsDifferSinceMillis = Math.min(this.upstreamsDifferSinceMillis, nowMillis);
-		if (nowMillis - this.upstreamsDifferSinceMillis >= UPDATE_DELAY_MILLIS) {
+		if (this.updatesMissed || nowMillis - this.upstreamsDifferSinceMillis >= UPDATE_DELAY_MILLIS) {
+			this.updatesMissed = false;
 			this.upstreamsDifferSinceMillis = nowMillis;
 			send(address, Envelope.newBuilder().setSynchronization(createSynchronization()));
 		}
--- a/radishthread-membership/src/main/java/org/radishthread/membership/ResponseTimeout.java
+++ b/radishthread-membership/src/main/java/org/radishthread/membership/ResponseTimeout.java
@@ -5,8 +5,9 @@
  * grows when responses take long, since overloaded instances must not get more work
  * because they are slow. One instance that is silent is no sign of overload; if the next
  * ones, to which connections are opened anew, are silent too, that may be one. A maximum
- * that follows from the time to apply rules bounds the timeout in all cases, because a
- * gateway applies its former rules while it waits. Not thread-safe.
+ * that follows from the time to apply changes bounds the timeout in all cases, because a
+ * gateway applies its former rules, and uses upstreams that left, while it waits. Not
+ * thread-safe.
  */
 final class ResponseTimeout {
 
@@ -22,15 +23,15 @@
 
 	/**
 	 * Creates a timeout without responses.
-	 * @param rulesApplyMillis the time after their acceptance within which rules must be
+	 * @param applyMillis the time after its acknowledgement within which a change must be
 	 * in force everywhere, in milliseconds
 	 * @param reportIntervalMillis the time between two reports, in milliseconds
 	 */
-	ResponseTimeout(long rulesApplyMillis, long reportIntervalMillis) {
-		this.minimumMillis = Math.min(2 * reportIntervalMillis, Math.max(reportIntervalMillis, rulesApplyMillis / 2));
+	ResponseTimeout(long applyMillis, long reportIntervalMillis) {
+		this.minimumMillis = Math.min(2 * reportIntervalMillis, Math.max(reportIntervalMillis, applyMillis / 2));
 		// A silence is noticed after one more interval at most, so that the gateway has
-		// left the instance when the time to apply rules has passed.
-		this.maximumMillis = Math.max(this.minimumMillis, rulesApplyMillis - reportIntervalMillis);
+		// left the instance when the time to apply changes has passed.
+		this.maximumMillis = Math.max(this.minimumMillis, applyMillis - reportIntervalMillis);
 	}
 
 	long millis() {
