--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/cluster/ClusterService.java
@@ -137,6 +137,7 @@
 			.setGateway(this.settings.isGateway())
 			.setCountsAllotments(this.settings.isGateway())
 			.setDividesServices(this.settings.isGateway())
+			.setAnswersSlotProbes(this.settings.isGateway())
 			.setReplica(this.replica.getId())
 			.setIncarnation(this.time.wallClockMillis())
 			.build();
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -15,13 +16,14 @@
 import org.radishthread.protocol.InstanceRecord;
 import org.radishthread.routing.HomeAssignment;
 import org.radishthread.routing.HomeAvailability;
+import org.radishthread.routing.SlotRequester;
 import org.radishthread.routing.UpstreamPool;
 
 /**
  * Ranks the instances that can be the home of a pool of upstreams. The home is the one
  * instance that queues the requests of the pool and grants the slots of its upstreams. An
- * instance that was unavailable as home is left out for a while. This class is safe for
- * use by several threads.
+ * instance that was unavailable as home is left out until it responds to a probe. This
+ * class is safe for use by several threads.
  */
 final class HomeDirectory {
 
@@ -30,7 +32,8 @@
 	private final TimeSource time;
 
 	// Guarded by itself.
-	private final HomeAvailability availability = new HomeAvailability();
+	private final HomeAvailability availability = new HomeAvailability(
+			SlotRequester.MINIMUM_RESPONSE_TIMEOUT.toMillis());
 
 	private volatile Ranking ranking = new Ranking(List.of(), false, new ConcurrentHashMap<>());
 
@@ -42,21 +45,15 @@
 	// The instance to ask for a slot: the first in order of rank that is not left out. Is
 	// empty only if this instance is leaving.
 	Optional<HomeCandidate> selectHome(UpstreamPool pool) {
-		List<HomeCandidate> candidates = rankedInstances(pool);
-		long nowMillis = this.time.monotonicMillis();
-		synchronized (this.availability) {
-			return candidates.stream()
-				.filter((candidate) -> candidate.local()
-						|| this.availability.tryUse(candidate.peerAddress(), nowMillis))
-				.findFirst();
-		}
+		return selectHome(pool, Set.of());
 	}
 
-	// The instance that counts as the home at the moment. Asking for it is no trial of an
-	// instance that was left out.
-	Optional<HomeCandidate> currentHome(UpstreamPool pool) {
+	// The same, without the instances that were asked before.
+	Optional<HomeCandidate> selectHome(UpstreamPool pool, Set<String> askedAddresses) {
+		List<HomeCandidate> candidates = rankedInstances(pool);
 		synchronized (this.availability) {
-			return rankedInstances(pool).stream()
+			return candidates.stream()
+				.filter((candidate) -> !askedAddresses.contains(candidate.peerAddress()))
 				.filter((candidate) -> candidate.local() || !this.availability.isLeftOut(candidate.peerAddress()))
 				.findFirst();
 		}
@@ -122,9 +119,25 @@
 		}
 	}
 
-	void recordResponse(String peerAddress) {
+	void recordProbeResponse(String peerAddress, long number) {
+		synchronized (this.availability) {
+			this.availability.recordProbeResponse(peerAddress, number, this.time.monotonicMillis());
+		}
+	}
+
+	// The probes to send to the instances that are left out.
+	List<HomeAvailability.Probe> takeDueProbes() {
+		Map<String, Boolean> instances = liveGateways(currentRanking().instances()).stream()
+			.collect(Collectors.toMap(InstanceRecord::getPeerAddress, InstanceRecord::getAnswersSlotProbes,
+					Boolean::logicalAnd));
+		synchronized (this.availability) {
+			return this.availability.takeDueProbes(instances, this.time.monotonicMillis());
+		}
+	}
+
+	boolean isAnyLeftOut() {
 		synchronized (this.availability) {
-			this.availability.recordResponse(peerAddress);
+			return this.availability.needsTick();
 		}
 	}
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
@@ -10,8 +10,8 @@
 
 /**
  * Router of one request, which asks the home of a pool of upstreams for slots. The
- * request is routed by this instance itself if it is the home, or if the home is
- * unavailable.
+ * request is routed by this instance itself if it is the home, or if the home and the
+ * next one are unavailable.
  */
 final class HomeRequestRouter implements RequestRouter {
 
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -13,6 +13,7 @@
 import org.radishthread.protocol.SlotEnd;
 import org.radishthread.protocol.SlotGrant;
 import org.radishthread.protocol.SlotMessage;
+import org.radishthread.protocol.SlotProbe;
 import org.radishthread.protocol.SlotQueued;
 import org.radishthread.protocol.SlotRefusal;
 import org.radishthread.protocol.SlotRequest;
@@ -69,6 +70,10 @@
 
 	void receive(String address, SlotMessage message) {
 		recordReachability(address, message);
+		if (message.hasProbe()) {
+			respondToProbe(address, message);
+			return;
+		}
 		RequestKey key = new RequestKey(address, message.getRun(), message.getTicket());
 		if (message.hasRequest()) {
 			admit(key, message);
@@ -93,6 +98,13 @@
 		}
 	}
 
+	private void respondToProbe(String address, SlotMessage message) {
+		if (this.gateways.mayGrant()) {
+			this.messageSender.accept(address,
+					message.toBuilder().setProbe(SlotProbe.newBuilder().setResponse(true)).build());
+		}
+	}
+
 	private void recordReachability(String address, SlotMessage message) {
 		boolean known = message.getReachability() == SlotMessage.Reachability.PARTITIONED
 				|| message.getReachability() == SlotMessage.Reachability.REACHABLE;
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.radishthread.daemon.cluster.ClusterService;
+import org.radishthread.daemon.gateway.HomeDirectory.HomeCandidate;
 import org.radishthread.daemon.peer.PeerTransport;
 import org.radishthread.daemon.settings.DaemonSettings;
 import org.radishthread.kernel.EventLog;
@@ -18,6 +19,7 @@
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.protocol.Envelope;
 import org.radishthread.protocol.SlotMessage;
+import org.radishthread.protocol.SlotProbe;
 import org.radishthread.routing.AttemptResult;
 import org.radishthread.routing.LoadReport;
 import org.radishthread.routing.RoutingEffect;
@@ -44,6 +46,11 @@
 
 	private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 500;
 
+	private static final long PROBE_CHECK_INTERVAL_MILLIS = 50;
+
+	// If two homes are silent, others may be as well, or this instance is cut off.
+	private static final int MAXIMUM_ASKED_HOMES = 2;
+
 	private final PeerTransport transport;
 
 	private final TimeSource time;
@@ -62,6 +69,8 @@
 
 	private final AtomicBoolean tickScheduled = new AtomicBoolean();
 
+	private final AtomicBoolean probeScheduled = new AtomicBoolean();
+
 	private final Map<Long, RoutingCallback> callbacks = new ConcurrentHashMap<>();
 
 	public SlotService(DaemonSettings settings, PeerTransport transport, ClusterService cluster, RoutingService routing,
@@ -91,7 +100,7 @@
 
 	// Tells the home at once, so that it chooses other relays.
 	private void reportReachability(String service, boolean partitioned) {
-		pools(service).forEach((pool) -> this.homes.currentHome(pool)
+		pools(service).forEach((pool) -> this.homes.selectHome(pool)
 			.filter((home) -> !home.local())
 			.ifPresent((home) -> send(home.peerAddress(),
 					SlotMessage.newBuilder()
@@ -106,14 +115,21 @@
 
 	private void receive(String address, SlotMessage message) {
 		switch (message.getBodyCase()) {
-			case GRANT, REFUSAL, QUEUED -> {
-				this.homes.recordResponse(address);
-				process((nowNanos) -> this.requester.receive(address, message, nowNanos));
-			}
+			case GRANT, REFUSAL, QUEUED -> process((nowNanos) -> this.requester.receive(address, message, nowNanos));
+			case PROBE -> receiveProbe(address, message);
 			default -> this.granter.receive(address, message);
 		}
 	}
 
+	private void receiveProbe(String address, SlotMessage message) {
+		if (!message.getProbe().getResponse()) {
+			this.granter.receive(address, message);
+		}
+		else if (message.getRun() == this.requester.runId()) {
+			this.homes.recordProbeResponse(address, message.getTicket());
+		}
+	}
+
 	private void send(String address, SlotMessage message) {
 		this.transport.send(address, Envelope.newBuilder().setSlot(message).build());
 	}
@@ -210,7 +226,7 @@
 			executeDecision(decision.routingEffect());
 		}
 		else if (effect instanceof SlotEffect.HomeUnavailable homeUnavailable) {
-			routeLocally(homeUnavailable);
+			leaveHome(homeUnavailable);
 		}
 	}
 
@@ -231,26 +247,73 @@
 		}
 	}
 
-	private void routeLocally(SlotEffect.HomeUnavailable homeUnavailable) {
+	private void leaveHome(SlotEffect.HomeUnavailable homeUnavailable) {
+		this.homes.recordSilence(homeUnavailable.homeAddress());
+		probeHomes();
+		UpstreamPool pool = UpstreamPool.of(homeUnavailable.service());
+		HomeCandidate nextHome = (homeUnavailable.askedHomes().size() < MAXIMUM_ASKED_HOMES)
+				? this.homes.selectHome(pool, homeUnavailable.askedHomes()).orElse(null) : null;
 		eventLog.information("home-unavailable")
 			.with("service", homeUnavailable.service())
 			.with("request", homeUnavailable.request().id())
 			.with("home", homeUnavailable.homeAddress())
+			.with("next-home", (nextHome != null) ? nextHome.name() : "none")
 			.write();
-		this.homes.recordSilence(homeUnavailable.homeAddress());
-		long requestId = homeUnavailable.request().id();
-		RoutingCallback callback = this.callbacks.get(requestId);
+		RoutingCallback callback = this.callbacks.get(homeUnavailable.request().id());
 		if (callback == null) {
 			return;
 		}
-		UpstreamPool pool = UpstreamPool.of(homeUnavailable.service());
-		admitWithoutHome(homeUnavailable.request(), pool, callback);
-		if (this.callbacks.remove(requestId) == null) {
+		if (nextHome == null || nextHome.local()) {
+			routeLocally(homeUnavailable.request(), pool, nextHome != null, callback);
+		}
+		else {
+			requestSlotElsewhere(homeUnavailable, nextHome);
+		}
+	}
+
+	private void requestSlotElsewhere(SlotEffect.HomeUnavailable homeUnavailable, HomeCandidate nextHome) {
+		process((nowNanos) -> this.requester.requestSlotElsewhere(homeUnavailable, nextHome.peerAddress(), nowNanos));
+		long requestId = homeUnavailable.request().id();
+		if (!this.callbacks.containsKey(requestId)) {
+			// Closed by another thread, perhaps before the requester knew it.
+			process((nowNanos) -> this.requester.close(requestId));
+		}
+	}
+
+	private void routeLocally(RoutingRequest request, UpstreamPool pool, boolean home, RoutingCallback callback) {
+		if (home) {
+			localRouter(pool).admit(request, callback);
+		}
+		else {
+			admitWithoutHome(request, pool, callback);
+		}
+		if (this.callbacks.remove(request.id()) == null) {
 			// Closed by another thread, perhaps before the local router knew it.
-			localRouter(pool).close(requestId);
+			localRouter(pool).close(request.id());
 		}
 	}
 
+	private void probeHomes() {
+		if (this.probeScheduled.compareAndSet(false, true)) {
+			this.eventLoop.execute(this::sendDueProbes);
+		}
+	}
+
+	// Scheduled only while an instance is left out as a home.
+	private void sendDueProbes() {
+		this.probeScheduled.set(false);
+		if (this.homes.isAnyLeftOut() && this.probeScheduled.compareAndSet(false, true)) {
+			this.eventLoop.schedule(PROBE_CHECK_INTERVAL_MILLIS, this::sendDueProbes);
+		}
+		this.homes.takeDueProbes()
+			.forEach((probe) -> send(probe.peerAddress(),
+					SlotMessage.newBuilder()
+						.setRun(this.requester.runId())
+						.setTicket(probe.number())
+						.setProbe(SlotProbe.getDefaultInstance())
+						.build()));
+	}
+
 	void admitWithoutHome(RoutingRequest request, UpstreamPool pool, RoutingCallback callback) {
 		localRouter(pool).admitWithoutHome(request, this.homes.otherInstances(pool), callback);
 	}
--- a/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
+++ b/radishthread-daemon/src/test/java/org/radishthread/daemon/gateway/SlotGranterTests.java
@@ -14,6 +14,7 @@
 import org.radishthread.kernel.TimeSource;
 import org.radishthread.protocol.SlotClose;
 import org.radishthread.protocol.SlotMessage;
+import org.radishthread.protocol.SlotProbe;
 import org.radishthread.protocol.SlotRetry;
 import org.radishthread.routing.AttemptResult;
 
@@ -42,6 +43,8 @@
 
 	private long incarnation = 1;
 
+	private boolean mayGrant = true;
+
 	private GatewayServices services;
 
 	private SlotGranter granter;
@@ -56,7 +59,7 @@
 
 			@Override
 			public boolean mayGrant() {
-				return true;
+				return SlotGranterTests.this.mayGrant;
 			}
 
 			@Override
@@ -169,6 +172,32 @@
 
 	}
 
+	@Nested
+	class Probes {
+
+		private void probe() {
+			receive(5, (message) -> message.setProbe(SlotProbe.getDefaultInstance()));
+		}
+
+		@Test
+		void probeIsRespondedToWithItsNumber() {
+			probe();
+			assertThat(SlotGranterTests.this.sentMessages).singleElement().satisfies((message) -> {
+				assertThat(message.getProbe().getResponse()).isTrue();
+				assertThat(message.getTicket()).isEqualTo(5);
+				assertThat(message.getRun()).isEqualTo(42);
+			});
+		}
+
+		@Test
+		void instanceThatGrantsNoSlotsDoesNotRespond() {
+			SlotGranterTests.this.mayGrant = false;
+			probe();
+			assertThat(SlotGranterTests.this.sentMessages).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class ExpiredRequests {
 
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -396,6 +396,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_radishthread_SlotQueued_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_radishthread_SlotProbe_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_radishthread_SlotProbe_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_radishthread_SlotGrant_descriptor;
   static final 
@@ -638,117 +643,120 @@
       "\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013incarnation\030\006 \001(\004\022\020\n" +
       "\010sequence\030\007 \001(\004\022*\n\005state\030\010 \001(\0162\033.radisht" +
       "hread.UpstreamState\022\016\n\006holder\030\t \001(\t\022\024\n\014l" +
-      "ease_millis\030\n \001(\r\022\023\n\013cold_millis\030\013 \001(\r\"\213" +
+      "ease_millis\030\n \001(\r\022\023\n\013cold_millis\030\013 \001(\r\"\250" +
       "\002\n\016InstanceRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_" +
       "address\030\002 \001(\t\022\036\n\026administration_address\030" +
       "\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\017\n\007control\030\005 \001(\010\022\017\n\007" +
       "replica\030\006 \001(\006\022\023\n\013incarnation\030\007 \001(\004\022\017\n\007le" +
       "aving\030\010 \001(\010\022\017\n\007gateway\030\t \001(\010\022\023\n\013evacuati" +
       "ons\030\013 \001(\010\022\031\n\021counts_allotments\030\030 \001(\010\022\030\n\020" +
-      "divides_services\030\031 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022" +
-      "\016\n\006sender\030\001 \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nhe" +
-      "artbeats\030\003 \003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tups" +
-      "treams\030\005 \003(\0132\034.radishthread.UpstreamReco" +
-      "rd\022-\n\007records\030\006 \003(\0132\034.radishthread.Insta" +
-      "nceRecord\022\016\n\006digest\030\007 \001(\006\022\026\n\016sender_addr" +
-      "ess\030\010 \001(\t\022\023\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n" +
-      " \003(\007\022\016\n\006report\030\013 \001(\004\022\035\n\020rules_age_millis" +
-      "\030\014 \001(\004H\000\210\001\001\022\033\n\023evacuations_version\030\r \001(\004" +
-      "B\023\n\021_rules_age_millis\">\n\007Version\022\014\n\004name" +
-      "\030\001 \001(\007\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
-      "\003 \001(\004\"\200\002\n\017Synchronization\022\016\n\006sender\030\001 \001(" +
-      "\t\022$\n\005known\030\002 \003(\0132\025.radishthread.Version\022" +
-      "/\n\tupstreams\030\003 \003(\0132\034.radishthread.Upstre" +
-      "amRecord\022-\n\007records\030\004 \003(\0132\034.radishthread" +
-      ".InstanceRecord\022\016\n\006answer\030\005 \001(\010\022\026\n\016sende" +
-      "r_address\030\006 \001(\t\022\027\n\017known_instances\030\007 \003(\007" +
-      "\022\026\n\016instances_only\030\010 \001(\010\"C\n\014LeaseRenewal" +
-      "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010s" +
-      "equence\030\003 \001(\004\"L\n\016UpstreamNotice\022\n\n\002id\030\001 " +
-      "\001(\004\022.\n\010upstream\030\002 \001(\0132\034.radishthread.Ups" +
-      "treamRecord\"#\n\025UpstreamNoticeReceipt\022\n\n\002" +
-      "id\030\001 \001(\004\"\224\004\n\013SlotMessage\022\017\n\007service\030\001 \001(" +
-      "\t\022\016\n\006ticket\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007reques" +
-      "t\030\004 \001(\0132\031.radishthread.SlotRequestH\000\022$\n\003" +
-      "end\030\005 \001(\0132\025.radishthread.SlotEndH\000\022(\n\005re" +
-      "try\030\006 \001(\0132\027.radishthread.SlotRetryH\000\022(\n\005" +
-      "hedge\030\007 \001(\0132\027.radishthread.SlotHedgeH\000\022(" +
-      "\n\005close\030\010 \001(\0132\027.radishthread.SlotCloseH\000" +
-      "\022*\n\006queued\030\t \001(\0132\030.radishthread.SlotQueu" +
-      "edH\000\022(\n\005grant\030\n \001(\0132\027.radishthread.SlotG" +
-      "rantH\000\022,\n\007refusal\030\013 \001(\0132\031.radishthread.S" +
-      "lotRefusalH\000\022<\n\014reachability\030\014 \001(\0162&.rad" +
-      "ishthread.SlotMessage.Reachability\";\n\014Re" +
-      "achability\022\013\n\007UNKNOWN\020\000\022\r\n\tREACHABLE\020\001\022\017" +
-      "\n\013PARTITIONED\020\002B\006\n\004body\"\302\001\n\013SlotRequest\022" +
-      "\016\n\006caller\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020r" +
-      "emaining_micros\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022" +
-      "\030\n\020objective_micros\030\005 \001(\004\022\030\n\020maximum_att" +
-      "empts\030\006 \001(\r\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(" +
-      "\t\022\021\n\tworkspace\030\t \001(\t\"\354\001\n\nLoadReport\022\017\n\007r" +
-      "unning\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003" +
-      " \001(\r\022\024\n\014pace_percent\030\004 \001(\r\022\017\n\007leaving\030\005 " +
-      "\001(\010\022\026\n\016refused_millis\030\006 \001(\004\022\035\n\020limit_per" +
-      "_second\030\007 \001(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004\022" +
-      "\023\n\013incarnation\030\t \001(\004\022\020\n\010sequence\030\n \001(\004B\023" +
-      "\n\021_limit_per_second\"l\n\007SlotEnd\022\020\n\010upstre" +
-      "am\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030" +
-      ".radishthread.LoadReport\022\027\n\017connection_l" +
-      "ost\030\004 \001(\010\"k\n\013CrashNotice\022*\n\007crashes\030\001 \003(" +
-      "\0132\031.radishthread.CrashRecord\0220\n\nclearanc" +
-      "es\030\002 \003(\0132\034.radishthread.CrashClearance\"g" +
-      "\n\013CrashRecord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstrea" +
-      "m\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\r\n\005alone\030\004 " +
-      "\001(\010\022\022\n\nage_millis\030\005 \001(\004\"4\n\016CrashClearanc" +
-      "e\022\016\n\006digest\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n" +
-      "\tSlotRetry\"\013\n\tSlotHedge\"\037\n\tSlotClose\022\022\n\n" +
-      "taken_back\030\001 \001(\010\"\014\n\nSlotQueued\"\317\001\n\tSlotG" +
-      "rant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022" +
-      "\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rwait" +
-      "ed_micros\030\005 \001(\004\022\032\n\022hedge_after_micros\030\006 " +
-      "\001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005relay\030\010 \001(" +
-      "\t\022\023\n\013incarnation\030\t \001(\004\022\020\n\010sequence\030\n \001(\004" +
-      "\"R\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022retry" +
-      "_after_millis\030\002 \001(\004\022\027\n\017specific_reason\030\003" +
-      " \001(\t\"\345\002\n\020AllotmentMessage\022\021\n\tworkspace\030\001" +
-      " \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022+\n\005ter" +
-      "ms\030\004 \001(\0132\034.radishthread.AllotmentTerms\022," +
-      "\n\007request\030\005 \001(\0132\031.radishthread.LoanReque" +
-      "stH\000\022\"\n\004loan\030\006 \001(\0132\022.radishthread.LoanH\000" +
-      "\022*\n\006return\030\007 \001(\0132\030.radishthread.LoanRetu" +
-      "rnH\000\0223\n\010handover\030\010 \001(\0132\037.radishthread.Al" +
-      "lotmentHandoverH\000\0229\n\020handover_request\030\t " +
-      "\001(\0132\035.radishthread.HandoverRequestH\000B\006\n\004" +
-      "body\"N\n\016AllotmentTerms\022\020\n\010revision\030\001 \001(\004" +
-      "\022\033\n\023requests_per_second\030\002 \001(\001\022\r\n\005burst\030\003" +
-      " \001(\001\"\272\001\n\013LoanRequest\022\027\n\017accepted_number\030" +
-      "\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand_per_second" +
-      "\030\003 \001(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023given_up_per_s" +
-      "econd\030\005 \001(\001\022\027\n\017given_up_millis\030\006 \001(\004\022\022\n\n" +
-      "lender_run\030\007 \001(\006\022\017\n\007surplus\030\010 \001(\001\"\277\001\n\004Lo" +
-      "an\022\016\n\006lender\030\001 \001(\010\022\022\n\nlender_run\030\002 \001(\006\022\016" +
-      "\n\006tokens\030\003 \001(\001\022\022\n\nper_second\030\004 \001(\001\022\026\n\016ma" +
-      "ximum_tokens\030\005 \001(\001\022\024\n\014valid_millis\030\006 \001(\004" +
-      "\022\017\n\007limited\030\007 \001(\010\022\030\n\020available_millis\030\010 " +
-      "\001(\004\022\026\n\016lender_address\030\t \001(\t\"\034\n\nLoanRetur" +
-      "n\022\016\n\006tokens\030\001 \001(\001\"J\n\021AllotmentHandover\022\016" +
-      "\n\006tokens\030\001 \001(\001\022%\n\005loans\030\002 \003(\0132\026.radishth" +
-      "read.OpenLoan\"\021\n\017HandoverRequest\"\232\001\n\010Ope" +
-      "nLoan\022\020\n\010borrower\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006" +
-      "number\030\003 \001(\004\022\022\n\nper_second\030\004 \001(\001\022\026\n\016maxi" +
-      "mum_tokens\030\005 \001(\001\022\031\n\021demand_per_second\030\006 " +
-      "\001(\001\022\030\n\020remaining_millis\030\007 \001(\004*a\n\014RulesVe" +
-      "rdict\022\035\n\031RULES_VERDICT_UNSPECIFIED\020\000\022\014\n\010" +
-      "ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013\n\007I" +
-      "NVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAIM_VERDIC" +
-      "T_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r" +
-      "\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005*f\n" +
-      "\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026\n\022RULE_P" +
-      "ART_REVISION\020\001\022\026\n\022RULE_PART_DOCUMENT\020\002\022\025" +
-      "\n\021RULE_PART_CONTENT\020\003*R\n\rUpstreamState\022\036" +
-      "\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t\n\005READY\020" +
-      "\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radisht" +
-      "hread.protocolP\001b\006proto3"
+      "divides_services\030\031 \001(\010\022\033\n\023answers_slot_p" +
+      "robes\030\032 \001(\010J\004\010\n\020\013\"\336\002\n\006Gossip\022\016\n\006sender\030\001" +
+      " \001(\t\022\021\n\tinstances\030\002 \003(\007\022\022\n\nheartbeats\030\003 " +
+      "\003(\004\022\021\n\trevisions\030\004 \003(\004\022/\n\tupstreams\030\005 \003(" +
+      "\0132\034.radishthread.UpstreamRecord\022-\n\007recor" +
+      "ds\030\006 \003(\0132\034.radishthread.InstanceRecord\022\016" +
+      "\n\006digest\030\007 \001(\006\022\026\n\016sender_address\030\010 \001(\t\022\023" +
+      "\n\013live_digest\030\t \001(\006\022\014\n\004live\030\n \003(\007\022\016\n\006rep" +
+      "ort\030\013 \001(\004\022\035\n\020rules_age_millis\030\014 \001(\004H\000\210\001\001" +
+      "\022\033\n\023evacuations_version\030\r \001(\004B\023\n\021_rules_" +
+      "age_millis\">\n\007Version\022\014\n\004name\030\001 \001(\007\022\023\n\013i" +
+      "ncarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\"\200\002\n\017S" +
+      "ynchronization\022\016\n\006sender\030\001 \001(\t\022$\n\005known\030" +
+      "\002 \003(\0132\025.radishthread.Version\022/\n\tupstream" +
+      "s\030\003 \003(\0132\034.radishthread.UpstreamRecord\022-\n" +
+      "\007records\030\004 \003(\0132\034.radishthread.InstanceRe" +
+      "cord\022\016\n\006answer\030\005 \001(\010\022\026\n\016sender_address\030\006" +
+      " \001(\t\022\027\n\017known_instances\030\007 \003(\007\022\026\n\016instanc" +
+      "es_only\030\010 \001(\010\"C\n\014LeaseRenewal\022\014\n\004name\030\001 " +
+      "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001" +
+      "(\004\"L\n\016UpstreamNotice\022\n\n\002id\030\001 \001(\004\022.\n\010upst" +
+      "ream\030\002 \001(\0132\034.radishthread.UpstreamRecord" +
+      "\"#\n\025UpstreamNoticeReceipt\022\n\n\002id\030\001 \001(\004\"\276\004" +
+      "\n\013SlotMessage\022\017\n\007service\030\001 \001(\t\022\016\n\006ticket" +
+      "\030\002 \001(\004\022\013\n\003run\030\003 \001(\006\022,\n\007request\030\004 \001(\0132\031.r" +
+      "adishthread.SlotRequestH\000\022$\n\003end\030\005 \001(\0132\025" +
+      ".radishthread.SlotEndH\000\022(\n\005retry\030\006 \001(\0132\027" +
+      ".radishthread.SlotRetryH\000\022(\n\005hedge\030\007 \001(\013" +
+      "2\027.radishthread.SlotHedgeH\000\022(\n\005close\030\010 \001" +
+      "(\0132\027.radishthread.SlotCloseH\000\022*\n\006queued\030" +
+      "\t \001(\0132\030.radishthread.SlotQueuedH\000\022(\n\005gra" +
+      "nt\030\n \001(\0132\027.radishthread.SlotGrantH\000\022,\n\007r" +
+      "efusal\030\013 \001(\0132\031.radishthread.SlotRefusalH" +
+      "\000\022(\n\005probe\030\r \001(\0132\027.radishthread.SlotProb" +
+      "eH\000\022<\n\014reachability\030\014 \001(\0162&.radishthread" +
+      ".SlotMessage.Reachability\";\n\014Reachabilit" +
+      "y\022\013\n\007UNKNOWN\020\000\022\r\n\tREACHABLE\020\001\022\017\n\013PARTITI" +
+      "ONED\020\002B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller" +
+      "\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_" +
+      "micros\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020object" +
+      "ive_micros\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001" +
+      "(\r\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\twork" +
+      "space\030\t \001(\t\"\354\001\n\nLoadReport\022\017\n\007running\030\001 " +
+      "\001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014p" +
+      "ace_percent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016re" +
+      "fused_millis\030\006 \001(\004\022\035\n\020limit_per_second\030\007" +
+      " \001(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004\022\023\n\013incarn" +
+      "ation\030\t \001(\004\022\020\n\010sequence\030\n \001(\004B\023\n\021_limit_" +
+      "per_second\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022" +
+      "\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishth" +
+      "read.LoadReport\022\027\n\017connection_lost\030\004 \001(\010" +
+      "\"k\n\013CrashNotice\022*\n\007crashes\030\001 \003(\0132\031.radis" +
+      "hthread.CrashRecord\0220\n\nclearances\030\002 \003(\0132" +
+      "\034.radishthread.CrashClearance\"g\n\013CrashRe" +
+      "cord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023" +
+      "\n\013incarnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nag" +
+      "e_millis\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006dige" +
+      "st\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetr" +
+      "y\"\013\n\tSlotHedge\"\037\n\tSlotClose\022\022\n\ntaken_bac" +
+      "k\030\001 \001(\010\"\014\n\nSlotQueued\"\035\n\tSlotProbe\022\020\n\010re" +
+      "sponse\030\001 \001(\010\"\317\001\n\tSlotGrant\022\020\n\010upstream\030\001" +
+      " \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\ti" +
+      "n_flight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032\n" +
+      "\022hedge_after_micros\030\006 \001(\004\022\025\n\rlimit_count" +
+      "ed\030\007 \001(\010\022\r\n\005relay\030\010 \001(\t\022\023\n\013incarnation\030\t" +
+      " \001(\004\022\020\n\010sequence\030\n \001(\004\"R\n\013SlotRefusal\022\016\n" +
+      "\006reason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 \001(" +
+      "\004\022\027\n\017specific_reason\030\003 \001(\t\"\345\002\n\020Allotment" +
+      "Message\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022" +
+      "\016\n\006number\030\003 \001(\004\022+\n\005terms\030\004 \001(\0132\034.radisht" +
+      "hread.AllotmentTerms\022,\n\007request\030\005 \001(\0132\031." +
+      "radishthread.LoanRequestH\000\022\"\n\004loan\030\006 \001(\013" +
+      "2\022.radishthread.LoanH\000\022*\n\006return\030\007 \001(\0132\030" +
+      ".radishthread.LoanReturnH\000\0223\n\010handover\030\010" +
+      " \001(\0132\037.radishthread.AllotmentHandoverH\000\022" +
+      "9\n\020handover_request\030\t \001(\0132\035.radishthread" +
+      ".HandoverRequestH\000B\006\n\004body\"N\n\016AllotmentT" +
+      "erms\022\020\n\010revision\030\001 \001(\004\022\033\n\023requests_per_s" +
+      "econd\030\002 \001(\001\022\r\n\005burst\030\003 \001(\001\"\272\001\n\013LoanReque" +
+      "st\022\027\n\017accepted_number\030\001 \001(\004\022\014\n\004held\030\002 \001(" +
+      "\001\022\031\n\021demand_per_second\030\003 \001(\001\022\016\n\006wanted\030\004" +
+      " \001(\001\022\033\n\023given_up_per_second\030\005 \001(\001\022\027\n\017giv" +
+      "en_up_millis\030\006 \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017" +
+      "\n\007surplus\030\010 \001(\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010" +
+      "\022\022\n\nlender_run\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\n" +
+      "per_second\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001" +
+      "\022\024\n\014valid_millis\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022" +
+      "\030\n\020available_millis\030\010 \001(\004\022\026\n\016lender_addr" +
+      "ess\030\t \001(\t\"\034\n\nLoanReturn\022\016\n\006tokens\030\001 \001(\001\"" +
+      "J\n\021AllotmentHandover\022\016\n\006tokens\030\001 \001(\001\022%\n\005" +
+      "loans\030\002 \003(\0132\026.radishthread.OpenLoan\"\021\n\017H" +
+      "andoverRequest\"\232\001\n\010OpenLoan\022\020\n\010borrower\030" +
+      "\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\npe" +
+      "r_second\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\031" +
+      "\n\021demand_per_second\030\006 \001(\001\022\030\n\020remaining_m" +
+      "illis\030\007 \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VER" +
+      "DICT_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONF" +
+      "LICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimV" +
+      "erdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n" +
+      "\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010M" +
+      "ISMATCH\020\004\022\010\n\004FULL\020\005*f\n\010RulePart\022\023\n\017RULE_" +
+      "PART_WHOLE\020\000\022\026\n\022RULE_PART_REVISION\020\001\022\026\n\022" +
+      "RULE_PART_DOCUMENT\020\002\022\025\n\021RULE_PART_CONTEN" +
+      "T\020\003*R\n\rUpstreamState\022\036\n\032UPSTREAM_STATE_U" +
+      "NSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n" +
+      "\004LEFT\020\003B\035\n\031org.radishthread.protocolP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1095,7 +1103,7 @@
     internal_static_radishthread_InstanceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_InstanceRecord_descriptor,
-        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", "Evacuations", "CountsAllotments", "DividesServices", });
+        new java.lang.String[] { "Name", "PeerAddress", "AdministrationAddress", "Zone", "Control", "Replica", "Incarnation", "Leaving", "Gateway", "Evacuations", "CountsAllotments", "DividesServices", "AnswersSlotProbes", });
     internal_static_radishthread_Gossip_descriptor =
       getDescriptor().getMessageType(57);
     internal_static_radishthread_Gossip_fieldAccessorTable = new
@@ -1137,7 +1145,7 @@
     internal_static_radishthread_SlotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotMessage_descriptor,
-        new java.lang.String[] { "Service", "Ticket", "Run", "Request", "End", "Retry", "Hedge", "Close", "Queued", "Grant", "Refusal", "Reachability", "Body", });
+        new java.lang.String[] { "Service", "Ticket", "Run", "Request", "End", "Retry", "Hedge", "Close", "Queued", "Grant", "Refusal", "Probe", "Reachability", "Body", });
     internal_static_radishthread_SlotRequest_descriptor =
       getDescriptor().getMessageType(64);
     internal_static_radishthread_SlotRequest_fieldAccessorTable = new
@@ -1198,62 +1206,68 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotQueued_descriptor,
         new java.lang.String[] { });
-    internal_static_radishthread_SlotGrant_descriptor =
+    internal_static_radishthread_SlotProbe_descriptor =
       getDescriptor().getMessageType(74);
+    internal_static_radishthread_SlotProbe_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_radishthread_SlotProbe_descriptor,
+        new java.lang.String[] { "Response", });
+    internal_static_radishthread_SlotGrant_descriptor =
+      getDescriptor().getMessageType(75);
     internal_static_radishthread_SlotGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotGrant_descriptor,
         new java.lang.String[] { "Upstream", "Address", "Kind", "InFlight", "WaitedMicros", "HedgeAfterMicros", "LimitCounted", "Relay", "Incarnation", "Sequence", });
     internal_static_radishthread_SlotRefusal_descriptor =
-      getDescriptor().getMessageType(75);
+      getDescriptor().getMessageType(76);
     internal_static_radishthread_SlotRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRefusal_descriptor,
         new java.lang.String[] { "Reason", "RetryAfterMillis", "SpecificReason", });
     internal_static_radishthread_AllotmentMessage_descriptor =
-      getDescriptor().getMessageType(76);
+      getDescriptor().getMessageType(77);
     internal_static_radishthread_AllotmentMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_AllotmentMessage_descriptor,
         new java.lang.String[] { "Workspace", "Run", "Number", "Terms", "Request", "Loan", "Return", "Handover", "HandoverRequest", "Body", });
     internal_static_radishthread_AllotmentTerms_descriptor =
-      getDescriptor().getMessageType(77);
+      getDescriptor().getMessageType(78);
     internal_static_radishthread_AllotmentTerms_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_AllotmentTerms_descriptor,
         new java.lang.String[] { "Revision", "RequestsPerSecond", "Burst", });
     internal_static_radishthread_LoanRequest_descriptor =
-      getDescriptor().getMessageType(78);
+      getDescriptor().getMessageType(79);
     internal_static_radishthread_LoanRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LoanRequest_descriptor,
         new java.lang.String[] { "AcceptedNumber", "Held", "DemandPerSecond", "Wanted", "GivenUpPerSecond", "GivenUpMillis", "LenderRun", "Surplus", });
     internal_static_radishthread_Loan_descriptor =
-      getDescriptor().getMessageType(79);
+      getDescriptor().getMessageType(80);
     internal_static_radishthread_Loan_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_Loan_descriptor,
         new java.lang.String[] { "Lender", "LenderRun", "Tokens", "PerSecond", "MaximumTokens", "ValidMillis", "Limited", "AvailableMillis", "LenderAddress", });
     internal_static_radishthread_LoanReturn_descriptor =
-      getDescriptor().getMessageType(80);
+      getDescriptor().getMessageType(81);
     internal_static_radishthread_LoanReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_LoanReturn_descriptor,
         new java.lang.String[] { "Tokens", });
     internal_static_radishthread_AllotmentHandover_descriptor =
-      getDescriptor().getMessageType(81);
+      getDescriptor().getMessageType(82);
     internal_static_radishthread_AllotmentHandover_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_AllotmentHandover_descriptor,
         new java.lang.String[] { "Tokens", "Loans", });
     internal_static_radishthread_HandoverRequest_descriptor =
-      getDescriptor().getMessageType(82);
+      getDescriptor().getMessageType(83);
     internal_static_radishthread_HandoverRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_HandoverRequest_descriptor,
         new java.lang.String[] { });
     internal_static_radishthread_OpenLoan_descriptor =
-      getDescriptor().getMessageType(83);
+      getDescriptor().getMessageType(84);
     internal_static_radishthread_OpenLoan_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_OpenLoan_descriptor,
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RouterSettings.java
@@ -13,8 +13,8 @@
  * @param retryLimits the limit on retries and hedges that all instances share
  * @param paceProbesPerSecond the maximum number of pace probes per second of one router
  * @param coldStartLimits the limit on the requests to cold upstreams
- * @param homeResponseTimeout the time without a response after which the home of a
- * service counts as unavailable
+ * @param homeResponseTimeout the time without a response to the request for a retry after
+ * which the home of a service counts as unavailable
  */
 public record RouterSettings(String zone, int maximumInstances, RetryLimits retryLimits, double paceProbesPerSecond,
 		ColdStartLimits coldStartLimits, Duration homeResponseTimeout) {
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotEffect.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotEffect.java
@@ -1,5 +1,7 @@
 package org.radishthread.routing;
 
+import java.util.Set;
+
 import org.radishthread.protocol.SlotMessage;
 
 /**
@@ -25,14 +27,17 @@
 	}
 
 	/**
-	 * Routes the request on this instance, because the home does not respond or does not
-	 * route for the service. The request has not been sent to any upstream.
+	 * Asks another instance for a slot, or routes the request on this instance, because
+	 * the home does not respond or does not route for the service. The request has not
+	 * been sent to any upstream.
 	 *
 	 * @param request the request
 	 * @param service the key of the pool of upstreams that was asked for
 	 * @param homeAddress the peer address of the home
+	 * @param askedHomes the peer addresses of all homes that were asked for this request
 	 */
-	record HomeUnavailable(RoutingRequest request, String service, String homeAddress) implements SlotEffect {
+	record HomeUnavailable(RoutingRequest request, String service, String homeAddress,
+			Set<String> askedHomes) implements SlotEffect {
 	}
 
 }
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -23,9 +23,10 @@
 /**
  * Requests slots of upstreams from the homes of their services and tracks the grants, the
  * messages by which a home assigns a slot to a request. If a home does not respond, the
- * request is routed on this instance instead, and a grant that arrives later is returned.
- * So is a grant of a request that was refused meanwhile, or that has an attempt already:
- * each request for an attempt is answered by one decision, whoever makes it first.
+ * next one is asked instead, or the request is routed on this instance, and a grant that
+ * arrives later is returned. So is a grant of a request that was refused meanwhile, or
+ * that has an attempt already: each request for an attempt is answered by one decision,
+ * whoever makes it first.
  * <p>
  * This class is a state machine: each method takes an event with the monotonic time and
  * returns the effects to carry out. It is not safe for concurrent use.
@@ -65,8 +66,8 @@
 	 * Creates a requester.
 	 * @param runId a number that distinguishes this run of the instance from earlier ones
 	 * @param zone the availability zone of this instance
-	 * @param responseTimeout the time without a response after which a home counts as
-	 * unavailable
+	 * @param responseTimeout the time without a response to the request for a retry after
+	 * which a home counts as unavailable
 	 */
 	public SlotRequester(long runId, String zone, Duration responseTimeout) {
 		this.responseTimeoutNanos = responseTimeout.toNanos();
@@ -74,6 +75,14 @@
 		this.zone = zone;
 	}
 
+	/**
+	 * Returns the number that distinguishes this run of the instance from earlier ones.
+	 * @return the number, which messages to homes carry
+	 */
+	public long runId() {
+		return this.runId;
+	}
+
 	/**
 	 * Requests a slot from the home of a service.
 	 * @param request the request
@@ -83,8 +92,27 @@
 	 * @return the effects to carry out
 	 */
 	public List<SlotEffect> requestSlot(RoutingRequest request, String service, String homeAddress, long nowNanos) {
-		RequestState state = new RequestState(request, service, homeAddress);
-		this.requests.put(request.id(), state);
+		return open(new RequestState(request, service, homeAddress, Set.of(homeAddress)), nowNanos);
+	}
+
+	/**
+	 * Requests a slot from another home, because the former one is unavailable. It must
+	 * not have been asked for this request before.
+	 * @param unavailable the effect that names the former home
+	 * @param homeAddress the peer address of the other home
+	 * @param nowNanos the monotonic time, in nanoseconds
+	 * @return the effects to carry out
+	 */
+	public List<SlotEffect> requestSlotElsewhere(SlotEffect.HomeUnavailable unavailable, String homeAddress,
+			long nowNanos) {
+		Set<String> askedHomes = new HashSet<>(unavailable.askedHomes());
+		askedHomes.add(homeAddress);
+		return open(new RequestState(unavailable.request(), unavailable.service(), homeAddress, Set.copyOf(askedHomes)),
+				nowNanos);
+	}
+
+	private List<SlotEffect> open(RequestState state, long nowNanos) {
+		this.requests.put(state.request.id(), state);
 		sendSlotRequest(state, nowNanos);
 		return takeEffects();
 	}
@@ -203,7 +231,8 @@
 	private void abandonHome(RequestState state) {
 		this.requests.remove(state.request.id());
 		send(state, newMessage(state).setClose(TAKEN_BACK));
-		this.effects.add(new SlotEffect.HomeUnavailable(state.request, state.service, state.homeAddress));
+		this.effects
+			.add(new SlotEffect.HomeUnavailable(state.request, state.service, state.homeAddress, state.askedHomes));
 	}
 
 	/**
@@ -306,7 +335,7 @@
 
 	private void tick(RequestState state, long nowNanos) {
 		long elapsedNanos = nowNanos - state.lastRequestNanos;
-		if (!state.queuedAtHome && elapsedNanos > this.responseTimeoutNanos) {
+		if (!state.queuedAtHome && elapsedNanos > responseTimeoutNanos(state)) {
 			leaveHome(state);
 		}
 		else if (state.queuedAtHome && elapsedNanos > REQUEST_REPEAT_NANOS) {
@@ -320,6 +349,12 @@
 		}
 	}
 
+	// Another home can grant the first slot as well, while a retry that its home does not
+	// decide on is refused: for that one it is worth waiting until the link is free.
+	private long responseTimeoutNanos(RequestState state) {
+		return state.retryRequested ? this.responseTimeoutNanos : MINIMUM_RESPONSE_TIMEOUT.toNanos();
+	}
+
 	// The retry budget is known to the home only.
 	private void leaveHome(RequestState state) {
 		if (!state.retryRequested || !state.arrived) {
@@ -409,6 +444,8 @@
 
 		private final String homeAddress;
 
+		private final Set<String> askedHomes;
+
 		private final Set<String> grantedUpstreams = new HashSet<>();
 
 		private Phase phase = Phase.AWAITED;
@@ -424,10 +461,11 @@
 
 		private long lastRequestNanos;
 
-		private RequestState(RoutingRequest request, String service, String homeAddress) {
+		private RequestState(RoutingRequest request, String service, String homeAddress, Set<String> askedHomes) {
 			this.request = request;
 			this.service = service;
 			this.homeAddress = homeAddress;
+			this.askedHomes = askedHomes;
 		}
 
 	}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/HomeAvailabilityTests.java
@@ -1,11 +1,15 @@
 package org.radishthread.routing;
 
 import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.radishthread.routing.HomeAvailability.Probe;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -19,25 +23,35 @@
 
 	private static final long START_MILLIS = 60_000;
 
-	private final HomeAvailability availability = new HomeAvailability();
+	private final HomeAvailability availability = new HomeAvailability(RESPONSE_TIMEOUT_MILLIS);
 
 	private long nowMillis = START_MILLIS;
 
+	private int probeCount;
+
+	private List<Probe> takeDueProbes(long atMillis) {
+		return this.availability.takeDueProbes(Map.of(HOME, true), atMillis);
+	}
+
 	/**
-	 * Sends requests at regular intervals to a home that does not respond, and counts
+	 * Sends requests at regular intervals to a home that responds to nothing, and counts
 	 * those that are sent there.
 	 */
 	private int countRequestsSentToASilentHome(long intervalMillis, long durationMillis) {
 		Queue<Long> silentAtMillis = new ArrayDeque<>();
 		int count = 0;
-		for (long endMillis = this.nowMillis
-				+ durationMillis; this.nowMillis < endMillis; this.nowMillis += intervalMillis) {
+		long nextRequestMillis = this.nowMillis;
+		for (long endMillis = this.nowMillis + durationMillis; this.nowMillis < endMillis; this.nowMillis++) {
 			while (!silentAtMillis.isEmpty() && silentAtMillis.peek() <= this.nowMillis) {
 				this.availability.recordSilence(HOME, silentAtMillis.remove());
 			}
-			if (this.availability.tryUse(HOME, this.nowMillis)) {
-				silentAtMillis.add(this.nowMillis + RESPONSE_TIMEOUT_MILLIS);
-				count++;
+			this.probeCount += takeDueProbes(this.nowMillis).size();
+			if (this.nowMillis >= nextRequestMillis) {
+				nextRequestMillis += intervalMillis;
+				if (!this.availability.isLeftOut(HOME)) {
+					silentAtMillis.add(this.nowMillis + RESPONSE_TIMEOUT_MILLIS);
+					count++;
+				}
 			}
 		}
 		return count;
@@ -47,24 +61,35 @@
 	class LostHome {
 
 		// Guards against requests that all wait for a lost home whenever it is tried
-		// again: those before its loss is noticed, and then one for each trial.
+		// again: only those before its loss is noticed do.
 		@Test
-		void oneRequestAtATimeFindsOutThatItIsStillLost() {
-			int beforeNoticed = (int) RESPONSE_TIMEOUT_MILLIS / 10 + 1;
-			assertThat(countRequestsSentToASilentHome(10, 5_000)).isLessThanOrEqualTo(beforeNoticed + 5);
+		void noRequestFindsOutThatItIsStillLost() {
+			int beforeNoticed = (int) RESPONSE_TIMEOUT_MILLIS / 10;
+			assertThat(countRequestsSentToASilentHome(10, 5_000)).isLessThanOrEqualTo(beforeNoticed);
+		}
+
+		// Guards against too little being served (SHORT) where gateways are many: each
+		// sends so few requests to a home that nearly every one was the trial of a lost
+		// home.
+		@Test
+		void gatewayWithFewRequestsLosesOnlyTheFirstOfThem() {
+			assertThat(countRequestsSentToASilentHome(2_000, 20_000)).isEqualTo(1);
 		}
 
 		@Test
-		void itIsTriedLessOftenTheLongerItIsSilent() {
+		void itIsProbedLessOftenTheLongerItIsSilent() {
 			countRequestsSentToASilentHome(10, 10_000);
-			assertThat(countRequestsSentToASilentHome(10, 8_000)).isBetween(1, 3);
+			HomeAvailabilityTests.this.probeCount = 0;
+			countRequestsSentToASilentHome(10, 8_000);
+			assertThat(HomeAvailabilityTests.this.probeCount).isEqualTo(8);
 		}
 
-		// Guards against gateways that lose most of their requests to a lost home because
-		// they send so few that each of them is due as a trial.
 		@Test
-		void gatewayWithFewRequestsLosesOnlyTheFirstOfThem() {
-			assertThat(countRequestsSentToASilentHome(2_000, 20_000)).isEqualTo(1);
+		void itIsNotProbedOnceItIsNotLive() {
+			HomeAvailability availability = HomeAvailabilityTests.this.availability;
+			availability.recordSilence(HOME, START_MILLIS);
+			assertThat(availability.takeDueProbes(Map.of(), START_MILLIS)).isEmpty();
+			assertThat(availability.needsTick()).isFalse();
 		}
 
 	}
@@ -72,47 +97,80 @@
 	@Nested
 	class HomeThatReturns {
 
+		private final HomeAvailability availability = HomeAvailabilityTests.this.availability;
+
+		private long probeAt(long atMillis) {
+			List<Probe> probes = takeDueProbes(atMillis);
+			assertThat(probes).extracting(Probe::peerAddress).containsExactly(HOME);
+			return probes.get(0).number();
+		}
+
 		@Test
-		void itIsUsedAgainOnceATrialIsAnswered() {
-			HomeAvailability availability = HomeAvailabilityTests.this.availability;
-			availability.recordSilence(HOME, START_MILLIS);
-			assertThat(availability.tryUse(HOME, START_MILLIS + 900)).isFalse();
-			assertThat(availability.tryUse(HOME, START_MILLIS + 1_100)).isTrue();
-			availability.recordResponse(HOME);
-			assertThat(availability.tryUse(HOME, START_MILLIS + 1_103)).isTrue();
-			assertThat(availability.tryUse(HOME, START_MILLIS + 1_104)).isTrue();
+		void itIsUsedAgainOnceAProbeIsAnswered() {
+			this.availability.recordSilence(HOME, START_MILLIS);
+			long number = probeAt(START_MILLIS);
+			assertThat(this.availability.isLeftOut(HOME)).isTrue();
+			this.availability.recordProbeResponse(HOME, number, START_MILLIS + 3);
+			assertThat(this.availability.isLeftOut(HOME)).isFalse();
+			assertThat(this.availability.needsTick()).isFalse();
 		}
 
 		@Test
-		void itIsTriedAgainIfATrialHasNoResult() {
-			HomeAvailability availability = HomeAvailabilityTests.this.availability;
-			availability.recordSilence(HOME, START_MILLIS);
-			assertThat(availability.tryUse(HOME, START_MILLIS + 1_100)).isTrue();
-			assertThat(availability.tryUse(HOME, START_MILLIS + 3_000)).isTrue();
+		void itIsProbedAgainWithinASecond() {
+			this.availability.recordSilence(HOME, START_MILLIS);
+			long lastMillis = START_MILLIS;
+			probeAt(lastMillis);
+			for (long atMillis = START_MILLIS; atMillis < START_MILLIS + 10_000; atMillis += 50) {
+				if (!takeDueProbes(atMillis).isEmpty()) {
+					assertThat(atMillis - lastMillis).isLessThanOrEqualTo(1_000);
+					lastMillis = atMillis;
+				}
+			}
+			assertThat(lastMillis).isGreaterThan(START_MILLIS + 8_000);
 		}
 
 		// Guards against a home that is too slow, and that is asked again at once because
 		// of its late responses.
 		@Test
 		void responseThatComesTooLateDoesNotEndTheTime() {
-			HomeAvailability availability = HomeAvailabilityTests.this.availability;
-			availability.recordSilence(HOME, START_MILLIS);
-			availability.recordResponse(HOME);
-			assertThat(availability.tryUse(HOME, START_MILLIS + 51)).isFalse();
+			this.availability.recordSilence(HOME, START_MILLIS);
+			long number = probeAt(START_MILLIS);
+			this.availability.recordProbeResponse(HOME, number, START_MILLIS + RESPONSE_TIMEOUT_MILLIS + 1);
+			assertThat(this.availability.isLeftOut(HOME)).isTrue();
+		}
+
+		// Guards against the same, if a later probe is on its way when the response
+		// arrives.
+		@Test
+		void responseToAnEarlierProbeDoesNotEndTheTime() {
+			this.availability.recordSilence(HOME, START_MILLIS);
+			long number = probeAt(START_MILLIS);
+			probeAt(START_MILLIS + 250);
+			this.availability.recordProbeResponse(HOME, number, START_MILLIS + 251);
+			assertThat(this.availability.isLeftOut(HOME)).isTrue();
 		}
 
 		// Guards against several instances that act as homes, because a home was slow for
 		// a moment and is left out ever longer.
 		@Test
-		void homeThatRespondsLateIsTriedAgainEachSecond() {
-			HomeAvailability availability = HomeAvailabilityTests.this.availability;
-			long nowMillis = START_MILLIS;
-			for (int trial = 0; trial < 5; trial++) {
-				availability.recordSilence(HOME, nowMillis);
-				availability.recordResponse(HOME);
-				assertThat(availability.tryUse(HOME, nowMillis + 1_000)).isTrue();
-				nowMillis += 1_000 + RESPONSE_TIMEOUT_MILLIS;
-			}
+		void homeThatWasSlowForAMomentIsUsedAgainWithTheNextProbe() {
+			this.availability.recordSilence(HOME, START_MILLIS);
+			probeAt(START_MILLIS);
+			long number = probeAt(START_MILLIS + 250);
+			this.availability.recordProbeResponse(HOME, number, START_MILLIS + 260);
+			assertThat(this.availability.isLeftOut(HOME)).isFalse();
+		}
+
+		// Also if it had a later version when it was left out.
+		@Test
+		void instanceOfAnEarlierVersionIsAskedAgainAfterAWhile() {
+			this.availability.recordSilence(HOME, START_MILLIS);
+			probeAt(START_MILLIS);
+			Map<String, Boolean> formerVersion = Map.of(HOME, false);
+			assertThat(this.availability.takeDueProbes(formerVersion, START_MILLIS + 3_900)).isEmpty();
+			assertThat(this.availability.isLeftOut(HOME)).isTrue();
+			assertThat(this.availability.takeDueProbes(formerVersion, START_MILLIS + 4_000)).isEmpty();
+			assertThat(this.availability.isLeftOut(HOME)).isFalse();
 		}
 
 	}
--- a/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/SlotRequesterTests.java
@@ -167,6 +167,62 @@
 
 	}
 
+	@Nested
+	class OtherHomes {
+
+		private static final String OTHER_HOME = "10.0.0.2:7000";
+
+		private final SlotRequester requester = SlotRequesterTests.this.requester;
+
+		private SlotEffect.HomeUnavailable leaveFirstHome() {
+			requestSlot();
+			return this.requester.tick(RESPONSE_TIMEOUT_NANOS + 1)
+				.stream()
+				.filter(SlotEffect.HomeUnavailable.class::isInstance)
+				.map(SlotEffect.HomeUnavailable.class::cast)
+				.findFirst()
+				.orElseThrow();
+		}
+
+		private void requestSlotElsewhere() {
+			assertThat(sentMessages(
+					this.requester.requestSlotElsewhere(leaveFirstHome(), OTHER_HOME, RESPONSE_TIMEOUT_NANOS + 1)))
+				.containsExactly(SlotMessage.BodyCase.REQUEST);
+		}
+
+		@Test
+		void grantOfTheOtherHomeIsDispatched() {
+			requestSlotElsewhere();
+			assertThat(this.requester.receive(OTHER_HOME, grant("upstream-1"), RESPONSE_TIMEOUT_NANOS + 2))
+				.singleElement()
+				.isInstanceOf(SlotEffect.Decision.class);
+		}
+
+		// Guards against a request that two homes grant runs twice.
+		@Test
+		void lateGrantOfTheFirstHomeIsReturned() {
+			requestSlotElsewhere();
+			assertThat(sentMessages(receive(grant("upstream-1")))).containsExactly(SlotMessage.BodyCase.END,
+					SlotMessage.BodyCase.CLOSE);
+			assertThat(this.requester.receive(OTHER_HOME, grant("upstream-1"), RESPONSE_TIMEOUT_NANOS + 2))
+				.singleElement()
+				.isInstanceOf(SlotEffect.Decision.class);
+		}
+
+		@Test
+		void homesThatWereAskedAreNamed() {
+			SlotEffect.HomeUnavailable first = leaveFirstHome();
+			assertThat(first.askedHomes()).containsExactly(HOME);
+			this.requester.requestSlotElsewhere(first, OTHER_HOME, RESPONSE_TIMEOUT_NANOS + 1);
+			assertThat(this.requester.tick(2 * RESPONSE_TIMEOUT_NANOS + 2)).anySatisfy((effect) -> assertThat(effect)
+				.isInstanceOfSatisfying(SlotEffect.HomeUnavailable.class, (second) -> {
+					assertThat(second.homeAddress()).isEqualTo(OTHER_HOME);
+					assertThat(second.askedHomes()).containsExactlyInAnyOrder(HOME, OTHER_HOME);
+				}));
+		}
+
+	}
+
 	@Nested
 	class Refusals {
 
