Divide services into pools of eight upstreams on average

Cause: a home of the busiest service had up to 33 upstreams and 0.31 of its requests. When it had just started it granted 107 to 161 requests a second, and got more. It probes 49 upstreams a second on its link, each of 33 every 670 ms, while the pace of an upstream changes after about 300 ms; one that reported to be slow is left out meanwhile.

Change: a pool has 8 upstreams on average at least, instead of 16, so that a service has twice as many homes.

While versions run side by side, gateways divide services differently, as when they know different numbers of upstreams.

--- a/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPool.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/UpstreamPool.java
@@ -19,9 +19,10 @@
 
 	/**
 	 * The number of upstreams that a pool has at least on average, unless it is the only
-	 * one. Its slots must outlast the variation of the requests that come to it.
+	 * one. Its slots must outlast the variation of the requests that come to it, and the
+	 * home must be able to probe each upstream about as often as its pace changes.
 	 */
-	static final int MINIMUM_UPSTREAMS = 16;
+	static final int MINIMUM_UPSTREAMS = 8;
 
 	private static final int MAXIMUM_COUNT = 64;
 
