Let instances that stand in for a home retry by the ratio only

Cause: an instance that is asked in the place of a silent home drew on the slack of the retry budget like the home itself. Which home is silent is the knowledge of each gateway, so that several instances act for one home at once, more often since a request asks the next home after 150 ms.

Change: a request for a slot tells that its home is left out; it contributes by the ratio, and does not make its recipient a home for the slack.

That this is the whole cause is not shown.

--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeDirectory.java
@@ -55,7 +55,8 @@
 			return candidates.stream()
 				.filter((candidate) -> !askedAddresses.contains(candidate.peerAddress()))
 				.filter((candidate) -> candidate.local() || !this.availability.isLeftOut(candidate.peerAddress()))
-				.findFirst();
+				.findFirst()
+				.map((candidate) -> (candidate == candidates.get(0)) ? candidate : candidate.asSubstitute());
 		}
 	}
 
@@ -109,7 +110,8 @@
 		String localInstance = this.cluster.replica().getInstance();
 		return HomeAssignment.rankInstances(pool.key(), List.copyOf(liveGateways.keySet()))
 			.stream()
-			.map((name) -> new HomeCandidate(name, liveGateways.get(name).getPeerAddress(), name.equals(localInstance)))
+			.map((name) -> new HomeCandidate(name, liveGateways.get(name).getPeerAddress(), name.equals(localInstance),
+					false))
 			.toList();
 	}
 
@@ -147,8 +149,14 @@
 	 * @param name the name of the instance
 	 * @param peerAddress the address for messages of other instances
 	 * @param local whether it is this instance
+	 * @param substitute whether it stands in for another instance, which is left out
 	 */
-	record HomeCandidate(String name, String peerAddress, boolean local) {
+	record HomeCandidate(String name, String peerAddress, boolean local, boolean substitute) {
+
+		private HomeCandidate asSubstitute() {
+			return new HomeCandidate(this.name, this.peerAddress, this.local, true);
+		}
+
 	}
 
 	private record Ranking(List<InstanceView> instances, boolean dividesServices,
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/HomeRequestRouter.java
@@ -41,11 +41,12 @@
 			this.slots.admitWithoutHome(request, selectedPool, callback);
 			return;
 		}
+		RoutingRequest routedRequest = home.substitute() ? request.substitute() : request;
 		if (home.local()) {
-			localRouter().admit(request, callback);
+			localRouter().admit(routedRequest, callback);
 			return;
 		}
-		this.slots.admit(request, selectedPool, home.peerAddress(), callback);
+		this.slots.admit(routedRequest, selectedPool, home.peerAddress(), callback);
 	}
 
 	@Override
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotGranter.java
@@ -146,7 +146,8 @@
 		Urgency urgency = new Urgency(request.getPriority(), nowNanos + request.getObjectiveMicros() * NANOS_PER_MICRO);
 		return new RoutingRequest(this.lastRequestId.incrementAndGet(), request.getCaller(), request.getMayRepeat(),
 				nowNanos + request.getRemainingMicros() * NANOS_PER_MICRO, request.getZone(), urgency,
-				request.getMaximumAttempts(), origin, request.getDigest(), request.getWorkspace());
+				request.getMaximumAttempts(), origin, request.getDigest(), request.getWorkspace(),
+				request.getSubstituted());
 	}
 
 	private void close(RequestKey key, RemoteRequest request) {
--- a/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
+++ b/radishthread-daemon/src/main/java/org/radishthread/daemon/gateway/SlotService.java
@@ -282,7 +282,7 @@
 
 	private void routeLocally(RoutingRequest request, UpstreamPool pool, boolean home, RoutingCallback callback) {
 		if (home) {
-			localRouter(pool).admit(request, callback);
+			localRouter(pool).admit(request.substitute(), callback);
 		}
 		else {
 			admitWithoutHome(request, pool, callback);
--- a/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
+++ b/radishthread-protocol/src/main/java/org/radishthread/protocol/Radishthread.java
@@ -687,76 +687,76 @@
       "eH\000\022<\n\014reachability\030\014 \001(\0162&.radishthread" +
       ".SlotMessage.Reachability\";\n\014Reachabilit" +
       "y\022\013\n\007UNKNOWN\020\000\022\r\n\tREACHABLE\020\001\022\017\n\013PARTITI" +
-      "ONED\020\002B\006\n\004body\"\302\001\n\013SlotRequest\022\016\n\006caller" +
+      "ONED\020\002B\006\n\004body\"\327\001\n\013SlotRequest\022\016\n\006caller" +
       "\030\001 \001(\t\022\022\n\nmay_repeat\030\002 \001(\010\022\030\n\020remaining_" +
       "micros\030\003 \001(\004\022\020\n\010priority\030\004 \001(\r\022\030\n\020object" +
       "ive_micros\030\005 \001(\004\022\030\n\020maximum_attempts\030\006 \001" +
       "(\r\022\014\n\004zone\030\007 \001(\t\022\016\n\006digest\030\010 \001(\t\022\021\n\twork" +
-      "space\030\t \001(\t\"\354\001\n\nLoadReport\022\017\n\007running\030\001 " +
-      "\001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014p" +
-      "ace_percent\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022\026\n\016re" +
-      "fused_millis\030\006 \001(\004\022\035\n\020limit_per_second\030\007" +
-      " \001(\001H\000\210\001\001\022\023\n\013cold_millis\030\010 \001(\004\022\023\n\013incarn" +
-      "ation\030\t \001(\004\022\020\n\010sequence\030\n \001(\004B\023\n\021_limit_" +
-      "per_second\"l\n\007SlotEnd\022\020\n\010upstream\030\001 \001(\t\022" +
-      "\016\n\006result\030\002 \001(\t\022&\n\004load\030\003 \001(\0132\030.radishth" +
-      "read.LoadReport\022\027\n\017connection_lost\030\004 \001(\010" +
-      "\"k\n\013CrashNotice\022*\n\007crashes\030\001 \003(\0132\031.radis" +
-      "hthread.CrashRecord\0220\n\nclearances\030\002 \003(\0132" +
-      "\034.radishthread.CrashClearance\"g\n\013CrashRe" +
-      "cord\022\016\n\006digest\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023" +
-      "\n\013incarnation\030\003 \001(\004\022\r\n\005alone\030\004 \001(\010\022\022\n\nag" +
-      "e_millis\030\005 \001(\004\"4\n\016CrashClearance\022\016\n\006dige" +
-      "st\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\013\n\tSlotRetr" +
-      "y\"\013\n\tSlotHedge\"\037\n\tSlotClose\022\022\n\ntaken_bac" +
-      "k\030\001 \001(\010\"\014\n\nSlotQueued\"\035\n\tSlotProbe\022\020\n\010re" +
-      "sponse\030\001 \001(\010\"\317\001\n\tSlotGrant\022\020\n\010upstream\030\001" +
-      " \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\ti" +
-      "n_flight\030\004 \001(\r\022\025\n\rwaited_micros\030\005 \001(\004\022\032\n" +
-      "\022hedge_after_micros\030\006 \001(\004\022\025\n\rlimit_count" +
-      "ed\030\007 \001(\010\022\r\n\005relay\030\010 \001(\t\022\023\n\013incarnation\030\t" +
-      " \001(\004\022\020\n\010sequence\030\n \001(\004\"R\n\013SlotRefusal\022\016\n" +
-      "\006reason\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 \001(" +
-      "\004\022\027\n\017specific_reason\030\003 \001(\t\"\345\002\n\020Allotment" +
-      "Message\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022" +
-      "\016\n\006number\030\003 \001(\004\022+\n\005terms\030\004 \001(\0132\034.radisht" +
-      "hread.AllotmentTerms\022,\n\007request\030\005 \001(\0132\031." +
-      "radishthread.LoanRequestH\000\022\"\n\004loan\030\006 \001(\013" +
-      "2\022.radishthread.LoanH\000\022*\n\006return\030\007 \001(\0132\030" +
-      ".radishthread.LoanReturnH\000\0223\n\010handover\030\010" +
-      " \001(\0132\037.radishthread.AllotmentHandoverH\000\022" +
-      "9\n\020handover_request\030\t \001(\0132\035.radishthread" +
-      ".HandoverRequestH\000B\006\n\004body\"N\n\016AllotmentT" +
-      "erms\022\020\n\010revision\030\001 \001(\004\022\033\n\023requests_per_s" +
-      "econd\030\002 \001(\001\022\r\n\005burst\030\003 \001(\001\"\272\001\n\013LoanReque" +
-      "st\022\027\n\017accepted_number\030\001 \001(\004\022\014\n\004held\030\002 \001(" +
-      "\001\022\031\n\021demand_per_second\030\003 \001(\001\022\016\n\006wanted\030\004" +
-      " \001(\001\022\033\n\023given_up_per_second\030\005 \001(\001\022\027\n\017giv" +
-      "en_up_millis\030\006 \001(\004\022\022\n\nlender_run\030\007 \001(\006\022\017" +
-      "\n\007surplus\030\010 \001(\001\"\277\001\n\004Loan\022\016\n\006lender\030\001 \001(\010" +
-      "\022\022\n\nlender_run\030\002 \001(\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\n" +
-      "per_second\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001" +
-      "\022\024\n\014valid_millis\030\006 \001(\004\022\017\n\007limited\030\007 \001(\010\022" +
-      "\030\n\020available_millis\030\010 \001(\004\022\026\n\016lender_addr" +
-      "ess\030\t \001(\t\"\034\n\nLoanReturn\022\016\n\006tokens\030\001 \001(\001\"" +
-      "J\n\021AllotmentHandover\022\016\n\006tokens\030\001 \001(\001\022%\n\005" +
-      "loans\030\002 \003(\0132\026.radishthread.OpenLoan\"\021\n\017H" +
-      "andoverRequest\"\232\001\n\010OpenLoan\022\020\n\010borrower\030" +
-      "\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022\022\n\npe" +
-      "r_second\030\004 \001(\001\022\026\n\016maximum_tokens\030\005 \001(\001\022\031" +
-      "\n\021demand_per_second\030\006 \001(\001\022\030\n\020remaining_m" +
-      "illis\030\007 \001(\004*a\n\014RulesVerdict\022\035\n\031RULES_VER" +
-      "DICT_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONF" +
-      "LICT\020\002\022\t\n\005STALE\020\003\022\013\n\007INVALID\020\004*k\n\014ClaimV" +
-      "erdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\013\n" +
-      "\007GRANTED\020\001\022\010\n\004HELD\020\002\022\r\n\tCOMPLETED\020\003\022\014\n\010M" +
-      "ISMATCH\020\004\022\010\n\004FULL\020\005*f\n\010RulePart\022\023\n\017RULE_" +
-      "PART_WHOLE\020\000\022\026\n\022RULE_PART_REVISION\020\001\022\026\n\022" +
-      "RULE_PART_DOCUMENT\020\002\022\025\n\021RULE_PART_CONTEN" +
-      "T\020\003*R\n\rUpstreamState\022\036\n\032UPSTREAM_STATE_U" +
-      "NSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n" +
-      "\004LEFT\020\003B\035\n\031org.radishthread.protocolP\001b\006" +
-      "proto3"
+      "space\030\t \001(\t\022\023\n\013substituted\030\n \001(\010\"\354\001\n\nLoa" +
+      "dReport\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(" +
+      "\r\022\r\n\005slots\030\003 \001(\r\022\024\n\014pace_percent\030\004 \001(\r\022\017" +
+      "\n\007leaving\030\005 \001(\010\022\026\n\016refused_millis\030\006 \001(\004\022" +
+      "\035\n\020limit_per_second\030\007 \001(\001H\000\210\001\001\022\023\n\013cold_m" +
+      "illis\030\010 \001(\004\022\023\n\013incarnation\030\t \001(\004\022\020\n\010sequ" +
+      "ence\030\n \001(\004B\023\n\021_limit_per_second\"l\n\007SlotE" +
+      "nd\022\020\n\010upstream\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022&\n\004" +
+      "load\030\003 \001(\0132\030.radishthread.LoadReport\022\027\n\017" +
+      "connection_lost\030\004 \001(\010\"k\n\013CrashNotice\022*\n\007" +
+      "crashes\030\001 \003(\0132\031.radishthread.CrashRecord" +
+      "\0220\n\nclearances\030\002 \003(\0132\034.radishthread.Cras" +
+      "hClearance\"g\n\013CrashRecord\022\016\n\006digest\030\001 \001(" +
+      "\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004" +
+      "\022\r\n\005alone\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\"4\n\016C" +
+      "rashClearance\022\016\n\006digest\030\001 \001(\t\022\022\n\nage_mil" +
+      "lis\030\002 \001(\004\"\013\n\tSlotRetry\"\013\n\tSlotHedge\"\037\n\tS" +
+      "lotClose\022\022\n\ntaken_back\030\001 \001(\010\"\014\n\nSlotQueu" +
+      "ed\"\035\n\tSlotProbe\022\020\n\010response\030\001 \001(\010\"\317\001\n\tSl" +
+      "otGrant\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001" +
+      "(\t\022\014\n\004kind\030\003 \001(\t\022\021\n\tin_flight\030\004 \001(\r\022\025\n\rw" +
+      "aited_micros\030\005 \001(\004\022\032\n\022hedge_after_micros" +
+      "\030\006 \001(\004\022\025\n\rlimit_counted\030\007 \001(\010\022\r\n\005relay\030\010" +
+      " \001(\t\022\023\n\013incarnation\030\t \001(\004\022\020\n\010sequence\030\n " +
+      "\001(\004\"R\n\013SlotRefusal\022\016\n\006reason\030\001 \001(\t\022\032\n\022re" +
+      "try_after_millis\030\002 \001(\004\022\027\n\017specific_reaso" +
+      "n\030\003 \001(\t\"\345\002\n\020AllotmentMessage\022\021\n\tworkspac" +
+      "e\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\022+\n\005" +
+      "terms\030\004 \001(\0132\034.radishthread.AllotmentTerm" +
+      "s\022,\n\007request\030\005 \001(\0132\031.radishthread.LoanRe" +
+      "questH\000\022\"\n\004loan\030\006 \001(\0132\022.radishthread.Loa" +
+      "nH\000\022*\n\006return\030\007 \001(\0132\030.radishthread.LoanR" +
+      "eturnH\000\0223\n\010handover\030\010 \001(\0132\037.radishthread" +
+      ".AllotmentHandoverH\000\0229\n\020handover_request" +
+      "\030\t \001(\0132\035.radishthread.HandoverRequestH\000B" +
+      "\006\n\004body\"N\n\016AllotmentTerms\022\020\n\010revision\030\001 " +
+      "\001(\004\022\033\n\023requests_per_second\030\002 \001(\001\022\r\n\005burs" +
+      "t\030\003 \001(\001\"\272\001\n\013LoanRequest\022\027\n\017accepted_numb" +
+      "er\030\001 \001(\004\022\014\n\004held\030\002 \001(\001\022\031\n\021demand_per_sec" +
+      "ond\030\003 \001(\001\022\016\n\006wanted\030\004 \001(\001\022\033\n\023given_up_pe" +
+      "r_second\030\005 \001(\001\022\027\n\017given_up_millis\030\006 \001(\004\022" +
+      "\022\n\nlender_run\030\007 \001(\006\022\017\n\007surplus\030\010 \001(\001\"\277\001\n" +
+      "\004Loan\022\016\n\006lender\030\001 \001(\010\022\022\n\nlender_run\030\002 \001(" +
+      "\006\022\016\n\006tokens\030\003 \001(\001\022\022\n\nper_second\030\004 \001(\001\022\026\n" +
+      "\016maximum_tokens\030\005 \001(\001\022\024\n\014valid_millis\030\006 " +
+      "\001(\004\022\017\n\007limited\030\007 \001(\010\022\030\n\020available_millis" +
+      "\030\010 \001(\004\022\026\n\016lender_address\030\t \001(\t\"\034\n\nLoanRe" +
+      "turn\022\016\n\006tokens\030\001 \001(\001\"J\n\021AllotmentHandove" +
+      "r\022\016\n\006tokens\030\001 \001(\001\022%\n\005loans\030\002 \003(\0132\026.radis" +
+      "hthread.OpenLoan\"\021\n\017HandoverRequest\"\232\001\n\010" +
+      "OpenLoan\022\020\n\010borrower\030\001 \001(\t\022\013\n\003run\030\002 \001(\006\022" +
+      "\016\n\006number\030\003 \001(\004\022\022\n\nper_second\030\004 \001(\001\022\026\n\016m" +
+      "aximum_tokens\030\005 \001(\001\022\031\n\021demand_per_second" +
+      "\030\006 \001(\001\022\030\n\020remaining_millis\030\007 \001(\004*a\n\014Rule" +
+      "sVerdict\022\035\n\031RULES_VERDICT_UNSPECIFIED\020\000\022" +
+      "\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\t\n\005STALE\020\003\022\013" +
+      "\n\007INVALID\020\004*k\n\014ClaimVerdict\022\035\n\031CLAIM_VER" +
+      "DICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020" +
+      "\002\022\r\n\tCOMPLETED\020\003\022\014\n\010MISMATCH\020\004\022\010\n\004FULL\020\005" +
+      "*f\n\010RulePart\022\023\n\017RULE_PART_WHOLE\020\000\022\026\n\022RUL" +
+      "E_PART_REVISION\020\001\022\026\n\022RULE_PART_DOCUMENT\020" +
+      "\002\022\025\n\021RULE_PART_CONTENT\020\003*R\n\rUpstreamStat" +
+      "e\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\t\n\005REA" +
+      "DY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\003B\035\n\031org.radi" +
+      "shthread.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1151,7 +1151,7 @@
     internal_static_radishthread_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_radishthread_SlotRequest_descriptor,
-        new java.lang.String[] { "Caller", "MayRepeat", "RemainingMicros", "Priority", "ObjectiveMicros", "MaximumAttempts", "Zone", "Digest", "Workspace", });
+        new java.lang.String[] { "Caller", "MayRepeat", "RemainingMicros", "Priority", "ObjectiveMicros", "MaximumAttempts", "Zone", "Digest", "Workspace", "Substituted", });
     internal_static_radishthread_LoadReport_descriptor =
       getDescriptor().getMessageType(65);
     internal_static_radishthread_LoadReport_fieldAccessorTable = new
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RetryBudget.java
@@ -3,10 +3,10 @@
 /**
  * Limits retries and hedges to {@link RetryLimits}, so that they cannot multiply the load
  * of a failing service. Only the home of the service draws on the slack; an instance that
- * routes without the home is limited to the ratio of its own requests. The shares of the
- * slack add up to three quarters of it if the home changes within a window; the rest
- * covers the one token that each of the other instances may hold. Not safe for concurrent
- * use.
+ * routes without the home, or in its place, is limited to the ratio of its own requests.
+ * The shares of the slack add up to three quarters of it if the home changes within a
+ * window; the rest covers the one token that each of the other instances may hold. Not
+ * safe for concurrent use.
  */
 public final class RetryBudget {
 
--- a/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/RoutingRequest.java
@@ -17,9 +17,11 @@
  * this instance
  * @param digest what equal requests have in common, or empty if unknown
  * @param workspace the name of the workspace of the caller, or empty for none
+ * @param substituted whether the home that should route the request is left out, so that
+ * another instance stands in for it, perhaps beside others
  */
 public record RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone,
-		Urgency urgency, int maximumAttempts, String origin, String digest, String workspace) {
+		Urgency urgency, int maximumAttempts, String origin, String digest, String workspace, boolean substituted) {
 
 	private static final int DEFAULT_MAXIMUM_ATTEMPTS = 3;
 
@@ -42,6 +44,20 @@
 		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, origin, digest, "");
 	}
 
+	public RoutingRequest(long id, String caller, boolean mayRepeat, long deadlineNanos, String zone, Urgency urgency,
+			int maximumAttempts, String origin, String digest, String workspace) {
+		this(id, caller, mayRepeat, deadlineNanos, zone, urgency, maximumAttempts, origin, digest, workspace, false);
+	}
+
+	/**
+	 * Returns this request as one that another instance than its home routes.
+	 * @return the request, marked as substituted
+	 */
+	public RoutingRequest substitute() {
+		return new RoutingRequest(this.id, this.caller, this.mayRepeat, this.deadlineNanos, this.zone, this.urgency,
+				this.maximumAttempts, this.origin, this.digest, this.workspace, true);
+	}
+
 	/**
 	 * Returns the name of the queue in which the request waits for its turn.
 	 * @return a name for the workspace, or for the caller if it has none
--- a/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/ServiceRouter.java
@@ -282,7 +282,8 @@
 	 * @return its dispatch or refusal, or nothing if it was queued
 	 */
 	public List<RoutingEffect> admit(RoutingRequest request, boolean home, long nowNanos) {
-		this.retryBudget.recordRequest(this.rule.retryPercent(), home, nowNanos);
+		// Several instances may stand in for a home at once.
+		this.retryBudget.recordRequest(this.rule.retryPercent(), home && !request.substituted(), nowNanos);
 		if (home) {
 			// Only the home probes. Others would each probe all upstreams for the few
 			// requests that they route without it.
--- a/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
+++ b/radishthread-routing/src/main/java/org/radishthread/routing/SlotRequester.java
@@ -107,8 +107,8 @@
 			long nowNanos) {
 		Set<String> askedHomes = new HashSet<>(unavailable.askedHomes());
 		askedHomes.add(homeAddress);
-		return open(new RequestState(unavailable.request(), unavailable.service(), homeAddress, Set.copyOf(askedHomes)),
-				nowNanos);
+		return open(new RequestState(unavailable.request().substitute(), unavailable.service(), homeAddress,
+				Set.copyOf(askedHomes)), nowNanos);
 	}
 
 	private List<SlotEffect> open(RequestState state, long nowNanos) {
@@ -132,7 +132,8 @@
 					.setMaximumAttempts(state.request.maximumAttempts())
 					.setZone(this.zone)
 					.setDigest(state.request.digest())
-					.setWorkspace(state.request.workspace())));
+					.setWorkspace(state.request.workspace())
+					.setSubstituted(state.request.substituted())));
 	}
 
 	private SlotMessage.Builder newMessage(RequestState state) {
--- a/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
+++ b/radishthread-routing/src/test/java/org/radishthread/routing/UpstreamConstraintTests.java
@@ -136,8 +136,7 @@
 		}
 
 		// Guards against an upstream that is taken away from all, because one instance
-		// has
-		// not heard of its next start.
+		// has not heard of its next start.
 		@Test
 		void laterIncarnationThatTheHomeKnowsIsNotBound() {
 			this.constraints.record("one", LoadReport.LEAVING, 0);
