--- a/review/standin-2/DepartureAtRestartedControl.java
+++ b/review/standin-2/DepartureAtRestartedControl.java
@@ -56,7 +56,7 @@
 			for (Instance gateway : review.gateways()) {
 				var address = review.deployment().callerAddress(gateway);
 				review.await(gateway + " serves", () -> clients.send(gateway.name(), address, "/rota/first") == 200);
-				clients.start(gateway, address, "/rota/week", 20);
+				clients.start(gateway, address, "/rota/week", 10);
 			}
 			Thread.sleep(STABLE_WINDOW_MILLIS + 1_000);
 			Instance control = review.controls().get(4);
