--- a/review/standin-2/RepeatedIdempotencyKey.java
+++ b/review/standin-2/RepeatedIdempotencyKey.java
@@ -71,11 +71,12 @@
 				Set<String> runs = target.runs().stream().map(ReviewTarget.Run::requestId).collect(Collectors.toSet());
 				boolean ran = runs.contains(requestId);
 				log.write("%s: answered '%s', ran: %s", requestId, answer, ran);
-				boolean own = answer.equals("200 seal s-" + requestId + " id " + requestId);
-				broken += (answer.startsWith("200") && !(own && ran)) ? 1 : 0;
+				// The seal of the target's answer to this request.
+				boolean sealed = answer.startsWith("200 seal s-" + requestId + " ");
+				broken += (answer.startsWith("200") && !sealed) ? 1 : 0;
 			}
 		}
-		log.write("%d of %d requests got a success that is not the answer of a run of theirs", broken, 2 * SHIFTS);
+		log.write("%d of %d requests got a success without the seal of an answer to them", broken, 2 * SHIFTS);
 		return (broken > 0) ? 1 : 0;
 	}
 
